--- /dev/null
+++ b/packages/errors/src/answers.test.ts
@@ -0,0 +1,30 @@
+import {expect} from 'chai';
+import {ANSWERS, ErrorKind, Failure, formatFailure, Ran} from './index.js';
+
+describe('answers', () => {
+  it('has a 4xx or 5xx status for each kind', () => {
+    const statuses = Object.values(ErrorKind).map(kind => ANSWERS[kind].status);
+    expect(statuses.filter(status => status < 400 || status > 599)).to.eql([]);
+  });
+
+  it('formats a failure as the one error shape', () => {
+    const failure = new Failure(
+      ErrorKind.OVERLOADED,
+      'no engine of model "m" has room within 1300 ms',
+      Ran.NO,
+      250,
+    );
+    expect(formatFailure(failure, 'r-1')).to.eql({
+      error: {
+        kind: 'overloaded',
+        message: 'no engine of model "m" has room within 1300 ms',
+        ran: 'no',
+        retryAfterMs: 250,
+        requestId: 'r-1',
+        type: 'server_error',
+        code: 'overloaded',
+        param: null,
+      },
+    });
+  });
+});
--- /dev/null
+++ b/packages/errors/src/format_failure.ts
@@ -0,0 +1,23 @@
+import {ANSWERS} from './answers.js';
+import type {ErrorBody} from './error_body.js';
+import type {Failure} from './failure.js';
+
+/** Formats a failure as the JSON shape that callers get. */
+export function formatFailure(failure: Failure, requestId: string): ErrorBody {
+  const retryAfter =
+    failure.retryAfterMs === undefined
+      ? {}
+      : {retryAfterMs: failure.retryAfterMs};
+  return {
+    error: {
+      kind: failure.kind,
+      message: failure.message,
+      ran: failure.ran,
+      ...retryAfter,
+      requestId,
+      type: ANSWERS[failure.kind].type,
+      code: failure.kind,
+      param: null,
+    },
+  };
+}
