--- /dev/null
+++ b/packages/bench/src/bench_options.ts
@@ -0,0 +1,6 @@
+/** What a bench is asked for. */
+export interface BenchOptions {
+  readonly seed: number;
+  /** Number of repeated runs. */
+  readonly repeats: number;
+}
