Serve completions and service calls at an entry host, thin

Cause: no path from a caller to an upstream. Conclusion: one process checks a request, chooses an upstream in turn and passes the answer on; policies, orders and peers follow.

--- /dev/null
+++ b/packages/daemon/src/address.ts
@@ -0,0 +1,6 @@
+/** Where a listener is bound. */
+export interface Address {
+  /** IP number. */
+  readonly host: string;
+  readonly port: number;
+}
--- /dev/null
+++ b/packages/daemon/src/caller.ts
@@ -0,0 +1,5 @@
+/** Who sent a request, after the check of its key. */
+export interface Caller {
+  readonly requestId: string;
+  readonly account: string;
+}
--- /dev/null
+++ b/packages/daemon/src/caller_server.ts
@@ -0,0 +1,270 @@
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
+import {ErrorKind, Failure, formatFailure, ANSWERS} from '@parsleywood/errors';
+import fastify, {type FastifyInstance, type FastifyRequest} from 'fastify';
+import type {Caller} from './caller.js';
+import {CompletionPath} from './completion_path.js';
+import type {CompletionHandler} from './completion_handler.js';
+import {nameHosts} from './name_hosts.js';
+import type {ReplyHead} from './reply_head.js';
+import type {ServiceHandler} from './service_handler.js';
+import type {Serving} from './serving.js';
+import {writeFailure} from './write_failure.js';
+
+/** Largest body that is read at all, in bytes; settings may allow less. */
+const MAX_BODY_BYTES = 16 * 1024 * 1024;
+const MAX_HEADER_BYTES = 16 * 1024;
+const HEADERS_TIMEOUT_MS = 10_000;
+const BODY_TIMEOUT_MS = 30_000;
+const TIMEOUT_CHECK_INTERVAL_MS = 500;
+const RETRY_AFTER_MS = 500;
+const CLIENT_ERRORS: Readonly<Record<string, ErrorKind>> = {
+  ERR_HTTP_REQUEST_TIMEOUT: ErrorKind.BODY_TIMEOUT,
+  HPE_HEADER_OVERFLOW: ErrorKind.HEADERS_TOO_LARGE,
+};
+
+/** The callers' HTTP interface. */
+export class CallerServer {
+  private readonly server: FastifyInstance;
+  private requests = 0;
+
+  constructor(
+    private readonly serving: Serving,
+    private readonly completions: CompletionHandler,
+    private readonly services: ServiceHandler,
+    private readonly isUsable: (host: string) => boolean,
+  ) {
+    this.server = fastify({
+      bodyLimit: MAX_BODY_BYTES,
+      requestTimeout: BODY_TIMEOUT_MS,
+      http: {
+        maxHeaderSize: MAX_HEADER_BYTES,
+        headersTimeout: HEADERS_TIMEOUT_MS,
+        connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS,
+      },
+      forceCloseConnections: 'idle',
+      clientErrorHandler: (error, socket) => {
+        this.answerBrokenRequest(error.code, socket);
+      },
+      frameworkErrors: (error, _request, reply) => {
+        const failure = this.describeError(error.code, error.message);
+        writeFailure(reply.raw, failure, this.nextRequestId(), this.head(''));
+      },
+    });
+    this.server.removeAllContentTypeParsers();
+    this.server.addContentTypeParser(
+      '*',
+      {parseAs: 'buffer'},
+      (_request, body, done) => {
+        done(null, body);
+      },
+    );
+    this.addRoutes();
+  }
+
+  async listen(host: string, port: number): Promise<void> {
+    await this.server.listen({host, port});
+  }
+
+  /** Closes after all requests in flight are answered. */
+  async close(): Promise<void> {
+    await this.server.close();
+  }
+
+  private addRoutes(): void {
+    const {server} = this;
+    server.setErrorHandler((error, request, reply) => {
+      const {code, message} = error as NodeJS.ErrnoException;
+      const failure =
+        error instanceof Failure
+          ? error
+          : this.describeError(code ?? '', message);
+      const requestId = request.id;
+      reply.hijack();
+      writeFailure(reply.raw, failure, requestId, this.head(requestId));
+    });
+    server.setNotFoundHandler(request => {
+      throw new Failure(
+        ErrorKind.NOT_FOUND,
+        `no ${request.method} ${request.url.split('?')[0] ?? ''} here`,
+      );
+    });
+    server.addHook('onRequest', (request, _reply, done) => {
+      request.id = this.nextRequestId();
+      done();
+    });
+    server.get('/v1/hosts', request => this.answerHosts(request));
+    server.get('/v1/models', request => this.answerModels(request));
+    for (const path of Object.values(CompletionPath)) {
+      server.post(path, {onRequest: this.requireAccount}, (request, reply) => {
+        reply.hijack();
+        this.run(request, reply.raw, (caller, body) => {
+          this.completions.handle(path, caller, body, request.raw, reply.raw);
+        });
+      });
+    }
+    server.all(
+      '/v1/services/:service/*',
+      {onRequest: this.requireAccount},
+      (request, reply) => {
+        reply.hijack();
+        this.run(request, reply.raw, (caller, body) => {
+          this.services.handle(caller, body, request.raw, reply.raw);
+        });
+      },
+    );
+  }
+
+  /** Refuses a request without a known key before its body is read. */
+  private readonly requireAccount = (
+    request: FastifyRequest,
+    _reply: unknown,
+    done: (error?: Error) => void,
+  ): void => {
+    const keyring = this.serving.site.keyring();
+    if (keyring === undefined) {
+      done(this.refuseWithoutSettings());
+    } else if (!keyring.findAccount(request.headers.authorization)) {
+      done(
+        new Failure(
+          ErrorKind.UNAUTHENTICATED,
+          'the authorization header holds no key of a client account',
+        ),
+      );
+    } else {
+      done(this.checkBodyLength(request.raw));
+    }
+  };
+
+  private checkBodyLength(request: IncomingMessage): Failure | undefined {
+    const maxBytes =
+      this.serving.site.settings()?.callers.maxBodyBytes ?? MAX_BODY_BYTES;
+    const length = Number(request.headers['content-length'] ?? 0);
+    return length > maxBytes ? this.refuseBody(maxBytes) : undefined;
+  }
+
+  private run(
+    request: FastifyRequest,
+    response: ServerResponse,
+    handle: (caller: Caller, body: Buffer) => void,
+  ): void {
+    const requestId = request.id;
+    const head = this.head(requestId);
+    const account = this.serving.site
+      .keyring()
+      ?.findAccount(request.headers.authorization);
+    const body = Buffer.isBuffer(request.body) ? request.body : Buffer.alloc(0);
+    const maxBytes =
+      this.serving.site.settings()?.callers.maxBodyBytes ?? MAX_BODY_BYTES;
+    try {
+      if (account === undefined) throw this.refuseWithoutSettings();
+      if (body.length > maxBytes) throw this.refuseBody(maxBytes);
+      handle({requestId, account}, body);
+    } catch (error) {
+      const failure =
+        error instanceof Failure
+          ? error
+          : new Failure(ErrorKind.INTERNAL, 'the host failed');
+      if (failure.kind === ErrorKind.INTERNAL) {
+        const {stack} = error as Error;
+        this.serving.log.error('request_error', {requestId, stack});
+      }
+      writeFailure(response, failure, requestId, head);
+    }
+  }
+
+  private answerHosts(request: FastifyRequest): object {
+    const {site} = this.serving;
+    const settings = site.settings();
+    if (settings === undefined) throw this.refuseWithoutSettings();
+    const {authorization} = request.headers;
+    const account = site.keyring()?.findAccount(authorization);
+    if (authorization !== undefined && account === undefined) {
+      throw new Failure(
+        ErrorKind.UNAUTHENTICATED,
+        'the authorization header holds no key of a client account',
+      );
+    }
+    const {hostsPerAccount, keepHostsForMs} = settings.callers;
+    const named = nameHosts(
+      account ?? request.ip,
+      site.hosts().hosts,
+      hostsPerAccount,
+      this.isUsable,
+    );
+    return {
+      hosts: named.map(({callers, failureDomain}) => ({
+        address: callers,
+        failureDomain,
+      })),
+      keepForMs: keepHostsForMs,
+    };
+  }
+
+  private answerModels(request: FastifyRequest): object {
+    const {site} = this.serving;
+    if (!site.keyring()?.findAccount(request.headers.authorization)) {
+      throw new Failure(
+        ErrorKind.UNAUTHENTICATED,
+        'the authorization header holds no key of a client account',
+      );
+    }
+    const models = Object.keys(site.settings()?.models ?? {});
+    return {
+      object: 'list',
+      data: models.map(id => ({id, object: 'model', owned_by: 'parsleywood'})),
+    };
+  }
+
+  private answerBrokenRequest(code: string | undefined, socket: Socket): void {
+    if (!socket.writable) {
+      socket.destroy();
+      return;
+    }
+    const kind = CLIENT_ERRORS[code ?? ''] ?? ErrorKind.INVALID_REQUEST;
+    const failure = new Failure(kind, `the request is not whole: ${kind}`);
+    const body = JSON.stringify(formatFailure(failure, this.nextRequestId()));
+    socket.end(
+      `HTTP/1.1 ${ANSWERS[kind].status} Error\r\nconnection: close\r\n` +
+        'content-type: application/json\r\n' +
+        `content-length: ${Buffer.byteLength(body)}\r\n\r\n${body}`,
+    );
+  }
+
+  private describeError(code: string, message: string): Failure {
+    if (code === 'FST_ERR_CTP_BODY_TOO_LARGE') {
+      return this.refuseBody(MAX_BODY_BYTES);
+    }
+    if (code.startsWith('FST_ERR')) {
+      return new Failure(ErrorKind.INVALID_REQUEST, message);
+    }
+    return new Failure(ErrorKind.INTERNAL, 'the host failed');
+  }
+
+  private refuseBody(maxBytes: number): Failure {
+    return new Failure(
+      ErrorKind.BODY_TOO_LARGE,
+      `the body is larger than ${maxBytes} bytes`,
+    );
+  }
+
+  private refuseWithoutSettings(): Failure {
+    return new Failure(
+      ErrorKind.HOST_UNAVAILABLE,
+      'this host has no settings yet',
+      undefined,
+      RETRY_AFTER_MS,
+    );
+  }
+
+  private head(requestId: string): ReplyHead {
+    return {
+      'parsleywood-request-id': requestId,
+      'parsleywood-host': this.serving.host,
+    };
+  }
+
+  private nextRequestId(): string {
+    return `${this.serving.requestPrefix}-${(this.requests++).toString(36)}`;
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/engine_client.ts
@@ -0,0 +1,52 @@
+import {AttemptFault} from '@parsleywood/requests';
+import type {Dispatcher} from 'undici';
+import type {AttemptCall} from './attempt_call.js';
+import type {AttemptListener} from './attempt_listener.js';
+import {AttemptReader} from './attempt_reader.js';
+import type {UpstreamPools} from './upstream_pools.js';
+
+/** Sends attempts to engines and reads their answers. */
+export class EngineClient {
+  private readonly open = new Map<string, AttemptReader>();
+
+  constructor(private readonly pools: UpstreamPools) {}
+
+  /** Number of attempts whose answer is not over. */
+  openAttempts(): number {
+    return this.open.size;
+  }
+
+  /** Sends an attempt; the listener hears of it until its end or fault. */
+  start(call: AttemptCall, listener: AttemptListener): void {
+    const reader = new AttemptReader(call.attempt, listener, () =>
+      this.open.delete(call.attempt),
+    );
+    this.open.set(call.attempt, reader);
+    const options: Dispatcher.DispatchOptions = {
+      path: call.path,
+      method: 'POST',
+      body: call.body,
+      headers: {
+        'content-type': 'application/json',
+        'parsleywood-attempt': call.attempt,
+        'parsleywood-owner': call.owner,
+        'parsleywood-priority': String(call.priority),
+        'parsleywood-resume-from': String(call.resumeFrom),
+        'parsleywood-limit-ms': String(Math.ceil(call.limitMs)),
+      },
+    };
+    try {
+      this.pools.get(call.address).dispatch(options, reader);
+    } catch (error) {
+      this.open.delete(call.attempt);
+      listener.onFault(call.attempt, AttemptFault.UNREACHABLE, String(error));
+    }
+  }
+
+  /** Closes an attempt's connection, which the engine takes as a cancel. */
+  cancel(attempt: string): void {
+    const reader = this.open.get(attempt);
+    this.open.delete(attempt);
+    reader?.abort();
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/event_log.ts
@@ -0,0 +1,50 @@
+import type {Incarnation} from '@parsleywood/types';
+import loglevel from 'loglevel';
+import type {LogLevel} from './log_level.js';
+
+/** Fields of one log line; never a prompt's text and never a key. */
+type Fields = Readonly<Record<string, string | number | boolean | undefined>>;
+
+/** Writes one JSON line to standard output for each event. */
+export class EventLog {
+  private readonly logger = loglevel.getLogger('parsleywood');
+
+  constructor(
+    private readonly incarnation: Incarnation,
+    level: LogLevel,
+  ) {
+    this.logger.methodFactory = () => line => {
+      process.stdout.write(`${String(line)}\n`);
+    };
+    this.logger.setLevel(level, false);
+  }
+
+  debug(event: string, fields: Fields = {}): void {
+    if (this.logger.getLevel() > this.logger.levels.DEBUG) return;
+    this.logger.debug(this.format('debug', event, fields));
+  }
+
+  info(event: string, fields: Fields = {}): void {
+    if (this.logger.getLevel() > this.logger.levels.INFO) return;
+    this.logger.info(this.format('info', event, fields));
+  }
+
+  warn(event: string, fields: Fields = {}): void {
+    this.logger.warn(this.format('warn', event, fields));
+  }
+
+  error(event: string, fields: Fields = {}): void {
+    this.logger.error(this.format('error', event, fields));
+  }
+
+  private format(level: string, event: string, fields: Fields): string {
+    return JSON.stringify({
+      time: new Date().toISOString(),
+      level,
+      event,
+      host: this.incarnation.host,
+      incarnation: this.incarnation.id,
+      ...fields,
+    });
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/parse_time_limit.ts
@@ -0,0 +1,21 @@
+import {ErrorKind, Failure} from '@parsleywood/errors';
+import {Result} from 'true-myth';
+
+const DIGITS = /^[0-9]{1,12}$/;
+
+/** Reads the header request-timeout-ms; undefined when it is absent. */
+export function parseTimeLimit(
+  header: string | string[] | undefined,
+  maxMs: number,
+): Result<number | undefined, Failure> {
+  if (header === undefined) return Result.ok(undefined);
+  const limitMs =
+    typeof header === 'string' && DIGITS.test(header) ? Number(header) : 0;
+  if (limitMs >= 1 && limitMs <= maxMs) return Result.ok(limitMs);
+  return Result.err(
+    new Failure(
+      ErrorKind.INVALID_REQUEST,
+      `header request-timeout-ms is "${String(header)}"; allowed are whole milliseconds from 1 to ${maxMs}`,
+    ),
+  );
+}
--- /dev/null
+++ b/packages/daemon/src/service_handler.ts
@@ -0,0 +1,82 @@
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {ErrorKind, Failure} from '@parsleywood/errors';
+import type {Caller} from './caller.js';
+import {findCall} from './find_call.js';
+import {parseTimeLimit} from './parse_time_limit.js';
+import type {ServiceCall} from './service_call.js';
+import {ServiceSession} from './service_session.js';
+import type {Serving} from './serving.js';
+
+const SERVICE_PATH = /^\/v1\/services\/([^/?]+)(\/[^?]*)?(\?.*)?$/;
+const DEFAULT_TIME_LIMIT_MS = 10_000;
+const MAX_IDEMPOTENCY_KEY_LENGTH = 256;
+
+/** Takes callers' calls of plain services. */
+export class ServiceHandler {
+  constructor(private readonly serving: Serving) {}
+
+  /**
+   * Checks a call and starts it.
+   *
+   * @throws Failure when the call is refused.
+   */
+  handle(
+    caller: Caller,
+    body: Buffer,
+    incoming: IncomingMessage,
+    response: ServerResponse,
+  ): void {
+    const settings = this.serving.requireSettings();
+    const [, service = '', path = '/', query = ''] =
+      SERVICE_PATH.exec(incoming.url ?? '') ?? [];
+    const method = incoming.method ?? '';
+    const own = settings.services[service];
+    const rule = own && findCall(own, method, path);
+    if (own === undefined || rule === undefined) {
+      throw new Failure(
+        ErrorKind.UNKNOWN_CALL,
+        `service "${service}" has no call ${method} ${path}`,
+      );
+    }
+    const limitMs =
+      parseTimeLimit(
+        incoming.headers['request-timeout-ms'],
+        settings.timeLimits.maxMs,
+      ).unwrapOrElse(throwFailure) ??
+      own.timeLimitMs ??
+      DEFAULT_TIME_LIMIT_MS;
+    const call: ServiceCall = {
+      ...caller,
+      ...{service, method, body},
+      target: `${path}${query}`,
+      contentType: incoming.headers['content-type'] ?? '',
+      idempotencyKey: readKey(incoming, rule.repeatable),
+      repeatable: rule.repeatable,
+      deadlineMs: this.serving.clock.nowMs() + limitMs,
+    };
+    this.serving.begin();
+    new ServiceSession(this.serving, call, response).start();
+  }
+}
+
+function readKey(incoming: IncomingMessage, repeatable: boolean): string {
+  const key = incoming.headers['idempotency-key'];
+  if (key === undefined && repeatable) return '';
+  if (typeof key !== 'string' || key.trim() === '') {
+    throw new Failure(
+      ErrorKind.IDEMPOTENCY_KEY_MISSING,
+      'this call may not be repeated and needs an Idempotency-Key header',
+    );
+  }
+  if (key.length > MAX_IDEMPOTENCY_KEY_LENGTH) {
+    throw new Failure(
+      ErrorKind.INVALID_REQUEST,
+      `the Idempotency-Key is longer than ${MAX_IDEMPOTENCY_KEY_LENGTH} characters`,
+    );
+  }
+  return key;
+}
+
+function throwFailure(failure: Failure): never {
+  throw failure;
+}
--- /dev/null
+++ b/packages/daemon/src/service_session.ts
@@ -0,0 +1,75 @@
+import type {ServerResponse} from 'node:http';
+import {ErrorKind, type Failure} from '@parsleywood/errors';
+import type {Result} from 'true-myth';
+import type {ServiceAnswer} from './service_answer.js';
+import type {ServiceCall} from './service_call.js';
+import type {Serving} from './serving.js';
+import {writeFailure} from './write_failure.js';
+
+const MAX_ATTEMPTS = 3;
+
+/** One call of a plain service, from its checks to its answer. */
+export class ServiceSession {
+  constructor(
+    private readonly serving: Serving,
+    private readonly call: ServiceCall,
+    private readonly response: ServerResponse,
+  ) {}
+
+  start(): void {
+    void this.run();
+  }
+
+  private async run(): Promise<void> {
+    const result = await this.sendRepeatable();
+    if (result.isOk) {
+      this.answer(result.value);
+    } else {
+      this.fail(result.error);
+    }
+  }
+
+  private async sendRepeatable(): Promise<Result<ServiceAnswer, Failure>> {
+    const tried: string[] = [];
+    for (;;) {
+      const result = await this.sendOnce(tried);
+      const last = tried.length >= MAX_ATTEMPTS || !this.call.repeatable;
+      if (result.isOk || last || !this.mayMoveOn(result.error)) return result;
+    }
+  }
+
+  private mayMoveOn(failure: Failure): boolean {
+    if (failure.kind === ErrorKind.TIME_LIMIT) return false;
+    return this.serving.mayRetry();
+  }
+
+  private async sendOnce(
+    tried: string[],
+  ): Promise<Result<ServiceAnswer, Failure>> {
+    const {serving, call} = this;
+    const upstream = serving.chooseService(call.service, tried);
+    if (upstream === undefined) return serving.refuseUnavailable(call.service);
+    tried.push(upstream.name);
+    const limitMs = call.deadlineMs - serving.clock.nowMs();
+    return serving.services.send(call, upstream.address, limitMs);
+  }
+
+  private answer(answer: ServiceAnswer): void {
+    if (!this.response.destroyed) {
+      this.response.writeHead(answer.status, {
+        ...this.serving.replyHead(this.call.requestId),
+        'content-type': answer.contentType,
+        'content-length': String(answer.body.length),
+      });
+      this.response.end(answer.body);
+    }
+    this.serving.conclude('service', 'ok', this.call.requestId);
+  }
+
+  private fail(failure: Failure): void {
+    const {requestId} = this.call;
+    const head = this.serving.replyHead(requestId);
+    writeFailure(this.response, failure, requestId, head);
+    this.serving.conclude('service', failure.kind, requestId);
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/stream_delivery.ts
@@ -0,0 +1,76 @@
+import type {ServerResponse} from 'node:http';
+import {formatFailure, type Failure} from '@parsleywood/errors';
+import type {Finish, Usage} from '@parsleywood/requests';
+import type {AnswerShape} from './answer_shape.js';
+import type {Delivery} from './delivery.js';
+import type {ReplyHead} from './reply_head.js';
+import {writeFailure} from './write_failure.js';
+
+/** Passes an answer on as server-sent events. */
+export class StreamDelivery implements Delivery {
+  private pending = '';
+
+  constructor(
+    private readonly response: ServerResponse,
+    private readonly shape: AnswerShape,
+    private readonly requestId: string,
+    private readonly head: ReplyHead,
+    private readonly includeUsage: boolean,
+  ) {}
+
+  emit(text: string): void {
+    this.open();
+    this.append(this.shape.formatText(text));
+  }
+
+  finish(finish: Finish, usage: Usage): void {
+    this.open();
+    this.append(this.shape.formatFinish(finish));
+    if (this.includeUsage) this.append(this.shape.formatUsage(usage));
+    this.append('[DONE]');
+    this.end();
+  }
+
+  /** Answers with a status before the first text, with an event after it. */
+  fail(failure: Failure): void {
+    if (!this.response.headersSent) {
+      writeFailure(this.response, failure, this.requestId, this.head);
+      return;
+    }
+    this.append(JSON.stringify(formatFailure(failure, this.requestId)));
+    this.end();
+  }
+
+  private open(): void {
+    if (this.response.headersSent || this.response.destroyed) return;
+    this.response.writeHead(200, {
+      ...this.head,
+      'content-type': 'text/event-stream; charset=utf-8',
+      'cache-control': 'no-cache',
+    });
+    const opening = this.shape.formatOpening();
+    if (opening !== '') this.append(opening);
+  }
+
+  /** Collects the events of one turn of the loop into one write. */
+  private append(data: string): void {
+    if (this.pending === '') {
+      queueMicrotask(() => {
+        this.flush();
+      });
+    }
+    this.pending += `data: ${data}\n\n`;
+  }
+
+  private flush(): void {
+    if (this.pending === '' || this.response.writableEnded) return;
+    this.response.write(this.pending);
+    this.pending = '';
+  }
+
+  private end(): void {
+    const rest = this.pending;
+    this.pending = '';
+    this.response.end(rest);
+  }
+}
--- /dev/null
+++ b/packages/requests/src/attempt_fault.ts
@@ -0,0 +1,15 @@
+/** Why an attempt failed. */
+export enum AttemptFault {
+  /** The upstream refused the attempt before running it. */
+  REFUSED = 'refused',
+  /** No connection was made; nothing was sent. */
+  UNREACHABLE = 'unreachable',
+  /** The connection closed before the answer's end. */
+  BROKEN = 'broken',
+  /** The upstream was silent for too long. */
+  SILENT = 'silent',
+  /** Positions were missing in the answer. */
+  GAP = 'gap',
+  /** The upstream found the request itself at fault. */
+  INVALID = 'invalid',
+}
--- /dev/null
+++ b/packages/requests/src/life_event.ts
@@ -0,0 +1,32 @@
+import type {AttemptFault} from './attempt_fault.js';
+import type {Finish} from './finish.js';
+import type {LifeEventKind} from './life_event_kind.js';
+import type {Usage} from './usage.js';
+
+/** Event of one request's life. Positions count output tokens from 0. */
+export type LifeEvent =
+  | {readonly kind: LifeEventKind.ADMITTED}
+  | {readonly kind: LifeEventKind.CHOSEN; readonly upstream: string}
+  | {readonly kind: LifeEventKind.NONE_CHOSEN; readonly retryAfterMs: number}
+  | {readonly kind: LifeEventKind.ALIVE; readonly attempt: string}
+  | {
+      readonly kind: LifeEventKind.TEXT;
+      readonly attempt: string;
+      readonly position: number;
+      readonly text: string;
+    }
+  | {
+      readonly kind: LifeEventKind.END;
+      readonly attempt: string;
+      readonly position: number;
+      readonly finish: Finish;
+      readonly usage: Usage;
+    }
+  | {
+      readonly kind: LifeEventKind.ATTEMPT_FAILED;
+      readonly attempt: string;
+      readonly fault: AttemptFault;
+      readonly detail: string;
+    }
+  | {readonly kind: LifeEventKind.CALLER_GONE}
+  | {readonly kind: LifeEventKind.WAKE};
