--- /dev/null
+++ b/packages/stand-ins/src/cache_event_kind.ts
@@ -0,0 +1,5 @@
+/** What happened to a block of the prefix cache. */
+export enum CacheEventKind {
+  STORED = 'stored',
+  EVICTED = 'evicted',
+}
--- /dev/null
+++ b/packages/stand-ins/src/running_engine.ts
@@ -0,0 +1,16 @@
+import type {EngineFaults} from './engine_faults.js';
+import type {EngineRunner} from './engine_runner.js';
+import type {EngineOrders} from './engine_orders.js';
+import type {EngineOptions} from './engine_options.js';
+
+/** An engine as its routes see it; a crash replaces memory and orders. */
+export interface RunningEngine {
+  readonly options: EngineOptions;
+  readonly runner: EngineRunner;
+  readonly orders: EngineOrders;
+  readonly crashes: number;
+  /** Ends the engine as a fault would. */
+  crash(): void;
+  /** Sets faults. */
+  setFaults(faults: EngineFaults): void;
+}
