Keep published configuration in force by a ledger

The surface of ConfigurationLedger: events, actions, the message between peers, and a first working path from reads of the service to settings, host list and upstream list in force. A starting host asks its peers first; few hosts of each failure domain watch, the others hear from peers and read only when no one's confirmation is fresh.

--- /dev/null
+++ b/packages/config/src/choose_watchers.ts
@@ -0,0 +1,26 @@
+import {createHash} from 'node:crypto';
+import type {Member} from './member.js';
+
+/**
+ * Chooses the hosts of one failure domain that watch a key, by rendezvous
+ * hashing: a host that comes or goes moves no other choice.
+ */
+export function chooseWatchers(
+  key: string,
+  failureDomain: string,
+  members: readonly Member[],
+  count: number,
+): string[] {
+  return members
+    .filter(member => member.failureDomain === failureDomain)
+    .map(({host}) => ({host, weight: weigh(key, host)}))
+    .sort((a, b) => (a.weight < b.weight ? -1 : 1))
+    .slice(0, count)
+    .map(({host}) => host);
+}
+
+function weigh(key: string, host: string): string {
+  return createHash('sha256')
+    .update(JSON.stringify([key, host]))
+    .digest('hex');
+}
--- /dev/null
+++ b/packages/config/src/create_value_groups.ts
@@ -0,0 +1,28 @@
+import {checkHostList} from './check_host_list.js';
+import {checkUpstreamList} from './check_upstream_list.js';
+import {ConfigurationActionKind} from './configuration_action_kind.js';
+import {ListGroup} from './list_group.js';
+import {SettingsGroup} from './settings_group.js';
+import type {ValueGroup} from './value_group.js';
+
+/** Lists what a host of a site follows, in the order of use. */
+export function createValueGroups(site: string): ValueGroup[] {
+  return [
+    new ListGroup(`hosts/${site}`, true, checkHostList, (revision, list) => ({
+      kind: ConfigurationActionKind.HOSTS,
+      revision,
+      list,
+    })),
+    new SettingsGroup(site),
+    new ListGroup(
+      `upstreams/${site}`,
+      false,
+      checkUpstreamList,
+      (revision, list) => ({
+        kind: ConfigurationActionKind.UPSTREAMS,
+        revision,
+        list,
+      }),
+    ),
+  ];
+}
--- a/packages/config/src/index.ts
+++ b/packages/config/src/index.ts
@@ -1,1 +1,17 @@
-export {};
+/** Settings: read, merged, checked, compared, and kept in force at a site. */
+export {checkHostList} from './check_host_list.js';
+export {checkSettings} from './check_settings.js';
+export {checkUpstreamList} from './check_upstream_list.js';
+export type {ConfigurationAction} from './configuration_action.js';
+export {ConfigurationActionKind} from './configuration_action_kind.js';
+export type {ConfigurationEvent} from './configuration_event.js';
+export {ConfigurationEventKind} from './configuration_event_kind.js';
+export {ConfigurationLedger} from './configuration_ledger.js';
+export type {ConfigurationProblem} from './configuration_problem.js';
+export {ConfigurationProblemKind} from './configuration_problem_kind.js';
+export type {ConfigurationRevision} from './configuration_revision.js';
+export {formatProblem} from './format_problem.js';
+export type {Member} from './member.js';
+export {mergeSettings} from './merge_settings.js';
+export {parseSettings} from './parse_settings.js';
+export type {SettingsProblem} from './settings_problem.js';
--- /dev/null
+++ b/packages/config/src/parse_settings.ts
@@ -0,0 +1,51 @@
+import {Result} from 'true-myth/result';
+import type {SettingsProblem} from './settings_problem.js';
+
+const MAX_DEPTH = 32;
+const RESERVED_NAMES: ReadonlySet<string> = new Set([
+  '__proto__',
+  'constructor',
+  'prototype',
+  'hasOwnProperty',
+]);
+
+/** Parses JSON text and refuses what no settings file may hold. */
+export function parseSettings(text: string): Result<unknown, SettingsProblem> {
+  let value: unknown;
+  try {
+    value = JSON.parse(text);
+  } catch (error) {
+    const reason = error instanceof Error ? error.message : String(error);
+    return Result.err({
+      path: '',
+      value: undefined,
+      allowed: `JSON text (${reason})`,
+    });
+  }
+  const problem = findProblem(value, '', 0);
+  return problem ? Result.err(problem) : Result.ok(value);
+}
+
+function findProblem(
+  value: unknown,
+  path: string,
+  depth: number,
+): SettingsProblem | undefined {
+  if (value === null || typeof value !== 'object') return undefined;
+  if (depth === MAX_DEPTH) {
+    return {path, value, allowed: `at most ${MAX_DEPTH} levels`};
+  }
+  for (const [name, child] of Object.entries(value)) {
+    const childPath = `${path}/${escapePointer(name)}`;
+    if (RESERVED_NAMES.has(name)) {
+      return {path: childPath, value: child, allowed: 'another name'};
+    }
+    const problem = findProblem(child, childPath, depth + 1);
+    if (problem) return problem;
+  }
+  return undefined;
+}
+
+function escapePointer(name: string): string {
+  return name.replaceAll('~', '~0').replaceAll('/', '~1');
+}
--- /dev/null
+++ b/packages/config/src/schema_check.ts
@@ -0,0 +1,49 @@
+import {Ajv, type ErrorObject, type ValidateFunction} from 'ajv';
+import addFormats from 'ajv-formats';
+import {Result} from 'true-myth/result';
+import {describeAllowed} from './describe_allowed.js';
+import {readPointer} from './read_pointer.js';
+import type {SettingsProblem} from './settings_problem.js';
+
+/** A JSON Schema that checks values and fills in their defaults. */
+export class SchemaCheck<T> {
+  private readonly validate: ValidateFunction;
+
+  constructor(schema: object) {
+    const ajv = new Ajv({allErrors: true, useDefaults: true, strict: true});
+    addFormats.default(ajv);
+    this.validate = ajv.compile(schema);
+  }
+
+  /** Checks a copy of a JSON value; the value itself stays as it is. */
+  run(value: unknown): Result<T, SettingsProblem[]> {
+    const copy = structuredClone(value);
+    if (this.validate(copy)) return Result.ok(copy as T);
+    const errors = this.validate.errors ?? [];
+    return Result.err(errors.map(error => toProblem(error, copy)));
+  }
+}
+
+function toProblem(error: ErrorObject, document: unknown): SettingsProblem {
+  const path = error.instancePath;
+  if (error.keyword === 'required') {
+    const missing = String(error.params['missingProperty']);
+    const allowed = 'a value: it is required';
+    return {path: `${path}/${missing}`, value: undefined, allowed};
+  }
+  if (error.keyword === 'additionalProperties') {
+    const extra = String(error.params['additionalProperty']);
+    const value = readPointer(document, path);
+    const found =
+      value !== null && typeof value === 'object'
+        ? Reflect.get(value, extra)
+        : undefined;
+    const allowed = 'no setting of this name';
+    return {path: `${path}/${extra}`, value: found, allowed};
+  }
+  return {
+    path,
+    value: readPointer(document, path),
+    allowed: describeAllowed(error),
+  };
+}
