--- /dev/null
+++ b/packages/bench/src/site_upstream.ts
@@ -0,0 +1,5 @@
+/** An upstream of a local site. */
+export interface SiteUpstream {
+  readonly name: string;
+  readonly url: string;
+}
--- a/packages/stand-ins/src/main.ts
+++ b/packages/stand-ins/src/main.ts
@@ -10,11 +10,16 @@
 const PORT = {type: 'number', default: 0} as const;
 
 await yargs(hideBin(process.argv))
+  .option('until-input-ends', {
+    type: 'boolean',
+    default: false,
+    describe: 'End when standard input does, and not on SIGINT',
+  })
   .command(
     'platform',
     'Starts a platform',
     builder => builder.option('port', PORT),
-    async ({port}) => announce(await startPlatform(port)),
+    async args => announce(await startPlatform(args.port), args),
   )
   .command(
     'engine',
@@ -39,7 +44,7 @@
         restartAfterMs === undefined
           ? {onCrash: () => process.exit(1)}
           : {restartAfterMs};
-      announce(await startEngine({...start, ...crash}));
+      announce(await startEngine({...start, ...crash}), args);
     },
   )
   .command(
@@ -50,16 +55,20 @@
         .option('port', PORT)
         .option('order-ms', {type: 'number', default: 2})
         .option('checks-fencing', {type: 'boolean', default: false}),
-    async args => announce(await startService(args)),
+    async args => announce(await startService(args), args),
   )
   .demandCommand(1)
   .strict()
   .parseAsync();
 
-function announce(standIn: StandIn): void {
+function announce(
+  standIn: StandIn,
+  {untilInputEnds}: {untilInputEnds: boolean},
+): void {
   const {address} = standIn;
   process.stdout.write(`${JSON.stringify({ready: true, address})}\n`);
-  const stop = () => void standIn.close();
+  const stop = () => void standIn.close().then(() => process.exit(0));
   process.on('SIGTERM', stop);
-  process.on('SIGINT', stop);
+  process.on('SIGINT', untilInputEnds ? () => undefined : stop);
+  if (untilInputEnds) process.stdin.on('end', stop).resume();
 }
