Publish the surfaces of routing and admission

Routing: router interface, two baselines, lane router with its first working path, types of the spread plan. Admission: events, actions, first-come baseline, retry budget, message by which hosts exchange demand.

--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -1,1 +1,12 @@
-export {};
+/** Admits, queues or refuses requests by the limits and shares of their accounts. */
+export type {Admission} from './admission.js';
+export type {AdmissionAction} from './admission_action.js';
+export {AdmissionActionKind} from './admission_action_kind.js';
+export type {AdmissionEvent} from './admission_event.js';
+export {AdmissionEventKind} from './admission_event_kind.js';
+export type {AdmissionOptions} from './admission_options.js';
+export type {AdmissionSettings} from './admission_settings.js';
+export {FairAdmission} from './fair_admission.js';
+export {FirstComeAdmission} from './first_come_admission.js';
+export type {Offer} from './offer.js';
+export {RetryBudget} from './retry_budget.js';
--- /dev/null
+++ b/packages/admission/src/offer.ts
@@ -0,0 +1,12 @@
+/** A request that asks for admission. */
+export interface Offer {
+  readonly id: string;
+  readonly account: string;
+  readonly model: string;
+  /** Name of the length class. */
+  readonly lengthClass: string;
+  /** Estimated prompt and answer tokens. */
+  readonly tokens: number;
+  /** Monotonic time at which the time limit passes. */
+  readonly deadlineMs: number;
+}
--- /dev/null
+++ b/packages/routing/src/class_meter.ts
@@ -0,0 +1,24 @@
+const TIME_CONSTANT_MS = 5000;
+const MS_PER_SECOND = 1000;
+
+/** Arrival rate of prompt tokens, with exponential decay. */
+export class ClassMeter {
+  private tokens = 0;
+  private updatedMs = 0;
+
+  add(tokens: number, nowMs: number): void {
+    this.decay(nowMs);
+    this.tokens += tokens;
+  }
+
+  tokensPerSecond(nowMs: number): number {
+    this.decay(nowMs);
+    return (this.tokens / TIME_CONSTANT_MS) * MS_PER_SECOND;
+  }
+
+  private decay(nowMs: number): void {
+    const elapsedMs = Math.max(0, nowMs - this.updatedMs);
+    this.tokens *= Math.exp(-elapsedMs / TIME_CONSTANT_MS);
+    this.updatedMs = Math.max(this.updatedMs, nowMs);
+  }
+}
--- /dev/null
+++ b/packages/routing/src/engine_fleet.ts
@@ -0,0 +1,73 @@
+import type {Engine} from './engine.js';
+import {EngineLoad} from './engine_load.js';
+import type {LengthClasses} from './length_classes.js';
+import {ModelEngines} from './model_engines.js';
+import {orderByRendezvous} from './order_by_rendezvous.js';
+import {PrefillRate} from './prefill_rate.js';
+import type {Upstream} from './upstream.js';
+
+/** All engines that a host knows, by name and by model. */
+export class EngineFleet {
+  private readonly engines = new Map<string, Engine>();
+  private models = new Map<string, ModelEngines>();
+
+  constructor(
+    private readonly classes: LengthClasses,
+    private readonly prefillTokensPerMs: number | undefined,
+  ) {}
+
+  engine(name: string): Engine | undefined {
+    return this.engines.get(name);
+  }
+
+  model(name: string): ModelEngines | undefined {
+    return this.models.get(name);
+  }
+
+  /** Takes the full list; returns the names of the engines that are gone. */
+  update(upstreams: readonly Upstream[]): string[] {
+    const names = new Set(upstreams.map(upstream => upstream.name));
+    const gone = [...this.engines.keys()].filter(name => !names.has(name));
+    for (const name of gone) this.engines.delete(name);
+    for (const upstream of upstreams) this.updateEngine(upstream);
+    this.models = this.groupByModel(upstreams);
+    return gone;
+  }
+
+  private updateEngine(upstream: Upstream): void {
+    const engine = this.engines.get(upstream.name);
+    if (engine) {
+      engine.upstream = upstream;
+      return;
+    }
+    this.engines.set(upstream.name, {
+      upstream,
+      load: new EngineLoad(this.classes.size, tokens =>
+        this.classes.indexOf(tokens),
+      ),
+      avoidedUntilMs: -Infinity,
+    });
+  }
+
+  private groupByModel(
+    upstreams: readonly Upstream[],
+  ): Map<string, ModelEngines> {
+    const names = new Map<string, string[]>();
+    for (const {model, name} of upstreams) {
+      const siblings = names.get(model) ?? [];
+      siblings.push(name);
+      names.set(model, siblings);
+    }
+    const models = new Map<string, ModelEngines>();
+    for (const [model, siblings] of names) {
+      const ordered = orderByRendezvous(model, siblings).flatMap(
+        name => this.engines.get(name) ?? [],
+      );
+      const rate =
+        this.models.get(model)?.rate ??
+        new PrefillRate(this.prefillTokensPerMs);
+      models.set(model, new ModelEngines(ordered, rate));
+    }
+    return models;
+  }
+}
--- /dev/null
+++ b/packages/routing/src/lane_router.ts
@@ -0,0 +1,277 @@
+import {uniformInt} from 'pure-rand/distribution/uniformInt';
+import type {RandomGenerator} from 'pure-rand/types/RandomGenerator';
+
+import {agePriority} from './age_priority.js';
+import type {AgedPriority} from './aged_priority.js';
+import {CacheIndex} from './cache_index.js';
+import type {Choice} from './choice.js';
+import {ChoiceKind} from './choice_kind.js';
+import {ChoiceReason} from './choice_reason.js';
+import type {ClassDemand} from './class_demand.js';
+import {EngineFleet} from './engine_fleet.js';
+import {EngineScorer} from './engine_scorer.js';
+import {findLevel} from './find_level.js';
+import type {Lane} from './lane.js';
+import {LaneWidths} from './lane_widths.js';
+import {LengthClasses} from './length_classes.js';
+import type {ModelEngines} from './model_engines.js';
+import type {RoutedRequest} from './routed_request.js';
+import type {Router} from './router.js';
+import type {RouterEvent} from './router_event.js';
+import {RouterEventKind} from './router_event_kind.js';
+import type {RouterOptions} from './router_options.js';
+
+/** Engines whose scores differ by less count as equal, in prompt tokens. */
+const NEAR_TOKENS = 512;
+/** Longest time for which the arrivals at the peers since a report are guessed. */
+const MAX_REPORT_AGE_MS = 2000;
+/** Time that an engine takes for one token of the answer. */
+const ANSWER_TOKEN_MS = 20;
+/** Part by which the expected time of a request is taken longer. */
+const SAFETY = 1.5;
+/** Longest prefill between two turns of a running batch. */
+const CHUNK_MS = 100;
+const MIN_CHUNK_TOKENS = 256;
+
+interface RunningAttempt {
+  readonly upstream: string;
+  readonly request: RoutedRequest;
+  readonly cachedTokens: number;
+}
+
+/** Keeps short prompts clear of long prefills by lanes whose widths follow demand. */
+export class LaneRouter implements Router {
+  private readonly classes: LengthClasses;
+  private readonly random: RandomGenerator;
+  private readonly fleet: EngineFleet;
+  private readonly widths: LaneWidths;
+  private readonly cache = new CacheIndex();
+  private readonly scorer = new EngineScorer();
+  private readonly attempts = new Map<string, RunningAttempt>();
+
+  constructor(options: RouterOptions) {
+    this.classes = new LengthClasses(options.lengthClasses);
+    this.random = options.random;
+    this.fleet = new EngineFleet(this.classes, options.prefillTokensPerMs);
+    this.widths = new LaneWidths(this.classes);
+  }
+
+  choose(request: RoutedRequest, nowMs: number): Choice {
+    const model = this.fleet.model(request.model);
+    if (!model || model.engines.length === 0) return refuse();
+    const needTokens = request.promptTokens + request.answerTokens;
+    if (needTokens > model.maxMemoryTokens) {
+      const {priority} = this.age(request, model, nowMs);
+      return {
+        kind: ChoiceKind.SPREAD,
+        reason: ChoiceReason.EXCEEDS_ENGINE,
+        priority,
+      };
+    }
+    return this.chooseEngine(request, model, nowMs);
+  }
+
+  observe(event: RouterEvent, nowMs: number): void {
+    switch (event.kind) {
+      case RouterEventKind.UPSTREAMS:
+        for (const name of this.fleet.update(event.upstreams)) {
+          this.cache.clear(name);
+        }
+        break;
+      case RouterEventKind.LOAD_REPORT:
+        this.fleet.engine(event.upstream)?.load.takeReport(event);
+        break;
+      case RouterEventKind.CACHE_EVENT:
+        this.cache.takeEvent(event.upstream, event, nowMs);
+        break;
+      case RouterEventKind.ATTEMPT_STARTED:
+        this.startAttempt(event, nowMs);
+        break;
+      case RouterEventKind.FIRST_TOKEN:
+        this.takeFirstToken(event.attempt, event.cachedTokens, nowMs);
+        break;
+      case RouterEventKind.ATTEMPT_ENDED:
+        this.endAttempt(event.attempt, nowMs);
+        break;
+      case RouterEventKind.AVOID:
+        this.avoid(event.upstream, event.untilMs);
+        break;
+      case RouterEventKind.PEER_DEMAND:
+        this.widths.observePeer(event.host, event.demands, nowMs);
+        break;
+    }
+  }
+
+  demand(nowMs: number): ClassDemand[] {
+    return this.widths.ownDemand(nowMs);
+  }
+
+  priority(request: RoutedRequest, nowMs: number): number {
+    const model = this.fleet.model(request.model);
+    return model ? this.age(request, model, nowMs).priority : 0;
+  }
+
+  private chooseEngine(
+    request: RoutedRequest,
+    model: ModelEngines,
+    nowMs: number,
+  ): Choice {
+    const classIndex = this.classes.indexOf(request.promptTokens);
+    const count = model.engines.length;
+    const lane = this.widths.lane(request.model, classIndex, count, nowMs);
+    const cached = this.cache.find(request.prefixes, nowMs);
+    const score = (positions: Lane) =>
+      this.scorer.score(model, request, classIndex, positions, cached, nowMs);
+    let scored = score(lane);
+    let aged = false;
+    if (lane.start > 0 && this.isLate(request, model, scored.lowest, nowMs)) {
+      scored = score({start: 0, end: lane.end});
+      aged = true;
+    }
+    if (scored.lowest === Infinity) return refuse();
+    const ageMs = Math.min(nowMs - scored.reportedMs, MAX_REPORT_AGE_MS);
+    const peerTokens =
+      ageMs * this.widths.peerTokensPerMs(request.model, nowMs);
+    const index = this.pick(model, scored.lowest, NEAR_TOKENS + peerTokens);
+    const upstream = model.engines[index]?.upstream.name;
+    if (upstream === undefined) return refuse();
+    const cachedTokens = cached.get(upstream) ?? 0;
+    const {priority, changesAtMs} = this.age(request, model, nowMs);
+    return {
+      kind: ChoiceKind.UPSTREAM,
+      upstream,
+      reason: this.explain(model, index, classIndex, lane, cachedTokens, aged),
+      priority,
+      chunkTokens: Math.max(
+        MIN_CHUNK_TOKENS,
+        Math.round(model.rate.tokensPerMs * CHUNK_MS),
+      ),
+      cachedTokens,
+      priorityChangesAtMs: changesAtMs,
+    };
+  }
+
+  /** Two engines by lot among those that the expected arrivals would fill; the better of them. */
+  private pick(model: ModelEngines, lowest: number, tokens: number): number {
+    const {engines, scores} = model;
+    const level = findLevel(scores, engines.length, lowest, tokens);
+    let count = 0;
+    for (let index = 0; index < engines.length; index++) {
+      if ((scores[index] ?? Infinity) < level) count++;
+    }
+    const first = this.draw(model, level, count);
+    const second = this.draw(model, level, count);
+    return (scores[first] ?? Infinity) <= (scores[second] ?? Infinity)
+      ? first
+      : second;
+  }
+
+  private draw(model: ModelEngines, level: number, count: number): number {
+    let left = count > 1 ? uniformInt(this.random, 0, count - 1) : 0;
+    const {engines, scores} = model;
+    for (let index = 0; index < engines.length; index++) {
+      if ((scores[index] ?? Infinity) < level && left-- === 0) return index;
+    }
+    return -1;
+  }
+
+  private explain(
+    model: ModelEngines,
+    index: number,
+    classIndex: number,
+    lane: Lane,
+    cachedTokens: number,
+    aged: boolean,
+  ): ChoiceReason {
+    if (aged && index < lane.start) return ChoiceReason.AGED;
+    if (cachedTokens > 0) return ChoiceReason.PREFIX;
+    if (model.engines[index]?.load.hasLonger(classIndex)) {
+      return ChoiceReason.BEHIND_LONGER;
+    }
+    return index < lane.end ? ChoiceReason.LANE : ChoiceReason.OUTSIDE_LANE;
+  }
+
+  /** Whether the lane's best engine is expected to miss the limit. */
+  private isLate(
+    request: RoutedRequest,
+    model: ModelEngines,
+    waitTokens: number,
+    nowMs: number,
+  ): boolean {
+    const answerMs = request.answerTokens * ANSWER_TOKEN_MS;
+    const expectedMs = waitTokens / model.rate.tokensPerMs + answerMs;
+    return nowMs + expectedMs * SAFETY > request.deadlineMs;
+  }
+
+  private age(
+    request: RoutedRequest,
+    model: ModelEngines,
+    nowMs: number,
+  ): AgedPriority {
+    const {priority} = this.classes.classOf(request.promptTokens);
+    const prefillMs = request.promptTokens / model.rate.tokensPerMs;
+    const answerMs = request.answerTokens * ANSWER_TOKEN_MS;
+    const latestMs = request.deadlineMs - (prefillMs + answerMs) * SAFETY;
+    const first = priority ?? DEFAULT_PRIORITY;
+    return agePriority(first, request.arrivedMs, latestMs, nowMs);
+  }
+
+  private startAttempt(
+    event: RouterEvent & {kind: RouterEventKind.ATTEMPT_STARTED},
+    nowMs: number,
+  ): void {
+    const {attempt, upstream, request, cachedTokens} = event;
+    const engine = this.fleet.engine(upstream);
+    const model = this.fleet.model(request.model);
+    if (!engine || !model || this.attempts.has(attempt)) return;
+    const prefillTokens = Math.max(0, request.promptTokens - cachedTokens);
+    const classIndex = this.classes.indexOf(request.promptTokens);
+    this.attempts.set(attempt, {upstream, request, cachedTokens});
+    engine.load.startAttempt(attempt, {
+      startedMs: nowMs,
+      classIndex,
+      prefillTokens,
+      memoryTokens: request.promptTokens + request.answerTokens,
+      alone: engine.load.queuedTokens(model.rate.tokensPerMs, nowMs) <= 0,
+    });
+    this.widths.observeArrival(request.model, classIndex, prefillTokens, nowMs);
+  }
+
+  private takeFirstToken(
+    attempt: string,
+    cachedTokens: number | undefined,
+    nowMs: number,
+  ): void {
+    const running = this.attempts.get(attempt);
+    if (!running) return;
+    const {upstream, request} = running;
+    const engine = this.fleet.engine(upstream);
+    const own = engine?.load.takeFirstToken(attempt, nowMs);
+    if (!own) return;
+    if (own.alone) {
+      const tokens =
+        request.promptTokens - (cachedTokens ?? running.cachedTokens);
+      const rate = this.fleet.model(request.model)?.rate;
+      rate?.observe(tokens, nowMs - own.startedMs);
+    }
+    this.cache.takePrefill(upstream, request.prefixes, nowMs);
+  }
+
+  private endAttempt(attempt: string, nowMs: number): void {
+    const running = this.attempts.get(attempt);
+    if (!running) return;
+    this.attempts.delete(attempt);
+    this.fleet.engine(running.upstream)?.load.endAttempt(attempt, nowMs);
+  }
+
+  private avoid(upstream: string, untilMs: number): void {
+    const engine = this.fleet.engine(upstream);
+    if (engine) engine.avoidedUntilMs = untilMs;
+  }
+}
+
+const DEFAULT_PRIORITY = 5;
+
+function refuse(): Choice {
+  return {kind: ChoiceKind.NONE, reason: ChoiceReason.NO_UPSTREAM};
+}
--- /dev/null
+++ b/packages/routing/src/lane_widths.ts
@@ -0,0 +1,123 @@
+import type {ClassDemand} from './class_demand.js';
+import {ClassMeter} from './class_meter.js';
+import type {Lane} from './lane.js';
+import type {LengthClasses} from './length_classes.js';
+
+/** Engines that a shorter class gets beyond its part of the tokens. */
+const SHORTER_HEADROOM = 1.5;
+/** From this many engines on, one is kept from the longest class. */
+const MIN_ENGINES_TO_RESERVE = 8;
+const PEER_EXPIRY_MS = 5000;
+const MS_PER_SECOND = 1000;
+
+interface PeerDemand {
+  readonly atMs: number;
+  readonly demands: readonly ClassDemand[];
+}
+
+/** Splits the engines of a model among the length classes by demand. */
+export class LaneWidths {
+  private readonly meters = new Map<string, ClassMeter[]>();
+  private readonly peers = new Map<string, PeerDemand>();
+
+  constructor(private readonly classes: LengthClasses) {}
+
+  observeArrival(
+    model: string,
+    classIndex: number,
+    tokens: number,
+    nowMs: number,
+  ): void {
+    this.metersOf(model)[classIndex]?.add(tokens, nowMs);
+  }
+
+  observePeer(
+    host: string,
+    demands: readonly ClassDemand[],
+    nowMs: number,
+  ): void {
+    this.peers.set(host, {atMs: nowMs, demands});
+  }
+
+  /** Demand of this host alone. */
+  ownDemand(nowMs: number): ClassDemand[] {
+    const demands: ClassDemand[] = [];
+    for (const [model, meters] of this.meters) {
+      meters.forEach((meter, index) => {
+        const tokensPerSecond = meter.tokensPerSecond(nowMs);
+        const lengthClass = this.classes.at(index).name;
+        if (tokensPerSecond >= 1) {
+          demands.push({model, lengthClass, tokensPerSecond});
+        }
+      });
+    }
+    return demands;
+  }
+
+  /** Prompt tokens that the peers send a model in one millisecond. */
+  peerTokensPerMs(model: string, nowMs: number): number {
+    let tokensPerSecond = 0;
+    for (const {atMs, demands} of this.peers.values()) {
+      if (nowMs - atMs > PEER_EXPIRY_MS) continue;
+      for (const demand of demands) {
+        if (demand.model === model) tokensPerSecond += demand.tokensPerSecond;
+      }
+    }
+    return tokensPerSecond / MS_PER_SECOND;
+  }
+
+  /** The class's positions among the engines of the model. */
+  lane(
+    model: string,
+    classIndex: number,
+    engineCount: number,
+    nowMs: number,
+  ): Lane {
+    const weights = this.weigh(model, nowMs);
+    const total = weights.reduce((sum, weight) => sum + weight, 0);
+    const before = weights
+      .slice(0, classIndex)
+      .reduce((sum, weight) => sum + weight, 0);
+    const through = before + (weights[classIndex] ?? 0);
+    const share = (weight: number) =>
+      total > 0 ? Math.ceil((engineCount * weight) / total) : 0;
+    const start = Math.min(
+      Math.max(share(before), this.reserve(classIndex, engineCount)),
+      engineCount - 1,
+    );
+    const isLast = classIndex === this.classes.size - 1;
+    const end = isLast ? engineCount : Math.max(share(through), start + 1);
+    return {start, end};
+  }
+
+  private reserve(classIndex: number, engineCount: number): number {
+    const isLongest = classIndex === this.classes.size - 1 && classIndex > 0;
+    return isLongest && engineCount >= MIN_ENGINES_TO_RESERVE ? 1 : 0;
+  }
+
+  private weigh(model: string, nowMs: number): number[] {
+    const weights = this.metersOf(model).map(meter =>
+      meter.tokensPerSecond(nowMs),
+    );
+    for (const {atMs, demands} of this.peers.values()) {
+      if (nowMs - atMs > PEER_EXPIRY_MS) continue;
+      for (const demand of demands) {
+        const index = this.classes.indexOfName(demand.lengthClass);
+        if (demand.model !== model || index === undefined) continue;
+        weights[index] = (weights[index] ?? 0) + demand.tokensPerSecond;
+      }
+    }
+    return weights.map((weight, index) =>
+      index === weights.length - 1 ? weight : weight * SHORTER_HEADROOM,
+    );
+  }
+
+  private metersOf(model: string): ClassMeter[] {
+    let meters = this.meters.get(model);
+    if (!meters) {
+      meters = Array.from({length: this.classes.size}, () => new ClassMeter());
+      this.meters.set(model, meters);
+    }
+    return meters;
+  }
+}
--- /dev/null
+++ b/packages/routing/src/prompt_estimate.ts
@@ -0,0 +1,72 @@
+import type {PromptUsage} from './prompt_usage.js';
+
+const DEFAULT_BYTES_PER_TOKEN = 4;
+const MIN_BYTES_PER_TOKEN = 0.5;
+const MAX_BYTES_PER_TOKEN = 16;
+/** Largest change that one report may make to the ratio, as a factor. */
+const MAX_STEP = 1.15;
+const WEIGHT = 0.2;
+const MAX_ENTRIES = 4096;
+
+/** Estimates prompt tokens from bytes, corrected by the usage that engines report. */
+export class PromptEstimate {
+  /** Logarithm of bytes per token by account and model, least recently used first. */
+  private readonly corrections = new Map<string, number>();
+
+  /** @param bytesPerToken First estimate for a model; 4 when undefined. */
+  constructor(
+    private readonly bytesPerToken: (model: string) => number | undefined,
+  ) {}
+
+  /** Estimated prompt tokens, at least 1. */
+  estimateTokens(account: string, model: string, bytes: number): number {
+    const corrected = this.corrections.get(toKey(account, model));
+    const ratio =
+      corrected === undefined ? this.initialRatio(model) : Math.exp(corrected);
+    return Math.max(1, Math.ceil(bytes / ratio));
+  }
+
+  /** Corrects the ratio of an account and model; unusable reports are ignored. */
+  observeUsage(usage: PromptUsage): void {
+    const {account, model, bytes, tokens} = usage;
+    if (!(bytes > 0) || !(tokens > 0) || !Number.isFinite(bytes / tokens)) {
+      return;
+    }
+    const key = toKey(account, model);
+    const before =
+      this.corrections.get(key) ?? Math.log(this.initialRatio(model));
+    const step = Math.log(MAX_STEP);
+    const change = WEIGHT * (Math.log(bytes / tokens) - before);
+    const after = before + clamp(change, -step, step);
+    this.corrections.delete(key);
+    this.corrections.set(
+      key,
+      clamp(
+        after,
+        Math.log(MIN_BYTES_PER_TOKEN),
+        Math.log(MAX_BYTES_PER_TOKEN),
+      ),
+    );
+    this.dropOldest();
+  }
+
+  private dropOldest(): void {
+    if (this.corrections.size <= MAX_ENTRIES) return;
+    for (const key of this.corrections.keys()) {
+      this.corrections.delete(key);
+      return;
+    }
+  }
+
+  private initialRatio(model: string): number {
+    return this.bytesPerToken(model) ?? DEFAULT_BYTES_PER_TOKEN;
+  }
+}
+
+function toKey(account: string, model: string): string {
+  return `${model}\n${account}`;
+}
+
+function clamp(value: number, low: number, high: number): number {
+  return Math.min(high, Math.max(low, value));
+}
--- /dev/null
+++ b/packages/routing/src/round_robin_router.ts
@@ -0,0 +1,66 @@
+import type {Choice} from './choice.js';
+import {ChoiceKind} from './choice_kind.js';
+import {ChoiceReason} from './choice_reason.js';
+import type {ClassDemand} from './class_demand.js';
+import type {RoutedRequest} from './routed_request.js';
+import type {Router} from './router.js';
+import type {RouterEvent} from './router_event.js';
+import {RouterEventKind} from './router_event_kind.js';
+import {toPlainChoice} from './to_plain_choice.js';
+import type {Upstream} from './upstream.js';
+import {PLAIN_PRIORITY} from './plain_priority.js';
+
+/** Baseline: each upstream of the model in turn. */
+export class RoundRobinRouter implements Router {
+  private readonly upstreams = new Map<string, Upstream[]>();
+  private readonly avoidedUntilMs = new Map<string, number>();
+  private next = 0;
+
+  choose(request: RoutedRequest, nowMs: number): Choice {
+    const upstreams = this.upstreams.get(request.model) ?? [];
+    const first = this.next % Math.max(1, upstreams.length);
+    const inTurn = [...upstreams.slice(first), ...upstreams.slice(0, first)];
+    const index = inTurn.findIndex(upstream =>
+      this.accepts(upstream, request, nowMs),
+    );
+    const upstream = inTurn[index];
+    if (upstream) {
+      this.next = first + index + 1;
+      return toPlainChoice(request, upstream, ChoiceReason.ROUND_ROBIN);
+    }
+    return {kind: ChoiceKind.NONE, reason: ChoiceReason.NO_UPSTREAM};
+  }
+
+  observe(event: RouterEvent): void {
+    if (event.kind === RouterEventKind.AVOID) {
+      this.avoidedUntilMs.set(event.upstream, event.untilMs);
+    }
+    if (event.kind !== RouterEventKind.UPSTREAMS) return;
+    this.upstreams.clear();
+    for (const upstream of event.upstreams) {
+      const siblings = this.upstreams.get(upstream.model) ?? [];
+      siblings.push(upstream);
+      this.upstreams.set(upstream.model, siblings);
+    }
+  }
+
+  demand(): ClassDemand[] {
+    return [];
+  }
+
+  priority(): number {
+    return PLAIN_PRIORITY;
+  }
+
+  private accepts(
+    upstream: Upstream,
+    request: RoutedRequest,
+    nowMs: number,
+  ): boolean {
+    return (
+      !upstream.leaving &&
+      !request.avoid.includes(upstream.name) &&
+      nowMs >= (this.avoidedUntilMs.get(upstream.name) ?? -Infinity)
+    );
+  }
+}
