--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -1,1 +1,12 @@
-export {};
+/** Decides which hosts of a site are alive, suspected, leaving or dead. */
+export {compareIncarnations} from './compare_incarnations.js';
+export type {Member} from './member.js';
+export {MemberState} from './member_state.js';
+export {Membership} from './membership.js';
+export type {MembershipAction} from './membership_action.js';
+export {MembershipActionKind} from './membership_action_kind.js';
+export type {MembershipEvent} from './membership_event.js';
+export {MembershipEventKind} from './membership_event_kind.js';
+export type {MembershipOptions} from './membership_options.js';
+export type {MembershipSettings} from './membership_settings.js';
+export {UpstreamNews} from './upstream_news.js';
--- /dev/null
+++ b/packages/membership/src/membership_action_kind.ts
@@ -0,0 +1,10 @@
+/** Kinds of actions that membership asks for. */
+export enum MembershipActionKind {
+  SEND = 'send',
+  MEMBER_CHANGED = 'member_changed',
+  LIST_ADOPTED = 'list_adopted',
+  SUPERSEDED = 'superseded',
+  DECLARED_DEAD = 'declared_dead',
+  STALLED = 'stalled',
+  UPSTREAM_TOLD = 'upstream_told',
+}
--- /dev/null
+++ b/packages/membership/src/membership_event_kind.ts
@@ -0,0 +1,10 @@
+/** Kinds of events that membership takes. */
+export enum MembershipEventKind {
+  LIST = 'list',
+  MESSAGE = 'message',
+  WAKE = 'wake',
+  REFUSED = 'refused',
+  SELF_LEAVING = 'self_leaving',
+  SELF_STOPPED = 'self_stopped',
+  UPSTREAM_NEWS = 'upstream_news',
+}
