--- a/packages/config/src/check_host_list.ts
+++ b/packages/config/src/check_host_list.ts
@@ -1,5 +1,7 @@
 import {HOST_LIST_SCHEMA, type HostList} from '@parsleywood/schema/host_list';
-import type {Result} from 'true-myth/result';
+import {Result} from 'true-myth/result';
+import {findAddressFaults} from './find_address_faults.js';
+import {findRepeated} from './find_repeated.js';
 import {SchemaCheck} from './schema_check.js';
 import type {SettingsProblem} from './settings_problem.js';
 
@@ -9,5 +11,19 @@
 export function checkHostList(
   value: unknown,
 ): Result<HostList, SettingsProblem[]> {
-  return CHECK.run(value);
+  return CHECK.run(value).andThen(list => {
+    const names = list.hosts.map(({name}, index) => ({
+      path: `/hosts/${index}/name`,
+      value: name,
+    }));
+    const addresses = list.hosts.flatMap((_, index) => [
+      `/hosts/${index}/callers`,
+      `/hosts/${index}/peers`,
+    ]);
+    const faults = [
+      ...findRepeated(names, 'a name that no host has before'),
+      ...findAddressFaults(list, addresses),
+    ];
+    return faults.length === 0 ? Result.ok(list) : Result.err(faults);
+  });
 }
--- a/packages/config/src/check_settings.ts
+++ b/packages/config/src/check_settings.ts
@@ -1,13 +1,18 @@
-import {SETTINGS_SCHEMA, type Settings} from '@parsleywood/schema/settings';
-import type {Result} from 'true-myth/result';
-import {SchemaCheck} from './schema_check.js';
+import type {Settings} from '@parsleywood/schema/settings';
+import {Result} from 'true-myth/result';
+import {findSettingsFaults} from './find_settings_faults.js';
+import {SETTINGS_CHECK} from './settings_check.js';
 import type {SettingsProblem} from './settings_problem.js';
 
-const CHECK = new SchemaCheck<Settings>(SETTINGS_SCHEMA);
-
-/** Checks merged settings and fills in the defaults. */
+/**
+ * Checks merged settings, by schema and for what a schema cannot say, and
+ * fills in the defaults.
+ */
 export function checkSettings(
   value: unknown,
 ): Result<Settings, SettingsProblem[]> {
-  return CHECK.run(value);
+  return SETTINGS_CHECK.run(value).andThen(settings => {
+    const faults = findSettingsFaults(settings);
+    return faults.length === 0 ? Result.ok(settings) : Result.err(faults);
+  });
 }
--- a/packages/config/src/check_upstream_list.ts
+++ b/packages/config/src/check_upstream_list.ts
@@ -2,7 +2,9 @@
   UPSTREAM_LIST_SCHEMA,
   type UpstreamList,
 } from '@parsleywood/schema/upstream_list';
-import type {Result} from 'true-myth/result';
+import {Result} from 'true-myth/result';
+import {findAddressFaults} from './find_address_faults.js';
+import {findRepeated} from './find_repeated.js';
 import {SchemaCheck} from './schema_check.js';
 import type {SettingsProblem} from './settings_problem.js';
 
@@ -12,5 +14,18 @@
 export function checkUpstreamList(
   value: unknown,
 ): Result<UpstreamList, SettingsProblem[]> {
-  return CHECK.run(value);
+  return CHECK.run(value).andThen(list => {
+    const names = list.upstreams.map(({name}, index) => ({
+      path: `/upstreams/${index}/name`,
+      value: name,
+    }));
+    const addresses = list.upstreams.map(
+      (_, index) => `/upstreams/${index}/address`,
+    );
+    const faults = [
+      ...findRepeated(names, 'a name that no upstream has before'),
+      ...findAddressFaults(list, addresses),
+    ];
+    return faults.length === 0 ? Result.ok(list) : Result.err(faults);
+  });
 }
--- a/packages/config/src/describe_allowed.ts
+++ b/packages/config/src/describe_allowed.ts
@@ -1,11 +1,32 @@
 import type {ErrorObject} from 'ajv';
 
+const PATTERN_WORDS: Readonly<Record<string, string>> = {
+  '^[0-9a-fA-F.:\\[\\]]+:[0-9]{1,5}$': 'an IP number and port, IP:port',
+  '^[a-z0-9][a-z0-9-]{0,62}$':
+    'up to 63 small letters, digits and dashes, no dash first',
+  '^[0-9a-f]{64}$': '64 small hexadecimal digits',
+  '^http://': 'an address that starts with http://',
+  '^/': 'a path that starts with /',
+};
+const TYPE_WORDS: Readonly<Record<string, string>> = {
+  array: 'a list',
+  boolean: 'true or false',
+  integer: 'an integer',
+  null: 'null',
+  number: 'a number',
+  object: 'an object',
+  string: 'text',
+};
+
 /** Says in plain words what a schema allows where a value broke it. */
 export function describeAllowed(error: ErrorObject): string {
   const params = error.params as Record<string, unknown>;
   switch (error.keyword) {
     case 'type':
-      return [params['type']].flat().join(' or ');
+      return [params['type']]
+        .flat()
+        .map(type => TYPE_WORDS[String(type)] ?? String(type))
+        .join(' or ');
     case 'enum':
       return `one of ${JSON.stringify(params['allowedValues'])}`;
     case 'minimum':
@@ -18,7 +39,7 @@
     case 'maxLength':
       return `text of at most ${String(params['limit'])} characters`;
     case 'pattern':
-      return `text that matches ${String(params['pattern'])}`;
+      return describePattern(String(params['pattern']));
     case 'format':
       return `a ${String(params['format'])}`;
     case 'minItems':
@@ -33,3 +54,7 @@
       return error.message ?? `what the schema says of ${error.keyword}`;
   }
 }
+
+function describePattern(pattern: string): string {
+  return PATTERN_WORDS[pattern] ?? `text that matches ${pattern}`;
+}
--- /dev/null
+++ b/packages/config/src/examples.test.ts
@@ -0,0 +1,107 @@
+import {createHash} from 'node:crypto';
+import {readFileSync} from 'node:fs';
+import {fileURLToPath} from 'node:url';
+import {expect} from 'chai';
+import {
+  checkHostList,
+  checkSettings,
+  checkUpstreamList,
+  formatProblem,
+  mergeSettings,
+  readSettingsFile,
+  readStartSettings,
+} from './index.js';
+
+const EXAMPLES = new URL('../../../examples/', import.meta.url);
+const LONGEST_PROMPT_TOKENS = 1_000_000;
+
+for (const site of ['almond-mill', 'magnolia-hinge']) {
+  describe(`example ${site}`, () => {
+    it('passes and has the sizes of its site', () => {
+      const merged = mergeSettings(
+        read('base.json'),
+        read(`${site}/overlay.json`),
+      );
+      const settings = checkSettings(merged).unwrapOrElse(problems => {
+        throw new Error(problems.map(formatProblem).join('; '));
+      });
+      expect(settings.site.name).to.equal(site);
+      expect(settings.site.failureDomains).to.have.length(3);
+      expect(Object.keys(settings.accounts)).to.have.length(10);
+      const [model] = Object.values(settings.models);
+      expect(model?.contextTokens).to.be.at.least(LONGEST_PROMPT_TOKENS);
+      expect(model?.engineMemoryTokens).to.be.below(LONGEST_PROMPT_TOKENS / 2);
+    });
+
+    it('has lists that pass, in the failure domains of the site', () => {
+      const hosts = checkHostList(read(`${site}/hosts.json`)).unwrapOr(null);
+      const list = checkUpstreamList(read(`${site}/upstreams.json`));
+      const upstreams = list.unwrapOr(null)?.upstreams ?? [];
+      const kinds = upstreams.map(({kind}) => kind);
+      expect(hosts?.hosts.length).to.be.within(6, 9);
+      expect(kinds.filter(kind => kind === 'engine')).to.have.length(15);
+      expect(kinds.filter(kind => kind === 'service')).to.have.length(3);
+    });
+
+    it('has start settings that pass', () => {
+      const path = fileURLToPath(new URL(`${site}/start.json`, EXAMPLES));
+      const start = readStartSettings(path, {}).mapErr(({message}) => message);
+      expect(start.mapOr('', ({logLevel}) => logLevel)).to.equal('info');
+    });
+
+    it('holds the hashes of the documented keys', () => {
+      const readme = readFileSync(new URL('README.md', EXAMPLES), 'utf8');
+      const rows = [...readme.matchAll(/^\| (\S+) +\| (\S+) +\| `(\S+)`/gm)];
+      const documented = rows
+        .filter(([, of]) => of === site)
+        .map(([, , account, key]) => [account, hash(key ?? '')]);
+      const overlay = read(`${site}/overlay.json`) as {
+        accounts: Record<string, {keyHashes: string[]}>;
+      };
+      const held = Object.entries(overlay.accounts);
+      expect(documented).to.eql(
+        held.map(([account, {keyHashes}]) => [account, keyHashes[0]]),
+      );
+    });
+  });
+}
+
+describe('readStartSettings', () => {
+  const path = fileURLToPath(new URL('almond-mill/start.json', EXAMPLES));
+
+  it('names file, path, value and what is allowed in one line', () => {
+    const flags = {callersAddress: 'mill:80', logLevel: undefined};
+    const message = readStartSettings(path, flags).match({
+      Ok: () => '',
+      Err: fault => fault.message,
+    });
+    expect(message).to.equal(
+      'flags: /callersAddress is "mill:80", ' +
+        'allowed is an IP number and port, IP:port',
+    );
+  });
+
+  it('says what is missing, and that a file cannot be read', () => {
+    const lines = [
+      readStartSettings(undefined, {}),
+      readStartSettings('no-such-file.json', {}),
+      readStartSettings(path, {hostname: 'h'}),
+    ].map(result => result.match({Ok: () => '', Err: f => f.message}));
+    expect(lines).to.eql([
+      'flags: /host is missing, allowed is a value: it is required (and 7 more)',
+      'no-such-file.json: the file cannot be read (ENOENT)',
+      'flags: /hostname is "h", allowed is no setting of this name',
+    ]);
+  });
+});
+
+function read(path: string): unknown {
+  const file = fileURLToPath(new URL(path, EXAMPLES));
+  return readSettingsFile(file).unwrapOrElse(failure => {
+    throw failure;
+  });
+}
+
+function hash(key: string): string {
+  return createHash('sha256').update(key).digest('hex');
+}
--- /dev/null
+++ b/packages/config/src/explain_settings.ts
@@ -0,0 +1,30 @@
+import type {ExplainedValue} from './explained_value.js';
+import {listValues} from './list_values.js';
+import {maskSecret} from './mask_secret.js';
+import {mergeSettings} from './merge_settings.js';
+import {readPointer} from './read_pointer.js';
+import {SETTINGS_CHECK} from './settings_check.js';
+import {ValueSource} from './value_source.js';
+
+/** Lists the merged settings, valid or not, with the source of each value. */
+export function explainSettings(
+  base: unknown,
+  overlay: unknown,
+): ExplainedValue[] {
+  const merged = mergeSettings(base, overlay);
+  return listValues(SETTINGS_CHECK.fill(merged)).map(({path, value}) => ({
+    path,
+    value: maskSecret(path, value),
+    source: findSource(path, merged, overlay),
+  }));
+}
+
+function findSource(
+  path: string,
+  merged: unknown,
+  overlay: unknown,
+): ValueSource {
+  if (readPointer(merged, path) === undefined) return ValueSource.DEFAULT;
+  const stated = readPointer(overlay, path) !== undefined;
+  return stated ? ValueSource.OVERLAY : ValueSource.BASE;
+}
--- a/packages/config/src/mask_secret.ts
+++ b/packages/config/src/mask_secret.ts
@@ -1,3 +1,5 @@
+import {escapePointer} from './escape_pointer.js';
+
 const MASK = '***';
 const SECRET_NAME = 'keyHashes';
 
@@ -14,7 +16,7 @@
   return Object.fromEntries(
     Object.entries(value).map(([name, child]) => [
       name,
-      maskSecret(`${path}/${name}`, child),
+      maskSecret(`${path}/${escapePointer(name)}`, child),
     ]),
   );
 }
--- a/packages/config/src/parse_settings.ts
+++ b/packages/config/src/parse_settings.ts
@@ -1,4 +1,5 @@
 import {Result} from 'true-myth/result';
+import {escapePointer} from './escape_pointer.js';
 import type {SettingsProblem} from './settings_problem.js';
 
 const MAX_DEPTH = 32;
@@ -19,7 +20,7 @@
     return Result.err({
       path: '',
       value: undefined,
-      allowed: `JSON text (${reason})`,
+      allowed: `JSON text (${reason.replaceAll(/\s+/g, ' ')})`,
     });
   }
   const problem = findProblem(value, '', 0);
@@ -45,7 +46,3 @@
   }
   return undefined;
 }
-
-function escapePointer(name: string): string {
-  return name.replaceAll('~', '~0').replaceAll('/', '~1');
-}
--- a/packages/config/src/schema_check.ts
+++ b/packages/config/src/schema_check.ts
@@ -2,6 +2,7 @@
 import addFormats from 'ajv-formats';
 import {Result} from 'true-myth/result';
 import {describeAllowed} from './describe_allowed.js';
+import {escapePointer} from './escape_pointer.js';
 import {readPointer} from './read_pointer.js';
 import type {SettingsProblem} from './settings_problem.js';
 
@@ -15,6 +16,13 @@
     this.validate = ajv.compile(schema);
   }
 
+  /** Fills the defaults into a copy of a JSON value, valid or not. */
+  fill(value: unknown): unknown {
+    const copy = structuredClone(value);
+    this.validate(copy);
+    return copy;
+  }
+
   /** Checks a copy of a JSON value; the value itself stays as it is. */
   run(value: unknown): Result<T, SettingsProblem[]> {
     const copy = structuredClone(value);
@@ -29,7 +37,11 @@
   if (error.keyword === 'required') {
     const missing = String(error.params['missingProperty']);
     const allowed = 'a value: it is required';
-    return {path: `${path}/${missing}`, value: undefined, allowed};
+    return {
+      path: `${path}/${escapePointer(missing)}`,
+      value: undefined,
+      allowed,
+    };
   }
   if (error.keyword === 'additionalProperties') {
     const extra = String(error.params['additionalProperty']);
@@ -39,7 +51,7 @@
         ? Reflect.get(value, extra)
         : undefined;
     const allowed = 'no setting of this name';
-    return {path: `${path}/${extra}`, value: found, allowed};
+    return {path: `${path}/${escapePointer(extra)}`, value: found, allowed};
   }
   return {
     path,
--- /dev/null
+++ b/packages/config/src/value_source.ts
@@ -0,0 +1,6 @@
+/** Where a value in force comes from. */
+export enum ValueSource {
+  BASE = 'base',
+  OVERLAY = 'overlay',
+  DEFAULT = 'default',
+}
