--- /dev/null
+++ b/packages/timeline/src/hybrid_time.ts
@@ -0,0 +1,7 @@
+/** Hybrid logical time. */
+export interface HybridTime {
+  /** Milliseconds since the epoch, below 2^48. */
+  readonly wallMs: number;
+  /** Order within one millisecond, below 2^16. */
+  readonly counter: number;
+}
--- /dev/null
+++ b/packages/timeline/src/merge_timelines.ts
@@ -0,0 +1,30 @@
+import type {TimelineEntry} from './timeline_entry.js';
+
+/**
+ * Merges the events of several hosts into one causal order; ties go by host,
+ * then by the host's own order. An event read twice is kept once.
+ */
+export function mergeTimelines(
+  timelines: readonly (readonly TimelineEntry[])[],
+): TimelineEntry[] {
+  const sorted = timelines.flat().sort(compareEntries);
+  return sorted.filter((entry, i) => {
+    const before = sorted[i - 1];
+    return before === undefined || compareEntries(before, entry) !== 0;
+  });
+}
+
+function compareEntries(a: TimelineEntry, b: TimelineEntry): number {
+  return (
+    a.timeMs - b.timeMs ||
+    a.counter - b.counter ||
+    compareText(a.host, b.host) ||
+    compareText(a.incarnation, b.incarnation) ||
+    a.sequence - b.sequence
+  );
+}
+
+function compareText(a: string, b: string): number {
+  if (a === b) return 0;
+  return a < b ? -1 : 1;
+}
