Decide orders by write-once votes of a majority

An order may run at most once over hosts that restart empty, pause and see different lists. A claim is dispatched once a majority of the view has voted for it; votes never change; restarts and newer views recover the known claims first.

--- /dev/null
+++ b/packages/orders/src/key_cover.ts
@@ -0,0 +1,6 @@
+/** Whether a witness's memory reaches back to the first use of a key. */
+export enum KeyCover {
+  COVERED = 'covered',
+  NOT_COVERED = 'not_covered',
+  EXPIRED = 'expired',
+}
--- /dev/null
+++ b/packages/orders/src/make_outcome.ts
@@ -0,0 +1,15 @@
+import type {Ran} from '@parsleywood/errors';
+import type {OrderOutcome} from '@parsleywood/schema/peer';
+
+/** Makes the outcome of a service without a body, or a failure. */
+export function makeOutcome(failureKind: string, ran: Ran): OrderOutcome {
+  return {
+    status: 200,
+    contentType: 'application/json',
+    body: Buffer.alloc(0),
+    failureKind,
+    failureMessage: '',
+    ran,
+    retryAfterMs: 0,
+  };
+}
--- /dev/null
+++ b/packages/orders/src/message_event.ts
@@ -0,0 +1,13 @@
+import type {OrderMessage} from '@parsleywood/schema/orders';
+import type {OrderEventKind} from './order_event_kind.js';
+
+/** A message of a peer's order decision has come in. */
+export interface MessageEvent {
+  readonly kind: OrderEventKind.MESSAGE;
+  readonly from: string;
+  /** Incarnation id of the sender. */
+  readonly incarnation: string;
+  readonly message: OrderMessage;
+  /** Wall-clock time, in milliseconds since the epoch. */
+  readonly wallMs: number;
+}
--- /dev/null
+++ b/packages/orders/src/outbox.ts
@@ -0,0 +1,22 @@
+import type {OrderMessage} from '@parsleywood/schema/orders';
+import type {OrderAction} from './order_action.js';
+import {OrderActionKind} from './order_action_kind.js';
+
+/** Gathers the actions of one event. */
+export class Outbox {
+  private actions: OrderAction[] = [];
+
+  push(action: OrderAction): void {
+    this.actions.push(action);
+  }
+
+  send(to: string, body: NonNullable<OrderMessage['body']>): void {
+    this.push({kind: OrderActionKind.SEND, to, message: {body}});
+  }
+
+  take(): OrderAction[] {
+    const taken = this.actions;
+    this.actions = [];
+    return taken;
+  }
+}
--- /dev/null
+++ b/packages/orders/src/recover_memory.ts
@@ -0,0 +1,65 @@
+import type {Activation} from './activation.js';
+import type {MemberState} from './member_state.js';
+import {readStartTime} from './read_start_time.js';
+import type {Standing} from './standing.js';
+
+type Replies = [string, MemberState][];
+
+/**
+ * Decides whether a host without memory may vote in the present view: it has
+ * the claims of a majority of active members, or of every member, or all
+ * members started without memory.
+ */
+export function recoverMemory(standing: Standing): Activation | undefined {
+  const {view, self, crashVector} = standing;
+  const others = view.members.filter(host => host !== self.host);
+  const replies: Replies = [...standing.replies].filter(
+    ([host, state]) =>
+      others.includes(host) &&
+      state.viewNumber === view.number &&
+      crashVector.isCurrent(host, state.incarnation),
+  );
+  const states = replies.map(([, state]) => state);
+  const active = states.filter(
+    state => state.complete && state.activeView === view.number,
+  );
+  const all = replies.length === others.length;
+  if (
+    active.length >= view.quorum ||
+    (all && active.length >= view.blocking && active.length > 0)
+  ) {
+    return {
+      memoryFromMs: Math.max(...active.map(state => state.memoryFromMs)),
+    };
+  }
+  if (all && states.every(state => !state.complete)) {
+    return formView(standing, replies);
+  }
+  return joinFormation(standing, active);
+}
+
+function formView(standing: Standing, replies: Replies): Activation {
+  const members = replies.map(([host, {incarnation}]) => ({host, incarnation}));
+  members.push({host: standing.self.host, incarnation: standing.self.id});
+  const starts = members.map(({incarnation}) => readStartTime(incarnation));
+  return {
+    memoryFromMs: Math.max(...starts),
+    formation: {view: standing.view.number, members},
+  };
+}
+
+function joinFormation(
+  standing: Standing,
+  active: readonly MemberState[],
+): Activation | undefined {
+  const {self, view} = standing;
+  const member = active.find(
+    ({formation}) =>
+      formation?.view === view.number &&
+      formation.members.some(
+        ({host, incarnation}) => host === self.host && incarnation === self.id,
+      ),
+  );
+  if (!member) return undefined;
+  return {memoryFromMs: member.memoryFromMs, formation: member.formation};
+}
--- /dev/null
+++ b/packages/orders/src/recovery.ts
@@ -0,0 +1,268 @@
+import type {
+  OrderIncarnation,
+  OrderState,
+  OrderStateQuery,
+} from '@parsleywood/schema/orders';
+import type {Incarnation} from '@parsleywood/types';
+import type {Activation} from './activation.js';
+import type {ClaimTable} from './claim_table.js';
+import {closeOlderViews} from './close_older_views.js';
+import {compareIncarnations} from './compare_incarnations.js';
+import type {CrashVector} from './crash_vector.js';
+import type {MemberState} from './member_state.js';
+import type {Outbox} from './outbox.js';
+import {recoverMemory} from './recover_memory.js';
+import {Safeguard} from './safeguard.js';
+import {StateParts} from './state_parts.js';
+import {View} from './view.js';
+
+const QUERY_RETRY_MIN_MS = 50;
+const QUERY_RETRY_MAX_MS = 2_000;
+const RECORDS_PER_PART = 2_000;
+const RESIGN_SENDS = 5;
+const RESIGN_INTERVAL_MS = 100;
+
+/** A witness's way into views: which one it is in, and whether it may vote. */
+export class Recovery {
+  private current: View | undefined;
+  private complete = false;
+  private activeView = 0;
+  private history: View[] = [];
+  private memoryMs = 0;
+  private formation: Activation['formation'];
+  private readonly resigned = new Map<string, string>();
+  private replies = new Map<string, MemberState>();
+  private readonly parts = new StateParts();
+  private round = 0;
+  private retryMs = QUERY_RETRY_MIN_MS;
+  private queryAtMs = Infinity;
+  private resignSends = 0;
+  private resigning = false;
+
+  constructor(
+    private readonly self: Incarnation,
+    private readonly table: ClaimTable,
+    private readonly crashVector: CrashVector,
+    private readonly outbox: Outbox,
+    private readonly disabled: ReadonlySet<Safeguard>,
+  ) {
+    crashVector.observe(self.host, self.id);
+  }
+
+  get view(): View | undefined {
+    return this.current;
+  }
+
+  /** Keys first used before this time may be unknown here. */
+  get memoryFromMs(): number {
+    return this.memoryMs;
+  }
+
+  hasMemory(): boolean {
+    return this.complete;
+  }
+
+  /** Whether this host may vote in its present view. */
+  mayVote(): boolean {
+    return (
+      this.complete &&
+      !this.resigning &&
+      this.activeView === this.current?.number &&
+      this.current.has(this.self.host) &&
+      this.crashVector.isCurrent(this.self.host, this.self.id)
+    );
+  }
+
+  /** Enters a newer view and closes the present one for ever. */
+  enter(view: View, nowMs: number): boolean {
+    if (this.current && view.number <= this.current.number) return false;
+    this.current = view;
+    this.history.push(view);
+    this.startRound();
+    this.retryMs = QUERY_RETRY_MIN_MS;
+    this.query(nowMs);
+    this.tryActivate();
+    return true;
+  }
+
+  takeQuery(from: string, query: OrderStateQuery, nowMs: number): void {
+    if (query.view) this.enter(View.fromMessage(query.view), nowMs);
+    this.sendState(from, query.round, query.base);
+  }
+
+  takeState(
+    from: string,
+    incarnation: string,
+    state: OrderState,
+    nowMs: number,
+  ): void {
+    for (const record of state.records) this.table.mark(record);
+    this.crashVector.merge(state.crashVector);
+    if (state.view) this.enter(View.fromMessage(state.view), nowMs);
+    if (!this.parts.take(from, incarnation, state)) return;
+    for (const last of state.resigned) this.noteResigned(last);
+    if (state.round === this.round && state.view) {
+      this.replies.set(from, readMemberState(incarnation, state));
+    }
+    this.tryActivate();
+  }
+
+  /** Asks a host that is in a newer view to tell which. */
+  askView(host: string): void {
+    if (!this.current) return;
+    this.sendQuery(host, this.current);
+  }
+
+  /** Votes no more, and hands the claims to the other members. */
+  resign(nowMs: number): void {
+    if (this.resigning) return;
+    this.resigning = true;
+    if (!this.complete) return;
+    this.resigned.set(this.self.host, this.self.id);
+    this.resignSends = RESIGN_SENDS;
+    this.wake(nowMs);
+  }
+
+  wake(nowMs: number): void {
+    if (nowMs < this.wakeAtMs()) return;
+    if (this.resignSends > 0) {
+      this.resignSends--;
+      this.queryAtMs = nowMs + RESIGN_INTERVAL_MS;
+      for (const host of this.listPeers()) this.sendState(host, 0, 0);
+      if (this.resignSends === 0) this.queryAtMs = Infinity;
+      return;
+    }
+    this.query(nowMs);
+  }
+
+  wakeAtMs(): number {
+    return this.resignSends > 0 && this.queryAtMs === Infinity
+      ? 0
+      : this.queryAtMs;
+  }
+
+  private noteResigned({host, incarnation}: OrderIncarnation): void {
+    const known = this.resigned.get(host);
+    if (known !== undefined && compareIncarnations(known, incarnation) > 0) {
+      return;
+    }
+    this.resigned.set(host, incarnation);
+  }
+
+  private isActive(): boolean {
+    return this.complete && this.activeView === this.current?.number;
+  }
+
+  private startRound(): void {
+    this.round++;
+    this.replies = new Map();
+    this.parts.clear();
+  }
+
+  private query(nowMs: number): void {
+    if (!this.current || this.isActive()) {
+      this.queryAtMs = Infinity;
+      return;
+    }
+    for (const host of this.listPeers()) this.sendQuery(host, this.current);
+    this.queryAtMs = nowMs + this.retryMs;
+    this.retryMs = Math.min(2 * this.retryMs, QUERY_RETRY_MAX_MS);
+  }
+
+  /** Members of the present view and of those that must be closed. */
+  private listPeers(): string[] {
+    const peers = new Set(this.history.flatMap(({members}) => members));
+    for (const {history} of this.replies.values()) {
+      for (const {members} of history) {
+        for (const host of members) peers.add(host);
+      }
+    }
+    peers.delete(this.self.host);
+    return [...peers];
+  }
+
+  private sendQuery(host: string, view: View): void {
+    const base = this.complete ? this.activeView : 0;
+    this.outbox.send(host, {
+      $case: 'stateQuery',
+      value: {view: view.toMessage(), round: this.round, base},
+    });
+  }
+
+  private sendState(to: string, round: number, base: number): void {
+    const records = this.complete ? this.table.listSince(base) : [];
+    const parts = Math.max(1, Math.ceil(records.length / RECORDS_PER_PART));
+    for (let part = 0; part < parts; part++) {
+      const from = part * RECORDS_PER_PART;
+      const value: OrderState = {
+        round,
+        part,
+        parts,
+        view: this.current?.toMessage(),
+        complete: this.complete,
+        activeView: this.activeView,
+        history: this.history.map(view => view.toMessage()),
+        records: records.slice(from, from + RECORDS_PER_PART),
+        crashVector: this.crashVector.toEntries(),
+        memoryFromMs: this.memoryMs,
+        formation: this.formation,
+        resigned: this.listResigned(),
+      };
+      this.outbox.send(to, {$case: 'state', value});
+    }
+  }
+
+  private listResigned(): OrderState['resigned'] {
+    if (!this.complete) return [];
+    return [...this.resigned].map(([host, incarnation]) => ({
+      host,
+      incarnation,
+    }));
+  }
+
+  private tryActivate(): void {
+    if (!this.current || this.isActive()) return;
+    const activation = this.decideActivation(this.current);
+    if (!activation) return;
+    this.complete = true;
+    this.activeView = this.current.number;
+    this.history = [this.current];
+    this.memoryMs = activation.memoryFromMs;
+    this.formation = activation.formation;
+    this.crashVector.merge(activation.formation?.members ?? []);
+    this.queryAtMs = Infinity;
+  }
+
+  private decideActivation(view: View): Activation | undefined {
+    const standing = {
+      self: this.self,
+      view,
+      complete: this.complete,
+      activeView: this.activeView,
+      history: this.history,
+      memoryFromMs: this.memoryMs,
+      resigned: this.resigned,
+      crashVector: this.crashVector,
+      replies: this.replies,
+    };
+    if (this.complete) {
+      return this.disabled.has(Safeguard.VIEW_CLOSURE)
+        ? {memoryFromMs: this.memoryMs}
+        : closeOlderViews(standing);
+    }
+    if (this.disabled.has(Safeguard.RECOVERY)) return {memoryFromMs: 0};
+    return view.has(this.self.host) ? recoverMemory(standing) : undefined;
+  }
+}
+
+function readMemberState(incarnation: string, state: OrderState): MemberState {
+  return {
+    incarnation,
+    viewNumber: state.view?.number ?? 0,
+    complete: state.complete,
+    activeView: state.activeView,
+    history: state.history.map(view => View.fromMessage(view)),
+    memoryFromMs: state.memoryFromMs,
+    formation: state.formation,
+  };
+}
--- /dev/null
+++ b/packages/orders/src/simulation.ts
@@ -0,0 +1,431 @@
+import {Ran} from '@parsleywood/errors';
+import type {OrderOutcome} from '@parsleywood/schema/peer';
+import type {Decision, Incarnation} from '@parsleywood/types';
+import {uniformInt} from 'pure-rand/distribution/uniformInt';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {makeOutcome} from './make_outcome.js';
+import type {OrderAction} from './order_action.js';
+import {OrderActionKind} from './order_action_kind.js';
+import type {OrderEvent} from './order_event.js';
+import {OrderEventKind} from './order_event_kind.js';
+import type {PeerState} from './peer_state.js';
+import {VirtualTime} from './virtual_time.js';
+
+const START_WALL_MS = 1_700_000_000_000;
+const CLOCK_SKEW_MS = 4;
+const SETTLE_MS = 60;
+const OPEN_AFTER_MS = 40;
+const UNTIMED_ORDER = 4;
+
+type Subject = Decision<OrderEvent, OrderAction> & {hasMemory?(): boolean};
+
+interface Options {
+  readonly hosts: number;
+  readonly seed: number;
+  readonly makeHost: (self: Incarnation) => Subject;
+  /** Longest one-way delay of a message, in milliseconds. */
+  readonly delayMaxMs?: number;
+  /** Messages lost, and messages delivered twice, of a hundred. */
+  readonly lossPercent?: number;
+  readonly duplicatePercent?: number;
+  /** Longest time from a dispatch action to the bytes sent, in milliseconds. */
+  readonly dispatchDelayMaxMs?: number;
+  readonly limitMs?: number;
+}
+
+interface Host {
+  readonly name: string;
+  readonly self: Incarnation;
+  readonly subject: Subject;
+  readonly skewMs: number;
+  up: boolean;
+  paused: boolean;
+  list: number;
+  readonly stalled: (() => void)[];
+}
+
+interface Reply {
+  readonly order: string;
+  readonly host: string;
+  readonly kind: string;
+  readonly ran: string;
+  readonly tookMs: number;
+}
+
+interface Forward {
+  readonly from: Host;
+  readonly call: string;
+  readonly to: string;
+}
+
+/** Hosts, their network and a service in virtual time, with faults. */
+export class Simulation {
+  messages = 0;
+  /** How often each order was sent to the service. */
+  readonly runs = new Map<string, number>();
+  readonly replies: Reply[] = [];
+  readonly hosts = new Map<string, Host>();
+  readonly lists: string[][] = [[]];
+  private readonly time = new VirtualTime();
+  private readonly random;
+  private readonly calls = new Map<string, {order: string; atMs: number}>();
+  private readonly forwards = new Map<string, Forward>();
+  private readonly keys = new Map<number, string>();
+  private cut = new Set<string>();
+
+  constructor(private readonly options: Options) {
+    this.random = xoroshiro128plus(options.seed);
+    const members = Array.from({length: options.hosts}, (_, i) => `h${i}`);
+    this.lists.push(members);
+    for (const name of members) this.start(name, 1);
+    this.advance(SETTLE_MS);
+  }
+
+  private get nowMs(): number {
+    return this.time.nowMs;
+  }
+
+  /** Orders sent twice, or sent although a caller was told they were not. */
+  findViolations(): string[] {
+    const doubled = [...this.runs].filter(([, count]) => count > 1);
+    const denied = this.replies.filter(
+      ({order, ran}) => ran === Ran.NO && this.runs.has(order),
+    );
+    return [
+      ...doubled.map(([order, count]) => `${order} ran ${count} times`),
+      ...denied.map(({order, host}) => `${order} ran, ${host} said no`),
+    ];
+  }
+
+  submit(index: number, name: string): void {
+    const host = this.hosts.get(name);
+    if (!host?.up) return;
+    const account = index % 2 === 0 ? 'a' : 'b';
+    const key = this.nameKey(Math.floor(index / 2));
+    const call = `c${this.calls.size}`;
+    const order = `${account}/${key}`;
+    this.calls.set(call, {order, atMs: this.nowMs});
+    const limitMs = this.options.limitMs ?? 600;
+    this.deliver(host, {
+      kind: OrderEventKind.SUBMIT,
+      call,
+      account,
+      key,
+      fingerprint: order,
+      deadlineMs: this.nowMs + limitMs,
+      wallMs: 0,
+      forwarded: false,
+    });
+  }
+
+  start(name: string, list: number): void {
+    const skewMs = this.draw(-CLOCK_SKEW_MS / 2, CLOCK_SKEW_MS / 2);
+    const startMs = START_WALL_MS + Math.ceil(this.nowMs) + skewMs;
+    const previous = this.hosts.get(name);
+    const earliestMs = previous ? Number.parseInt(previous.self.id, 10) + 1 : 0;
+    const self = {host: name, id: `${Math.max(startMs, earliestMs)}-0`};
+    const subject = this.options.makeHost(self);
+    const host: Host = {
+      name,
+      self,
+      subject,
+      skewMs,
+      up: true,
+      paused: false,
+      list,
+      stalled: [],
+    };
+    this.hosts.set(name, host);
+    const openAt = new Date(START_WALL_MS + OPEN_AFTER_MS).toISOString();
+    this.deliver(host, {
+      kind: OrderEventKind.SETTINGS,
+      orders: {
+        keyMaxAgeMs: 3_600_000,
+        clockSkewMs: CLOCK_SKEW_MS,
+        claimTimeoutMs: 150,
+        openAt,
+      },
+    });
+    this.tellList(host, list);
+  }
+
+  crash(name: string): void {
+    const host = this.hosts.get(name);
+    if (!host) return;
+    host.up = false;
+    for (const [call, forward] of this.forwards) {
+      if (forward.to !== name) continue;
+      this.forwards.delete(call);
+      this.failForward(forward);
+    }
+  }
+
+  restart(name: string, list = this.lists.length - 1): void {
+    this.crash(name);
+    this.start(name, list);
+  }
+
+  pause(name: string): void {
+    const host = this.hosts.get(name);
+    if (host) host.paused = true;
+  }
+
+  resume(name: string): void {
+    const host = this.hosts.get(name);
+    if (!host?.paused) return;
+    host.paused = false;
+    for (const run of host.stalled.splice(0)) run();
+  }
+
+  /** Severs every link between the named hosts and the others. */
+  partition(side: readonly string[]): void {
+    this.cut = new Set(side);
+  }
+
+  heal(): void {
+    this.cut = new Set();
+  }
+
+  /** Publishes a list; hosts not told learn it from their peers. */
+  publish(members: readonly string[], told: readonly string[]): void {
+    const number = this.lists.push([...members]) - 1;
+    for (const name of members) {
+      if (!this.hosts.has(name)) this.start(name, number);
+    }
+    for (const name of told) {
+      const host = this.hosts.get(name);
+      if (host) this.tellList(host, number);
+    }
+  }
+
+  close(name: string): void {
+    const host = this.hosts.get(name);
+    if (host) this.deliver(host, {kind: OrderEventKind.CLOSE});
+  }
+
+  tellPeer(to: string, about: string, state: PeerState): void {
+    const host = this.hosts.get(to);
+    const peer = this.hosts.get(about);
+    if (!host || !peer || to === about) return;
+    const {id} = peer.self;
+    this.deliver(host, {
+      kind: OrderEventKind.PEER,
+      host: about,
+      incarnation: id,
+      state,
+    });
+  }
+
+  advance(ms: number): void {
+    this.time.advance(ms);
+  }
+
+  draw(from: number, to: number): number {
+    return uniformInt(this.random, from, to);
+  }
+
+  private nameKey(index: number): string {
+    if (index === UNTIMED_ORDER) return 'untimed';
+    const known = this.keys.get(index);
+    if (known) return known;
+    const hex = (START_WALL_MS + Math.floor(this.nowMs))
+      .toString(16)
+      .padStart(12, '0');
+    const random = index.toString(16).padStart(12, '0');
+    const key = `${hex.slice(0, 8)}-${hex.slice(8)}-7000-8000-${random}`;
+    this.keys.set(index, key);
+    return key;
+  }
+
+  private tellList(host: Host, number: number): void {
+    host.list = Math.max(host.list, number);
+    this.deliver(host, {
+      kind: OrderEventKind.VIEW,
+      number,
+      members: this.lists[number] ?? [],
+      leaving: [],
+    });
+  }
+
+  private deliver(host: Host, event: OrderEvent): void {
+    if (!host.up) return;
+    if (host.paused) {
+      host.stalled.push(() => this.deliver(host, event));
+      return;
+    }
+    const wallMs = START_WALL_MS + this.nowMs + host.skewMs;
+    const stamped = 'wallMs' in event ? {...event, wallMs} : event;
+    for (const action of host.subject.handle(stamped, this.nowMs)) {
+      this.act(host, action);
+    }
+    const wakeAtMs = host.subject.wakeAtMs();
+    if (wakeAtMs === Infinity) return;
+    this.time.at(Math.max(wakeAtMs, this.nowMs), () => {
+      if (host.subject.wakeAtMs() > this.nowMs) return;
+      this.deliver(host, {kind: OrderEventKind.WAKE});
+    });
+  }
+
+  private act(host: Host, action: OrderAction): void {
+    switch (action.kind) {
+      case OrderActionKind.SEND: {
+        this.messages++;
+        const {message} = action;
+        this.transmit(host.name, action.to, to =>
+          this.deliver(to, {
+            kind: OrderEventKind.MESSAGE,
+            from: host.name,
+            incarnation: host.self.id,
+            message,
+            wallMs: 0,
+          }),
+        );
+        break;
+      }
+      case OrderActionKind.FORWARD:
+        this.forward(host, action.call, action.to);
+        break;
+      case OrderActionKind.DISPATCH: {
+        const order = `${action.account}/${action.key}`;
+        const delayMs = this.draw(0, this.options.dispatchDelayMaxMs ?? 20);
+        this.time.at(this.nowMs + delayMs, () => {
+          this.dispatch(host, order, action.account, action.key);
+        });
+        break;
+      }
+      case OrderActionKind.ANSWER:
+        this.reply(host, action.call, action.outcome);
+        break;
+      case OrderActionKind.FAIL: {
+        const {kind, ran} = action.failure;
+        this.reply(host, action.call, makeOutcome(kind, ran));
+        break;
+      }
+    }
+  }
+
+  private transmit(
+    from: string,
+    to: string,
+    run: (host: Host) => void,
+    lost: () => void = () => undefined,
+  ): void {
+    const {
+      lossPercent = 0,
+      duplicatePercent = 0,
+      delayMaxMs = 1,
+    } = this.options;
+    const copies = this.draw(0, 99) < duplicatePercent ? 2 : 1;
+    for (let copy = 0; copy < copies; copy++) {
+      const dropped = this.draw(0, 99) < lossPercent || this.isCut(from, to);
+      const delayMs = delayMaxMs > 1 ? this.draw(1, delayMaxMs) : 1;
+      this.time.at(this.nowMs + delayMs, () => {
+        const host = this.hosts.get(to);
+        if (dropped || !host?.up || this.isCut(from, to)) {
+          if (copy === 0) lost();
+        } else run(host);
+      });
+    }
+  }
+
+  private isCut(from: string, to: string): boolean {
+    return this.cut.has(from) !== this.cut.has(to);
+  }
+
+  private forward(host: Host, call: string, to: string): void {
+    const {order} = this.calls.get(call) ?? this.readForward(call);
+    const name = `f${this.calls.size}`;
+    this.calls.set(name, {order, atMs: this.nowMs});
+    const forward = {from: host, call, to};
+    this.forwards.set(name, forward);
+    this.messages++;
+    const cut = order.indexOf('/');
+    let delivered = false;
+    this.transmit(
+      host.name,
+      to,
+      target => {
+        if (delivered) return;
+        delivered = true;
+        this.deliver(target, {
+          kind: OrderEventKind.SUBMIT,
+          call: name,
+          account: order.slice(0, cut),
+          key: order.slice(cut + 1),
+          fingerprint: order,
+          deadlineMs: this.nowMs + (this.options.limitMs ?? 600),
+          wallMs: 0,
+          forwarded: true,
+        });
+      },
+      () => this.failForward(forward),
+    );
+  }
+
+  private readForward(call: string): {order: string} {
+    return {order: `unknown/${call}`};
+  }
+
+  private failForward({from, call, to}: Forward): void {
+    // A severed link fails at once, late, or in silence.
+    const delayMs = this.draw(1, 400);
+    if (delayMs > 300) return;
+    this.time.at(this.nowMs + delayMs, () => {
+      this.deliver(from, {kind: OrderEventKind.FORWARD_FAILED, call, to});
+    });
+  }
+
+  private dispatch(
+    host: Host,
+    order: string,
+    account: string,
+    key: string,
+  ): void {
+    if (!host.up) return;
+    if (host.paused) {
+      host.stalled.push(() => this.dispatch(host, order, account, key));
+      return;
+    }
+    this.runs.set(order, (this.runs.get(order) ?? 0) + 1);
+    const {dispatchDelayMaxMs = 20} = this.options;
+    const serviceMs = dispatchDelayMaxMs > 0 ? this.draw(1, 100) : 0;
+    this.time.at(this.nowMs + serviceMs, () => {
+      this.deliver(host, {
+        kind: OrderEventKind.OUTCOME,
+        account,
+        key,
+        outcome: makeOutcome('', Ran.YES),
+      });
+    });
+  }
+
+  private reply(host: Host, call: string, outcome: OrderOutcome): void {
+    const forward = this.forwards.get(call);
+    if (forward) {
+      this.forwards.delete(call);
+      this.messages++;
+      this.transmit(
+        host.name,
+        forward.from.name,
+        () =>
+          this.deliver(forward.from, {
+            kind: OrderEventKind.FORWARDED_OUTCOME,
+            call: forward.call,
+            from: host.name,
+            outcome,
+          }),
+        () => this.failForward(forward),
+      );
+      return;
+    }
+    const asked = this.calls.get(call);
+    if (!asked) return;
+    this.replies.push({
+      order: asked.order,
+      host: host.name,
+      kind: outcome.failureKind,
+      ran: outcome.ran,
+      tookMs: this.nowMs - asked.atMs,
+    });
+  }
+}
--- /dev/null
+++ b/packages/orders/src/view.ts
@@ -0,0 +1,53 @@
+import {createHash} from 'node:crypto';
+import type {OrderView} from '@parsleywood/schema/orders';
+
+/** One revision of the list of hosts, and its quorums. */
+export class View {
+  /** Votes that win; any two quorums of the view share a member. */
+  readonly quorum: number;
+  /** Witnesses that share a member with every quorum of the view. */
+  readonly blocking: number;
+  private readonly memberSet: ReadonlySet<string>;
+
+  constructor(
+    readonly number: number,
+    readonly members: readonly string[],
+    private readonly leaving: readonly string[] = [],
+  ) {
+    this.memberSet = new Set(members);
+    this.quorum = Math.floor(members.length / 2) + 1;
+    this.blocking = members.length - this.quorum + 1;
+  }
+
+  static fromMessage(message: OrderView): View {
+    return new View(message.number, message.members, message.leaving);
+  }
+
+  toMessage(): OrderView {
+    return {
+      number: this.number,
+      members: [...this.members],
+      leaving: [...this.leaving],
+    };
+  }
+
+  has(host: string): boolean {
+    return this.memberSet.has(host);
+  }
+
+  /** Members by rendezvous hash of the order, leaving ones last. */
+  rankMembers(order: string): string[] {
+    const ranked = this.members
+      .map(host => ({host, weight: hashPair(host, order)}))
+      .sort((a, b) => (a.weight < b.weight ? 1 : -1))
+      .map(({host}) => host);
+    return [
+      ...ranked.filter(host => !this.leaving.includes(host)),
+      ...ranked.filter(host => this.leaving.includes(host)),
+    ];
+  }
+}
+
+function hashPair(host: string, order: string): string {
+  return createHash('sha1').update(`${host}\n${order}`).digest('hex');
+}
