--- a/packages/daemon/src/caller_server.ts
+++ b/packages/daemon/src/caller_server.ts
@@ -43,6 +43,7 @@
         connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS,
       },
       forceCloseConnections: 'idle',
+      return503OnClosing: false,
       clientErrorHandler: (error, socket) => {
         this.answerBrokenRequest(error.code, socket);
       },
@@ -66,11 +67,16 @@
     await this.server.listen({host, port});
   }
 
-  /** Closes after all requests in flight are answered. */
+  /** Takes no new connections; ends when the open ones are closed. */
   async close(): Promise<void> {
     await this.server.close();
   }
 
+  /** Closes all open connections. */
+  closeConnections(): void {
+    this.server.server.closeAllConnections();
+  }
+
   private addRoutes(): void {
     const {server} = this;
     server.setErrorHandler((error, request, reply) => {
--- a/packages/daemon/src/completion_handler.ts
+++ b/packages/daemon/src/completion_handler.ts
@@ -11,8 +11,6 @@
 import {StreamDelivery} from './stream_delivery.js';
 import {WholeDelivery} from './whole_delivery.js';
 
-const DEFAULT_BYTES_PER_TOKEN = 4;
-
 /** Takes completion requests of callers. */
 export class CompletionHandler {
   constructor(private readonly serving: Serving) {}
@@ -44,11 +42,12 @@
         incoming.headers['request-timeout-ms'],
         settings.timeLimits.maxMs,
       ).unwrapOrElse(throwFailure) ?? lengthClass.timeLimitMs;
-    this.start(request, lengthClass, limitMs, response);
+    this.start(request, promptTokens, lengthClass, limitMs, response);
   }
 
   private start(
     request: CompletionRequest,
+    promptTokens: number,
     lengthClass: LengthClassSettings,
     limitMs: number,
     response: ServerResponse,
@@ -64,35 +63,48 @@
           request.includeUsage,
         )
       : new WholeDelivery(response, request.shape, request.id, head);
+    const nowMs = serving.clock.nowMs();
     const session = new CompletionSession(
       serving,
       request,
+      {
+        id: request.id,
+        account: request.account,
+        model: request.model,
+        promptTokens,
+        answerTokens: request.maxTokens,
+        prefixes: [],
+        arrivedMs: nowMs,
+        deadlineMs: nowMs + limitMs,
+        avoid: [],
+      },
       lengthClass.name,
-      serving.clock.nowMs() + limitMs,
       delivery,
     );
-    serving.begin();
-    session.watchCaller(response);
-    session.admit();
+    session.start(response);
   }
 
   private estimateTokens(
     request: CompletionRequest,
     settings: Settings,
   ): number {
-    const model = settings.models[request.model];
-    if (model === undefined) {
+    const {account, model, promptBytes} = request;
+    const own = settings.models[model];
+    if (own === undefined) {
       throw new Failure(
         ErrorKind.UNKNOWN_MODEL,
-        `no model "${request.model}" at this site`,
+        `no model "${model}" at this site`,
       );
     }
-    const bytesPerToken = model.bytesPerToken ?? DEFAULT_BYTES_PER_TOKEN;
-    const tokens = Math.ceil(request.promptBytes / bytesPerToken);
-    if (tokens > model.contextTokens) {
+    const tokens = this.serving.traffic.estimateTokens(
+      account,
+      model,
+      promptBytes,
+    );
+    if (tokens > own.contextTokens) {
       throw new Failure(
         ErrorKind.PROMPT_TOO_LONG,
-        `the prompt has about ${tokens} tokens; model "${request.model}" takes ${model.contextTokens}`,
+        `the prompt has about ${tokens} tokens; model "${model}" takes ${own.contextTokens}`,
       );
     }
     return tokens;
--- a/packages/daemon/src/completion_session.ts
+++ b/packages/daemon/src/completion_session.ts
@@ -10,76 +10,113 @@
   type LifeEvent,
   type Usage,
 } from '@parsleywood/requests';
+import {
+  ChoiceKind,
+  RouterEventKind,
+  type Choice,
+  type RoutedRequest,
+} from '@parsleywood/routing';
+import {TimelineEventName, type TimelineFields} from '@parsleywood/timeline';
+import type {AdmissionListener} from './admission_listener.js';
 import type {AttemptListener} from './attempt_listener.js';
 import type {CompletionRequest} from './completion_request.js';
+import {DecisionRunner} from './decision_runner.js';
 import type {Delivery} from './delivery.js';
 import type {Serving} from './serving.js';
-import {Timer} from './timer.js';
 
 /** Longest silence of an engine before the request moves, in milliseconds. */
 const ENGINE_SILENCE_MS = 5_000;
 const MAX_ATTEMPTS = 4;
+const RETRY_AFTER_MS = 500;
+const MS_PER_SECOND = 1_000;
 
-/** One completion request: its life, its attempts and its answer. */
-export class CompletionSession implements AttemptListener {
+/** One completion request: its admission, attempts and answer. */
+export class CompletionSession implements AttemptListener, AdmissionListener {
   private readonly life: Life;
-  private readonly timer: Timer;
-  private readonly startedAtMs: number;
-  private firstTokenAtMs: number | undefined;
+  private readonly runner: DecisionRunner<LifeEvent, LifeAction>;
+  private choice: Extract<Choice, {kind: ChoiceKind.UPSTREAM}> | undefined;
+  private hasFirstToken = false;
 
   constructor(
     private readonly serving: Serving,
     private readonly request: CompletionRequest,
+    private readonly routed: RoutedRequest,
     private readonly lengthClass: string,
-    deadlineMs: number,
     private readonly delivery: Delivery,
   ) {
-    this.startedAtMs = serving.clock.nowMs();
     this.life = new Life({
       requestId: request.id,
-      deadlineMs,
+      deadlineMs: routed.deadlineMs,
       silenceMs: ENGINE_SILENCE_MS,
       maxAttempts: MAX_ATTEMPTS,
-      mayRetry: () => serving.mayRetry(),
-    });
-    this.timer = new Timer(serving.clock, () => {
-      this.handle({kind: LifeEventKind.WAKE});
+      mayRetry: () => serving.retries.tryRetry(),
     });
+    this.runner = new DecisionRunner(
+      this.life,
+      serving.clock,
+      {kind: LifeEventKind.WAKE},
+      action => {
+        this.apply(action);
+      },
+    );
   }
 
-  /** Watches for the caller's closing of the connection. */
-  watchCaller(response: ServerResponse): void {
+  /** Asks for admission and watches for the caller's closing. */
+  start(response: ServerResponse): void {
+    const {serving, routed} = this;
+    serving.begin();
+    this.record(TimelineEventName.REQUEST_RECEIVED, {
+      account: routed.account,
+      model: routed.model,
+      promptTokens: routed.promptTokens,
+      lengthClass: this.lengthClass,
+      limitMs: Math.round(routed.deadlineMs - routed.arrivedMs),
+    });
     response.once('close', () => {
-      if (!response.writableFinished) {
-        this.handle({kind: LifeEventKind.CALLER_GONE});
-      }
+      if (response.writableFinished) return;
+      this.runner.dispatch({kind: LifeEventKind.CALLER_GONE});
     });
+    serving.admission.offer(
+      {
+        id: routed.id,
+        account: routed.account,
+        model: routed.model,
+        lengthClass: this.lengthClass,
+        tokens: routed.promptTokens + routed.answerTokens,
+        deadlineMs: routed.deadlineMs,
+      },
+      this,
+    );
   }
 
-  admit(): void {
-    this.handle({kind: LifeEventKind.ADMITTED});
+  onAdmitted(): void {
+    this.record(TimelineEventName.REQUEST_ADMITTED);
+    this.runner.dispatch({kind: LifeEventKind.ADMITTED});
+  }
+
+  onRefused(failure: Failure): void {
+    this.runner.dispatch({kind: LifeEventKind.REFUSED, failure});
   }
 
   onAlive(attempt: string): void {
-    this.handle({kind: LifeEventKind.ALIVE, attempt});
+    this.runner.dispatch({kind: LifeEventKind.ALIVE, attempt});
   }
 
   onText(attempt: string, position: number, text: string): void {
-    this.handle({kind: LifeEventKind.TEXT, attempt, position, text});
+    const kind = LifeEventKind.TEXT;
+    this.runner.dispatch({kind, attempt, position, text});
   }
 
   onEnd(attempt: string, position: number, finish: Finish, usage: Usage): void {
-    this.handle({kind: LifeEventKind.END, attempt, position, finish, usage});
+    const kind = LifeEventKind.END;
+    this.runner.dispatch({kind, attempt, position, finish, usage});
   }
 
   onFault(attempt: string, fault: AttemptFault, detail: string): void {
-    this.handle({kind: LifeEventKind.ATTEMPT_FAILED, attempt, fault, detail});
-  }
-
-  private handle(event: LifeEvent): void {
-    const actions = this.life.handle(event, this.serving.clock.nowMs());
-    for (const action of actions) this.apply(action);
-    this.timer.set(this.life.wakeAtMs());
+    this.noteAttemptEnded(attempt, false);
+    this.noteFault(fault);
+    const kind = LifeEventKind.ATTEMPT_FAILED;
+    this.runner.dispatch({kind, attempt, fault, detail});
   }
 
   private apply(action: LifeAction): void {
@@ -91,15 +128,14 @@
         this.startAttempt(action);
         break;
       case LifeActionKind.CANCEL_ATTEMPT:
-        this.serving.engines.cancel(action.attempt);
+        this.cancelAttempt(action.attempt, action.fault);
         break;
       case LifeActionKind.EMIT:
         this.noteFirstToken();
         this.delivery.emit(action.text);
         break;
       case LifeActionKind.FINISH:
-        this.delivery.finish(action.finish, action.usage);
-        this.conclude('ok');
+        this.finish(action.attempt, action.finish, action.usage);
         break;
       case LifeActionKind.FAIL:
         this.fail(action.failure);
@@ -108,32 +144,57 @@
   }
 
   private choose(excluded: readonly string[]): void {
-    const chosen = this.serving.chooseEngine(this.request.model, excluded);
-    if (chosen === undefined) {
-      const retryAfterMs = this.serving.retryAfterMs();
-      this.handle({kind: LifeEventKind.NONE_CHOSEN, retryAfterMs});
-    } else {
-      this.handle({kind: LifeEventKind.CHOSEN, upstream: chosen.name});
+    const {traffic} = this.serving;
+    const request = {...this.routed, avoid: excluded};
+    let choice = traffic.choose(request);
+    if (choice?.kind === ChoiceKind.NONE && excluded.length > 0) {
+      // Every engine failed this request once; one of them may be back.
+      choice = traffic.choose({...request, avoid: excluded.slice(-1)});
+    }
+    if (choice?.kind !== ChoiceKind.UPSTREAM) {
+      const retryAfterMs = RETRY_AFTER_MS;
+      this.runner.dispatch({kind: LifeEventKind.NONE_CHOSEN, retryAfterMs});
+      return;
     }
+    this.choice = choice;
+    const {upstream} = choice;
+    this.runner.dispatch({kind: LifeEventKind.CHOSEN, upstream});
   }
 
   private startAttempt(
     action: Extract<LifeAction, {kind: LifeActionKind.START_ATTEMPT}>,
   ): void {
-    const engine = this.serving.site.upstream(action.upstream);
-    if (engine === undefined) {
-      const {attempt} = action;
+    const {attempt, upstream} = action;
+    const engine = this.serving.site.upstream(upstream);
+    const {choice} = this;
+    if (engine === undefined || choice === undefined) {
       this.onFault(attempt, AttemptFault.UNREACHABLE, 'no longer listed');
       return;
     }
+    this.record(TimelineEventName.ATTEMPT_STARTED, {
+      attempt,
+      upstream,
+      position: action.resumeFrom,
+    });
+    this.serving.traffic.observe({
+      kind: RouterEventKind.ATTEMPT_STARTED,
+      attempt,
+      upstream,
+      request: this.routed,
+      cachedTokens: choice.cachedTokens,
+    });
+    if (this.life.attemptCount() === 1) {
+      this.serving.admission.noteStarted(this.routed.id);
+    }
+    this.serving.countCall(upstream, 1);
     this.serving.engines.start(
       {
-        attempt: action.attempt,
+        attempt,
         address: engine.address,
         path: this.request.path,
         body: this.request.body,
         owner: this.serving.owner,
-        priority: this.serving.priorityOf(this.lengthClass),
+        priority: choice.priority,
         resumeFrom: action.resumeFrom,
         limitMs: action.limitMs,
       },
@@ -142,21 +203,80 @@
   }
 
   private noteFirstToken(): void {
-    if (this.firstTokenAtMs !== undefined) return;
-    this.firstTokenAtMs = this.serving.clock.nowMs();
-    this.serving.metrics.firstTokenSeconds.observe(
-      {model: this.request.model, length_class: this.lengthClass},
-      (this.firstTokenAtMs - this.startedAtMs) / 1_000,
+    if (this.hasFirstToken) return;
+    this.hasFirstToken = true;
+    const {serving, routed} = this;
+    this.record(TimelineEventName.ATTEMPT_FIRST_TOKEN);
+    serving.admission.noteFirstToken(routed.id);
+    serving.metrics.firstTokenSeconds.observe(
+      {model: routed.model, length_class: this.lengthClass},
+      (serving.clock.nowMs() - routed.arrivedMs) / MS_PER_SECOND,
     );
   }
 
+  private cancelAttempt(attempt: string, fault?: AttemptFault): void {
+    this.serving.engines.cancel(attempt);
+    this.noteAttemptEnded(attempt, false);
+    if (fault !== undefined) this.noteFault(fault);
+  }
+
+  private noteFault(fault: AttemptFault): void {
+    const {serving, choice} = this;
+    serving.metrics.retries.inc({fault});
+    if (choice === undefined || fault === AttemptFault.INVALID) return;
+    const {upstream} = choice;
+    this.record(TimelineEventName.ATTEMPT_FAILED, {upstream, state: fault});
+    const untilMs = serving.health.recordFault(upstream);
+    const kind = RouterEventKind.AVOID;
+    serving.traffic.observe({kind, upstream, untilMs});
+  }
+
+  private noteAttemptEnded(attempt: string, succeeded: boolean): void {
+    if (this.choice === undefined) return;
+    this.serving.countCall(this.choice.upstream, -1);
+    if (succeeded) this.serving.health.recordSuccess(this.choice.upstream);
+    const kind = RouterEventKind.ATTEMPT_ENDED;
+    this.serving.traffic.observe({kind, attempt, succeeded});
+  }
+
+  private finish(attempt: string, finish: Finish, usage: Usage): void {
+    const {serving, routed} = this;
+    this.delivery.finish(finish, usage);
+    this.noteAttemptEnded(attempt, true);
+    serving.traffic.observeUsage({
+      account: routed.account,
+      model: routed.model,
+      bytes: this.request.promptBytes,
+      tokens: usage.promptTokens,
+    });
+    const tokens = usage.promptTokens + usage.completionTokens;
+    serving.admission.noteFinished(routed.id, true, tokens);
+    serving.retries.recordSuccess();
+    this.record(TimelineEventName.REQUEST_ANSWERED, {tokens});
+    this.conclude('ok');
+  }
+
   private fail(failure: Failure): void {
     if (failure.kind !== ErrorKind.CALLER_GONE) this.delivery.fail(failure);
+    if (this.life.attemptCount() === 0) {
+      this.serving.admission.cancel(this.routed.id);
+    } else {
+      this.serving.admission.noteFinished(this.routed.id, false);
+    }
+    this.record(TimelineEventName.REQUEST_FAILED, {
+      errorKind: failure.kind,
+      ran: failure.ran,
+    });
     this.conclude(failure.kind);
   }
 
+  private record(name: TimelineEventName, fields?: TimelineFields): void {
+    this.serving.timeline.record(name, this.routed.id, fields);
+  }
+
   private conclude(outcome: string): void {
-    this.timer.clear();
+    this.runner.stop();
+    this.serving.metrics.droppedEvents.inc(this.life.droppedEvents());
     this.serving.conclude('completion', outcome, this.request.id);
   }
 }
--- /dev/null
+++ b/packages/daemon/src/configuration_control.ts
@@ -0,0 +1,150 @@
+import {
+  ConfigurationActionKind,
+  ConfigurationEventKind,
+  ConfigurationLedger,
+  type ConfigurationAction,
+  type ConfigurationEvent,
+  type ConfigurationProblem,
+  type ConfigurationRevision,
+  type Member,
+} from '@parsleywood/config';
+import type {Failure} from '@parsleywood/errors';
+import type {ConfigurationMessage} from '@parsleywood/schema/configuration';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import type {Result} from 'true-myth';
+import type {Clock} from './clock.js';
+import type {ConfigurationListener} from './configuration_listener.js';
+import {DecisionRunner} from './decision_runner.js';
+import type {EventLog} from './event_log.js';
+import type {PeerTransport} from './peer_transport.js';
+import type {PlatformClient} from './platform_client.js';
+import type {PublishedValue} from './published_value.js';
+
+/** Runs the configuration ledger against the configuration service and peers. */
+export class ConfigurationControl {
+  private readonly ledger: ConfigurationLedger;
+  private readonly runner: DecisionRunner<
+    ConfigurationEvent,
+    ConfigurationAction
+  >;
+  private inForce: ConfigurationRevision | undefined;
+
+  constructor(
+    site: string,
+    self: Member,
+    seed: number,
+    private readonly clock: Clock,
+    private readonly platform: PlatformClient,
+    private readonly transport: PeerTransport,
+    private readonly log: EventLog,
+    private readonly listener: ConfigurationListener,
+  ) {
+    this.ledger = new ConfigurationLedger(site, self, xoroshiro128plus(seed));
+    this.runner = new DecisionRunner(
+      this.ledger,
+      clock,
+      {kind: ConfigurationEventKind.WAKE},
+      action => {
+        this.apply(action);
+      },
+    );
+  }
+
+  start(): void {
+    this.runner.dispatch({kind: ConfigurationEventKind.WAKE});
+  }
+
+  stop(): void {
+    this.runner.stop();
+  }
+
+  /** Revisions in force; undefined until the first ones came. */
+  revision(): ConfigurationRevision | undefined {
+    return this.inForce;
+  }
+
+  /** Time since the service confirmed every value, in milliseconds. */
+  confirmedAgeMs(): number {
+    return this.ledger.confirmedAgeMs(this.clock.nowMs());
+  }
+
+  problems(): ConfigurationProblem[] {
+    return this.ledger.problems();
+  }
+
+  takeMessage(from: string, message: ConfigurationMessage): void {
+    this.runner.dispatch({kind: ConfigurationEventKind.MESSAGE, from, message});
+  }
+
+  setMembers(members: readonly Member[]): void {
+    this.runner.dispatch({kind: ConfigurationEventKind.MEMBERS, members});
+  }
+
+  private apply(action: ConfigurationAction): void {
+    switch (action.kind) {
+      case ConfigurationActionKind.WATCH:
+        this.follow(
+          action.key,
+          action.afterRevision,
+          this.platform.watch(action.key, action.afterRevision, action.waitMs),
+        );
+        break;
+      case ConfigurationActionKind.READ:
+        this.follow(action.key, 0, this.platform.read(action.key));
+        break;
+      case ConfigurationActionKind.SEND:
+        this.transport.send(action.to, {
+          body: {$case: 'configuration', value: action.message},
+        });
+        break;
+      case ConfigurationActionKind.IN_FORCE:
+        this.inForce = action.revision;
+        this.listener.onSettings(action.settings);
+        this.log.info('configuration_in_force', {...action.revision});
+        break;
+      case ConfigurationActionKind.HOSTS:
+        this.listener.onHosts(action.list, action.revision);
+        break;
+      case ConfigurationActionKind.UPSTREAMS:
+        this.listener.onUpstreams(action.list);
+        break;
+      case ConfigurationActionKind.ALARM:
+        this.log.error('configuration_alarm', {
+          detail: JSON.stringify(action.problem),
+        });
+        break;
+    }
+  }
+
+  private follow(
+    key: string,
+    afterRevision: number,
+    reading: Promise<Result<PublishedValue | undefined, Failure>>,
+  ): void {
+    void reading.then(result => {
+      if (result.isErr) {
+        this.log.debug('configuration_read_failed', {
+          detail: result.error.message,
+        });
+        this.runner.dispatch({kind: ConfigurationEventKind.READ_FAILED, key});
+        return;
+      }
+      const published = result.value;
+      if (published === undefined) {
+        const revision = afterRevision;
+        this.runner.dispatch({
+          kind: ConfigurationEventKind.UNCHANGED,
+          key,
+          revision,
+        });
+        return;
+      }
+      this.runner.dispatch({
+        kind: ConfigurationEventKind.VALUE,
+        key,
+        revision: published.revision,
+        value: JSON.stringify(published.value),
+      });
+    });
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/control_plane.ts
@@ -0,0 +1,149 @@
+import type {Member} from '@parsleywood/config';
+import {MemberState} from '@parsleywood/membership';
+import {PeerState} from '@parsleywood/orders';
+import type {HostList} from '@parsleywood/schema/host_list';
+import type {LimitMessage} from '@parsleywood/schema/limits';
+import type {PeerMessage} from '@parsleywood/schema/peer';
+import type {Settings} from '@parsleywood/schema/settings';
+import type {UpstreamList} from '@parsleywood/schema/upstream_list';
+import {TimelineEventName} from '@parsleywood/timeline';
+import type {Incarnation} from '@parsleywood/types';
+import type {ConfigurationControl} from './configuration_control.js';
+import type {ConfigurationListener} from './configuration_listener.js';
+import type {MembershipControl} from './membership_control.js';
+import type {MembershipListener} from './membership_listener.js';
+import type {OrderDesk} from './order_desk.js';
+import type {PeerTransport} from './peer_transport.js';
+import type {Serving} from './serving.js';
+
+/** State in which order decisions see a member. */
+const PEER_STATES: Readonly<Record<MemberState, PeerState>> = {
+  [MemberState.ALIVE]: PeerState.REACHABLE,
+  [MemberState.LEAVING]: PeerState.REACHABLE,
+  [MemberState.SUSPECTED]: PeerState.SUSPECTED,
+  [MemberState.DEAD]: PeerState.DEAD,
+};
+
+/** Passes news between membership, configuration, orders and limits. */
+export class ControlPlane implements ConfigurationListener, MembershipListener {
+  private configuration: ConfigurationControl | undefined;
+  private membership: MembershipControl | undefined;
+  private hostRevision = 0;
+  private upstreamsKnown = false;
+
+  /** @param end Ends this process at once. */
+  constructor(
+    private readonly serving: Serving,
+    private readonly transport: PeerTransport,
+    private readonly orders: OrderDesk,
+    private readonly end: () => void,
+  ) {}
+
+  /** Connects the parts that report to this one. */
+  connect(
+    configuration: ConfigurationControl,
+    membership: MembershipControl,
+  ): void {
+    this.configuration = configuration;
+    this.membership = membership;
+  }
+
+  /** Whether settings and both lists are known. */
+  hasConfiguration(): boolean {
+    const {site} = this.serving;
+    return (
+      site.settings() !== undefined &&
+      this.hostRevision > 0 &&
+      this.upstreamsKnown
+    );
+  }
+
+  onSettings(settings: Settings): void {
+    const {serving} = this;
+    serving.timeline.record(TimelineEventName.CONFIGURATION_ADOPTED);
+    serving.site.applySettings(settings);
+    serving.traffic.applySettings(settings);
+    serving.admission.applySettings(settings);
+    this.orders.applySettings(settings.orders);
+  }
+
+  onHosts(list: HostList, revision: number): void {
+    this.onHostList(list, revision);
+    this.membership?.setList(list, revision);
+  }
+
+  onHostList(list: HostList, revision: number): void {
+    if (revision <= this.hostRevision) return;
+    this.hostRevision = revision;
+    this.serving.site.applyHosts(list);
+    this.orders.setHosts(list, revision);
+    this.tellMembers();
+  }
+
+  onUpstreams(list: UpstreamList): void {
+    const {serving} = this;
+    this.upstreamsKnown = true;
+    serving.site.applyUpstreams(list);
+    serving.traffic.applyUpstreams();
+    const addresses = list.upstreams.map(upstream => upstream.address);
+    serving.pools.retain(new Set(addresses));
+  }
+
+  onMemberChanged(member: Incarnation, state: MemberState): void {
+    this.serving.timeline.record(TimelineEventName.MEMBER_CHANGED, '', {
+      peer: member.host,
+      incarnation: member.id,
+      state,
+    });
+    this.orders.setPeer(member, PEER_STATES[state]);
+    this.tellMembers();
+  }
+
+  onUpstreamTold(): void {
+    // Engines and services are judged by this host's own calls and the list.
+  }
+
+  onSuperseded(): void {
+    this.end();
+  }
+
+  /** Sends a limit message together with this host's demand for lanes. */
+  sendLimits(host: string, message: LimitMessage): void {
+    const lanes = this.serving.traffic.demand();
+    this.transport.send(host, {
+      body: {$case: 'limit', value: {...message, lanes}},
+    });
+  }
+
+  takeMessages(from: Incarnation, messages: readonly PeerMessage[]): void {
+    for (const {body} of messages) {
+      switch (body?.$case) {
+        case 'membership':
+          this.membership?.takeMessage(from, body.value);
+          break;
+        case 'order':
+          this.orders.takeMessage(from, body.value);
+          break;
+        case 'configuration':
+          this.configuration?.takeMessage(from.host, body.value);
+          break;
+        case 'limit':
+          this.takeLimits(from.host, body.value);
+          break;
+      }
+    }
+  }
+
+  private takeLimits(host: string, message: LimitMessage): void {
+    this.serving.traffic.observePeerDemand(host, message.lanes);
+    this.serving.admission.takeMessage(host, message);
+  }
+
+  private tellMembers(): void {
+    const alive: Member[] = (this.membership?.members() ?? [])
+      .filter(member => member.state !== MemberState.DEAD)
+      .map(({host, failureDomain}) => ({host, failureDomain}));
+    this.configuration?.setMembers(alive);
+    this.serving.admission.setPeers(alive.map(({host}) => host));
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/decision_runner.ts
@@ -0,0 +1,55 @@
+import type {Decision} from '@parsleywood/types';
+import type {Clock} from './clock.js';
+import {Timer} from './timer.js';
+
+/** Feeds a decision with events, in order, and applies its actions. */
+export class DecisionRunner<Event, Action> {
+  private readonly timer: Timer;
+  private readonly waiting: Event[] = [];
+  private running = false;
+  private stopped = false;
+
+  /**
+   * @param wake Event for the time of `wakeAtMs()`.
+   * @param apply Carries out one action; may dispatch further events.
+   */
+  constructor(
+    private readonly decision: Decision<Event, Action>,
+    private readonly clock: Clock,
+    wake: Event,
+    private readonly apply: (action: Action) => void,
+  ) {
+    this.timer = new Timer(clock, () => {
+      this.dispatch(wake);
+    });
+  }
+
+  /** Handles an event now, or after the one being handled. */
+  dispatch(event: Event): void {
+    if (this.stopped) return;
+    this.waiting.push(event);
+    if (this.running) return;
+    this.running = true;
+    try {
+      this.drain();
+    } finally {
+      this.running = false;
+    }
+    if (!this.stopped) this.timer.set(this.decision.wakeAtMs());
+  }
+
+  /** Ends the wake-ups; later events are dropped. */
+  stop(): void {
+    this.stopped = true;
+    this.timer.clear();
+  }
+
+  private drain(): void {
+    for (;;) {
+      const event = this.waiting.shift();
+      if (event === undefined) return;
+      const actions = this.decision.handle(event, this.clock.nowMs());
+      for (const action of actions) this.apply(action);
+    }
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/engine_traffic.ts
@@ -0,0 +1,94 @@
+import {
+  LaneRouter,
+  PromptEstimate,
+  RouterEventKind,
+  type Choice,
+  type ClassDemand,
+  type PromptUsage,
+  type RoutedRequest,
+  type Router,
+  type RouterEvent,
+} from '@parsleywood/routing';
+import type {LengthClassSettings, Settings} from '@parsleywood/schema/settings';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import type {RandomGenerator} from 'pure-rand/types/RandomGenerator';
+import type {Clock} from './clock.js';
+import type {SiteView} from './site_view.js';
+
+/** Chooses engines for requests, by the router, and keeps it informed. */
+export class EngineTraffic {
+  private readonly random: RandomGenerator;
+  private readonly estimate: PromptEstimate;
+  private router: Router | undefined;
+  private classes = '';
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly site: SiteView,
+    seed: number,
+  ) {
+    this.random = xoroshiro128plus(seed);
+    this.estimate = new PromptEstimate(
+      model => site.settings()?.models[model]?.bytesPerToken,
+    );
+  }
+
+  /** Estimated tokens of a prompt. */
+  estimateTokens(account: string, model: string, bytes: number): number {
+    return this.estimate.estimateTokens(account, model, bytes);
+  }
+
+  observeUsage(usage: PromptUsage): void {
+    this.estimate.observeUsage(usage);
+  }
+
+  /** Rebuilds the router when the length classes changed. */
+  applySettings(settings: Settings): void {
+    const classes = JSON.stringify(settings.lengthClasses);
+    if (classes !== this.classes) {
+      this.classes = classes;
+      this.router = new LaneRouter({
+        lengthClasses: settings.lengthClasses as [
+          LengthClassSettings,
+          ...LengthClassSettings[],
+        ],
+        random: this.random,
+      });
+    }
+    this.applyUpstreams();
+  }
+
+  /** Takes over the listed engines. */
+  applyUpstreams(): void {
+    const settings = this.site.settings();
+    if (settings === undefined) return;
+    const engines = this.site
+      .allUpstreams()
+      .filter(upstream => upstream.kind === 'engine');
+    this.observe({
+      kind: RouterEventKind.UPSTREAMS,
+      upstreams: engines.map(engine => ({
+        name: engine.name,
+        model: engine.serves,
+        memoryTokens: settings.models[engine.serves]?.engineMemoryTokens ?? 0,
+        leaving: engine.state === 'leaving',
+      })),
+    });
+  }
+
+  choose(request: RoutedRequest): Choice | undefined {
+    return this.router?.choose(request, this.clock.nowMs());
+  }
+
+  observe(event: RouterEvent): void {
+    this.router?.observe(event, this.clock.nowMs());
+  }
+
+  observePeerDemand(host: string, demands: readonly ClassDemand[]): void {
+    this.observe({kind: RouterEventKind.PEER_DEMAND, host, demands});
+  }
+
+  demand(): ClassDemand[] {
+    return this.router?.demand(this.clock.nowMs()) ?? [];
+  }
+}
--- a/packages/daemon/src/host_process.ts
+++ b/packages/daemon/src/host_process.ts
@@ -1,57 +1,149 @@
 import {randomBytes} from 'node:crypto';
+import {FairAdmission} from '@parsleywood/admission';
+import {Orders} from '@parsleywood/orders';
 import type {StartSettings} from '@parsleywood/schema/start_settings';
+import {TimelineEventName} from '@parsleywood/timeline';
 import type {Incarnation} from '@parsleywood/types';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {AdmissionDesk} from './admission_desk.js';
 import {CallerServer} from './caller_server.js';
 import {CompletionHandler} from './completion_handler.js';
+import {ConfigurationControl} from './configuration_control.js';
+import {ControlPlane} from './control_plane.js';
+import {EngineTraffic} from './engine_traffic.js';
 import {EventLog} from './event_log.js';
 import {HostMetrics} from './host_metrics.js';
+import {HostState} from './host_state.js';
+import {HostStatusReader} from './host_status_reader.js';
+import {HostTimeline} from './host_timeline.js';
+import {MembershipControl} from './membership_control.js';
 import {OperatorServer} from './operator_server.js';
+import {OrderDesk} from './order_desk.js';
 import {parseAddress} from './parse_address.js';
+import {PeerCalls} from './peer_calls.js';
+import {PeerServer} from './peer_server.js';
+import {PeerTransport} from './peer_transport.js';
 import {PlatformClient} from './platform_client.js';
-import {PlatformWatch} from './platform_watch.js';
 import {ServiceHandler} from './service_handler.js';
 import {Serving} from './serving.js';
+import {SiteReader} from './site_reader.js';
 import {SiteView} from './site_view.js';
 import {SystemClock} from './system_clock.js';
 import {UpstreamPools} from './upstream_pools.js';
 
+const MEMBERSHIP_SETTINGS = {
+  probeIntervalMs: 500,
+  suspectAfterMs: 1_500,
+  deadAfterMs: 4_000,
+};
+/** Stands in until the first settings; no request is taken before. */
+const UNSET_CLASS = {
+  name: 'unset',
+  upToTokens: 1,
+  timeLimitMs: 1,
+  firstTokenTargetMs: 1,
+};
+/** Longest time that orders may keep a started host from being ready. */
+const ORDERS_READY_WITHIN_MS = 5_000;
+const DRAIN_CHECK_MS = 20;
+const DEFAULT_KEEP_HOSTS_MS = 1_000;
+/** Time for the last messages to peers before the process ends. */
+const FAREWELL_MS = 50;
+
 /** One entry host: builds its parts, starts and stops them. */
 export class HostProcess {
+  private readonly clock = new SystemClock();
   private readonly site = new SiteView();
   private readonly pools = new UpstreamPools();
+  private readonly incarnation: Incarnation;
+  private readonly startedMs = this.clock.nowMs();
   private readonly platform: PlatformClient;
-  private readonly watch: PlatformWatch;
+  private readonly transport: PeerTransport;
   private readonly serving: Serving;
+  private readonly orders: OrderDesk;
+  private readonly control: ControlPlane;
+  private readonly configuration: ConfigurationControl;
+  private readonly membership: MembershipControl;
   private readonly callers: CallerServer;
   private readonly operators: OperatorServer;
+  private readonly peers: PeerServer;
+  private state = HostState.STARTING;
+  private stopping: Promise<void> | undefined;
 
-  constructor(private readonly settings: StartSettings) {
-    const clock = new SystemClock();
-    const incarnation = nameIncarnation(settings.host, clock.wallMs());
+  /**
+   * @param peerKey Key shared by the hosts.
+   * @param end Ends the process.
+   */
+  constructor(
+    private readonly settings: StartSettings,
+    peerKey: string,
+    private readonly end: (code: number) => void,
+  ) {
+    const {clock, site} = this;
+    this.incarnation = nameIncarnation(settings.host, clock.wallMs());
+    const {incarnation} = this;
     const log = new EventLog(incarnation, settings.logLevel ?? 'info');
     this.platform = new PlatformClient(settings.platformUrl);
-    this.watch = new PlatformWatch(
-      this.platform,
-      this.site,
-      settings.site,
-      log,
+    const timeline = new HostTimeline(incarnation, clock);
+    this.transport = new PeerTransport(incarnation, peerKey, timeline, host =>
+      this.findPeer(host),
     );
+    const traffic = new EngineTraffic(clock, site, drawSeed());
+    const admission = this.makeAdmission();
     this.serving = new Serving(
       incarnation,
       clock,
-      this.site,
+      site,
       this.pools,
+      traffic,
+      admission,
       new HostMetrics(),
+      timeline,
       log,
     );
+    this.orders = new OrderDesk(
+      this.serving,
+      this.transport,
+      new Orders(incarnation),
+    );
+    this.control = new ControlPlane(
+      this.serving,
+      this.transport,
+      this.orders,
+      () => {
+        this.end(1);
+      },
+    );
+    this.configuration = this.makeConfiguration(log);
+    this.membership = this.makeMembership(log);
+    this.control.connect(this.configuration, this.membership);
     this.callers = new CallerServer(
       this.serving,
       new CompletionHandler(this.serving),
-      new ServiceHandler(this.serving),
-      () => true,
+      new ServiceHandler(this.serving, this.orders),
+      host => this.isUsable(host),
     );
-    this.operators = new OperatorServer(this.serving, () =>
-      this.watch.isReady(),
+    const status = new HostStatusReader(
+      settings,
+      this.serving,
+      this.configuration,
+      this.membership,
+      () => this.state,
+    );
+    this.operators = new OperatorServer(
+      this.serving,
+      this.configuration,
+      new SiteReader(this.serving, this.transport, status),
+      () => this.isReady(),
+      () => {
+        this.drain();
+      },
+    );
+    this.peers = new PeerServer(
+      peerKey,
+      new PeerCalls(this.serving, this.control, this.orders, status, () => {
+        this.drain();
+      }),
     );
   }
 
@@ -59,23 +151,130 @@
     const operators = parseAddress(this.settings.operatorsAddress);
     const callers = parseAddress(this.settings.callersAddress);
     await this.operators.listen(operators.host, operators.port);
-    this.watch.start();
+    await this.peers.listen(this.settings.peersAddress);
+    this.orders.start();
+    this.serving.admission.start();
+    this.membership.start();
+    this.configuration.start();
     await this.callers.listen(callers.host, callers.port);
+    this.state = HostState.SERVING;
     this.serving.log.info('host_started');
+    this.serving.timeline.record(TimelineEventName.HOST_STARTED);
+  }
+
+  /** Stops after every request has its answer; a second call joins the first. */
+  stop(): Promise<void> {
+    this.stopping ??= this.stopGracefully();
+    return this.stopping;
+  }
+
+  private drain(): void {
+    void this.stop().then(() => {
+      this.end(0);
+    });
   }
 
-  /** Stops after every request in flight has its answer. */
-  async stop(): Promise<void> {
-    this.serving.log.info('host_stopping');
-    await this.callers.close();
-    this.watch.stop();
+  private async stopGracefully(): Promise<void> {
+    const {serving} = this;
+    this.state = HostState.DRAINING;
+    serving.log.info('host_draining', {
+      inFlight: serving.inFlightRequests(),
+    });
+    serving.timeline.record(TimelineEventName.HOST_DRAINING);
+    this.membership.announceLeaving();
+    // Callers may use this host's address for as long as they were told to.
+    const settings = this.site.settings();
+    await pause(settings?.callers.keepHostsForMs ?? DEFAULT_KEEP_HOSTS_MS);
+    const closed = this.callers.close();
+    while (serving.inFlightRequests() > 0 || this.orders.unanswered() > 0) {
+      await pause(DRAIN_CHECK_MS);
+    }
+    this.callers.closeConnections();
+    await closed;
+    this.orders.close();
+    this.membership.announceEnd();
+    await pause(FAREWELL_MS);
+    await this.closeControl();
+    serving.log.info('host_stopped');
+  }
+
+  private async closeControl(): Promise<void> {
+    this.configuration.stop();
+    this.membership.stop();
+    this.orders.stop();
+    this.serving.admission.stop();
+    this.peers.abort();
+    this.transport.close();
     await this.operators.close();
     await this.pools.close();
     await this.platform.close();
-    this.serving.log.info('host_stopped');
+  }
+
+  private isReady(): boolean {
+    if (this.state !== HostState.SERVING) return false;
+    if (!this.control.hasConfiguration()) return false;
+    const upMs = this.clock.nowMs() - this.startedMs;
+    return this.orders.mayVote() || upMs > ORDERS_READY_WITHIN_MS;
+  }
+
+  private isUsable(host: string): boolean {
+    if (host !== this.incarnation.host) return this.membership.isUsable(host);
+    return this.state === HostState.SERVING;
+  }
+
+  private findPeer(host: string): string | undefined {
+    const listed = this.site.hosts().hosts.find(one => one.name === host);
+    if (listed !== undefined) return listed.peers;
+    return this.membership.addressOf(host);
+  }
+
+  private makeAdmission(): AdmissionDesk {
+    const admission = new FairAdmission({
+      self: this.incarnation,
+      settings: {accounts: {}, lengthClasses: [UNSET_CLASS]},
+      random: xoroshiro128plus(drawSeed()),
+    });
+    return new AdmissionDesk(admission, this.clock, (host, message) => {
+      this.control.sendLimits(host, message);
+    });
+  }
+
+  private makeConfiguration(log: EventLog): ConfigurationControl {
+    const {host, site, failureDomain} = this.settings;
+    return new ConfigurationControl(
+      site,
+      {host, failureDomain},
+      drawSeed(),
+      this.clock,
+      this.platform,
+      this.transport,
+      log,
+      this.control,
+    );
+  }
+
+  private makeMembership(log: EventLog): MembershipControl {
+    return new MembershipControl(
+      this.incarnation,
+      this.settings.peersAddress,
+      MEMBERSHIP_SETTINGS,
+      drawSeed(),
+      this.clock,
+      this.transport,
+      log,
+      this.control,
+    );
   }
 }
 
 function nameIncarnation(host: string, wallMs: number): Incarnation {
   return {host, id: `${wallMs}-${randomBytes(3).toString('hex')}`};
 }
+
+function drawSeed(): number {
+  return randomBytes(4).readInt32LE();
+}
+
+async function pause(ms: number): Promise<void> {
+  await new Promise(resolve => setTimeout(resolve, ms));
+}
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -1,35 +1,79 @@
 #!/usr/bin/env node
 /** parsleywoodd: the process of one entry host. */
 import {readFileSync} from 'node:fs';
-import type {StartSettings} from '@parsleywood/schema/start_settings';
+import {readStartSettings} from '@parsleywood/config';
+import {
+  START_SETTINGS_SCHEMA,
+  type StartSettings,
+} from '@parsleywood/schema/start_settings';
 import yargs from 'yargs';
 import {hideBin} from 'yargs/helpers';
 import {HostProcess} from './host_process.js';
 
+const EXIT_FAILED = 1;
+const EXIT_WRONG_SETTINGS = 2;
+const NAMES = new Set(Object.keys(START_SETTINGS_SCHEMA.properties));
+
 const flags = await yargs(hideBin(process.argv))
   .scriptName('parsleywoodd')
-  .option('settings', {
-    type: 'string',
-    demandOption: true,
-    describe: 'File of start settings (JSON)',
+  .usage('$0 [--settings FILE] [--NAME VALUE ...]')
+  .options({
+    settings: {type: 'string', describe: 'File of start settings (JSON)'},
+    host: {type: 'string', describe: 'Name of this host'},
+    site: {type: 'string', describe: 'Name of its site'},
+    region: {type: 'string', describe: 'Region of its site'},
+    failureDomain: {type: 'string', describe: 'Failure domain of this host'},
+    callersAddress: {type: 'string', describe: 'IP:port for callers'},
+    operatorsAddress: {type: 'string', describe: 'IP:port for operators'},
+    peersAddress: {type: 'string', describe: 'IP:port for other hosts'},
+    platformUrl: {type: 'string', describe: 'Configuration service'},
+    peerKeyFile: {type: 'string', describe: 'File of the key of the hosts'},
+    logLevel: {type: 'string', describe: 'trace, debug, info, warn or error'},
   })
+  .example('$0 --settings host.json --logLevel debug', 'Starts a host')
   .strict()
   .parse();
 
-const settings = JSON.parse(
-  readFileSync(flags.settings, 'utf8'),
-) as StartSettings;
-const host = new HostProcess(settings);
+const settings = readSettings();
+const host = new HostProcess(
+  settings,
+  readPeerKey(settings.peerKeyFile),
+  code => process.exit(code),
+);
+process.on('SIGTERM', stop);
+process.on('SIGINT', stop);
+try {
+  await host.start();
+} catch (error) {
+  endWith(EXIT_FAILED, `cannot start: ${(error as Error).message}`);
+}
+
+function readSettings(): StartSettings {
+  const given = Object.entries(flags).filter(([name]) => NAMES.has(name));
+  const result = readStartSettings(flags.settings, Object.fromEntries(given));
+  if (result.isOk) return result.value;
+  return endWith(EXIT_WRONG_SETTINGS, result.error.message);
+}
 
-let stopping = false;
-const stop = (): void => {
-  if (stopping) return;
-  stopping = true;
+function readPeerKey(file: string): string {
+  try {
+    const key = readFileSync(file, 'utf8').trim();
+    if (key !== '') return key;
+    return endWith(EXIT_WRONG_SETTINGS, `${file}: the peer key is empty`);
+  } catch (error) {
+    const reason = (error as Error).message;
+    return endWith(EXIT_WRONG_SETTINGS, `${file}: ${reason}`);
+  }
+}
+
+function stop(): void {
   host.stop().then(
     () => process.exit(0),
-    () => process.exit(1),
+    () => process.exit(EXIT_FAILED),
   );
-};
-process.on('SIGTERM', stop);
-process.on('SIGINT', stop);
-await host.start();
+}
+
+function endWith(code: number, line: string): never {
+  process.stderr.write(`parsleywoodd: ${line}\n`);
+  process.exit(code);
+}
--- /dev/null
+++ b/packages/daemon/src/membership_control.ts
@@ -0,0 +1,136 @@
+import {
+  MemberState,
+  Membership,
+  MembershipActionKind,
+  MembershipEventKind,
+  type Member,
+  type MembershipAction,
+  type MembershipEvent,
+  type MembershipSettings,
+  type UpstreamNews,
+} from '@parsleywood/membership';
+import type {HostList} from '@parsleywood/schema/host_list';
+import type {MembershipMessage} from '@parsleywood/schema/membership';
+import type {Incarnation} from '@parsleywood/types';
+import type {Clock} from './clock.js';
+import {DecisionRunner} from './decision_runner.js';
+import type {EventLog} from './event_log.js';
+import type {MembershipListener} from './membership_listener.js';
+import type {PeerTransport} from './peer_transport.js';
+
+/** Runs membership against the peers of the site. */
+export class MembershipControl {
+  private readonly membership: Membership;
+  private readonly runner: DecisionRunner<MembershipEvent, MembershipAction>;
+
+  constructor(
+    self: Incarnation,
+    address: string,
+    settings: MembershipSettings,
+    seed: number,
+    clock: Clock,
+    private readonly transport: PeerTransport,
+    private readonly log: EventLog,
+    private readonly listener: MembershipListener,
+  ) {
+    this.membership = new Membership({self, address, settings, seed});
+    this.runner = new DecisionRunner(
+      this.membership,
+      clock,
+      {kind: MembershipEventKind.WAKE},
+      action => {
+        this.apply(action);
+      },
+    );
+  }
+
+  /** Members as this host believes them to be. */
+  members(): readonly Member[] {
+    return this.membership.members();
+  }
+
+  /** IP:port of a host for its peers, as membership knows it. */
+  addressOf(host: string): string | undefined {
+    return this.members().find(one => one.host === host)?.address;
+  }
+
+  /** Whether a host is believed to serve callers. */
+  isUsable(host: string): boolean {
+    const member = this.members().find(one => one.host === host);
+    return member === undefined || member.state === MemberState.ALIVE;
+  }
+
+  start(): void {
+    this.runner.dispatch({kind: MembershipEventKind.WAKE});
+  }
+
+  stop(): void {
+    this.runner.stop();
+  }
+
+  setList(list: HostList, revision: number): void {
+    this.runner.dispatch({kind: MembershipEventKind.LIST, list, revision});
+  }
+
+  takeMessage(from: Incarnation, message: MembershipMessage): void {
+    this.runner.dispatch({
+      kind: MembershipEventKind.MESSAGE,
+      from: from.host,
+      incarnation: from.id,
+      message,
+    });
+  }
+
+  announceLeaving(): void {
+    this.runner.dispatch({kind: MembershipEventKind.SELF_LEAVING});
+  }
+
+  announceEnd(): void {
+    this.runner.dispatch({kind: MembershipEventKind.SELF_STOPPED});
+  }
+
+  tellUpstreamNews(upstream: string, news: UpstreamNews): void {
+    const kind = MembershipEventKind.UPSTREAM_NEWS;
+    this.runner.dispatch({kind, upstream, news});
+  }
+
+  private apply(action: MembershipAction): void {
+    switch (action.kind) {
+      case MembershipActionKind.SEND:
+        this.transport.send(
+          action.to,
+          {body: {$case: 'membership', value: action.message}},
+          action.address,
+        );
+        break;
+      case MembershipActionKind.MEMBER_CHANGED:
+        this.log.info('member_changed', {
+          member: action.host,
+          memberIncarnation: action.incarnation,
+          state: action.state,
+        });
+        this.listener.onMemberChanged(
+          {host: action.host, id: action.incarnation},
+          action.state,
+          action.proved,
+        );
+        break;
+      case MembershipActionKind.LIST_ADOPTED:
+        this.listener.onHostList(action.list, action.revision);
+        break;
+      case MembershipActionKind.SUPERSEDED:
+        this.log.error('superseded', {by: action.incarnation});
+        this.listener.onSuperseded();
+        break;
+      case MembershipActionKind.DECLARED_DEAD:
+        this.log.warn('declared_dead');
+        break;
+      case MembershipActionKind.STALLED:
+        this.log.warn('stalled', {stalledMs: Math.round(action.stalledMs)});
+        break;
+      case MembershipActionKind.UPSTREAM_TOLD:
+        this.listener.onUpstreamTold(action.upstream, action.news);
+        break;
+    }
+  }
+}
--- a/packages/daemon/src/operator_server.ts
+++ b/packages/daemon/src/operator_server.ts
@@ -1,23 +1,43 @@
+import {ANSWERS, ErrorKind, Failure, formatFailure} from '@parsleywood/errors';
 import fastify, {type FastifyInstance} from 'fastify';
+import type {ConfigurationControl} from './configuration_control.js';
 import type {Serving} from './serving.js';
+import type {SiteReader} from './site_reader.js';
 
-/** The operators' HTTP interface: probes, metrics and status. */
+const DEFAULT_TIMELINE_EVENTS = 1_000;
+const MS_PER_SECOND = 1_000;
+
+/** The operators' HTTP interface. */
 export class OperatorServer {
   private readonly server: FastifyInstance = fastify();
+  private questions = 0;
 
+  /**
+   * @param isReady Whether callers may be sent here.
+   * @param drainSelf Starts this host's graceful stop.
+   */
   constructor(
     private readonly serving: Serving,
+    private readonly configuration: ConfigurationControl,
+    private readonly site: SiteReader,
     private readonly isReady: () => boolean,
+    private readonly drainSelf: () => void,
   ) {
-    this.server.get('/healthz', () => ({ok: true}));
-    this.server.get('/readyz', (_request, reply) => {
-      void reply.status(this.isReady() ? 200 : 503);
-      return {ready: this.isReady()};
+    this.addProbes();
+    this.addSiteRoutes();
+    this.server.setNotFoundHandler(request => {
+      const where = `${request.method} ${request.url}`;
+      throw new Failure(ErrorKind.NOT_FOUND, `no ${where} here`);
     });
-    this.server.get('/metrics', async (_request, reply) => {
-      const {registry} = this.serving.metrics;
-      void reply.type(registry.contentType);
-      return registry.metrics();
+    this.server.setErrorHandler((error, _request, reply) => {
+      const failure =
+        error instanceof Failure
+          ? error
+          : new Failure(ErrorKind.INVALID_REQUEST, (error as Error).message);
+      const id = `${serving.requestPrefix}-o${this.questions++}`;
+      return reply
+        .status(ANSWERS[failure.kind].status)
+        .send(formatFailure(failure, id));
     });
   }
 
@@ -26,6 +46,81 @@
   }
 
   async close(): Promise<void> {
+    this.server.server.closeAllConnections();
     await this.server.close();
   }
+
+  private addProbes(): void {
+    const {server} = this;
+    server.get('/healthz', () => ({ok: true}));
+    server.get('/readyz', (_request, reply) => {
+      const ready = this.isReady();
+      return reply.status(ready ? 200 : 503).send({ready});
+    });
+    server.get('/metrics', async (_request, reply) => {
+      this.refreshMetrics();
+      const {registry} = this.serving.metrics;
+      const text = await registry.metrics();
+      return reply.type(registry.contentType).send(text);
+    });
+  }
+
+  private addSiteRoutes(): void {
+    const {server, site, serving} = this;
+    server.get('/v1/status', async () => ({
+      asked: serving.host,
+      hosts: await site.readStatus(),
+    }));
+    server.get('/v1/configuration', () => ({
+      revision: this.configuration.revision(),
+      problems: this.configuration.problems(),
+      settings: serving.site.settings(),
+    }));
+    server.get<{Querystring: Record<string, string | undefined>}>(
+      '/v1/timeline',
+      async ({query}) => ({
+        events: await site.readTimeline({
+          requestId: query.request ?? '',
+          afterMs: readCount(query.afterMs, 0),
+          maxEvents: readCount(query.limit, DEFAULT_TIMELINE_EVENTS),
+        }),
+      }),
+    );
+    server.post<{Params: {name: string}}>(
+      '/v1/hosts/:name/drain',
+      async ({params}, reply) => {
+        if (params.name === serving.host) this.drainSelf();
+        else await site.drain(params.name);
+        return reply.status(202).send({host: params.name, state: 'draining'});
+      },
+    );
+  }
+
+  private refreshMetrics(): void {
+    const {metrics, admission, site} = this.serving;
+    metrics.queued.set(admission.queued());
+    const revision = this.configuration.revision();
+    if (revision !== undefined) {
+      metrics.configurationRevision.set({key: 'base'}, revision.base);
+      metrics.configurationRevision.set({key: 'overlay'}, revision.overlay);
+    }
+    const ageMs = this.configuration.confirmedAgeMs();
+    if (Number.isFinite(ageMs)) {
+      metrics.configurationAge.set(ageMs / MS_PER_SECOND);
+    }
+    for (const {name, state} of site.allUpstreams()) {
+      const usable = state === 'live' && !this.serving.health.isAvoided(name);
+      metrics.upstreamUsable.set({upstream: name}, usable ? 1 : 0);
+    }
+  }
+}
+
+function readCount(text: string | undefined, absent: number): number {
+  if (text === undefined) return absent;
+  const count = Number(text);
+  if (Number.isInteger(count) && count >= 0) return count;
+  throw new Failure(
+    ErrorKind.INVALID_REQUEST,
+    `"${text}" is not a whole number of 0 or more`,
+  );
 }
--- /dev/null
+++ b/packages/daemon/src/peer_server.ts
@@ -0,0 +1,97 @@
+import {timingSafeEqual} from 'node:crypto';
+import {
+  Metadata,
+  Server,
+  ServerCredentials,
+  status,
+  type sendUnaryData,
+  type ServerUnaryCall,
+} from '@grpc/grpc-js';
+import {PeerService} from '@parsleywood/schema/peer';
+import {PEER_KEY_METADATA} from './peer_key_metadata.js';
+import type {PeerListener} from './peer_listener.js';
+
+const MAX_MESSAGE_BYTES = 24 * 1024 * 1024;
+
+/** Listens for peers that show the shared key. */
+export class PeerServer {
+  private readonly server = new Server({
+    'grpc.max_receive_message_length': MAX_MESSAGE_BYTES,
+  });
+
+  constructor(
+    private readonly key: string,
+    private readonly listener: PeerListener,
+  ) {
+    this.server.addService(PeerService, {
+      deliver: this.answer(delivery => {
+        this.listener.takeDelivery(delivery);
+        return {};
+      }),
+      runOrder: this.answer(call => this.listener.runOrder(call)),
+      readStatus: this.answer(() => ({json: this.listener.readStatus()})),
+      readTimeline: this.answer(query => this.listener.readTimeline(query)),
+      drain: this.answer(() => {
+        this.listener.drain();
+        return {};
+      }),
+    });
+  }
+
+  async listen(address: string): Promise<void> {
+    await new Promise<void>((resolve, reject) => {
+      this.server.bindAsync(
+        address,
+        ServerCredentials.createInsecure(),
+        error => {
+          if (error) reject(error);
+          else resolve();
+        },
+      );
+    });
+  }
+
+  /** Ends after the calls being answered. */
+  async close(): Promise<void> {
+    await new Promise<void>(resolve => {
+      this.server.tryShutdown(() => {
+        resolve();
+      });
+    });
+  }
+
+  /** Ends at once. */
+  abort(): void {
+    this.server.forceShutdown();
+  }
+
+  private answer<Question, Reply>(
+    handle: (question: Question) => Reply | Promise<Reply>,
+  ): (
+    call: ServerUnaryCall<Question, Reply>,
+    done: sendUnaryData<Reply>,
+  ) => void {
+    return (call, done) => {
+      if (!this.isKnown(call.metadata)) {
+        done({code: status.UNAUTHENTICATED, details: 'wrong peer key'});
+        return;
+      }
+      Promise.resolve()
+        .then(() => handle(call.request))
+        .then(
+          reply => {
+            done(null, reply);
+          },
+          (error: unknown) => {
+            done({code: status.INTERNAL, details: String(error)});
+          },
+        );
+    };
+  }
+
+  private isKnown(metadata: Metadata): boolean {
+    const shown = Buffer.from(String(metadata.get(PEER_KEY_METADATA)[0] ?? ''));
+    const known = Buffer.from(this.key);
+    return shown.length === known.length && timingSafeEqual(shown, known);
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/peer_transport.ts
@@ -0,0 +1,179 @@
+import {credentials, Metadata, type ServiceError} from '@grpc/grpc-js';
+import {ErrorKind, Failure, Ran} from '@parsleywood/errors';
+import {
+  PeerClient,
+  type OrderCall,
+  type OrderOutcome,
+  type PeerMessage,
+} from '@parsleywood/schema/peer';
+import type {TimelinePage, TimelineQuery} from '@parsleywood/schema/timeline';
+import type {Incarnation} from '@parsleywood/types';
+import {Result} from 'true-myth';
+import type {HostTimeline} from './host_timeline.js';
+import {PEER_KEY_METADATA} from './peer_key_metadata.js';
+
+const DELIVER_TIMEOUT_MS = 2_000;
+const QUERY_TIMEOUT_MS = 2_000;
+const MAX_MESSAGE_BYTES = 24 * 1024 * 1024;
+const MAX_RECONNECT_BACKOFF_MS = 1_000;
+const MIN_RECONNECT_BACKOFF_MS = 100;
+
+type UnaryMethod<Question, Reply> = (
+  question: Question,
+  metadata: Metadata,
+  options: {deadline: number},
+  done: (error: ServiceError | null, reply: Reply) => void,
+) => unknown;
+
+/** Sends messages and calls to the other hosts. */
+export class PeerTransport {
+  private readonly clients = new Map<string, PeerClient>();
+  private readonly outgoing = new Map<string, PeerMessage[]>();
+  private readonly metadata = new Metadata();
+
+  /** @param findAddress IP:port of a host for its peers. */
+  constructor(
+    private readonly self: Incarnation,
+    key: string,
+    private readonly timeline: HostTimeline,
+    private readonly findAddress: (host: string) => string | undefined,
+  ) {
+    this.metadata.set(PEER_KEY_METADATA, key);
+  }
+
+  /** Sends a one-way message, together with others of this turn of the loop. */
+  send(host: string, message: PeerMessage, address?: string): void {
+    const target = address ?? this.findAddress(host);
+    if (target === undefined || host === this.self.host) return;
+    const waiting = this.outgoing.get(target);
+    if (waiting !== undefined) {
+      waiting.push(message);
+      return;
+    }
+    this.outgoing.set(target, [message]);
+    setImmediate(() => {
+      this.flush(target);
+    });
+  }
+
+  /** Runs an order at its owner; the failure tells whether it was sent. */
+  async runOrder(
+    host: string,
+    call: OrderCall,
+  ): Promise<Result<OrderOutcome, Failure>> {
+    const stamped = {...call, hybridTime: this.timeline.stamp()};
+    const result = await this.call<OrderOutcome>(
+      host,
+      call.limitMs,
+      (client, ...rest) => {
+        client.runOrder(stamped, ...rest);
+      },
+    );
+    if (result.isOk) this.timeline.observe(result.value.hybridTime);
+    return result;
+  }
+
+  async readStatus(host: string): Promise<Result<string, Failure>> {
+    const report = await this.call<{json: string}>(
+      host,
+      QUERY_TIMEOUT_MS,
+      (client, ...rest) => {
+        client.readStatus({}, ...rest);
+      },
+    );
+    return report.map(({json}) => json);
+  }
+
+  async readTimeline(
+    host: string,
+    query: TimelineQuery,
+  ): Promise<Result<TimelinePage, Failure>> {
+    return this.call(host, QUERY_TIMEOUT_MS, (client, ...rest) => {
+      client.readTimeline(query, ...rest);
+    });
+  }
+
+  async drain(host: string): Promise<Result<unknown, Failure>> {
+    return this.call(host, QUERY_TIMEOUT_MS, (client, ...rest) => {
+      client.drain({}, ...rest);
+    });
+  }
+
+  close(): void {
+    for (const client of this.clients.values()) client.close();
+    this.clients.clear();
+  }
+
+  private flush(address: string): void {
+    const messages = this.outgoing.get(address) ?? [];
+    this.outgoing.delete(address);
+    this.connect(address).deliver(
+      {
+        from: this.self.host,
+        fromIncarnation: this.self.id,
+        hybridTime: this.timeline.stamp(),
+        messages,
+      },
+      this.metadata,
+      {deadline: Date.now() + DELIVER_TIMEOUT_MS},
+      () => {
+        // Delivery is not confirmed: decisions repeat what got lost.
+      },
+    );
+  }
+
+  private async call<Reply>(
+    host: string,
+    limitMs: number,
+    start: (
+      client: PeerClient,
+      ...rest: Parameters<UnaryMethod<unknown, Reply>> extends [
+        unknown,
+        ...infer Rest,
+      ]
+        ? Rest
+        : never
+    ) => void,
+  ): Promise<Result<Reply, Failure>> {
+    const address = this.findAddress(host);
+    if (address === undefined) {
+      return Result.err(
+        new Failure(ErrorKind.HOST_UNAVAILABLE, `host "${host}" is not listed`),
+      );
+    }
+    return new Promise(resolve => {
+      const options = {deadline: Date.now() + limitMs};
+      start(
+        this.connect(address),
+        this.metadata,
+        options,
+        (error: ServiceError | null, reply: Reply) => {
+          if (error === null) resolve(Result.ok(reply));
+          else resolve(Result.err(this.describe(host, error)));
+        },
+      );
+    });
+  }
+
+  private describe(host: string, error: ServiceError): Failure {
+    return new Failure(
+      ErrorKind.HOST_UNAVAILABLE,
+      `host "${host}": ${error.details}`,
+      Ran.UNKNOWN,
+    );
+  }
+
+  private connect(address: string): PeerClient {
+    const known = this.clients.get(address);
+    if (known !== undefined) return known;
+    const client = new PeerClient(address, credentials.createInsecure(), {
+      'grpc.max_send_message_length': MAX_MESSAGE_BYTES,
+      'grpc.max_receive_message_length': MAX_MESSAGE_BYTES,
+      'grpc.initial_reconnect_backoff_ms': MIN_RECONNECT_BACKOFF_MS,
+      'grpc.max_reconnect_backoff_ms': MAX_RECONNECT_BACKOFF_MS,
+      'grpc.enable_http_proxy': 0,
+    });
+    this.clients.set(address, client);
+    return client;
+  }
+}
--- a/packages/daemon/src/service_handler.ts
+++ b/packages/daemon/src/service_handler.ts
@@ -2,6 +2,7 @@
 import {ErrorKind, Failure} from '@parsleywood/errors';
 import type {Caller} from './caller.js';
 import {findCall} from './find_call.js';
+import type {OrderDesk} from './order_desk.js';
 import {parseTimeLimit} from './parse_time_limit.js';
 import type {ServiceCall} from './service_call.js';
 import {ServiceSession} from './service_session.js';
@@ -13,7 +14,10 @@
 
 /** Takes callers' calls of plain services. */
 export class ServiceHandler {
-  constructor(private readonly serving: Serving) {}
+  constructor(
+    private readonly serving: Serving,
+    private readonly orders: OrderDesk,
+  ) {}
 
   /**
    * Checks a call and starts it.
@@ -55,7 +59,7 @@
       deadlineMs: this.serving.clock.nowMs() + limitMs,
     };
     this.serving.begin();
-    new ServiceSession(this.serving, call, response).start();
+    new ServiceSession(this.serving, this.orders, call, response).start();
   }
 }
 
--- a/packages/daemon/src/service_session.ts
+++ b/packages/daemon/src/service_session.ts
@@ -1,6 +1,8 @@
 import type {ServerResponse} from 'node:http';
 import {ErrorKind, type Failure} from '@parsleywood/errors';
 import type {Result} from 'true-myth';
+import type {OrderDesk} from './order_desk.js';
+import {readOutcome} from './read_outcome.js';
 import type {ServiceAnswer} from './service_answer.js';
 import type {ServiceCall} from './service_call.js';
 import type {Serving} from './serving.js';
@@ -12,6 +14,7 @@
 export class ServiceSession {
   constructor(
     private readonly serving: Serving,
+    private readonly orders: OrderDesk,
     private readonly call: ServiceCall,
     private readonly response: ServerResponse,
   ) {}
@@ -21,7 +24,9 @@
   }
 
   private async run(): Promise<void> {
-    const result = await this.sendRepeatable();
+    const result = this.call.repeatable
+      ? await this.sendRepeatable()
+      : readOutcome(await this.orders.run(this.call, false));
     if (result.isOk) {
       this.answer(result.value);
     } else {
@@ -33,14 +38,14 @@
     const tried: string[] = [];
     for (;;) {
       const result = await this.sendOnce(tried);
-      const last = tried.length >= MAX_ATTEMPTS || !this.call.repeatable;
+      const last = tried.length >= MAX_ATTEMPTS;
       if (result.isOk || last || !this.mayMoveOn(result.error)) return result;
     }
   }
 
   private mayMoveOn(failure: Failure): boolean {
     if (failure.kind === ErrorKind.TIME_LIMIT) return false;
-    return this.serving.mayRetry();
+    return this.serving.retries.tryRetry();
   }
 
   private async sendOnce(
@@ -51,7 +56,7 @@
     if (upstream === undefined) return serving.refuseUnavailable(call.service);
     tried.push(upstream.name);
     const limitMs = call.deadlineMs - serving.clock.nowMs();
-    return serving.services.send(call, upstream.address, limitMs);
+    return serving.sendToService(call, upstream, limitMs);
   }
 
   private answer(answer: ServiceAnswer): void {
@@ -63,6 +68,7 @@
       });
       this.response.end(answer.body);
     }
+    this.serving.retries.recordSuccess();
     this.serving.conclude('service', 'ok', this.call.requestId);
   }
 
--- a/packages/daemon/src/serving.ts
+++ b/packages/daemon/src/serving.ts
@@ -1,19 +1,25 @@
+import {RetryBudget} from '@parsleywood/admission';
 import {ErrorKind, Failure} from '@parsleywood/errors';
 import type {Settings} from '@parsleywood/schema/settings';
 import type {ListedUpstream} from '@parsleywood/schema/upstream_list';
 import type {Incarnation} from '@parsleywood/types';
 import {Result} from 'true-myth';
+import type {AdmissionDesk} from './admission_desk.js';
 import type {Clock} from './clock.js';
 import {EngineClient} from './engine_client.js';
+import type {EngineTraffic} from './engine_traffic.js';
 import type {EventLog} from './event_log.js';
 import type {HostMetrics} from './host_metrics.js';
+import type {HostTimeline} from './host_timeline.js';
 import type {ReplyHead} from './reply_head.js';
+import type {ServiceAnswer} from './service_answer.js';
+import type {ServiceCall} from './service_call.js';
 import {ServiceClient} from './service_client.js';
 import type {SiteView} from './site_view.js';
+import {UpstreamHealth} from './upstream_health.js';
 import type {UpstreamPools} from './upstream_pools.js';
 
 const RETRY_AFTER_MS = 500;
-const DEFAULT_PRIORITY = 5;
 
 /** What the handling of requests shares in one process. */
 export class Serving {
@@ -24,15 +30,21 @@
   readonly requestPrefix: string;
   readonly engines: EngineClient;
   readonly services: ServiceClient;
+  readonly retries = new RetryBudget();
+  readonly health: UpstreamHealth;
   private inFlight = 0;
   private turn = 0;
+  private readonly open = new Map<string, number>();
 
   constructor(
     readonly incarnation: Incarnation,
     readonly clock: Clock,
     readonly site: SiteView,
     readonly pools: UpstreamPools,
+    readonly traffic: EngineTraffic,
+    readonly admission: AdmissionDesk,
     readonly metrics: HostMetrics,
+    readonly timeline: HostTimeline,
     readonly log: EventLog,
   ) {
     this.host = incarnation.host;
@@ -40,6 +52,7 @@
     this.requestPrefix = `${incarnation.host}-${incarnation.id.slice(-6)}`;
     this.engines = new EngineClient(pools);
     this.services = new ServiceClient(pools);
+    this.health = new UpstreamHealth(clock);
   }
 
   /** Settings in force; throws a Failure while there are none. */
@@ -54,18 +67,33 @@
     );
   }
 
-  chooseEngine(
-    model: string,
-    excluded: readonly string[],
-  ): ListedUpstream | undefined {
-    return this.choose(this.site.serving('engine', model), excluded);
-  }
-
+  /** Chooses a service upstream in turn, those without faults first. */
   chooseService(
     service: string,
     excluded: readonly string[],
   ): ListedUpstream | undefined {
-    return this.choose(this.site.serving('service', service), excluded);
+    const live = this.site
+      .serving('service', service)
+      .filter(one => one.state === 'live' && !excluded.includes(one.name));
+    const healthy = live.filter(one => !this.health.isAvoided(one.name));
+    const usable = healthy.length > 0 ? healthy : live;
+    return usable[this.turn++ % Math.max(usable.length, 1)];
+  }
+
+  /** Sends one call once to a service upstream and notes how it went. */
+  async sendToService(
+    call: ServiceCall,
+    upstream: ListedUpstream,
+    limitMs: number,
+    fencing?: number,
+  ): Promise<Result<ServiceAnswer, Failure>> {
+    const {name, address} = upstream;
+    this.countCall(name, 1);
+    const result = await this.services.send(call, address, limitMs, fencing);
+    this.countCall(name, -1);
+    if (result.isOk) this.health.recordSuccess(name);
+    else this.health.recordFault(name);
+    return result;
   }
 
   refuseUnavailable(service: string): Result<never, Failure> {
@@ -79,20 +107,6 @@
     );
   }
 
-  mayRetry(): boolean {
-    return true;
-  }
-
-  retryAfterMs(): number {
-    return RETRY_AFTER_MS;
-  }
-
-  priorityOf(lengthClass: string): number {
-    const classes = this.site.settings()?.lengthClasses ?? [];
-    const found = classes.find(one => one.name === lengthClass);
-    return found?.priority ?? DEFAULT_PRIORITY;
-  }
-
   replyHead(requestId: string): ReplyHead {
     return {
       'parsleywood-request-id': requestId,
@@ -100,6 +114,16 @@
     };
   }
 
+  /** Calls of an upstream that have no answer yet. */
+  openCalls(upstream: string): number {
+    return this.open.get(upstream) ?? 0;
+  }
+
+  /** @param change 1 for a call sent, -1 for its end. */
+  countCall(upstream: string, change: 1 | -1): void {
+    this.open.set(upstream, this.openCalls(upstream) + change);
+  }
+
   /** Number of requests without their final answer. */
   inFlightRequests(): number {
     return this.inFlight;
@@ -116,14 +140,4 @@
     this.metrics.requests.inc({call, outcome});
     this.log.debug('request_concluded', {requestId, call, outcome});
   }
-
-  private choose(
-    upstreams: readonly ListedUpstream[],
-    excluded: readonly string[],
-  ): ListedUpstream | undefined {
-    const usable = upstreams.filter(
-      one => one.state === 'live' && !excluded.includes(one.name),
-    );
-    return usable[this.turn++ % Math.max(usable.length, 1)];
-  }
 }
--- /dev/null
+++ b/packages/daemon/src/site_reader.ts
@@ -0,0 +1,87 @@
+import {ErrorKind, Failure} from '@parsleywood/errors';
+import type {TimelineQuery} from '@parsleywood/schema/timeline';
+import {
+  decodeEntry,
+  mergeTimelines,
+  type TimelineEntry,
+} from '@parsleywood/timeline';
+import type {HostStatus} from './host_status.js';
+import type {HostStatusReader} from './host_status_reader.js';
+import type {PeerTransport} from './peer_transport.js';
+import type {Serving} from './serving.js';
+
+/** Reads over all hosts of the site, as seen from this one. */
+export class SiteReader {
+  constructor(
+    private readonly serving: Serving,
+    private readonly transport: PeerTransport,
+    private readonly status: HostStatusReader,
+  ) {}
+
+  /** Status of every listed host; one that does not answer is unreachable. */
+  async readStatus(): Promise<HostStatus[]> {
+    const own = this.status.read();
+    const others = this.otherHosts().map(async name => {
+      const result = await this.transport.readStatus(name);
+      return result.isOk
+        ? (JSON.parse(result.value) as HostStatus)
+        : this.describeUnreachable(name, result.error);
+    });
+    const all = [own, ...(await Promise.all(others))];
+    return all.sort((a, b) => (a.name < b.name ? -1 : 1));
+  }
+
+  /** Events of every host that answers, in causal order. */
+  async readTimeline(query: TimelineQuery): Promise<TimelineEntry[]> {
+    const pages = await Promise.all(
+      this.otherHosts().map(name => this.transport.readTimeline(name, query)),
+    );
+    const events = pages.map(page => (page.isOk ? page.value.events : []));
+    events.push(this.serving.timeline.read(query).events);
+    const merged = mergeTimelines(events.map(list => list.map(decodeEntry)));
+    if (query.maxEvents === 0) return merged;
+    return query.afterMs > 0
+      ? merged.slice(0, query.maxEvents)
+      : merged.slice(-query.maxEvents);
+  }
+
+  /**
+   * Starts the graceful stop of another host.
+   *
+   * @throws Failure when the host is not listed or does not answer.
+   */
+  async drain(name: string): Promise<void> {
+    if (!this.otherHosts().includes(name)) {
+      throw new Failure(ErrorKind.NOT_FOUND, `no host "${name}" at this site`);
+    }
+    const result = await this.transport.drain(name);
+    if (result.isErr) throw result.error;
+  }
+
+  private otherHosts(): string[] {
+    return this.serving.site
+      .hosts()
+      .hosts.map(host => host.name)
+      .filter(name => name !== this.serving.host);
+  }
+
+  private describeUnreachable(name: string, failure: Failure): HostStatus {
+    const listed = this.serving.site
+      .hosts()
+      .hosts.find(host => host.name === name);
+    return {
+      name,
+      incarnation: '',
+      state: 'unreachable',
+      failureDomain: listed?.failureDomain ?? '',
+      callers: listed?.callers ?? '',
+      configuration: {base: 0, overlay: 0, ageMs: -1},
+      inFlight: 0,
+      queued: 0,
+      upMs: 0,
+      members: [],
+      upstreams: [],
+      error: failure.message,
+    };
+  }
+}
--- a/packages/requests/src/life.ts
+++ b/packages/requests/src/life.ts
@@ -12,6 +12,11 @@
 /** Time after which a request that failed upstream may come back. */
 const RETRY_AFTER_MS = 500;
 
+const NOT_RUN: ReadonlySet<AttemptFault> = new Set([
+  AttemptFault.REFUSED,
+  AttemptFault.UNREACHABLE,
+]);
+
 /**
  * The life of one request that may be repeated: it moves between upstreams,
  * continues at the exact position, and ends by its deadline.
@@ -23,6 +28,7 @@
   private nextPosition = 0;
   private readonly failedUpstreams: string[] = [];
   private dropped = 0;
+  private mayHaveRun = false;
 
   constructor(private readonly options: LifeOptions) {}
 
@@ -50,6 +56,8 @@
     switch (event.kind) {
       case LifeEventKind.ADMITTED:
         return this.choose();
+      case LifeEventKind.REFUSED:
+        return this.conclude(event.failure);
       case LifeEventKind.CHOSEN:
         return this.start(event.upstream, nowMs);
       case LifeEventKind.NONE_CHOSEN:
@@ -97,6 +105,7 @@
         return [
           {
             kind: LifeActionKind.FINISH,
+            attempt: attempt.id,
             finish: event.finish,
             usage: event.usage,
           },
@@ -169,6 +178,7 @@
   ): LifeAction[] {
     this.attempt = undefined;
     this.failedUpstreams.push(attempt.upstream);
+    this.mayHaveRun ||= !NOT_RUN.has(fault);
     const where = `upstream "${attempt.upstream}": ${detail}`;
     if (fault === AttemptFault.INVALID) {
       return this.fail(ErrorKind.INVALID_REQUEST, where);
@@ -194,17 +204,23 @@
   ): LifeAction[] {
     const actions: LifeAction[] = [];
     if (this.attempt !== undefined) {
+      this.mayHaveRun = true;
       actions.push({
         kind: LifeActionKind.CANCEL_ATTEMPT,
         attempt: this.attempt.id,
         upstream: this.attempt.upstream,
       });
     }
-    const ran = this.attempts === 0 ? Ran.NO : Ran.UNKNOWN;
-    const failure = new Failure(kind, message, ran, retryAfterMs);
-    actions.push({kind: LifeActionKind.FAIL, failure});
+    const ran = this.mayHaveRun ? Ran.UNKNOWN : Ran.NO;
+    actions.push(
+      ...this.conclude(new Failure(kind, message, ran, retryAfterMs)),
+    );
+    return actions;
+  }
+
+  private conclude(failure: Failure): LifeAction[] {
     this.phase = LifePhase.OVER;
     this.attempt = undefined;
-    return actions;
+    return [{kind: LifeActionKind.FAIL, failure}];
   }
 }
--- a/packages/requests/src/life_action.ts
+++ b/packages/requests/src/life_action.ts
@@ -34,6 +34,7 @@
     }
   | {
       readonly kind: LifeActionKind.FINISH;
+      readonly attempt: string;
       readonly finish: Finish;
       readonly usage: Usage;
     }
--- a/packages/requests/src/life_event.ts
+++ b/packages/requests/src/life_event.ts
@@ -1,3 +1,4 @@
+import type {Failure} from '@parsleywood/errors';
 import type {AttemptFault} from './attempt_fault.js';
 import type {Finish} from './finish.js';
 import type {LifeEventKind} from './life_event_kind.js';
@@ -6,6 +7,7 @@
 /** Event of one request's life. Positions count output tokens from 0. */
 export type LifeEvent =
   | {readonly kind: LifeEventKind.ADMITTED}
+  | {readonly kind: LifeEventKind.REFUSED; readonly failure: Failure}
   | {readonly kind: LifeEventKind.CHOSEN; readonly upstream: string}
   | {readonly kind: LifeEventKind.NONE_CHOSEN; readonly retryAfterMs: number}
   | {readonly kind: LifeEventKind.ALIVE; readonly attempt: string}
--- a/packages/requests/src/life_event_kind.ts
+++ b/packages/requests/src/life_event_kind.ts
@@ -2,6 +2,8 @@
 export enum LifeEventKind {
   /** The request was admitted. */
   ADMITTED = 'admitted',
+  /** The request was refused before it ran. */
+  REFUSED = 'refused',
   /** An upstream was chosen for the next attempt. */
   CHOSEN = 'chosen',
   /** No upstream can take the next attempt now. */
