Open a local site's orders beyond doubt of its hosts' clocks

Cause: the site opened its orders within the clock skew bound of the hosts' starts, so no witness could vote: 306 of 306 orders were refused. Ruled out: recovery and views, which had formed. Conclusion: one machine has one clock; the site's skew bound is 10 ms.

--- a/packages/bench/src/local_site.ts
+++ b/packages/bench/src/local_site.ts
@@ -1,6 +1,7 @@
 import {mkdtemp, mkdir, rm} from 'node:fs/promises';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
+import {setTimeout} from 'node:timers/promises';
 import {fileURLToPath} from 'node:url';
 import type {ListedHost} from '@parsleywood/schema/host_list';
 import type {ListedUpstream} from '@parsleywood/schema/upstream_list';
@@ -19,6 +20,7 @@
 import type {SiteUpstream} from './site_upstream.js';
 
 const READY_WITHIN_MS = 60_000;
+const ORDERS_OPEN_AFTER_MS = 50;
 const STOP_HOST_MS = 30_000;
 const STOP_STAND_IN_MS = 5_000;
 
@@ -54,10 +56,13 @@
     await putValue(platform.url, upstreamsKey, {upstreams});
     for (const plan of this.plans) this.startHost(plan.settings.host);
     await this.waitForAll('healthz');
-    // Orders are open from a time at which every host was already running.
-    const overlay = makeOverlay(new Date());
+    // Orders are open from a time at which every host was already running,
+    // beyond doubt of their clocks.
+    const openAt = new Date(Date.now() + ORDERS_OPEN_AFTER_MS);
+    const overlay = makeOverlay(openAt);
     await putValue(platform.url, `sites/${SiteNames.SITE}`, overlay);
     await this.waitForAll('readyz');
+    await setTimeout(Math.max(openAt.getTime() - Date.now(), 0));
     return {
       ready: true,
       model: SiteNames.MODEL,
--- a/packages/bench/src/make_base_settings.ts
+++ b/packages/bench/src/make_base_settings.ts
@@ -7,6 +7,8 @@
 const MAX_BODY_BYTES = 8 * 1_048_576;
 const KEEP_HOSTS_FOR_MS = 2_000;
 const MAX_TIME_LIMIT_MS = 600_000;
+/** All processes of a local site share one clock. */
+const CLOCK_SKEW_MS = 10;
 const KEY_MAX_AGE_MS = 600_000;
 
 /** Makes the base settings of a local site. */
@@ -49,7 +51,7 @@
       hostsPerAccount: 3,
       maxBodyBytes: MAX_BODY_BYTES,
     },
-    orders: {keyMaxAgeMs: KEY_MAX_AGE_MS},
+    orders: {keyMaxAgeMs: KEY_MAX_AGE_MS, clockSkewMs: CLOCK_SKEW_MS},
   };
 }
 
--- a/packages/bench/src/make_overlay.ts
+++ b/packages/bench/src/make_overlay.ts
@@ -2,9 +2,9 @@
 import {FAILURE_DOMAINS} from './failure_domains.js';
 import {SiteNames} from './site_names.js';
 
-/** Makes the overlay of a local site whose orders are open from now on. */
+/** Makes the overlay of a local site whose orders are open from a time on. */
 export function makeOverlay(
-  now: Date,
+  openAt: Date,
 ): Pick<Settings, 'site'> & {orders: {openAt: string}} {
   return {
     site: {
@@ -12,6 +12,6 @@
       region: SiteNames.REGION,
       failureDomains: [...FAILURE_DOMAINS],
     },
-    orders: {openAt: now.toISOString()},
+    orders: {openAt: openAt.toISOString()},
   };
 }
