--- a/packages/requests/src/life.test.ts
+++ b/packages/requests/src/life.test.ts
@@ -44,7 +44,7 @@
       text('r.1', 0),
       fault('r.1', AttemptFault.BROKEN),
       {kind: LifeEventKind.CHOSEN, upstream: 'e2'},
-      text('r.1', 1),
+      {...text('r.1', 1), text: 'of another attempt'},
       text('r.2', 0),
       text('r.2', 1),
     ]);
@@ -165,9 +165,14 @@
     if (step === 'next' && position < ANSWER.length) {
       feed(text(running, position++));
     } else if (step === 'text') {
-      feed(text(name, at));
+      const own = text(name, at);
+      feed(name === running ? own : {...own, text: 'of another attempt'});
     } else if (step === 'end') {
+      const wasOver = ends.length > 0;
       feed(end(name, at));
+      if (!wasOver && ends[0]?.kind === LifeActionKind.FINISH) {
+        expect({name, at}).to.eql({name: running, at: emitted.length});
+      }
     } else if (step === 'fault') {
       feed(fault(name, AttemptFault.BROKEN));
     } else if (step === 'wait') {
@@ -197,7 +202,10 @@
   return events.flatMap(event => life.handle(event, 0));
 }
 
-function text(attempt: string, position: number): LifeEvent {
+function text(
+  attempt: string,
+  position: number,
+): Extract<LifeEvent, {kind: LifeEventKind.TEXT}> {
   const kind = LifeEventKind.TEXT;
   return {kind, attempt, position, text: ANSWER[position] ?? ''};
 }
