--- a/packages/orders/src/claims.ts
+++ b/packages/orders/src/claims.ts
@@ -77,6 +77,7 @@
     vote: OrderVote,
     nowMs: number,
   ): void {
+    if (!vote.issuer || nameIssuer(vote.issuer) !== this.issuer) return;
     const claim = this.claims.get(nameOrder(vote.account, vote.key));
     if (claim?.number !== vote.number) return;
     claim.tally.take(from, incarnation, vote);
--- a/packages/orders/src/fault_steps.ts
+++ b/packages/orders/src/fault_steps.ts
@@ -2,7 +2,8 @@
 import type {Simulation} from './simulation.js';
 
 const ORDERS = 5;
-const STEP_GAP_MAX_MS = 40;
+const STEP_GAP_SHORT_MS = 5;
+const STEP_GAP_LONG_MS = 100;
 const HEAL_MS = 400;
 const FINISH_MS = 2_000;
 
@@ -18,12 +19,17 @@
   perform(steps: readonly number[]): void {
     for (const step of steps) {
       this.step(step);
-      this.simulation.advance(this.simulation.draw(0, STEP_GAP_MAX_MS));
+      this.simulation.advance(this.drawGapMs());
     }
     this.simulation.heal();
     for (const {name} of [...this.simulation.hosts.values()]) {
       this.simulation.resume(name);
     }
+    for (const member of this.simulation.lists.at(-1) ?? []) {
+      if (!this.simulation.hosts.get(member)?.up) {
+        this.simulation.restart(member);
+      }
+    }
     this.simulation.advance(HEAL_MS);
     for (let index = 0; index < 2 * ORDERS; index++) this.resend(index);
     this.simulation.advance(FINISH_MS);
@@ -86,16 +92,28 @@
     }
   }
 
+  private drawGapMs(): number {
+    const long = this.simulation.draw(0, 1) === 1;
+    return this.simulation.draw(0, long ? STEP_GAP_LONG_MS : STEP_GAP_SHORT_MS);
+  }
+
   private stepRarely(choice: number, name: string): void {
-    if (choice % 5 > 0) {
-      if (this.keepsMemory(name)) this.simulation.close(name);
-      return;
-    }
-    for (const host of this.simulation.hosts.values()) {
-      this.simulation.crash(host.name);
-    }
-    for (const member of this.simulation.lists.at(-1) ?? []) {
-      this.simulation.restart(member);
+    switch (choice % 5) {
+      case 0:
+        for (const host of this.simulation.hosts.values()) {
+          this.simulation.crash(host.name);
+        }
+        for (const member of this.simulation.lists.at(-1) ?? []) {
+          this.simulation.restart(member);
+        }
+        break;
+      case 1:
+        if (this.keepsMemory(name)) this.simulation.close(name);
+        break;
+      default:
+        this.resend((choice >> 4) % (2 * ORDERS));
+        this.simulation.advance(this.simulation.draw(1, 30));
+        if (this.keepsMemory(name)) this.simulation.restart(name);
     }
   }
 
--- a/packages/orders/src/orders.ts
+++ b/packages/orders/src/orders.ts
@@ -279,7 +279,7 @@
         this.claims.takeVote(from, incarnation, body.value, nowMs);
         break;
       case 'stateQuery':
-        this.recovery.takeQuery(from, body.value, nowMs);
+        this.recovery.takeQuery(from, incarnation, body.value, nowMs);
         break;
       case 'state':
         this.recovery.takeState(from, incarnation, body.value, nowMs);
--- a/packages/orders/src/recovery.ts
+++ b/packages/orders/src/recovery.ts
@@ -34,6 +34,7 @@
   private replies = new Map<string, MemberState>();
   private readonly parts = new StateParts();
   private round = 0;
+  private serial = 0;
   private retryMs = QUERY_RETRY_MIN_MS;
   private queryAtMs = Infinity;
   private resignSends = 0;
@@ -85,9 +86,14 @@
     return true;
   }
 
-  takeQuery(from: string, query: OrderStateQuery, nowMs: number): void {
+  takeQuery(
+    from: string,
+    incarnation: string,
+    query: OrderStateQuery,
+    nowMs: number,
+  ): void {
     if (query.view) this.enter(View.fromMessage(query.view), nowMs);
-    this.sendState(from, query.round, query.base);
+    this.sendState(from, incarnation, query.round, query.base);
   }
 
   takeState(
@@ -101,7 +107,8 @@
     if (state.view) this.enter(View.fromMessage(state.view), nowMs);
     if (!this.parts.take(from, incarnation, state)) return;
     for (const last of state.resigned) this.noteResigned(last);
-    if (state.round === this.round && state.view) {
+    const asked = state.asker === this.self.id && state.round === this.round;
+    if (asked && state.view) {
       this.replies.set(from, readMemberState(incarnation, state));
     }
     this.tryActivate();
@@ -128,7 +135,7 @@
     if (this.resignSends > 0) {
       this.resignSends--;
       this.queryAtMs = nowMs + RESIGN_INTERVAL_MS;
-      for (const host of this.listPeers()) this.sendState(host, 0, 0);
+      for (const host of this.listPeers()) this.sendState(host, '', 0, 0);
       if (this.resignSends === 0) this.queryAtMs = Infinity;
       return;
     }
@@ -156,7 +163,6 @@
   private startRound(): void {
     this.round++;
     this.replies = new Map();
-    this.parts.clear();
   }
 
   private query(nowMs: number): void {
@@ -189,7 +195,13 @@
     });
   }
 
-  private sendState(to: string, round: number, base: number): void {
+  private sendState(
+    to: string,
+    asker: string,
+    round: number,
+    base: number,
+  ): void {
+    this.serial++;
     const records = this.complete ? this.table.listSince(base) : [];
     const parts = Math.max(1, Math.ceil(records.length / RECORDS_PER_PART));
     for (let part = 0; part < parts; part++) {
@@ -207,6 +219,8 @@
         memoryFromMs: this.memoryMs,
         formation: this.formation,
         resigned: this.listResigned(),
+        asker,
+        serial: this.serial,
       };
       this.outbox.send(to, {$case: 'state', value});
     }
--- a/packages/orders/src/state_parts.ts
+++ b/packages/orders/src/state_parts.ts
@@ -1,19 +1,27 @@
 import type {OrderState} from '@parsleywood/schema/orders';
 
-/** Tells when every part of a peer's answer has come. */
+interface Progress {
+  readonly incarnation: string;
+  readonly serial: number;
+  readonly seen: Set<number>;
+}
+
+/** Tells when every part of a peer's newest answer has come. */
 export class StateParts {
-  private readonly seen = new Map<string, Set<number>>();
+  private readonly progress = new Map<string, Progress>();
 
   /** Takes one part; true once none is missing. */
   take(from: string, incarnation: string, state: OrderState): boolean {
-    const name = `${from}/${incarnation}/${state.round}/${state.parts}`;
-    const parts = this.seen.get(name) ?? new Set();
-    parts.add(state.part);
-    this.seen.set(name, parts);
-    return parts.size >= state.parts;
-  }
-
-  clear(): void {
-    this.seen.clear();
+    const {serial, part, parts} = state;
+    const known = this.progress.get(from);
+    const same = known?.incarnation === incarnation;
+    if (same && known.serial > serial) return parts === 1;
+    const progress =
+      same && known.serial === serial
+        ? known
+        : {incarnation, serial, seen: new Set<number>()};
+    this.progress.set(from, progress);
+    progress.seen.add(part);
+    return progress.seen.size >= parts;
   }
 }
--- a/packages/orders/src/witness.ts
+++ b/packages/orders/src/witness.ts
@@ -119,6 +119,7 @@
       boundFingerprint: record?.fingerprint ?? '',
       crashVector: this.crashVector.toEntries(this.recovery.view?.members),
       newerView: undefined,
+      issuer: claim.issuer,
     };
   }
 }
