--- /dev/null
+++ b/packages/config/src/configuration_budget.test.ts
@@ -0,0 +1,87 @@
+import {expect} from 'chai';
+import {FIXTURES} from './fixtures.test.js';
+import {LedgerFleet} from './ledger_fleet.test.js';
+
+/** Calls a second that the service grants to all its readers together. */
+const READS_PER_SECOND = 2_000;
+const IN_FORCE_WITHIN_MS = 16_000;
+const SIZES = [
+  {hosts: 9, domains: 3},
+  {hosts: 360, domains: 23},
+];
+
+for (const {hosts, domains} of SIZES) {
+  describe(`ConfigurationLedger, reads of ${hosts} hosts`, () => {
+    for (const hasSeeds of [true, false]) {
+      const how = hasSeeds ? 'with' : 'without';
+      it(`stay in the budget when all start at once ${how} seeds`, () => {
+        const fleet = createFleet(hosts, domains);
+        fleet.hasSeeds = hasSeeds;
+        expectInForce(fleet, () => fleet.startAll());
+      });
+    }
+
+    it('stay in the budget in an outage and after it', () => {
+      const fleet = createFleet(hosts, domains);
+      expectInForce(fleet, () => fleet.startAll());
+      fleet.service.isUp = () => false;
+      fleet.run(30_000);
+      expectInForce(fleet, () => {
+        fleet.service.isUp = () => true;
+        fleet.service.publish('base', FIXTURES.base());
+      });
+    });
+
+    it('stay in the budget when all start during an outage that ends', () => {
+      const fleet = createFleet(hosts, domains);
+      fleet.service.isUp = () => false;
+      fleet.startAll();
+      fleet.run(20_000);
+      expectInForce(fleet, () => {
+        fleet.service.isUp = () => true;
+      });
+    });
+
+    it('stay few while nothing is published', () => {
+      const fleet = createFleet(hosts, domains);
+      expectInForce(fleet, () => fleet.startAll());
+      const fromMs = fleet.queue.nowMs;
+      fleet.run(20_000);
+      report('steady', fleet, fromMs);
+      // Two watchers of four keys in each failure domain, once a second.
+      const most = Math.min(hosts, 2 * domains) * 4;
+      expect(fleet.service.peakPerSecond(fromMs)).to.be.at.most(most);
+    });
+  });
+}
+
+function createFleet(hosts: number, domains: number): LedgerFleet {
+  const fleet = new LedgerFleet(hosts, domains, 1);
+  fleet.service.publish('hosts/s', FIXTURES.hosts);
+  fleet.service.publish('upstreams/s', FIXTURES.upstreams);
+  fleet.service.publish('base', FIXTURES.base());
+  fleet.service.publish('sites/s', FIXTURES.overlay());
+  return fleet;
+}
+
+/** Expects the latest revisions everywhere in time and reads in the budget. */
+function expectInForce(fleet: LedgerFleet, cause: () => void): void {
+  const fromMs = fleet.queue.nowMs;
+  cause();
+  fleet.run(IN_FORCE_WITHIN_MS);
+  report('cause', fleet, fromMs);
+  const last = fleet.hosts[0]!.history.at(-1)!;
+  expect(last.overlay).to.equal(4);
+  expect(fleet.behind(last)).to.eql([]);
+  expect(fleet.service.peakPerSecond()).to.be.at.most(READS_PER_SECOND);
+}
+
+function report(what: string, fleet: LedgerFleet, fromMs: number): void {
+  console.log(
+    what,
+    fleet.hosts.length,
+    fleet.service.peakPerSecond(fromMs),
+    fleet.service.calls.filter(t => t >= fromMs).length,
+    Math.round(fleet.queue.nowMs - fromMs),
+  );
+}
--- /dev/null
+++ b/packages/config/src/configuration_ledger.test.ts
@@ -0,0 +1,287 @@
+import {expect} from 'chai';
+import fc from 'fast-check';
+import {FIXTURES} from './fixtures.test.js';
+import {ConfigurationProblemKind as Problem} from './index.js';
+import {LedgerFleet} from './ledger_fleet.test.js';
+
+/** A published configuration is in force everywhere within this time. */
+const IN_FORCE_WITHIN_MS = 16_000;
+const SETTLE_MS = 20_000;
+const DOMAINS = 3;
+const RUNS = {seed: 1, numRuns: 60};
+const SIZE = fc.integer({min: 1, max: 9});
+const SEED = fc.integer();
+const PICK = fc.array(fc.boolean(), {minLength: 9, maxLength: 9});
+
+describe('ConfigurationLedger', () => {
+  it('has a publication in force within the bound where any host reaches the service', () => {
+    const reach = fc.record({
+      size: SIZE,
+      seed: SEED,
+      reaches: PICK,
+      killed: PICK,
+      hangs: fc.boolean(),
+      afterMs: fc.nat(8_000),
+      lossPercent: fc.constantFrom(0, 10),
+    });
+    fc.assert(
+      fc.property(reach, options => {
+        const fleet = settle(options.size, options.seed);
+        fleet.lossPercent = options.lossPercent;
+        const cut = (name: string) => !options.reaches[Number(name.slice(1))];
+        if (options.hangs) fleet.service.hangs = cut;
+        else fleet.service.isUp = name => !cut(name);
+        for (const host of fleet.hosts) {
+          const mayDie = cut(host.name) && fleet.live.length > 1;
+          if (mayDie && options.killed[Number(host.name.slice(1))]) {
+            fleet.kill(host);
+          }
+        }
+        fleet.run(options.afterMs);
+        const base = fleet.service.publish('base', FIXTURES.base());
+        fleet.run(IN_FORCE_WITHIN_MS);
+        if (fleet.live.every(({name}) => cut(name))) return;
+        expect(fleet.behind({base, overlay: 0})).to.eql([]);
+        expect(fleet.reverted).to.eql([]);
+      }),
+      RUNS,
+    );
+  });
+
+  it('has it in force within the bound after an outage of minutes', () => {
+    fc.assert(
+      fc.property(SIZE, SEED, fc.nat(300_000), (size, seed, outageMs) => {
+        const fleet = settle(size, seed);
+        fleet.service.isUp = () => false;
+        const base = fleet.service.publish('base', FIXTURES.base());
+        fleet.run(outageMs);
+        fleet.service.isUp = () => true;
+        fleet.service.wakeWatches();
+        fleet.run(IN_FORCE_WITHIN_MS);
+        expect(fleet.behind({base, overlay: 0})).to.eql([]);
+      }),
+      {seed: 1, numRuns: 20},
+    );
+  });
+
+  it('never reverts under crashes, pauses, partitions, loss and old data', () => {
+    const step = fc.record({
+      what: fc.constantFrom(...STEPS),
+      who: fc.nat(8),
+      lastsMs: fc.nat(12_000),
+    });
+    const steps = fc.array(step, {minLength: 5, maxLength: 25});
+    fc.assert(
+      fc.property(SIZE, SEED, steps, (size, seed, schedule) => {
+        const fleet = settle(size, seed);
+        fleet.lossPercent = 5;
+        for (const {what, who, lastsMs} of schedule) {
+          disturb(fleet, what, who, lastsMs);
+          fleet.run(lastsMs);
+        }
+        expect(fleet.reverted).to.eql([]);
+        heal(fleet);
+        const base = fleet.service.publish('base', FIXTURES.base());
+        const overlay = fleet.service.publish('sites/s', FIXTURES.overlay());
+        fleet.run(IN_FORCE_WITHIN_MS);
+        expect(fleet.behind({base, overlay})).to.eql([]);
+        expect(fleet.reverted).to.eql([]);
+      }),
+      RUNS,
+    );
+  });
+
+  it('starts no host below what a peer within reach holds', () => {
+    const options = fc.record({
+      size: fc.integer({min: 2, max: 9}),
+      seed: SEED,
+      hasSeeds: fc.boolean(),
+    });
+    fc.assert(
+      fc.property(options, ({size, seed, hasSeeds}) => {
+        const fleet = settle(size, seed);
+        const oldRevision = fleet.service.publish('upstreams/s', '{"x": 1}');
+        const base = fleet.service.publish('base', FIXTURES.base());
+        fleet.run(SETTLE_MS);
+        fleet.service.visible = () => oldRevision;
+        fleet.hasSeeds = hasSeeds;
+        const [host] = fleet.hosts;
+        fleet.start(host!);
+        fleet.run(SETTLE_MS);
+        expect(host!.history.map(revision => revision.base)).to.eql([base]);
+        expect(host!.alarms).to.include(Problem.LIST_REFUSED);
+      }),
+      RUNS,
+    );
+  });
+
+  it('starts from peers alone, also where the latest revision is bad', () => {
+    const isBad = fc.boolean();
+    fc.assert(
+      fc.property(SEED, isBad, (seed, bad) => {
+        const fleet = settle(4, seed);
+        const good = fleet.service.publish('base', FIXTURES.base());
+        fleet.run(SETTLE_MS);
+        if (bad) fleet.service.publish('base', FIXTURES.bad);
+        fleet.run(SETTLE_MS);
+        fleet.service.isUp = () => false;
+        const [host] = fleet.hosts;
+        fleet.start(host!);
+        fleet.run(IN_FORCE_WITHIN_MS);
+        expect(host!.history.map(({base}) => base)).to.eql([good]);
+        expect(host!.upstreams).to.be.above(0);
+        const alarms = bad ? [Problem.SETTINGS_REFUSED] : [];
+        expect(host!.alarms).to.eql(alarms);
+      }),
+      {seed: 1, numRuns: 30},
+    );
+  });
+
+  it('takes base and overlay in either order, and only together', () => {
+    fc.assert(
+      fc.property(SIZE, SEED, fc.boolean(), (size, seed, baseFirst) => {
+        const fleet = settle(size, seed);
+        const before = fleet.live.map(({history}) => history.at(-1));
+        const texts: [string, string][] = [
+          ['base', FIXTURES.base(1)],
+          ['sites/s', FIXTURES.overlay(1)],
+        ];
+        if (!baseFirst) texts.reverse();
+        const first = fleet.service.publish(...texts[0]!);
+        fleet.run(SETTLE_MS);
+        expect(fleet.live.map(({history}) => history.at(-1))).to.eql(before);
+        const alarms = fleet.live.flatMap(host => host.alarms);
+        expect(alarms).to.eql(fleet.live.map(() => Problem.SETTINGS_REFUSED));
+        const second = fleet.service.publish(...texts[1]!);
+        fleet.run(IN_FORCE_WITHIN_MS);
+        const [base, overlay] = baseFirst ? [first, second] : [second, first];
+        expect(fleet.behind({base, overlay})).to.eql([]);
+        const problems = fleet.live.map(host => host.ledger!.problems());
+        expect(problems.flat()).to.eql([]);
+      }),
+      {seed: 1, numRuns: 30},
+    );
+  });
+
+  it('refuses a bad revision whole and takes the next good one', () => {
+    const fleet = settle(6, 1);
+    const before = fleet.live.map(({history}) => history.length);
+    for (const text of [FIXTURES.bad, '{', '[]', 'null', '{"__proto__":{}}']) {
+      fleet.service.publish('base', text);
+      fleet.run(SETTLE_MS);
+    }
+    const lengths = fleet.live.map(({history}) => history.length);
+    expect(lengths).to.eql(before);
+    for (const {alarms} of fleet.live) {
+      expect(alarms).to.eql(Array(5).fill(Problem.SETTINGS_REFUSED));
+    }
+    const base = fleet.service.publish('base', FIXTURES.base());
+    fleet.run(IN_FORCE_WITHIN_MS);
+    expect(fleet.behind({base, overlay: 0})).to.eql([]);
+  });
+
+  it('tells operators of a silent service, and of one that serves old data', () => {
+    const fleet = settle(3, 1);
+    fleet.service.isUp = () => false;
+    fleet.run(90_000);
+    for (const {alarms} of fleet.live) {
+      expect(alarms).to.eql([Problem.SERVICE_SILENT]);
+    }
+    fleet.service.isUp = () => true;
+    fleet.service.visible = () => 0;
+    fleet.run(SETTLE_MS);
+    for (const {alarms} of fleet.live) {
+      expect(alarms).to.include(Problem.SERVICE_STALE);
+    }
+    fleet.service.visible = () => Infinity;
+    fleet.run(SETTLE_MS);
+    const problems = fleet.live.flatMap(({ledger}) => ledger!.problems());
+    expect(problems).to.eql([]);
+  });
+});
+
+const STEPS = [
+  'crash',
+  'start',
+  'pause',
+  'split',
+  'join',
+  'down',
+  'up',
+  'old data',
+  'publish base',
+  'publish overlay',
+  'publish bad',
+  'publish list',
+] as const;
+
+/** A site in which everything is published and in force. */
+function settle(size: number, seed: number): LedgerFleet {
+  const fleet = new LedgerFleet(size, DOMAINS, seed);
+  fleet.service.publish('hosts/s', FIXTURES.hosts);
+  fleet.service.publish('upstreams/s', FIXTURES.upstreams);
+  const base = fleet.service.publish('base', FIXTURES.base());
+  const overlay = fleet.service.publish('sites/s', FIXTURES.overlay());
+  fleet.startAll();
+  fleet.run(IN_FORCE_WITHIN_MS);
+  expect(fleet.behind({base, overlay})).to.eql([]);
+  return fleet;
+}
+
+function disturb(
+  fleet: LedgerFleet,
+  what: (typeof STEPS)[number],
+  who: number,
+  lastsMs: number,
+): void {
+  const {service, queue} = fleet;
+  const host = fleet.hosts[who % fleet.hosts.length]!;
+  switch (what) {
+    case 'crash':
+      return fleet.kill(host);
+    case 'start':
+      return fleet.start(host);
+    case 'pause':
+      host.pausedUntilMs = queue.nowMs + 3 * lastsMs;
+      return;
+    case 'split':
+      fleet.isLinked = (from, to) => side(from, who) === side(to, who);
+      return;
+    case 'join':
+      fleet.isLinked = () => true;
+      return;
+    case 'down':
+      service.isUp = () => false;
+      return;
+    case 'up':
+      service.isUp = () => true;
+      service.visible = () => Infinity;
+      return service.wakeWatches();
+    case 'old data':
+      service.visible = name => (side(name, who) ? Infinity : who);
+      return;
+    case 'publish base':
+      return void service.publish('base', FIXTURES.base());
+    case 'publish overlay':
+      return void service.publish('sites/s', FIXTURES.overlay(who % 2));
+    case 'publish bad':
+      return void service.publish('base', FIXTURES.bad);
+    case 'publish list':
+      return void service.publish('hosts/s', FIXTURES.hosts);
+  }
+}
+
+function side(name: string, pivot: number): boolean {
+  return Number(name.slice(1)) < pivot;
+}
+
+/** Ends all faults and lets every host run, with links and members known. */
+function heal(fleet: LedgerFleet): void {
+  fleet.isLinked = () => true;
+  fleet.service.isUp = () => true;
+  fleet.service.visible = () => Infinity;
+  for (const host of fleet.hosts) {
+    host.pausedUntilMs = 0;
+    if (!host.ledger) fleet.start(host);
+  }
+}
--- a/packages/config/src/configuration_ledger.ts
+++ b/packages/config/src/configuration_ledger.ts
@@ -72,7 +72,7 @@
     return Math.min(
       this.gossipMs,
       this.gate.deadline(),
-      this.service.wakeAtMs(this.gate.isOpen(), this.gate.hasAsked()),
+      this.service.wakeAtMs(this.gate.isOpen(), this.gate.countAsked() > 0),
     );
   }
 
@@ -204,7 +204,7 @@
       ...this.gossip(nowMs),
       ...this.service.takeDue(
         this.gate.isOpen(),
-        this.gate.hasAsked(),
+        this.gate.countAsked() > 0,
         key => this.held.latestRevision(key),
         nowMs,
       ),
@@ -228,7 +228,8 @@
   private askPeers(nowMs: number): ConfigurationAction[] {
     const peers = this.view
       .drawAny(START_ASKS)
-      .filter(host => !this.gate.wasAsked(host));
+      .filter(host => !this.gate.wasAsked(host))
+      .slice(0, START_ASKS - this.gate.countAsked());
     for (const host of peers) this.gate.ask(host, nowMs);
     return this.sendDigest(peers, nowMs);
   }
--- /dev/null
+++ b/packages/config/src/fake_service.test.ts
@@ -0,0 +1,107 @@
+import type {PublishedValue} from '@parsleywood/schema/configuration';
+import {
+  ConfigurationEventKind as Kind,
+  type ConfigurationEvent,
+} from './index.js';
+import type {EventQueue} from './event_queue.test.js';
+
+const LATENCY_MS = 5;
+const REFUSAL_MS = 20;
+
+/** A configuration service on virtual time that can fail and serve old data. */
+export class FakeService {
+  private readonly published: PublishedValue[] = [];
+  private readonly watches: {
+    key: string;
+    after: number;
+    host: string;
+    answer: () => void;
+  }[] = [];
+  private revision = 0;
+  /** Times of all calls. */
+  readonly calls: number[] = [];
+  /** Whether the service answers a host. */
+  isUp: (host: string) => boolean = () => true;
+  /** Whether a call of a host gets no answer at all. */
+  hangs: (host: string) => boolean = () => false;
+  /** The highest revision that a host is served. */
+  visible: (host: string) => number = () => Infinity;
+
+  constructor(private readonly queue: EventQueue) {}
+
+  /** Publishes a value and returns its revision. */
+  publish(key: string, text: string): number {
+    this.published.push({key, revision: ++this.revision, text});
+    this.wakeWatches();
+    return this.revision;
+  }
+
+  /** Answers the watches that can be answered now. */
+  wakeWatches(): void {
+    for (const watch of this.watches.splice(0)) {
+      const value = this.latest(watch.key, watch.host);
+      const isDue =
+        this.isUp(watch.host) && (value?.revision ?? 0) > watch.after;
+      if (isDue) watch.answer();
+      else this.watches.push(watch);
+    }
+  }
+
+  call(
+    host: string,
+    key: string,
+    after: number,
+    waitMs: number,
+    reply: (event: ConfigurationEvent) => void,
+  ): void {
+    this.calls.push(this.queue.nowMs);
+    if (this.hangs(host)) return;
+    let answered = false;
+    const answer = () => {
+      if (answered) return;
+      answered = true;
+      const event = this.answerTo(host, key, after);
+      this.queue.push(this.queue.nowMs + LATENCY_MS, () => reply(event));
+    };
+    const {nowMs} = this.queue;
+    if (!this.isUp(host)) this.queue.push(nowMs + REFUSAL_MS, answer);
+    else if ((this.latest(key, host)?.revision ?? 0) > after) answer();
+    else if (waitMs === 0) answer();
+    else {
+      this.watches.push({key, after, host, answer});
+      this.queue.push(nowMs + waitMs, answer);
+    }
+  }
+
+  /** The most calls within any time of one second. */
+  peakPerSecond(fromMs = 0): number {
+    const times = this.calls.filter(time => time >= fromMs);
+    let [peak, first] = [0, 0];
+    for (const [last, time] of times.entries()) {
+      while (time - times[first]! >= 1000) first++;
+      peak = Math.max(peak, last - first + 1);
+    }
+    return peak;
+  }
+
+  private answerTo(
+    host: string,
+    key: string,
+    after: number,
+  ): ConfigurationEvent {
+    if (!this.isUp(host)) return {kind: Kind.READ_FAILED, key};
+    const value = this.latest(key, host);
+    if (!value || value.revision <= after) {
+      return {kind: Kind.UNCHANGED, key, revision: value?.revision ?? 0};
+    }
+    const {revision, text} = value;
+    return {kind: Kind.VALUE, key, revision, value: text};
+  }
+
+  private latest(key: string, host: string): PublishedValue | undefined {
+    const limit = this.visible(host);
+    return this.published.findLast(
+      value => value.key === key && value.revision <= limit,
+    );
+  }
+}
--- /dev/null
+++ b/packages/config/src/fixtures.test.ts
@@ -0,0 +1,29 @@
+const HASHES = ['a'.repeat(64), 'b'.repeat(64)];
+
+/** Published texts of one small site `s`. */
+export const FIXTURES = {
+  /** A base; one of parity 1 is valid only with an overlay of parity 1. */
+  base(parity = 0): string {
+    const accounts = {a: {keyHashes: [HASHES[parity]]}};
+    return JSON.stringify({
+      accounts,
+      services: {},
+      lengthClasses: [
+        {name: 's', upToTokens: 9, timeLimitMs: 9, firstTokenTargetMs: 9},
+      ],
+      timeLimits: {maxMs: 10_000},
+      callers: {keepHostsForMs: 100, hostsPerAccount: 1, maxBodyBytes: 4096},
+      orders: {keyMaxAgeMs: 3000},
+    });
+  },
+  overlay(parity = 0): string {
+    return JSON.stringify({
+      site: {name: 's', region: 'r', failureDomains: ['d']},
+      models: {m: {contextTokens: 9, engineMemoryTokens: 9}},
+      accounts: {b: {keyHashes: [HASHES[1 - parity]]}},
+    });
+  },
+  bad: '{"orders": 1}',
+  hosts: '{"hosts": []}',
+  upstreams: '{"upstreams": []}',
+};
--- /dev/null
+++ b/packages/config/src/ledger_fleet.test.ts
@@ -0,0 +1,225 @@
+import {uniformInt} from 'pure-rand/distribution/uniformInt';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {
+  ConfigurationActionKind as Action,
+  ConfigurationEventKind as Kind,
+  ConfigurationLedger,
+  type ConfigurationAction,
+  type ConfigurationEvent,
+  type ConfigurationProblemKind,
+  type ConfigurationRevision,
+} from './index.js';
+import {EventQueue} from './event_queue.test.js';
+import {FakeService} from './fake_service.test.js';
+
+/** How long a start or a death takes to be known, in milliseconds. */
+const NOTICE_START_MS = 300;
+const NOTICE_DEATH_MS = 4_000;
+const MAX_LATENCY_MS = 50;
+/** Changes of the live hosts within this time are told together. */
+const MEMBERS_SLOT_MS = 100;
+
+interface Host {
+  readonly name: string;
+  readonly failureDomain: string;
+  ledger: ConfigurationLedger | undefined;
+  pausedUntilMs: number;
+  wakeMs: number;
+  readonly history: ConfigurationRevision[];
+  readonly alarms: ConfigurationProblemKind[];
+  hosts: number;
+  upstreams: number;
+}
+
+/** Ledgers of one site with a fake service, network and membership. */
+export class LedgerFleet {
+  readonly queue = new EventQueue();
+  readonly service = new FakeService(this.queue);
+  readonly hosts: Host[];
+  /** Names of ledgers that put an older revision in force than before. */
+  readonly reverted: string[] = [];
+  /** Whether a message gets from one host to another. */
+  isLinked: (from: string, to: string) => boolean = () => true;
+  /** Share of messages lost, in percent. */
+  lossPercent = 0;
+  /** Whether hosts learn of each other without the published list. */
+  hasSeeds = true;
+  private readonly byName: ReadonlyMap<string, Host>;
+  private readonly random;
+  private readonly toldAtMs = new Set<number>();
+  private starts = 0;
+
+  constructor(count: number, domains: number, seed: number) {
+    this.random = xoroshiro128plus(seed);
+    this.hosts = Array.from({length: count}, (_, index) => ({
+      name: `h${index}`,
+      failureDomain: `d${index % domains}`,
+      ledger: undefined,
+      pausedUntilMs: 0,
+      wakeMs: Infinity,
+      history: [],
+      alarms: [],
+      hosts: 0,
+      upstreams: 0,
+    }));
+    this.byName = new Map(this.hosts.map(host => [host.name, host]));
+  }
+
+  get live(): Host[] {
+    return this.hosts.filter(({ledger}) => ledger);
+  }
+
+  startAll(): void {
+    for (const host of this.hosts) this.start(host);
+  }
+
+  /** Starts a host, or starts it anew with nothing held. */
+  start(host: Host): void {
+    const seed = this.random.next() + this.starts++;
+    host.ledger = new ConfigurationLedger(
+      's',
+      toMember(host),
+      xoroshiro128plus(seed),
+    );
+    host.wakeMs = Infinity;
+    host.history.length = 0;
+    host.alarms.length = 0;
+    host.hosts = host.upstreams = 0;
+    this.handle(host, host.ledger, {kind: Kind.WAKE});
+    if (this.hasSeeds) this.tellMembers(NOTICE_START_MS);
+  }
+
+  kill(host: Host): void {
+    host.ledger = undefined;
+    this.tellMembers(NOTICE_DEATH_MS);
+  }
+
+  /** Tells every live host the live hosts of that later time. */
+  tellMembers(afterMs: number): void {
+    const slots = Math.ceil((this.queue.nowMs + afterMs) / MEMBERS_SLOT_MS);
+    const atMs = slots * MEMBERS_SLOT_MS;
+    if (this.toldAtMs.has(atMs)) return;
+    this.toldAtMs.add(atMs);
+    this.queue.push(atMs, () => {
+      const members = this.live.map(toMember);
+      for (const host of this.live) {
+        this.post(host, host.ledger!, {kind: Kind.MEMBERS, members});
+      }
+    });
+  }
+
+  run(forMs: number): void {
+    this.queue.runUntil(this.queue.nowMs + forMs);
+  }
+
+  /** Names of live hosts where revisions are below those given. */
+  behind(revision: ConfigurationRevision): string[] {
+    return this.live
+      .filter(({history}) => {
+        const last = history.at(-1) ?? {base: 0, overlay: 0};
+        return last.base < revision.base || last.overlay < revision.overlay;
+      })
+      .map(({name}) => name);
+  }
+
+  private post(
+    host: Host,
+    ledger: ConfigurationLedger,
+    event: ConfigurationEvent,
+  ): void {
+    if (host.ledger !== ledger) return;
+    if (this.queue.nowMs >= host.pausedUntilMs) {
+      this.handle(host, ledger, event);
+      return;
+    }
+    this.queue.push(host.pausedUntilMs, () => this.post(host, ledger, event));
+  }
+
+  private handle(
+    host: Host,
+    ledger: ConfigurationLedger,
+    event: ConfigurationEvent,
+  ): void {
+    const {nowMs} = this.queue;
+    for (const action of ledger.handle(event, nowMs)) {
+      this.perform(host, ledger, action);
+    }
+    this.scheduleWake(host, ledger);
+  }
+
+  private scheduleWake(host: Host, ledger: ConfigurationLedger): void {
+    const wakeAtMs = ledger.wakeAtMs();
+    if (wakeAtMs >= host.wakeMs) return;
+    host.wakeMs = wakeAtMs;
+    this.queue.push(wakeAtMs, () => {
+      if (host.ledger !== ledger || host.wakeMs !== wakeAtMs) return;
+      host.wakeMs = Infinity;
+      if (ledger.wakeAtMs() > this.queue.nowMs) this.scheduleWake(host, ledger);
+      else this.post(host, ledger, {kind: Kind.WAKE});
+    });
+  }
+
+  private perform(
+    host: Host,
+    ledger: ConfigurationLedger,
+    action: ConfigurationAction,
+  ): void {
+    const reply = (event: ConfigurationEvent) => this.post(host, ledger, event);
+    switch (action.kind) {
+      case Action.WATCH:
+        return this.service.call(
+          host.name,
+          action.key,
+          action.afterRevision,
+          action.waitMs,
+          reply,
+        );
+      case Action.READ:
+        return this.service.call(host.name, action.key, 0, 0, reply);
+      case Action.SEND:
+        return this.send(host, action.to, action);
+      case Action.IN_FORCE: {
+        const last = host.history.at(-1) ?? {base: 0, overlay: 0};
+        const {base, overlay} = action.revision;
+        this.note(host, base < last.base || overlay < last.overlay);
+        host.history.push(action.revision);
+        return;
+      }
+      case Action.HOSTS:
+        this.note(host, action.revision <= host.hosts);
+        host.hosts = action.revision;
+        if (!this.hasSeeds) this.tellMembers(NOTICE_START_MS);
+        return;
+      case Action.UPSTREAMS:
+        this.note(host, action.revision <= host.upstreams);
+        host.upstreams = action.revision;
+        return;
+      case Action.ALARM:
+        host.alarms.push(action.problem.kind);
+    }
+  }
+
+  private note(host: Host, reverts: boolean): void {
+    if (reverts) this.reverted.push(host.name);
+  }
+
+  private send(
+    from: Host,
+    to: string,
+    {message}: Extract<ConfigurationAction, {kind: Action.SEND}>,
+  ): void {
+    const host = this.byName.get(to);
+    const ledger = host?.ledger;
+    const lost = uniformInt(this.random, 0, 99) < this.lossPercent;
+    if (!ledger || lost || !this.isLinked(from.name, to)) return;
+    const latencyMs = uniformInt(this.random, 1, MAX_LATENCY_MS);
+    const event = {kind: Kind.MESSAGE as const, from: from.name, message};
+    this.queue.push(this.queue.nowMs + latencyMs, () =>
+      this.post(host, ledger, event),
+    );
+  }
+}
+
+function toMember({name, failureDomain}: Host) {
+  return {host: name, failureDomain};
+}
--- a/packages/config/src/start_gate.ts
+++ b/packages/config/src/start_gate.ts
@@ -29,8 +29,8 @@
     return this.open;
   }
 
-  hasAsked(): boolean {
-    return this.asked.size > 0;
+  countAsked(): number {
+    return this.asked.size;
   }
 
   deadline(): number {
