--- a/packages/bench/src/local_site.ts
+++ b/packages/bench/src/local_site.ts
@@ -77,6 +77,7 @@
 
   /** Starts a host that is not running. */
   startHost(name: string): Child {
+    this.checkRunning();
     const plan = this.findPlan(name);
     const daemon = this.options.daemon ?? resolveMain('daemon');
     const args = [daemon, '--settings', plan.file];
@@ -92,7 +93,7 @@
     const url = `http://${operatorsAddress}/${path}`;
     await pollOk(url, untilMs, () => {
       const child = this.hosts.get(name);
-      if (this.stopping) throw new Error('the site is being stopped');
+      this.checkRunning();
       if (!child?.isOver) return;
       throw new Error(`${name} ended with exit code ${child.exitCode}`);
     });
@@ -148,6 +149,7 @@
     name: string,
     args: readonly string[],
   ): Promise<SiteUpstream> {
+    this.checkRunning();
     const main = resolveMain('stand-ins');
     const nodeArgs = [main, ...args, '--until-input-ends'];
     const child = new Child(name, nodeArgs, this.options.logs);
@@ -161,6 +163,10 @@
     await Promise.all(names.map(name => this.waitForHost(name, path)));
   }
 
+  private checkRunning(): void {
+    if (this.stopping) throw new Error('the site is being stopped');
+  }
+
   private findPlan(name: string): HostPlan {
     const plan = this.plans.find(({settings}) => settings.host === name);
     if (!plan) throw new Error(`no host is named ${name}`);
