--- /dev/null
+++ b/packages/admission/src/class_lane.ts
@@ -0,0 +1,142 @@
+import type {LengthClassSettings} from '@parsleywood/schema/settings';
+import type {RandomGenerator} from 'pure-rand/types/RandomGenerator';
+
+import {BatchQueue} from './batch_queue.js';
+import {FairQueue} from './fair_queue.js';
+import {FirstTokenLimit} from './first_token_limit.js';
+import {HoldEstimate} from './hold_estimate.js';
+import type {QueuedOffer} from './queued_offer.js';
+import {ReturnPacer} from './return_pacer.js';
+import type {RunningRequest} from './running_request.js';
+
+/** Prompt tokens that one host has at its engines at first, by class. */
+const INITIAL_TOKENS = 512 * 1024;
+const MIN_INITIAL = 2;
+const MAX_INITIAL = 64;
+/** Part of the places that batch work may fill while there is slack. */
+const SLACK_PART = 0.7;
+/** Batch work waits for this long after the lane was last short of places. */
+const CALM_MS = 2000;
+
+/** Queues, places and measured times of one model and length class. */
+export class ClassLane {
+  readonly fair = new FairQueue();
+  readonly batch = new BatchQueue();
+  readonly limit: FirstTokenLimit;
+  readonly hold: HoldEstimate;
+  readonly pacer: ReturnPacer;
+  private readonly running = new Map<string, RunningRequest>();
+  /** Admitted requests without a first token, the oldest first. */
+  private readonly waiting = new Map<string, RunningRequest>();
+  private busyMs = -Infinity;
+
+  constructor(
+    private settings: LengthClassSettings,
+    random: RandomGenerator,
+  ) {
+    const initial = Math.floor(INITIAL_TOKENS / settings.upToTokens);
+    this.limit = new FirstTokenLimit(
+      Math.min(MAX_INITIAL, Math.max(MIN_INITIAL, initial)),
+      settings.firstTokenTargetMs,
+    );
+    this.hold = new HoldEstimate(settings.firstTokenTargetMs / 2);
+    this.pacer = new ReturnPacer(random);
+  }
+
+  /** Longest time in the queue for a request that a caller waits for. */
+  get maxWaitMs(): number {
+    return this.settings.firstTokenTargetMs;
+  }
+
+  get hasPlace(): boolean {
+    return this.running.size < this.limit.value;
+  }
+
+  setSettings(settings: LengthClassSettings): void {
+    this.settings = settings;
+    this.limit.setTarget(settings.firstTokenTargetMs);
+  }
+
+  /** Time that the queue needs to free one place, in milliseconds. */
+  placeMs(nowMs: number): number {
+    return this.hold.meanMs(nowMs) / this.limit.value;
+  }
+
+  /** Expected time in the queue of a new offer of the account. */
+  waitMs(account: string, share: number, nowMs: number): number {
+    if (this.hasPlace && this.fair.size === 0) return 0;
+    const ahead = this.fair.countAhead(account, share);
+    return (ahead + 1) * this.placeMs(nowMs);
+  }
+
+  /** Whether batch work may use a place now. */
+  hasSlack(nowMs: number): boolean {
+    return (
+      this.fair.size === 0 &&
+      !this.limit.isStrained &&
+      nowMs - this.busyMs >= CALM_MS &&
+      this.running.size < Math.max(1, this.limit.value * SLACK_PART)
+    );
+  }
+
+  /** Monotonic time at which batch work has to be served without slack. */
+  batchDueMs(nowMs: number): number {
+    return this.batch.dueAtMs(this.hold.highMs(nowMs), this.limit.value);
+  }
+
+  /** Expected time until batch work with earlier deadlines has its places. */
+  batchWaitMs(deadlineMs: number, nowMs: number): number {
+    const ahead = this.batch.countBefore(deadlineMs);
+    return Math.floor(ahead / this.limit.value) * this.hold.meanMs(nowMs);
+  }
+
+  admit(queued: QueuedOffer, nowMs: number): void {
+    const request = {offer: queued.offer, admittedMs: nowMs};
+    this.running.set(queued.offer.id, request);
+    this.waiting.set(queued.offer.id, request);
+    this.limit.observeRunning(this.running.size);
+  }
+
+  /** Notes that requests wait although all places are in use. */
+  noteBusy(nowMs: number): void {
+    this.busyMs = nowMs;
+  }
+
+  start(id: string, nowMs: number): void {
+    const request = this.waiting.get(id);
+    if (request) request.startedMs ??= nowMs;
+  }
+
+  takeFirstToken(id: string, nowMs: number): void {
+    const request = this.waiting.get(id);
+    if (!request) return;
+    request.firstTokenMs = nowMs;
+    this.waiting.delete(id);
+    const startedMs = request.startedMs ?? request.admittedMs;
+    this.limit.observe(nowMs - startedMs, this.countOverdue(nowMs), nowMs);
+  }
+
+  /** Ends an admitted request; undefined when there is none of the name. */
+  end(
+    id: string,
+    succeeded: boolean,
+    nowMs: number,
+  ): RunningRequest | undefined {
+    const request = this.running.get(id);
+    if (!request) return undefined;
+    this.running.delete(id);
+    this.waiting.delete(id);
+    if (succeeded) this.hold.observe(nowMs - request.admittedMs, nowMs);
+    return request;
+  }
+
+  private countOverdue(nowMs: number): number {
+    let overdue = 0;
+    for (const {admittedMs, startedMs} of this.waiting.values()) {
+      const waitedMs = nowMs - (startedMs ?? admittedMs);
+      if (waitedMs <= this.settings.firstTokenTargetMs) break;
+      overdue++;
+    }
+    return overdue;
+  }
+}
