Reserve several engines for one prompt, all or none

Cause: a prompt larger than one engine's memory needs several engines at once; hosts that hold some and wait for others block each other for good.

A host that slept past a lease stops its run and gives everything back.

The test runs a plan that holds and waits in its own order: both prompts never start and both engines stay full.

--- a/packages/routing/src/spread_action.ts
+++ b/packages/routing/src/spread_action.ts
@@ -12,6 +12,8 @@
       readonly tokens: number;
       /** The engine frees the memory by itself after this time. */
       readonly leaseMs: number;
+      /** Monotonic time of asking; the engine's answer is passed on with it. */
+      readonly askedMs: number;
     }
   | {
       readonly kind: SpreadActionKind.RELEASE;
@@ -25,6 +27,7 @@
       readonly reservation: string;
       readonly engines: readonly string[];
     }
+  | {readonly kind: SpreadActionKind.STOP; readonly id: string}
   | {
       readonly kind: SpreadActionKind.REFUSE;
       readonly id: string;
--- a/packages/routing/src/spread_action_kind.ts
+++ b/packages/routing/src/spread_action_kind.ts
@@ -6,6 +6,8 @@
   RELEASE = 'release',
   /** All engines hold memory: run the prompt on them. */
   START = 'start',
+  /** An engine dropped out of the run: end it; it may be needed anew. */
+  STOP = 'stop',
   /** The prompt cannot run within its limit: answer at once. */
   REFUSE = 'refuse',
 }
--- a/packages/routing/src/spread_event.ts
+++ b/packages/routing/src/spread_event.ts
@@ -9,7 +9,8 @@
       readonly model: string;
       /** Prompt and answer tokens together. */
       readonly tokens: number;
-      readonly deadlineMs: number;
+      /** Monotonic time past which a start cannot end within the limit. */
+      readonly latestStartMs: number;
     }
   | {
       /** The engines that take new work; those absent are leaving or gone. */
@@ -20,6 +21,8 @@
       readonly kind: SpreadEventKind.RESERVED;
       readonly reservation: string;
       readonly engine: string;
+      /** As in the action that the engine answered. */
+      readonly askedMs: number;
     }
   | {
       readonly kind: SpreadEventKind.REFUSED;
--- /dev/null
+++ b/packages/routing/src/spread_hold.ts
@@ -0,0 +1,8 @@
+/** Memory asked of one engine. */
+export interface SpreadHold {
+  readonly engine: string;
+  /** Monotonic time at which the lease was last asked for. */
+  askedMs: number;
+  /** Monotonic time until which the engine surely holds the memory; undefined before it said so. */
+  heldUntilMs?: number;
+}
