--- a/packages/daemon/src/caller_server.ts
+++ b/packages/daemon/src/caller_server.ts
@@ -61,6 +61,10 @@
       },
     );
     this.addRoutes();
+    serving.site.watchSettings(({callers}) => {
+      const {server} = this.server;
+      server.requestTimeout = callers.bodyTimeoutMs ?? BODY_TIMEOUT_MS;
+    });
   }
 
   async listen(host: string, port: number): Promise<void> {
--- /dev/null
+++ b/packages/daemon/src/hostile_input.test.ts
@@ -0,0 +1,192 @@
+import {once} from 'node:events';
+import {connect} from 'node:net';
+import {expect} from 'chai';
+import {TestSite} from './testing/test_site.js';
+
+const KEY = 'authorization: Bearer test-key-one';
+const JSON_TYPE = 'content-type: application/json';
+const CHAT = 'POST /v1/chat/completions HTTP/1.1';
+const ORDERS = 'POST /v1/services/test-app/orders HTTP/1.1';
+
+/** What an answer has to be: status and error kind. */
+type Expected = readonly [status: number, kind: string];
+
+describe('hostile input', () => {
+  let site: TestSite;
+  before(async () => {
+    site = await TestSite.start(1);
+  });
+  after(() => site.stop());
+
+  const body =
+    '{"model":"test-llm","messages":[{"role":"user","content":"x"}]}';
+  const cases: [string, string[], string, Expected][] = [
+    ['malformed JSON', [CHAT, KEY], '{"model', [400, 'invalid_request']],
+    [
+      'bytes that are no text',
+      [CHAT, KEY],
+      '\u0000\u00ff',
+      [400, 'invalid_request'],
+    ],
+    ['an array', [CHAT, KEY], '[]', [400, 'invalid_request']],
+    ['null', [CHAT, KEY], 'null', [400, 'invalid_request']],
+    ['no body', [CHAT, KEY], '', [400, 'invalid_request']],
+    [
+      'a wrong type',
+      [CHAT, KEY],
+      '{"model":"test-llm","messages":"x"}',
+      [400, 'invalid_request'],
+    ],
+    [
+      'a negative count',
+      [CHAT, KEY],
+      body.replace('{', '{"max_tokens":-1,'),
+      [400, 'invalid_request'],
+    ],
+    [
+      'an unknown model',
+      [CHAT, KEY],
+      body.replace('test', 'no'),
+      [404, 'unknown_model'],
+    ],
+    ['no key', [CHAT], body, [401, 'unauthenticated']],
+    [
+      'an unknown key',
+      [CHAT, 'authorization: Bearer x'],
+      body,
+      [401, 'unauthenticated'],
+    ],
+    [
+      'another scheme',
+      [CHAT, 'authorization: Basic x'],
+      body,
+      [401, 'unauthenticated'],
+    ],
+    [
+      'a negative limit',
+      [CHAT, KEY, 'request-timeout-ms: -5'],
+      body,
+      [400, 'invalid_request'],
+    ],
+    [
+      'a limit of words',
+      [CHAT, KEY, 'request-timeout-ms: soon'],
+      body,
+      [400, 'invalid_request'],
+    ],
+    [
+      'too long a limit',
+      [CHAT, KEY, 'request-timeout-ms: 600001'],
+      body,
+      [400, 'invalid_request'],
+    ],
+    [
+      'an over-long header',
+      [CHAT, KEY, `x-long: ${'x'.repeat(20_000)}`],
+      body,
+      [431, 'headers_too_large'],
+    ],
+    [
+      'too large a body',
+      [CHAT, KEY],
+      'x'.repeat(6_000_001),
+      [413, 'body_too_large'],
+    ],
+    [
+      'an order without key',
+      [ORDERS, KEY],
+      '{}',
+      [400, 'idempotency_key_missing'],
+    ],
+    [
+      'an order with an empty key',
+      [ORDERS, KEY, 'idempotency-key:  '],
+      '{}',
+      [400, 'idempotency_key_missing'],
+    ],
+    [
+      'an order with a long key',
+      [ORDERS, KEY, `idempotency-key: ${'k'.repeat(257)}`],
+      '{}',
+      [400, 'invalid_request'],
+    ],
+    [
+      'an unknown call',
+      ['POST /v1/services/test-app/bins HTTP/1.1', KEY],
+      '{}',
+      [404, 'unknown_call'],
+    ],
+    [
+      'an unknown service',
+      ['GET /v1/services/none/levels HTTP/1.1', KEY],
+      '',
+      [404, 'unknown_call'],
+    ],
+    [
+      'a path that climbs',
+      ['GET /v1/services/test-app/../../x HTTP/1.1', KEY],
+      '',
+      [404, 'unknown_call'],
+    ],
+    ['no HTTP', ['hello there'], '', [400, 'invalid_request']],
+  ];
+
+  for (const [title, head, content, expected] of cases) {
+    it(`answers ${title} with ${expected.join(' ')}`, async () => {
+      const length = Buffer.byteLength(content);
+      const lines = [...head, JSON_TYPE, `content-length: ${length}`];
+      expect(await exchange(lines, content)).to.eql(expected);
+    });
+  }
+
+  it('answers a half-sent body with 408 after the body timeout', async () => {
+    const lines = [CHAT, KEY, JSON_TYPE, 'content-length: 500'];
+    expect(await exchange(lines, '{"model"')).to.eql([408, 'body_timeout']);
+  });
+
+  it('lives on and sent none of it to an upstream', async () => {
+    const engine = await fetch(`${site.engine.url}/v1/load`);
+    const executions = await fetch(`${site.service.url}/executions`);
+    expect(await engine.json()).to.include({running: 0, usedTokens: 0});
+    expect(await executions.json()).to.eql([]);
+    const ready = await fetch(`${site.operators[0] ?? ''}/readyz`);
+    expect(ready.status).to.equal(200);
+  });
+
+  it('keeps the peers’ and operators’ calls off the callers’ port', async () => {
+    for (const path of [
+      '/metrics',
+      '/v1/status',
+      '/parsleywood.v1.Peer/Drain',
+    ]) {
+      const lines = [`POST ${path} HTTP/1.1`, KEY, 'content-length: 0'];
+      expect(await exchange(lines, '')).to.eql([404, 'not_found']);
+    }
+  });
+
+  /** Sends raw bytes and reads the status and error kind of the answer. */
+  async function exchange(
+    lines: readonly string[],
+    content: string,
+  ): Promise<[number, string]> {
+    const {hostname, port} = new URL(site.urls[0] ?? '');
+    const socket = connect(Number(port), hostname);
+    await once(socket, 'connect');
+    const [first = '', ...rest] = lines;
+    const head = [first, `host: ${hostname}`, 'connection: close', ...rest];
+    socket.on('error', () => undefined);
+    socket.write(`${head.join('\r\n')}\r\n\r\n${content}`);
+    let text = '';
+    socket.on('data', (chunk: Buffer) => {
+      text += chunk.toString();
+    });
+    await new Promise(resolve => {
+      socket.once('close', resolve);
+    });
+    const status = Number(text.split(' ')[1]);
+    const answer = JSON.parse(text.slice(text.indexOf('\r\n\r\n'))) as {
+      error: {kind: string};
+    };
+    return [status, answer.error.kind];
+  }
+});
--- a/packages/daemon/src/site_view.ts
+++ b/packages/daemon/src/site_view.ts
@@ -12,6 +12,7 @@
   private keys: Keyring | undefined;
   private hostList: HostList = {hosts: []};
   private upstreams = new Map<string, ListedUpstream>();
+  private readonly watchers: ((settings: Settings) => void)[] = [];
 
   /** Settings in force; undefined until the first ones came. */
   settings(): Settings | undefined {
@@ -45,6 +46,12 @@
   applySettings(settings: Settings): void {
     this.settingsInForce = settings;
     this.keys = new Keyring(settings);
+    for (const watcher of this.watchers) watcher(settings);
+  }
+
+  /** Calls a watcher with all settings that come into force from now on. */
+  watchSettings(watcher: (settings: Settings) => void): void {
+    this.watchers.push(watcher);
   }
 
   applyHosts(list: HostList): void {
--- /dev/null
+++ b/packages/daemon/src/testing/test_site.ts
@@ -0,0 +1,161 @@
+import {once} from 'node:events';
+import {
+  startEngine,
+  startPlatform,
+  startService,
+  type StandIn,
+} from '@parsleywood/stand-ins';
+import {HostProcess} from '../host_process.js';
+import {findFreePorts} from './find_free_ports.js';
+import {TEST_SETTINGS} from './test_settings.js';
+
+const SITE = 'test-site';
+const ENGINE_SPEED = 20;
+const PORTS_PER_HOST = 3;
+const POLL_MS = 20;
+const OPEN_AFTER_MS = 20;
+
+/** Hosts and stand-ins of a small site, in this process. */
+export class TestSite {
+  private readonly hosts: HostProcess[] = [];
+
+  private constructor(
+    readonly platform: StandIn,
+    readonly engine: StandIn,
+    readonly service: StandIn,
+    /** Callers' addresses as URLs. */
+    readonly urls: readonly string[],
+    /** Operators' addresses as URLs. */
+    readonly operators: readonly string[],
+    private readonly ports: readonly number[],
+  ) {}
+
+  /** Starts a site and waits until its hosts are ready and orders are open. */
+  static async start(hostCount: number): Promise<TestSite> {
+    const platform = await startPlatform(0);
+    const engine = await startEngine({
+      models: ['test-llm'],
+      speed: ENGINE_SPEED,
+    });
+    const service = await startService({port: 0});
+    const ports = await findFreePorts(hostCount * PORTS_PER_HOST);
+    const url = (offset: number) => (_: unknown, index: number) =>
+      `http://127.0.0.1:${ports[index * PORTS_PER_HOST + offset] ?? 0}`;
+    const indexes = Array.from({length: hostCount});
+    const site = new TestSite(
+      platform,
+      engine,
+      service,
+      indexes.map(url(0)),
+      indexes.map(url(1)),
+      ports,
+    );
+    await site.publish();
+    await Promise.all(indexes.map((_, index) => site.startHost(index)));
+    await site.openOrders();
+    await Promise.all(site.operators.map(operators => waitReady(operators)));
+    return site;
+  }
+
+  /** Publishes a value at the platform. */
+  async put(key: string, value: unknown): Promise<void> {
+    const answer = await fetch(`${this.platform.url}/values/${key}`, {
+      method: 'PUT',
+      headers: {'content-type': 'application/json'},
+      body: JSON.stringify(value),
+    });
+    await answer.arrayBuffer();
+  }
+
+  /** Stops a host gracefully. */
+  async stopHost(index: number): Promise<void> {
+    await this.hosts[index]?.stop();
+  }
+
+  async stop(): Promise<void> {
+    await Promise.all(this.hosts.map(host => host.stop()));
+    const standIns = [this.platform, this.engine, this.service];
+    await Promise.all(standIns.map(standIn => standIn.close()));
+  }
+
+  private async startHost(index: number): Promise<void> {
+    const [callers, operators, peers] = this.portsOf(index);
+    const host = new HostProcess(
+      {
+        host: `host-${index + 1}`,
+        site: SITE,
+        failureDomain: `domain-${index + 1}`,
+        callersAddress: `127.0.0.1:${callers ?? 0}`,
+        operatorsAddress: `127.0.0.1:${operators ?? 0}`,
+        peersAddress: `127.0.0.1:${peers ?? 0}`,
+        platformUrl: this.platform.url,
+        peerKeyFile: 'unused',
+        logLevel: 'error',
+      },
+      'test-peer-key',
+      () => undefined,
+    );
+    this.hosts.push(host);
+    await host.start();
+  }
+
+  private async publish(): Promise<void> {
+    await this.put('base', TEST_SETTINGS);
+    await this.put(`hosts/${SITE}`, {
+      hosts: this.urls.map((_, index) => ({
+        name: `host-${index + 1}`,
+        callers: `127.0.0.1:${this.portsOf(index)[0] ?? 0}`,
+        peers: `127.0.0.1:${this.portsOf(index)[2] ?? 0}`,
+        failureDomain: `domain-${index + 1}`,
+        state: 'live',
+      })),
+    });
+    await this.put(`upstreams/${SITE}`, {
+      upstreams: [
+        this.list('engine-1', this.engine, 'engine', 'test-llm'),
+        this.list('service-1', this.service, 'service', 'test-app'),
+      ],
+    });
+  }
+
+  private async openOrders(): Promise<void> {
+    await pause(OPEN_AFTER_MS);
+    await this.put(`sites/${SITE}`, {
+      site: {name: SITE, region: 'test', failureDomains: ['domain-1']},
+      orders: {openAt: new Date().toISOString()},
+    });
+  }
+
+  private list(
+    name: string,
+    standIn: StandIn,
+    kind: string,
+    serves: string,
+  ): object {
+    const {address} = standIn;
+    return {
+      ...{name, address, kind, serves},
+      failureDomain: 'domain-1',
+      state: 'live',
+    };
+  }
+
+  private portsOf(index: number): readonly number[] {
+    const first = index * PORTS_PER_HOST;
+    return this.ports.slice(first, first + PORTS_PER_HOST);
+  }
+}
+
+async function waitReady(operators: string): Promise<void> {
+  for (;;) {
+    const answer = await fetch(`${operators}/readyz`);
+    await answer.arrayBuffer();
+    if (answer.ok) return;
+    await pause(POLL_MS);
+  }
+}
+
+async function pause(ms: number): Promise<void> {
+  const signal = AbortSignal.timeout(ms);
+  await once(signal, 'abort');
+}
--- a/packages/daemon/src/write_failure.ts
+++ b/packages/daemon/src/write_failure.ts
@@ -3,6 +3,8 @@
 import type {ReplyHead} from './reply_head.js';
 
 const MS_PER_SECOND = 1_000;
+/** Longest time for which the rest of a refused body is read. */
+const MAX_DISCARD_MS = 2_000;
 
 /** Answers a request with the one error shape. */
 export function writeFailure(
@@ -28,5 +30,26 @@
     'content-type': 'application/json',
     'content-length': String(Buffer.byteLength(body)),
   });
-  response.end(body);
+  endAfterRequest(response, body);
+}
+
+/**
+ * Sends the answer at once, and ends it when the request's body is over, since
+ * closing a connection with unread bytes can destroy the answer on its way.
+ */
+function endAfterRequest(response: ServerResponse, body: string): void {
+  const request = response.req;
+  if (request.complete || request.destroyed) {
+    response.end(body);
+    return;
+  }
+  response.write(body);
+  const end = (): void => {
+    clearTimeout(timer);
+    response.end();
+  };
+  const timer = setTimeout(end, MAX_DISCARD_MS);
+  request.once('end', end);
+  request.once('close', end);
+  request.resume();
 }
