Prove orders by random faults and by leaving out each safeguard

Random schedules over 3, 6 and 9 hosts in virtual time find no order run twice and none denied that ran. Before a restarted host enters, it now tries to vote first and asks only if it may not.

--- a/packages/orders/src/fault_steps.ts
+++ b/packages/orders/src/proof/fault_steps.ts
@@ -1,4 +1,4 @@
-import {PeerState} from './peer_state.js';
+import {PeerState} from '../peer_state.js';
 import type {Simulation} from './simulation.js';
 
 const ORDERS = 5;
@@ -21,7 +21,7 @@
       this.step(step);
       this.simulation.advance(this.drawGapMs());
     }
-    this.simulation.heal();
+    this.simulation.network.heal();
     for (const {name} of [...this.simulation.hosts.values()]) {
       this.simulation.resume(name);
     }
@@ -57,11 +57,15 @@
         this.resend(choice % (2 * ORDERS));
         break;
       case 5:
-        if (this.keepsMemory(name)) this.simulation.crash(name);
+        if (this.keepsMajority(name)) this.simulation.crash(name);
         break;
       case 6:
+        if (this.keepsMajority(name)) {
+          this.simulation.restart(name, this.pickList());
+        }
+        break;
       case 7:
-        if (this.keepsMemory(name)) {
+        if (choice % 8 === 0 ? this.keepsMemory(name) : this.mayReplace(name)) {
           this.simulation.restart(name, this.pickList());
         }
         break;
@@ -73,12 +77,12 @@
         this.simulation.resume(name);
         break;
       case 11:
-        this.simulation.partition(
+        this.simulation.network.partition(
           names.filter((_, i) => (choice >> i) % 2 === 1),
         );
         break;
       case 12:
-        this.simulation.heal();
+        this.simulation.network.heal();
         break;
       case 13:
         this.changeList(choice, names);
@@ -108,12 +112,12 @@
         }
         break;
       case 1:
-        if (this.keepsMemory(name)) this.simulation.close(name);
+        if (this.keepsMajority(name)) this.simulation.close(name);
         break;
       default:
         this.resend((choice >> 4) % (2 * ORDERS));
         this.simulation.advance(this.simulation.draw(1, 30));
-        if (this.keepsMemory(name)) this.simulation.restart(name);
+        if (this.keepsMajority(name)) this.simulation.restart(name);
     }
   }
 
@@ -144,6 +148,20 @@
     );
   }
 
+  /** Keeps the search from ending early in a site that has lost its memory. */
+  private keepsMajority(leaving: string): boolean {
+    const latest = this.simulation.lists.at(-1) ?? [];
+    const left = latest.filter(
+      member => member !== leaving && this.remembers(member),
+    );
+    return this.keepsMemory(leaving) && left.length > latest.length / 2;
+  }
+
+  /** Whether a host is down, or without memory and not paused. */
+  private mayReplace(name: string): boolean {
+    return !this.remembers(name) && this.keepsMemory(name);
+  }
+
   private remembers(name: string): boolean {
     const host = this.simulation.hosts.get(name);
     return host?.up === true && host.subject.hasMemory?.() !== false;
--- /dev/null
+++ b/packages/orders/src/proof/network.ts
@@ -0,0 +1,66 @@
+import type {NetworkOptions} from './network_options.js';
+import type {VirtualTime} from './virtual_time.js';
+
+/** A network that delays, loses, doubles, reorders, holds and severs. */
+export class Network {
+  private cut = new Set<string>();
+  private readonly held = new Map<string, (() => void)[]>();
+
+  constructor(
+    private readonly time: VirtualTime,
+    private readonly options: NetworkOptions,
+    private readonly draw: (from: number, to: number) => number,
+  ) {}
+
+  send(
+    from: string,
+    to: string,
+    arrive: () => void,
+    lost: () => void = () => undefined,
+  ): void {
+    const kept = this.held.get(`${from}>${to}`);
+    if (kept) {
+      kept.push(() => this.send(from, to, arrive, lost));
+      return;
+    }
+    const {
+      lossPercent = 0,
+      duplicatePercent = 0,
+      delayMaxMs = 1,
+    } = this.options;
+    const copies = this.draw(0, 99) < duplicatePercent ? 2 : 1;
+    for (let copy = 0; copy < copies; copy++) {
+      const dropped = this.draw(0, 99) < lossPercent || this.isCut(from, to);
+      const delayMs = delayMaxMs > 1 ? this.draw(1, delayMaxMs) : 1;
+      this.time.at(this.time.nowMs + delayMs, () => {
+        if (!dropped && !this.isCut(from, to)) arrive();
+        else if (copy === 0) lost();
+      });
+    }
+  }
+
+  /** Keeps the messages of one link back until they are released. */
+  hold(from: string, to: string): void {
+    this.held.set(`${from}>${to}`, []);
+  }
+
+  release(from: string, to: string): void {
+    const link = `${from}>${to}`;
+    const kept = this.held.get(link) ?? [];
+    this.held.delete(link);
+    for (const run of kept) run();
+  }
+
+  /** Severs every link between the named hosts and the others. */
+  partition(side: readonly string[]): void {
+    this.cut = new Set(side);
+  }
+
+  heal(): void {
+    this.cut = new Set();
+  }
+
+  private isCut(from: string, to: string): boolean {
+    return this.cut.has(from) !== this.cut.has(to);
+  }
+}
--- a/packages/orders/src/recovery.ts
+++ b/packages/orders/src/recovery.ts
@@ -81,8 +81,8 @@
     this.history.push(view);
     this.startRound();
     this.retryMs = QUERY_RETRY_MIN_MS;
-    this.query(nowMs);
     this.tryActivate();
+    this.query(nowMs);
     return true;
   }
 
