--- a/packages/orders/src/proof/fault_steps.ts
+++ b/packages/orders/src/proof/fault_steps.ts
@@ -2,6 +2,7 @@
 import type {Simulation} from './simulation.js';
 
 const ORDERS = 5;
+const STEP_MAX = 2 ** 31 - 1;
 const STEP_GAP_SHORT_MS = 5;
 const STEP_GAP_LONG_MS = 100;
 const HEAL_MS = 400;
@@ -35,6 +36,12 @@
     this.simulation.advance(FINISH_MS);
   }
 
+  /** Performs a number of random steps. */
+  performRandom(count: number): void {
+    const draw = () => this.simulation.draw(0, STEP_MAX);
+    this.perform(Array.from({length: count}, draw));
+  }
+
   private resend(index: number): void {
     for (const name of this.simulation.hosts.keys()) {
       this.simulation.submit(index, name);
@@ -102,23 +109,73 @@
   }
 
   private stepRarely(choice: number, name: string): void {
-    switch (choice % 5) {
+    switch (choice % 8) {
       case 0:
-        for (const host of this.simulation.hosts.values()) {
-          this.simulation.crash(host.name);
-        }
-        for (const member of this.simulation.lists.at(-1) ?? []) {
-          this.simulation.restart(member);
-        }
+        this.restartAll();
         break;
       case 1:
         if (this.keepsMajority(name)) this.simulation.close(name);
         break;
-      default:
+      case 2:
+      case 3:
         this.resend((choice >> 4) % (2 * ORDERS));
         this.simulation.advance(this.simulation.draw(1, 30));
         if (this.keepsMajority(name)) this.simulation.restart(name);
+        break;
+      case 4:
+        this.claimApart(choice >> 4, name);
+        break;
+      default:
+        this.splitWithList(choice >> 4);
+    }
+  }
+
+  /** Two hosts claim one key by themselves while a third restarts. */
+  private claimApart(choice: number, restarting: string): void {
+    const names = [...this.simulation.hosts.keys()];
+    for (const offset of [0, 1]) {
+      const name = names[(choice + offset) % names.length] ?? '';
+      for (const other of names) {
+        this.simulation.tellPeer(name, other, PeerState.SUSPECTED);
+      }
+      this.simulation.submit((choice >> 4) % (2 * ORDERS), name);
+      this.simulation.advance(this.simulation.draw(0, STEP_GAP_SHORT_MS));
+      if (offset === 0 && this.keepsMajority(restarting)) {
+        this.simulation.restart(restarting);
+        this.simulation.advance(this.simulation.draw(0, STEP_GAP_LONG_MS));
+      }
+    }
+  }
+
+  private restartAll(): void {
+    for (const host of this.simulation.hosts.values()) {
+      this.simulation.crash(host.name);
+    }
+    for (const member of this.simulation.lists.at(-1) ?? []) {
+      this.simulation.restart(member);
+    }
+  }
+
+  /** One side of a partition gets a list of mostly its own; both claim. */
+  private splitWithList(choice: number): void {
+    const names = [...this.simulation.hosts.keys()];
+    const side = names.filter((_, i) => (choice >> i) % 2 === 1);
+    const others = names.filter(name => !side.includes(name));
+    this.simulation.network.partition(side);
+    for (const name of side) {
+      for (const other of others) {
+        this.simulation.tellPeer(name, other, PeerState.SUSPECTED);
+        this.simulation.tellPeer(other, name, PeerState.SUSPECTED);
+      }
+    }
+    const guest = others[choice % Math.max(1, others.length)];
+    const members = guest && choice % 3 === 0 ? [...side, guest] : side;
+    const kept = members.some(member => this.remembers(member));
+    if (members.length >= 3 && members.length <= 9 && kept) {
+      this.simulation.publish(members, side);
     }
+    this.simulation.advance(this.drawGapMs());
+    this.resend(choice % (2 * ORDERS));
   }
 
   private changeList(choice: number, names: readonly string[]): void {
--- a/packages/orders/src/proof/network.ts
+++ b/packages/orders/src/proof/network.ts
@@ -1,6 +1,9 @@
 import type {NetworkOptions} from './network_options.js';
 import type {VirtualTime} from './virtual_time.js';
 
+const LATE_PERCENT = 10;
+const LATE_FACTOR = 10;
+
 /** A network that delays, loses, doubles, reorders, holds and severs. */
 export class Network {
   private cut = new Set<string>();
@@ -31,7 +34,7 @@
     const copies = this.draw(0, 99) < duplicatePercent ? 2 : 1;
     for (let copy = 0; copy < copies; copy++) {
       const dropped = this.draw(0, 99) < lossPercent || this.isCut(from, to);
-      const delayMs = delayMaxMs > 1 ? this.draw(1, delayMaxMs) : 1;
+      const delayMs = this.drawDelayMs(delayMaxMs);
       this.time.at(this.time.nowMs + delayMs, () => {
         if (!dropped && !this.isCut(from, to)) arrive();
         else if (copy === 0) lost();
@@ -60,6 +63,12 @@
     this.cut = new Set();
   }
 
+  private drawDelayMs(maxMs: number): number {
+    if (maxMs <= 1) return 1;
+    const isLate = this.draw(0, 99) < LATE_PERCENT;
+    return this.draw(1, isLate ? maxMs * LATE_FACTOR : maxMs);
+  }
+
   private isCut(from: string, to: string): boolean {
     return this.cut.has(from) !== this.cut.has(to);
   }
