--- a/packages/orders/src/claim_table.ts
+++ b/packages/orders/src/claim_table.ts
@@ -55,10 +55,11 @@
     return told;
   }
 
-  /** Drops the records whose keys can come no more. */
+  /** Drops the records, oldest first, whose keys can come no more. */
   expire(wallMs: number): void {
     for (const [order, record] of this.records) {
-      if (record.keepUntilMs < wallMs) this.records.delete(order);
+      if (record.keepUntilMs >= wallMs) return;
+      this.records.delete(order);
     }
   }
 
--- a/packages/orders/src/claims.ts
+++ b/packages/orders/src/claims.ts
@@ -124,7 +124,7 @@
 
   expire(wallMs: number): void {
     for (const [order, claim] of this.claims) {
-      if (claim.keepUntilMs >= wallMs || claim.calls.size > 0) continue;
+      if (claim.keepUntilMs >= wallMs || claim.calls.size > 0) return;
       this.claims.delete(order);
       this.outcomes.drop(order);
     }
--- a/packages/orders/src/compare_incarnations.ts
+++ b/packages/orders/src/compare_incarnations.ts
@@ -2,8 +2,8 @@
 
 /** Orders incarnation ids of one host by start time, then by their text. */
 export function compareIncarnations(a: string, b: string): number {
+  if (a === b) return 0;
   const byStart = readStartTime(a) - readStartTime(b);
   if (byStart !== 0) return byStart;
-  if (a === b) return 0;
   return a < b ? -1 : 1;
 }
--- a/packages/orders/src/orders.ts
+++ b/packages/orders/src/orders.ts
@@ -91,6 +91,7 @@
     if (this.recovery.view && this.recovery.view !== view) {
       this.claims.enterView(this.recovery.view, nowMs, this.readWall(nowMs));
     }
+    this.expire(nowMs);
     return this.outbox.take();
   }
 
@@ -245,10 +246,13 @@
     for (const call of this.calls.listDue(nowMs)) this.advance(call, nowMs);
     this.claims.wake(nowMs, wallMs);
     this.recovery.wake(nowMs);
+  }
+
+  private expire(nowMs: number): void {
     if (nowMs < this.expireAtMs) return;
     this.expireAtMs = nowMs + EXPIRY_INTERVAL_MS;
-    this.table.expire(wallMs);
-    this.claims.expire(wallMs);
+    this.table.expire(this.readWall(nowMs));
+    this.claims.expire(this.readWall(nowMs));
   }
 
   private takeMessage(event: MessageEvent, nowMs: number): void {
