--- a/packages/orders/src/orders.test.ts
+++ b/packages/orders/src/orders.test.ts
@@ -67,6 +67,7 @@
         });
         new FaultSteps(site).perform(steps);
         expect(site.findViolations()).to.eql([]);
+        expect(site.findUnanswered()).to.eql([]);
       });
       fc.assert(property, {seed: 1, numRuns});
     });
--- a/packages/orders/src/proof/simulation.ts
+++ b/packages/orders/src/proof/simulation.ts
@@ -15,6 +15,7 @@
 
 const START_WALL_MS = 1_700_000_000_000;
 const CLOCK_SKEW_MS = 4;
+const LIMIT_MS = 600;
 const SETTLE_MS = 60;
 const OPEN_AFTER_MS = 40;
 const UNTIMED_ORDER = 4;
@@ -49,6 +50,13 @@
   readonly tookMs: number;
 }
 
+interface Asked {
+  readonly order: string;
+  readonly atMs: number;
+  readonly host: Host;
+  answers: number;
+}
+
 interface Forward {
   readonly from: Host;
   readonly call: string;
@@ -66,7 +74,7 @@
   private readonly time = new VirtualTime();
   private readonly random;
   readonly network: Network;
-  private readonly calls = new Map<string, {order: string; atMs: number}>();
+  private readonly calls = new Map<string, Asked>();
   private readonly forwards = new Map<string, Forward>();
   private readonly keys = new Map<number, string>();
 
@@ -97,6 +105,18 @@
     ];
   }
 
+  /** Calls past their limit without exactly one answer, at running hosts. */
+  findUnanswered(): string[] {
+    const {limitMs = LIMIT_MS} = this.options;
+    return [...this.calls]
+      .filter(([call, {host, atMs, answers}]) => {
+        const isDue = atMs + limitMs < this.nowMs;
+        const runs = host.up && !host.paused;
+        return !call.startsWith('f') && isDue && runs && answers !== 1;
+      })
+      .map(([call]) => call);
+  }
+
   submit(index: number, name: string): void {
     const host = this.hosts.get(name);
     if (!host?.up) return;
@@ -104,8 +124,8 @@
     const key = this.nameKey(Math.floor(index / 2));
     const call = `c${this.calls.size}`;
     const order = `${account}/${key}`;
-    this.calls.set(call, {order, atMs: this.nowMs});
-    const limitMs = this.options.limitMs ?? 600;
+    this.calls.set(call, {order, atMs: this.nowMs, host, answers: 0});
+    const limitMs = this.options.limitMs ?? LIMIT_MS;
     this.deliver(host, {
       kind: OrderEventKind.SUBMIT,
       call,
@@ -310,9 +330,9 @@
   }
 
   private forward(host: Host, call: string, to: string): void {
-    const {order} = this.calls.get(call) ?? this.readForward(call);
+    const order = this.calls.get(call)?.order ?? '';
     const name = `f${this.calls.size}`;
-    this.calls.set(name, {order, atMs: this.nowMs});
+    this.calls.set(name, {order, atMs: this.nowMs, host, answers: 0});
     const forward = {from: host, call, to};
     this.forwards.set(name, forward);
     this.messages++;
@@ -330,7 +350,7 @@
           account: order.slice(0, cut),
           key: order.slice(cut + 1),
           fingerprint: order,
-          deadlineMs: this.nowMs + (this.options.limitMs ?? 600),
+          deadlineMs: this.nowMs + (this.options.limitMs ?? LIMIT_MS),
           wallMs: 0,
           forwarded: true,
         });
@@ -339,10 +359,6 @@
     );
   }
 
-  private readForward(call: string): {order: string} {
-    return {order: `unknown/${call}`};
-  }
-
   private failForward({from, call, to}: Forward): void {
     // A severed link fails at once, late, or in silence.
     const delayMs = this.draw(1, 400);
@@ -397,6 +413,7 @@
     }
     const asked = this.calls.get(call);
     if (!asked) return;
+    asked.answers++;
     this.replies.push({
       order: asked.order,
       host: host.name,
