--- a/packages/orders/src/simulation.ts
+++ b/packages/orders/src/proof/simulation.ts
@@ -4,30 +4,28 @@
 import {uniformInt} from 'pure-rand/distribution/uniformInt';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {makeOutcome} from './make_outcome.js';
-import type {OrderAction} from './order_action.js';
-import {OrderActionKind} from './order_action_kind.js';
-import type {OrderEvent} from './order_event.js';
-import {OrderEventKind} from './order_event_kind.js';
-import type {PeerState} from './peer_state.js';
+import type {OrderAction} from '../order_action.js';
+import {OrderActionKind} from '../order_action_kind.js';
+import type {OrderEvent} from '../order_event.js';
+import {OrderEventKind} from '../order_event_kind.js';
+import type {PeerState} from '../peer_state.js';
+import {Network} from './network.js';
+import type {NetworkOptions} from './network_options.js';
 import {VirtualTime} from './virtual_time.js';
 
 const START_WALL_MS = 1_700_000_000_000;
 const CLOCK_SKEW_MS = 4;
+const LIMIT_MS = 600;
 const SETTLE_MS = 60;
 const OPEN_AFTER_MS = 40;
 const UNTIMED_ORDER = 4;
 
 type Subject = Decision<OrderEvent, OrderAction> & {hasMemory?(): boolean};
 
-interface Options {
+interface Options extends NetworkOptions {
   readonly hosts: number;
   readonly seed: number;
   readonly makeHost: (self: Incarnation) => Subject;
-  /** Longest one-way delay of a message, in milliseconds. */
-  readonly delayMaxMs?: number;
-  /** Messages lost, and messages delivered twice, of a hundred. */
-  readonly lossPercent?: number;
-  readonly duplicatePercent?: number;
   /** Longest time from a dispatch action to the bytes sent, in milliseconds. */
   readonly dispatchDelayMaxMs?: number;
   readonly limitMs?: number;
@@ -52,6 +50,13 @@
   readonly tookMs: number;
 }
 
+interface Asked {
+  readonly order: string;
+  readonly atMs: number;
+  readonly host: Host;
+  answers: number;
+}
+
 interface Forward {
   readonly from: Host;
   readonly call: string;
@@ -68,13 +73,16 @@
   readonly lists: string[][] = [[]];
   private readonly time = new VirtualTime();
   private readonly random;
-  private readonly calls = new Map<string, {order: string; atMs: number}>();
+  readonly network: Network;
+  private readonly calls = new Map<string, Asked>();
   private readonly forwards = new Map<string, Forward>();
   private readonly keys = new Map<number, string>();
-  private cut = new Set<string>();
 
   constructor(private readonly options: Options) {
     this.random = xoroshiro128plus(options.seed);
+    this.network = new Network(this.time, options, (from, to) =>
+      this.draw(from, to),
+    );
     const members = Array.from({length: options.hosts}, (_, i) => `h${i}`);
     this.lists.push(members);
     for (const name of members) this.start(name, 1);
@@ -97,6 +105,18 @@
     ];
   }
 
+  /** Calls past their limit without exactly one answer, at running hosts. */
+  findUnanswered(): string[] {
+    const {limitMs = LIMIT_MS} = this.options;
+    return [...this.calls]
+      .filter(([call, {host, atMs, answers}]) => {
+        const isDue = atMs + limitMs < this.nowMs;
+        const runs = host.up && !host.paused;
+        return !call.startsWith('f') && isDue && runs && answers !== 1;
+      })
+      .map(([call]) => call);
+  }
+
   submit(index: number, name: string): void {
     const host = this.hosts.get(name);
     if (!host?.up) return;
@@ -104,8 +124,8 @@
     const key = this.nameKey(Math.floor(index / 2));
     const call = `c${this.calls.size}`;
     const order = `${account}/${key}`;
-    this.calls.set(call, {order, atMs: this.nowMs});
-    const limitMs = this.options.limitMs ?? 600;
+    this.calls.set(call, {order, atMs: this.nowMs, host, answers: 0});
+    const limitMs = this.options.limitMs ?? LIMIT_MS;
     this.deliver(host, {
       kind: OrderEventKind.SUBMIT,
       call,
@@ -177,15 +197,6 @@
     for (const run of host.stalled.splice(0)) run();
   }
 
-  /** Severs every link between the named hosts and the others. */
-  partition(side: readonly string[]): void {
-    this.cut = new Set(side);
-  }
-
-  heal(): void {
-    this.cut = new Set();
-  }
-
   /** Publishes a list; hosts not told learn it from their peers. */
   publish(members: readonly string[], told: readonly string[]): void {
     const number = this.lists.push([...members]) - 1;
@@ -308,34 +319,20 @@
     from: string,
     to: string,
     run: (host: Host) => void,
-    lost: () => void = () => undefined,
+    lost?: () => void,
   ): void {
-    const {
-      lossPercent = 0,
-      duplicatePercent = 0,
-      delayMaxMs = 1,
-    } = this.options;
-    const copies = this.draw(0, 99) < duplicatePercent ? 2 : 1;
-    for (let copy = 0; copy < copies; copy++) {
-      const dropped = this.draw(0, 99) < lossPercent || this.isCut(from, to);
-      const delayMs = delayMaxMs > 1 ? this.draw(1, delayMaxMs) : 1;
-      this.time.at(this.nowMs + delayMs, () => {
-        const host = this.hosts.get(to);
-        if (dropped || !host?.up || this.isCut(from, to)) {
-          if (copy === 0) lost();
-        } else run(host);
-      });
-    }
-  }
-
-  private isCut(from: string, to: string): boolean {
-    return this.cut.has(from) !== this.cut.has(to);
+    const arrive = () => {
+      const host = this.hosts.get(to);
+      if (host?.up) run(host);
+      else lost?.();
+    };
+    this.network.send(from, to, arrive, lost);
   }
 
   private forward(host: Host, call: string, to: string): void {
-    const {order} = this.calls.get(call) ?? this.readForward(call);
+    const order = this.calls.get(call)?.order ?? '';
     const name = `f${this.calls.size}`;
-    this.calls.set(name, {order, atMs: this.nowMs});
+    this.calls.set(name, {order, atMs: this.nowMs, host, answers: 0});
     const forward = {from: host, call, to};
     this.forwards.set(name, forward);
     this.messages++;
@@ -353,7 +350,7 @@
           account: order.slice(0, cut),
           key: order.slice(cut + 1),
           fingerprint: order,
-          deadlineMs: this.nowMs + (this.options.limitMs ?? 600),
+          deadlineMs: this.nowMs + (this.options.limitMs ?? LIMIT_MS),
           wallMs: 0,
           forwarded: true,
         });
@@ -362,10 +359,6 @@
     );
   }
 
-  private readForward(call: string): {order: string} {
-    return {order: `unknown/${call}`};
-  }
-
   private failForward({from, call, to}: Forward): void {
     // A severed link fails at once, late, or in silence.
     const delayMs = this.draw(1, 400);
@@ -420,6 +413,7 @@
     }
     const asked = this.calls.get(call);
     if (!asked) return;
+    asked.answers++;
     this.replies.push({
       order: asked.order,
       host: host.name,
