Give operators a command-line tool

It asks one host and shows the whole site through it: status, hosts, upstreams, drain, timeline, and config check, show and diff. Exit codes tell a failed answer, wrong use and an unreachable host apart. Golden files hold a session of all commands and all help pages.

--- /dev/null
+++ b/packages/cli/src/command_options.ts
@@ -0,0 +1,5 @@
+/** Options that every command takes. */
+export interface CommandOptions {
+  host?: string;
+  json: boolean;
+}
--- /dev/null
+++ b/packages/cli/src/format_table.ts
@@ -0,0 +1,37 @@
+import Table from 'cli-table3';
+
+const NO_BORDERS = {
+  top: '',
+  'top-mid': '',
+  'top-left': '',
+  'top-right': '',
+  bottom: '',
+  'bottom-mid': '',
+  'bottom-left': '',
+  'bottom-right': '',
+  left: '',
+  'left-mid': '',
+  mid: '',
+  'mid-mid': '',
+  right: '',
+  'right-mid': '',
+  middle: '  ',
+};
+
+/** Formats rows under a head, without colours, borders or trailing blanks. */
+export function formatTable(
+  head: readonly string[],
+  rows: readonly (readonly string[])[],
+): string {
+  const table = new Table({
+    head: [...head],
+    chars: NO_BORDERS,
+    style: {head: [], border: [], 'padding-left': 0, 'padding-right': 0},
+  });
+  table.push(...rows.map(row => [...row]));
+  return table
+    .toString()
+    .split('\n')
+    .map(line => line.trimEnd())
+    .join('\n');
+}
--- /dev/null
+++ b/packages/cli/src/host_client.ts
@@ -0,0 +1,88 @@
+import type {ErrorBody} from '@parsleywood/errors';
+import type {TimelineEntry} from '@parsleywood/timeline';
+import {request} from 'undici';
+import {CommandFailure} from './command_failure.js';
+import {ExitCode} from './exit_code.js';
+import type {SiteStatus} from './site_status.js';
+
+const TIMEOUT_MS = 10_000;
+const FIRST_ERROR_STATUS = 400;
+
+/** Asks one host at its operators' address. */
+export class HostClient {
+  constructor(private readonly address: string) {}
+
+  readStatus(): Promise<SiteStatus> {
+    return this.call('GET', '/v1/status');
+  }
+
+  drain(host: string): Promise<{host: string; state: string}> {
+    return this.call('POST', `/v1/hosts/${encodeURIComponent(host)}/drain`);
+  }
+
+  readTimeline(query: {
+    request?: string;
+    afterMs?: number;
+    limit?: number;
+  }): Promise<{events: TimelineEntry[]}> {
+    const parameters = new URLSearchParams();
+    for (const [name, value] of Object.entries(query)) {
+      if (value !== undefined) parameters.set(name, String(value));
+    }
+    const suffix = parameters.size === 0 ? '' : `?${parameters.toString()}`;
+    return this.call('GET', `/v1/timeline${suffix}`);
+  }
+
+  readConfiguration(): Promise<{
+    revision: {base: number; overlay: number};
+    settings: unknown;
+  }> {
+    return this.call('GET', '/v1/configuration');
+  }
+
+  private async call<T>(method: 'GET' | 'POST', path: string): Promise<T> {
+    const {status, text} = await this.send(method, path);
+    const body = this.parse(text, status);
+    if (status < FIRST_ERROR_STATUS) return body as T;
+    throw new CommandFailure(ExitCode.FAILED, this.explain(status, body));
+  }
+
+  private async send(method: 'GET' | 'POST', path: string) {
+    try {
+      const answer = await request(`http://${this.address}${path}`, {
+        method,
+        headersTimeout: TIMEOUT_MS,
+        bodyTimeout: TIMEOUT_MS,
+      });
+      return {status: answer.statusCode, text: await answer.body.text()};
+    } catch (error) {
+      const {code, message} = error as NodeJS.ErrnoException;
+      const reason = code ?? message;
+      throw new CommandFailure(
+        ExitCode.UNREACHABLE,
+        `host ${this.address} cannot be reached (${reason})`,
+      );
+    }
+  }
+
+  private parse(text: string, status: number): unknown {
+    try {
+      return JSON.parse(text);
+    } catch {
+      const reason = `answered ${status} without JSON`;
+      throw new CommandFailure(
+        ExitCode.FAILED,
+        `host ${this.address} ${reason}; is this its operators' address?`,
+      );
+    }
+  }
+
+  private explain(status: number, body: unknown): string {
+    const error = (body as Partial<ErrorBody> | null)?.error;
+    if (error === undefined) return `host ${this.address} answered ${status}`;
+    const wait = error.retryAfterMs;
+    const hint = wait === undefined ? '' : `; come back in ${wait} ms`;
+    const {kind, message} = error;
+    return `host ${this.address} answered ${status} ${kind}: ${message}${hint}`;
+  }
+}
--- /dev/null
+++ b/packages/cli/src/main.ts
@@ -0,0 +1,10 @@
+#!/usr/bin/env node
+import {loadSettingsTool} from './load_settings_tool.js';
+import {runCommand} from './run_command.js';
+
+process.exitCode = await runCommand(process.argv.slice(2), {
+  environment: process.env,
+  write: text => process.stdout.write(`${text}\n`),
+  writeError: text => process.stderr.write(`${text}\n`),
+  loadSettingsTool,
+});
--- /dev/null
+++ b/packages/cli/src/run_command.test.ts
@@ -0,0 +1,242 @@
+import {readFileSync, writeFileSync} from 'node:fs';
+import {createServer} from 'node:net';
+import {expect} from 'chai';
+import createFastify, {type FastifyInstance} from 'fastify';
+import {Result} from 'true-myth';
+import {ErrorKind, Failure, formatFailure} from '@parsleywood/errors';
+import type {SettingsTool, SiteStatus} from './index.js';
+import {ExitCode, runCommand} from './index.js';
+
+const GOLDEN = new URL('../golden/', import.meta.url);
+const HOUR_MS = 3_600_000;
+
+const STATUS: SiteStatus = {
+  asked: 'entry-1',
+  hosts: [
+    {
+      name: 'entry-1',
+      incarnation: '1733280000000-ab12',
+      state: 'serving',
+      failureDomain: 'dryer-hall',
+      callers: '10.0.0.1:8080',
+      configuration: {base: 4, overlay: 2, ageMs: 1500},
+      inFlight: 3,
+      queued: 1,
+      upMs: 26 * HOUR_MS,
+      members: [
+        {name: 'entry-2', incarnation: '1733280000001-cd34', state: 'alive'},
+        {name: 'entry-3', incarnation: '', state: 'dead'},
+      ],
+      upstreams: [buildUpstream('kernel-1', 'usable', 2)],
+    },
+    {
+      name: 'entry-2',
+      incarnation: '1733280000001-cd34',
+      state: 'draining',
+      failureDomain: 'cracker-shed',
+      callers: '10.0.0.2:8080',
+      configuration: {base: 4, overlay: 1, ageMs: 90_000},
+      inFlight: 0,
+      queued: 0,
+      upMs: 5000,
+      members: [
+        {name: 'entry-1', incarnation: '1733280000000-ab12', state: 'alive'},
+        {name: 'entry-3', incarnation: '', state: 'suspected'},
+      ],
+      upstreams: [
+        buildUpstream('kernel-1', 'avoided', 1),
+        buildUpstream('kernel-2', 'leaving', 0),
+      ],
+    },
+    {
+      name: 'entry-3',
+      incarnation: '',
+      state: 'unreachable',
+      failureDomain: 'weighbridge',
+      callers: '10.0.0.3:8080',
+      error: 'no answer within 1000 ms',
+    },
+  ],
+};
+
+const EVENTS = [
+  buildEvent(1, 'entry-1', 'request_received', {account: 'cracker'}),
+  buildEvent(2, 'entry-1', 'attempt_started', {upstream: 'kernel-1'}),
+];
+
+describe('parsleywood', () => {
+  let host: FastifyInstance;
+  let address: string;
+  let asked: string[];
+
+  before(async () => {
+    host = createFastify();
+    host.addHook('onRequest', (request, _reply, done) => {
+      asked.push(`${request.method} ${request.url}`);
+      done();
+    });
+    host.get('/v1/status', () => STATUS);
+    host.get('/v1/timeline', () => ({events: EVENTS}));
+    host.get('/v1/configuration', () => ({
+      revision: {base: 4, overlay: 2},
+      settings: {a: 1},
+    }));
+    host.post('/v1/hosts/entry-2/drain', (_request, reply) =>
+      reply.code(202).send({host: 'entry-2', state: 'draining'}),
+    );
+    host.setNotFoundHandler((request, reply) => {
+      const failure = new Failure(ErrorKind.NOT_FOUND, `no "${request.url}"`);
+      return reply.code(404).send(formatFailure(failure, 'r-1'));
+    });
+    const url = await host.listen({host: '127.0.0.1', port: 0});
+    address = url.replace('http://', '');
+  });
+
+  beforeEach(() => {
+    asked = [];
+  });
+
+  after(() => host.close());
+
+  async function run(...args: string[]): Promise<string> {
+    const lines = [`$ parsleywood ${args.join(' ')}`];
+    const exitCode = await runCommand(args, {
+      environment: {PARSLEYWOOD_HOST: address},
+      write: text => lines.push(text),
+      writeError: text => lines.push(`error: ${text}`),
+      loadSettingsTool: () => Promise.resolve(FAKE_TOOL),
+    });
+    lines.push(`exit code ${exitCode}`, '');
+    return lines.join('\n').replaceAll(address, 'IP:PORT');
+  }
+
+  it('answers each command as the golden file has it', async () => {
+    const commands = [
+      'status',
+      'hosts',
+      'upstreams',
+      'upstreams --json',
+      'drain entry-2',
+      'drain entry-9',
+      'timeline --request r-1',
+      'timeline --limit 0',
+      'config check good.json',
+      'config check good.json wrong.json',
+      'config check absent.json',
+      'config show good.json wrong.json',
+      'config diff good.json',
+      'config diff good.json --with-base good.json',
+      'config',
+      'statu',
+      'status --host entry-1',
+    ];
+    const session: string[] = [];
+    for (const command of commands) {
+      session.push(await run(...command.split(' ')));
+    }
+    expectGolden('session.txt', session.join('\n'));
+  });
+
+  it('helps with an example for each command', async () => {
+    const commands = [
+      '',
+      'status',
+      'hosts',
+      'upstreams',
+      'drain',
+      'timeline',
+      'config',
+      'config check',
+      'config show',
+      'config diff',
+    ];
+    const pages: string[] = [];
+    for (const command of commands) {
+      const words = command.split(' ').filter(word => word !== '');
+      pages.push(await run(...words, '--help'));
+    }
+    expectGolden('help.txt', pages.join('\n'));
+  });
+
+  it('asks only the host it was given', async () => {
+    await run('timeline', '--request', 'a b', '--after', '5', '--limit', '7');
+    await run('drain', 'entry-2');
+    expect(asked).to.eql([
+      'GET /v1/timeline?request=a+b&afterMs=5&limit=7',
+      'POST /v1/hosts/entry-2/drain',
+    ]);
+  });
+
+  it('tells an unreachable host from one that talks no JSON', async () => {
+    const stranger = createServer(socket => {
+      socket.resume();
+      socket.end('HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi');
+    });
+    await new Promise<void>(done => stranger.listen(0, '127.0.0.1', done));
+    const {port} = stranger.address() as {port: number};
+    const codes = [await exitOf(port)];
+    await new Promise(done => stranger.close(done));
+    codes.push(await exitOf(port));
+    expect(codes).to.eql([ExitCode.FAILED, ExitCode.UNREACHABLE]);
+  });
+});
+
+const FAKE_TOOL: SettingsTool = {
+  readSettingsFile: path =>
+    path === 'absent.json'
+      ? Result.err(new Failure(ErrorKind.INVALID_REQUEST, `${path}: absent`))
+      : Result.ok(path === 'wrong.json' ? {a: 'x'} : {a: 2, b: {c: true}}),
+  mergeSettings: (base, overlay) => ({
+    ...(base as object),
+    ...(overlay as object),
+  }),
+  checkSettings: value =>
+    typeof (value as {a: unknown}).a === 'number'
+      ? Result.ok(value)
+      : Result.err([{path: '/a', value: 'x', allowed: 'a number'}]),
+  explainSettings: () => [
+    {path: '/a', value: 'x', source: 'overlay'},
+    {path: '/b/c', value: true, source: 'base'},
+  ],
+  compareSettings: (a, b) =>
+    JSON.stringify(a) === JSON.stringify(b)
+      ? []
+      : [
+          {path: '/a', before: 1, after: 2},
+          {path: '/b/c', before: undefined, after: true},
+        ],
+};
+
+function exitOf(port: number): Promise<ExitCode> {
+  return runCommand(['status', '--host', `127.0.0.1:${port}`], {
+    environment: {},
+    write: () => undefined,
+    writeError: () => undefined,
+    loadSettingsTool: () => Promise.resolve(FAKE_TOOL),
+  });
+}
+
+function buildUpstream(name: string, state: string, inFlight: number) {
+  const address = '10.0.1.1:9000';
+  return {name, kind: 'engine', serves: 'kernel-llm', address, state, inFlight};
+}
+
+function buildEvent(
+  sequence: number,
+  host: string,
+  name: string,
+  fields: Record<string, string>,
+) {
+  const timeMs = Date.UTC(2026, 0, 1) + sequence;
+  const requestId = 'r-1';
+  const counter = 0;
+  const incarnation = '1-a';
+  const place = {host, incarnation, sequence};
+  return {timeMs, counter, ...place, name, requestId, fields};
+}
+
+function expectGolden(file: string, text: string): void {
+  const path = new URL(file, GOLDEN);
+  if (process.env['UPDATE_GOLDEN'] === '1') writeFileSync(path, text);
+  expect(text).to.equal(readFileSync(path, 'utf8'));
+}
--- /dev/null
+++ b/packages/cli/src/settings_tool.ts
@@ -0,0 +1,32 @@
+import type {Failure} from '@parsleywood/errors';
+import type {Result} from 'true-myth';
+
+/** What the tool uses of `@parsleywood/config`. */
+export interface SettingsTool {
+  readSettingsFile(path: string): Result<unknown, Failure>;
+  mergeSettings(base: unknown, overlay: unknown): unknown;
+  checkSettings(value: unknown): Result<
+    unknown,
+    readonly {
+      readonly path: string;
+      readonly value: unknown;
+      readonly allowed: string;
+    }[]
+  >;
+  explainSettings(
+    base: unknown,
+    overlay: unknown,
+  ): readonly {
+    readonly path: string;
+    readonly value: unknown;
+    readonly source: string;
+  }[];
+  compareSettings(
+    a: unknown,
+    b: unknown,
+  ): readonly {
+    readonly path: string;
+    readonly before: unknown;
+    readonly after: unknown;
+  }[];
+}
--- /dev/null
+++ b/packages/cli/src/site_status.ts
@@ -0,0 +1,8 @@
+import type {HostStatus} from './host_status.js';
+
+/** The hosts of a site as one of them sees them. */
+export interface SiteStatus {
+  /** Name of the host that was asked. */
+  readonly asked: string;
+  readonly hosts: readonly HostStatus[];
+}
