Let npm link the operators' tool before the first build

npm links a program only if its file exists at the install; on a fresh clone dist/ does not, so npx found no parsleywood and asked the registry instead.

--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -1,4 +1,3 @@
-#!/usr/bin/env node
 import {loadSettingsTool} from './load_settings_tool.js';
 import {runCommand} from './run_command.js';
 
