Tell a replaced incarnation that it must end

A paused process that was replaced meanwhile got its pings answered but was never told of the later incarnation; now any message of its is answered with it, at the address that it names itself.

--- a/packages/membership/src/membership.test.ts
+++ b/packages/membership/src/membership.test.ts
@@ -1,8 +1,10 @@
 import {expect} from 'chai';
 import fc from 'fast-check';
 import type {HostList} from '@parsleywood/schema/host_list';
+import {MembershipMessage} from '@parsleywood/schema/membership';
 import {
   type Member,
+  Membership,
   MembershipActionKind,
   MembershipEventKind,
   MemberState,
@@ -133,26 +135,26 @@
 
   it('tells a process that a later one runs under its name', () => {
     const site = startSite(4);
-    site.tell('entry-1', {
-      kind: MembershipEventKind.MESSAGE,
-      from: 'entry-1',
-      incarnation: '2000000-x',
-      message: {
-        refutation: 0,
-        leaving: false,
-        address: '',
-        listRevision: 0,
-        updates: [],
-        upstreamWords: [],
-        body: undefined,
-      },
+    const kind = MembershipEventKind.MESSAGE;
+    const from = 'entry-1';
+    const message = MembershipMessage.fromPartial({address: '10.9.9.9:8082'});
+    const event = {kind, from, incarnation: '5-old', message} as const;
+    const answers = site.membership('entry-2').handle(event, site.nowMs);
+    const sent = answers.flatMap(action =>
+      action.kind === MembershipActionKind.SEND ? [action] : [],
+    );
+    expect(sent.map(({address}) => address)).to.eql(['10.9.9.9:8082']);
+    const later = findIncarnation(site, from);
+    const old = new Membership({
+      self: {host: from, id: '5-old'},
+      address: '10.9.9.9:8082',
+      settings: SETTINGS,
+      seed: 1,
     });
-    expect(site.notices.at(-1)).to.eql({
-      host: 'entry-1',
-      action: {
-        kind: MembershipActionKind.SUPERSEDED,
-        incarnation: '2000000-x',
-      },
+    const answer = {...event, from: 'entry-2', message: sent[0]!.message};
+    expect(old.handle(answer, 0)).to.deep.include({
+      kind: MembershipActionKind.SUPERSEDED,
+      incarnation: later,
     });
   });
 
--- a/packages/membership/src/messenger.ts
+++ b/packages/membership/src/messenger.ts
@@ -1,6 +1,7 @@
 import type {
   MemberUpdate,
   MembershipMessage,
+  UpstreamWord,
 } from '@parsleywood/schema/membership';
 import {MemberClaim} from '@parsleywood/schema/membership';
 import {describeRecord} from './describe_record.js';
@@ -77,18 +78,29 @@
     const record = this.table.get(to);
     const target = record?.address ?? address;
     if (target === '') return [];
-    const self = this.self.describe();
     const updates = [...extra, ...this.takeUpdates(to, nowMs)];
+    return this.sendAt(target, to, updates, this.words.take(), body);
+  }
+
+  /** Builds one message to an address, whatever host is listed there. */
+  sendAt(
+    address: string,
+    to: string,
+    updates: MemberUpdate[],
+    upstreamWords: UpstreamWord[] = [],
+    body?: MembershipMessage['body'],
+  ): MembershipAction[] {
+    const {refutation, leaving} = this.self.describe();
     const message = {
-      refutation: self.refutation,
-      leaving: self.leaving,
+      refutation,
+      leaving,
       address: this.address,
       listRevision: this.lists.revision,
       updates,
-      upstreamWords: this.words.take(),
+      upstreamWords,
       body,
     };
-    return [{kind: MembershipActionKind.SEND, to, address: target, message}];
+    return [{kind: MembershipActionKind.SEND, to, address, message}];
   }
 
   /** Names of the other hosts that are not held dead. */
--- a/packages/membership/src/receiver.ts
+++ b/packages/membership/src/receiver.ts
@@ -3,8 +3,10 @@
   type MemberUpdate,
   type MembershipMessage,
 } from '@parsleywood/schema/membership';
+import {compareIncarnations} from './compare_incarnations.js';
 import {describeRecord} from './describe_record.js';
 import type {ListHolder} from './list_holder.js';
+import type {MemberRecord} from './member_record.js';
 import type {MemberTable} from './member_table.js';
 import type {MembershipAction} from './membership_action.js';
 import type {Messenger} from './messenger.js';
@@ -33,6 +35,10 @@
     message: MembershipMessage,
     nowMs: number,
   ): MembershipAction[] {
+    const known = this.parts.table.get(from);
+    if (known && compareIncarnations(incarnation, known.incarnation) < 0) {
+      return this.tellSuperseded(known, message.address, nowMs);
+    }
     const header = describeSender(from, incarnation, message);
     const actions: MembershipAction[] = [];
     for (const update of [header, ...message.updates]) {
@@ -64,6 +70,16 @@
     );
   }
 
+  /** An incarnation that was replaced while it was paused has to end. */
+  private tellSuperseded(
+    later: MemberRecord,
+    address: string,
+    nowMs: number,
+  ): MembershipAction[] {
+    const update = describeRecord(later, nowMs);
+    return this.parts.messenger.sendAt(address, later.host, [update]);
+  }
+
   private takeBody(
     sender: MemberUpdate,
     message: MembershipMessage,
