--- a/packages/config/src/configuration_ledger.ts
+++ b/packages/config/src/configuration_ledger.ts
@@ -7,7 +7,6 @@
 import type {Decision} from '@parsleywood/types';
 import type {RandomGenerator} from 'pure-rand/types/RandomGenerator';
 import type {ConfigurationAction} from './configuration_action.js';
-import {ConfigurationActionKind} from './configuration_action_kind.js';
 import type {ConfigurationEvent} from './configuration_event.js';
 import {ConfigurationEventKind} from './configuration_event_kind.js';
 import type {ConfigurationProblem} from './configuration_problem.js';
@@ -17,16 +16,13 @@
 import type {Member} from './member.js';
 import {MemberView} from './member_view.js';
 import {PeerExchange} from './peer_exchange.js';
+import {sendTo} from './send_to.js';
 import {ServicePlan} from './service_plan.js';
 import {StartGate} from './start_gate.js';
 import type {ValueGroup} from './value_group.js';
 
 const GOSSIP_INTERVAL_MS = 1_000;
 const GOSSIP_SPREAD_MS = 400;
-/** Peers told at once of a value that a peer brought. */
-const FANOUT = 3;
-/** Peers of the failure domain told at once of a value of the service. */
-const WATCHER_FANOUT = 16;
 /** Peers asked by a starting host. */
 const START_ASKS = 8;
 
@@ -71,7 +67,7 @@
     if (!this.gate.hasBegun()) return 0;
     return Math.min(
       this.gossipMs,
-      this.gate.deadline(),
+      this.gate.wakeAtMs(),
       this.service.wakeAtMs(this.gate.isOpen(), this.gate.countAsked() > 0),
     );
   }
@@ -123,9 +119,7 @@
   ): ConfigurationAction[] {
     if (!this.service.follows(key)) return [];
     const isNew = this.held.offer({key, revision, text});
-    const told = isNew
-      ? [...this.view.drawNear(WATCHER_FANOUT), ...this.view.drawFar(FANOUT)]
-      : [];
+    const told = isNew ? this.view.drawForServiceNews() : [];
     return [
       ...this.takeRevision(key, revision, nowMs),
       ...this.sendDigest(told, nowMs),
@@ -151,11 +145,9 @@
       case 'digest':
         return this.takeDigest(from, body.value, nowMs);
       case 'request':
-        return this.exchange.answer(body.value).map(answer => ({
-          kind: ConfigurationActionKind.SEND,
-          to: from,
-          message: answer,
-        }));
+        return this.exchange
+          .answer(body.value)
+          .flatMap(answer => sendTo([from], answer));
       case 'values':
         return this.takePeerValues(body.value, nowMs);
       default:
@@ -171,14 +163,13 @@
     if (!digest.starting) this.gate.answer(from);
     this.service.hear(digest, key => this.held.latestRevision(key), nowMs);
     const request = this.exchange.request(digest, nowMs);
-    const actions: ConfigurationAction[] = request
-      ? [{kind: ConfigurationActionKind.SEND, to: from, message: request}]
-      : [];
     const isTold =
       digest.answerWanted &&
       (digest.starting || this.exchange.knowsMore(digest));
-    if (isTold) actions.push(...this.sendDigest([from], nowMs, false));
-    return actions;
+    return [
+      ...(request ? sendTo([from], request) : []),
+      ...(isTold ? this.sendDigest([from], nowMs, false) : []),
+    ];
   }
 
   private takePeerValues(
@@ -192,7 +183,7 @@
     }
     const news = values.filter(value => this.held.offer(value));
     if (news.length === 0) return [];
-    return this.sendDigest(this.view.drawAny(FANOUT), nowMs);
+    return this.sendDigest(this.view.drawForPeerNews(), nowMs);
   }
 
   /** Does what has become due. */
@@ -238,8 +229,7 @@
     if (nowMs < this.gossipMs) return [];
     this.gossipMs =
       nowMs + GOSSIP_INTERVAL_MS + drawBelow(this.random, GOSSIP_SPREAD_MS);
-    const hosts = [...this.view.drawNear(1), ...this.view.drawFar(1)];
-    return this.sendDigest(hosts, nowMs);
+    return this.sendDigest(this.view.drawForGossip(), nowMs);
   }
 
   private sendDigest(
@@ -252,10 +242,6 @@
       answerWanted,
       !this.gate.isOpen(),
     );
-    return hosts.map(to => ({
-      kind: ConfigurationActionKind.SEND,
-      to,
-      message,
-    }));
+    return sendTo(hosts, message);
   }
 }
--- a/packages/config/src/member_view.ts
+++ b/packages/config/src/member_view.ts
@@ -5,6 +5,10 @@
 
 /** Watchers of each key in one failure domain. */
 const WATCHERS_PER_FAILURE_DOMAIN = 2;
+/** Peers told at once of news. */
+const FANOUT = 3;
+/** Peers of a watcher's failure domain that it tells at once of news. */
+const NEAR_FANOUT = 16;
 
 /** The live hosts of the site as one host sees them. */
 export class MemberView {
@@ -33,14 +37,22 @@
     ).includes(this.self.host);
   }
 
-  /** Draws peers of this host's failure domain. */
-  drawNear(count: number): string[] {
-    return this.draw(this.near, count);
+  /** Draws the peers of one round of gossip. */
+  drawForGossip(): string[] {
+    return [...this.draw(this.near, 1), ...this.draw(this.far, 1)];
   }
 
-  /** Draws peers of the other failure domains. */
-  drawFar(count: number): string[] {
-    return this.draw(this.far, count);
+  /** Draws the peers told at once of a value that the service brought. */
+  drawForServiceNews(): string[] {
+    return [
+      ...this.draw(this.near, NEAR_FANOUT),
+      ...this.draw(this.far, FANOUT),
+    ];
+  }
+
+  /** Draws the peers told at once of a value that a peer brought. */
+  drawForPeerNews(): string[] {
+    return this.drawAny(FANOUT);
   }
 
   /** Draws peers of the whole site. */
--- /dev/null
+++ b/packages/config/src/send_to.ts
@@ -0,0 +1,11 @@
+import type {ConfigurationMessage} from '@parsleywood/schema/configuration';
+import type {ConfigurationAction} from './configuration_action.js';
+import {ConfigurationActionKind} from './configuration_action_kind.js';
+
+/** Lists the actions that send one message to some hosts. */
+export function sendTo(
+  hosts: readonly string[],
+  message: ConfigurationMessage,
+): ConfigurationAction[] {
+  return hosts.map(to => ({kind: ConfigurationActionKind.SEND, to, message}));
+}
--- a/packages/config/src/start_gate.ts
+++ b/packages/config/src/start_gate.ts
@@ -13,6 +13,7 @@
   private startedMs = -1;
   private deadlineMs = Infinity;
   private open = false;
+  private isOverdue = false;
   private readonly asked = new Set<string>();
   private readonly answered = new Set<string>();
 
@@ -33,15 +34,16 @@
     return this.asked.size;
   }
 
-  deadline(): number {
-    return this.open ? Infinity : this.deadlineMs;
+  /** Time of the next try to open; Infinity once open. */
+  wakeAtMs(): number {
+    if (this.open) return Infinity;
+    return this.isOverdue ? this.latestMs() : this.deadlineMs;
   }
 
   /** Notes that a peer is asked; the first ones put the deadline off. */
   ask(host: string, nowMs: number): void {
     if (this.asked.size === 0) {
-      const latest = this.startedMs + START_MAX_MS;
-      this.deadlineMs = Math.min(latest, nowMs + ASK_WAIT_MS);
+      this.deadlineMs = Math.min(this.latestMs(), nowMs + ASK_WAIT_MS);
     }
     this.asked.add(host);
   }
@@ -56,7 +58,8 @@
   }
 
   /**
-   * Opens when all who were asked answered and their values came, or in time.
+   * Opens when all who were asked answered, or in time, and when the values
+   * that they told of have come; at the latest after the longest wait.
    *
    * @return Whether it opened just now.
    */
@@ -65,8 +68,14 @@
     const heard =
       this.asked.size > 0 &&
       [...this.asked].every(host => this.answered.has(host));
-    if (nowMs < this.deadlineMs && (!heard || valuesPending)) return false;
+    this.isOverdue = nowMs >= this.deadlineMs;
+    const ready = !valuesPending && (heard || this.isOverdue);
+    if (!ready && nowMs < this.latestMs()) return false;
     this.open = true;
     return true;
   }
+
+  private latestMs(): number {
+    return this.startedMs + START_MAX_MS;
+  }
 }
