--- a/packages/stand-ins/src/engine_model.ts
+++ b/packages/stand-ins/src/engine_model.ts
@@ -1,6 +1,7 @@
 import type {Decision} from '@parsleywood/types';
 import type {CacheEvent} from './cache_event.js';
 import {CacheEventLog} from './cache_event_log.js';
+import {createStream} from './create_stream.js';
 import type {EngineAction} from './engine_action.js';
 import {EngineActionKind} from './engine_action_kind.js';
 import type {EngineEvent} from './engine_event.js';
@@ -11,7 +12,10 @@
 import type {EngineStream} from './engine_stream.js';
 import type {EngineSubmission} from './engine_submission.js';
 import type {LoadReport} from './load_report.js';
+import {LoadReporter} from './load_reporter.js';
+import {planStep} from './plan_step.js';
 import {PrefixCache} from './prefix_cache.js';
+import {StreamMemory} from './stream_memory.js';
 import {StreamQueue} from './stream_queue.js';
 
 /**
@@ -30,6 +34,8 @@
   slowFactor = 1;
 
   private readonly cache: PrefixCache;
+  private readonly streamMemory: StreamMemory;
+  private readonly reporter: LoadReporter;
   private readonly events: CacheEventLog;
   private readonly streams = new Map<string, EngineStream>();
   private readonly running = new StreamQueue();
@@ -39,7 +45,6 @@
   private stepEndsMs = Infinity;
   private frozenUntilMs = 0;
   private deadlineMs = Infinity;
-  private report: LoadReport;
 
   constructor(private readonly options: EngineOptions) {
     this.events = new CacheEventLog(options);
@@ -48,7 +53,10 @@
     );
     const {memoryTokens, blockTokens} = options;
     this.memory = new EngineMemory(memoryTokens, blockTokens, this.cache);
-    this.report = this.makeReport(0, -Infinity);
+    this.streamMemory = new StreamMemory(blockTokens, this.memory, this.cache);
+    this.reporter = new LoadReporter(options.loadIntervalMs, () =>
+      this.measureLoad(),
+    );
   }
 
   handle(event: EngineEvent, nowMs: number): EngineAction[] {
@@ -72,12 +80,13 @@
   }
 
   wakeAtMs(): number {
-    const wakeMs = Math.min(
+    const frozen = this.isFrozen() && this.streams.size > 0;
+    if (frozen) return this.frozenUntilMs;
+    return Math.min(
       this.stepEndsMs,
       this.deadlineMs,
       this.memory.expiresAtMs(),
     );
-    return Math.max(wakeMs, this.frozenUntilMs);
   }
 
   /** Stops all work until a time, in milliseconds. */
@@ -97,8 +106,7 @@
 
   /** The last load report; up to one report interval old. */
   load(nowMs: number): LoadReport {
-    this.renewReport(nowMs);
-    return this.report;
+    return this.reporter.read(nowMs);
   }
 
   /** Lists the visible cache events after a sequence number. */
@@ -128,27 +136,15 @@
 
   private submit(submission: EngineSubmission, actions: EngineAction[]): void {
     const refusal = this.findRefusal(submission);
-    const {attempt, limitMs, priority, resumeFrom} = submission;
+    const {attempt} = submission;
     if (refusal) {
       actions.push({kind: EngineActionKind.REFUSE, attempt, refusal});
       return;
     }
-    const deadlineMs = this.nowMs + limitMs;
-    const stream: EngineStream = {
-      submission,
-      arrival: this.arrivals++,
-      deadlineMs,
-      priority,
-      position: resumeFrom,
-      prefillLeft: submission.promptTokens + resumeFrom,
-      chunk: 0,
-      pinnedBlocks: 0,
-      cachedTokens: 0,
-      privateTokens: 0,
-    };
+    const stream = createStream(submission, this.arrivals++, this.nowMs);
     this.streams.set(attempt, stream);
     this.waiting.add(stream);
-    this.deadlineMs = Math.min(this.deadlineMs, deadlineMs);
+    this.deadlineMs = Math.min(this.deadlineMs, stream.deadlineMs);
     if (submission.reservation) this.memory.beginUse(submission.reservation);
   }
 
@@ -161,7 +157,9 @@
     if (reservation && !this.memory.readReservation(reservation)) {
       return EngineRefusal.UNKNOWN_RESERVATION;
     }
-    if (this.localTokens(submission) > this.options.memoryTokens) {
+    if (
+      this.streamMemory.countLocalTokens(submission) > this.options.memoryTokens
+    ) {
       return EngineRefusal.LARGER_THAN_MEMORY;
     }
     if (this.leaving) return EngineRefusal.LEAVING;
@@ -169,11 +167,6 @@
     return full ? EngineRefusal.FULL : undefined;
   }
 
-  private localTokens(submission: EngineSubmission): number {
-    const {promptTokens, answerTokens, remoteTokens = 0} = submission;
-    return Math.max(0, promptTokens + answerTokens - remoteTokens);
-  }
-
   private setPriority(attempt: string, priority: number): void {
     const stream = this.streams.get(attempt);
     if (!stream) return;
@@ -184,7 +177,10 @@
   }
 
   private advance(nowMs: number, actions: EngineAction[]): void {
-    if (nowMs < this.frozenUntilMs) return;
+    if (nowMs < this.frozenUntilMs) {
+      this.nowMs = nowMs;
+      return;
+    }
     this.stepEndsMs = Math.max(this.stepEndsMs, this.frozenUntilMs);
     this.frozenUntilMs = 0;
     while (this.stepEndsMs <= nowMs) {
@@ -205,58 +201,26 @@
     this.startWaiting();
     this.stepEndsMs = Infinity;
     if (this.running.size === 0) return;
-    let budget = this.options.chunkTokens;
-    let decodes = 0;
-    for (const stream of this.running.list()) {
-      stream.chunk = Math.min(budget, stream.prefillLeft);
-      budget -= stream.chunk;
-      if (stream.prefillLeft === 0) decodes++;
-    }
-    const {chunkTokens, prefillTokensPerSecond, decodeTokensPerSecond} =
-      this.options;
-    const seconds =
-      (chunkTokens - budget) / prefillTokensPerSecond +
-      decodes / decodeTokensPerSecond;
-    const stepMs = this.options.stepOverheadMs + seconds * 1000;
+    const stepMs = planStep(this.running.list(), this.options);
     this.stepEndsMs = this.nowMs + stepMs * this.slowFactor;
-    this.renewReport(this.nowMs);
+    this.reporter.renew(this.nowMs);
   }
 
   private startWaiting(): void {
     while (this.running.size < this.options.maxRunning) {
       const stream = this.waiting.first();
-      if (!stream || !this.allocate(stream)) return;
+      if (!stream || !this.streamMemory.allocate(stream)) return;
       this.waiting.remove(stream);
       this.running.add(stream);
     }
   }
 
-  private allocate(stream: EngineStream): boolean {
-    const {blocks, reservation = ''} = stream.submission;
-    const {blockTokens} = this.options;
-    const reserved = this.memory.readReservation(reservation)?.tokens ?? 0;
-    const needed = this.localTokens(stream.submission) - reserved;
-    const matched = this.cache.match(blocks);
-    for (const hash of blocks.slice(0, matched)) this.cache.pin(hash);
-    stream.pinnedBlocks = matched;
-    const tokens = Math.max(0, needed - matched * blockTokens);
-    if (!this.memory.take(tokens)) {
-      this.unpin(stream);
-      return false;
-    }
-    stream.privateTokens = tokens;
-    stream.cachedTokens = matched * blockTokens;
-    // The last token is always computed, for its successor depends on it.
-    stream.prefillLeft = Math.max(1, stream.prefillLeft - stream.cachedTokens);
-    return true;
-  }
-
   private endStep(actions: EngineAction[]): void {
     for (const stream of [...this.running.list()]) {
       if (stream.prefillLeft > 0) {
         if (stream.chunk === 0) continue;
         stream.prefillLeft -= stream.chunk;
-        this.storeBlocks(stream);
+        this.streamMemory.storeBlocks(stream);
         if (stream.prefillLeft > 0) continue;
       }
       this.emit(stream, actions);
@@ -278,35 +242,11 @@
     actions.push({kind, attempt, position, finish, usage, atMs});
   }
 
-  private storeBlocks(stream: EngineStream): void {
-    const {blocks, promptTokens, resumeFrom} = stream.submission;
-    const {blockTokens} = this.options;
-    const computed = promptTokens + resumeFrom - stream.prefillLeft;
-    const full = Math.min(blocks.length, Math.floor(computed / blockTokens));
-    for (const hash of blocks.slice(stream.pinnedBlocks, full)) {
-      if (stream.privateTokens < blockTokens) return;
-      this.cache.pin(hash);
-      this.memory.give(blockTokens);
-      stream.privateTokens -= blockTokens;
-      stream.pinnedBlocks++;
-    }
-  }
-
   private end(stream: EngineStream | undefined): void {
     if (!stream) return;
-    const {attempt, reservation} = stream.submission;
-    this.streams.delete(attempt);
+    this.streams.delete(stream.submission.attempt);
     if (!this.waiting.remove(stream)) this.running.remove(stream);
-    this.unpin(stream);
-    this.memory.give(stream.privateTokens);
-    if (reservation) this.memory.endUse(reservation, this.nowMs);
-  }
-
-  /** Lets the deepest blocks go first, for a block needs those before it. */
-  private unpin(stream: EngineStream): void {
-    const held = stream.submission.blocks.slice(0, stream.pinnedBlocks);
-    for (const hash of held.reverse()) this.cache.unpin(hash);
-    stream.pinnedBlocks = 0;
+    this.streamMemory.release(stream, this.nowMs);
   }
 
   private expire(actions: EngineAction[]): void {
@@ -324,19 +264,12 @@
     }
   }
 
-  private renewReport(nowMs: number): void {
-    if (nowMs - this.report.atMs < this.options.loadIntervalMs) return;
-    this.report = this.makeReport(this.report.sequence + 1, nowMs);
-  }
-
-  private makeReport(sequence: number, atMs: number): LoadReport {
+  private measureLoad(): Omit<LoadReport, 'sequence' | 'atMs'> {
     let waitingTokens = 0;
     for (const {prefillLeft} of this.streams.values()) {
       waitingTokens += prefillLeft;
     }
     return {
-      sequence,
-      atMs,
       memoryTokens: this.options.memoryTokens,
       usedTokens: this.memory.usedTokens,
       cachedTokens: this.memory.cachedTokens,
