--- /dev/null
+++ b/packages/bench/src/main.ts
@@ -0,0 +1,33 @@
+/** Runs one bench and prints its report. */
+import yargs from 'yargs';
+import {hideBin} from 'yargs/helpers';
+import {findBenches} from './find_benches.js';
+import {formatReport} from './format_report.js';
+
+const benches = await findBenches();
+const args = await yargs(hideBin(process.argv))
+  .scriptName('npm run bench --')
+  .command('$0 <name>', 'Runs one bench', builder =>
+    builder.positional('name', {
+      type: 'string',
+      choices: [...benches.keys()],
+      demandOption: true,
+    }),
+  )
+  .option('json', {
+    type: 'boolean',
+    default: false,
+    describe: 'Print one JSON object',
+  })
+  .option('seed', {type: 'number', default: 1})
+  .option('repeats', {type: 'number', default: 3})
+  .strict()
+  .parseAsync();
+
+const bench = benches.get(String(args['name']));
+if (!bench) throw new Error(`no bench is named ${String(args['name'])}`);
+const {seed, repeats, json} = args;
+const report = await bench({seed, repeats});
+process.stdout.write(
+  json ? `${JSON.stringify(report)}\n` : formatReport(report),
+);
