--- a/packages/bench/src/load_plan.ts
+++ b/packages/bench/src/load_plan.ts
@@ -12,7 +12,10 @@
   /** Requests in all. */
   readonly requests: number;
   readonly promptTokens: number;
+  /** Mean; the answers vary by half of it. */
   readonly answerTokens: number;
+  /** Time limit of each request, in milliseconds. */
+  readonly limitMs: number;
   /** Share of the prompt's bytes that JSON has to escape. */
   readonly escapedShare: number;
   /** Makes the prompts of one run differ from those of others. */
--- a/packages/bench/src/local_site.ts
+++ b/packages/bench/src/local_site.ts
@@ -44,7 +44,8 @@
     const services = await this.startServices();
     const keys = makeKeys();
     this.plans = await planHosts(options.hosts, this.directory, platform.url);
-    const base = makeBaseSettings(keys, options.memoryTokens);
+    const usual = makeBaseSettings(keys, options.memoryTokens);
+    const base = {...usual, ...options.base};
     await putValue(platform.url, 'base', base);
     const hostList = {hosts: this.plans.map(listHost)};
     await putValue(platform.url, `hosts/${SiteNames.SITE}`, hostList);
--- a/packages/bench/src/site_options.ts
+++ b/packages/bench/src/site_options.ts
@@ -1,3 +1,5 @@
+import type {Settings} from '@parsleywood/schema/settings';
+
 /** What a local site consists of. */
 export interface SiteOptions {
   readonly hosts: number;
@@ -11,6 +13,8 @@
   readonly logs?: string;
   /** Another build of the daemon: path of its main module. */
   readonly daemon?: string;
+  /** Parts of the base settings that take the place of the usual ones. */
+  readonly base?: Partial<Settings>;
   /** Time after which a crashed engine is back; it stays away when absent. */
   readonly engineRestartMs?: number;
 }
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -27,6 +27,7 @@
 export {hashBlocks} from './hash_blocks.js';
 export type {KvExport} from './kv_export.js';
 export type {LoadReport} from './load_report.js';
+export {pause} from './pause.js';
 export type {PlatformFaults} from './platform_faults.js';
 export type {PromptRequest} from './prompt_request.js';
 export {readPrompt} from './read_prompt.js';
