--- a/packages/admission/src/limit_shares.ts
+++ b/packages/admission/src/limit_shares.ts
@@ -57,10 +57,10 @@
   /** Part of the account's limit that this host may use, above 0 up to 1. */
   share(account: string, kind: DemandKind, nowMs: number): number {
     const sharers = this.sharersOf(account);
-    return Math.min(
-      this.split(account, kind, sharers, DOUBT_AFTER_MS, nowMs).own,
-      this.split(account, kind, sharers, SILENT_AFTER_MS, nowMs).own,
-    );
+    const surely = this.part(account, kind, sharers, DOUBT_AFTER_MS, nowMs);
+    if (!this.hasDoubt(sharers, nowMs)) return surely;
+    const maybe = this.part(account, kind, sharers, SILENT_AFTER_MS, nowMs);
+    return Math.min(surely, maybe);
   }
 
   /** Whole places of the account's limit that this host may use. */
@@ -71,16 +71,11 @@
     nowMs: number,
   ): number {
     const sharers = this.sharersOf(account);
-    return Math.min(
-      this.apportion(
-        limit,
-        this.split(account, kind, sharers, DOUBT_AFTER_MS, nowMs),
-      ),
-      this.apportion(
-        limit,
-        this.split(account, kind, sharers, SILENT_AFTER_MS, nowMs),
-      ),
-    );
+    const surely = this.split(account, kind, sharers, DOUBT_AFTER_MS, nowMs);
+    const least = this.apportion(limit, surely);
+    if (!this.hasDoubt(sharers, nowMs)) return least;
+    const maybe = this.split(account, kind, sharers, SILENT_AFTER_MS, nowMs);
+    return Math.min(least, this.apportion(limit, maybe));
   }
 
   /** Whether a message with this demand is owed to the peer. */
@@ -107,39 +102,67 @@
     return this.peers.get(from)?.hear(message, this.self.id, nowMs) ?? false;
   }
 
-  private split(
+  /** Whether a peer was heard of so long ago that it may count as silent. */
+  private hasDoubt(sharers: readonly string[], nowMs: number): boolean {
+    return sharers.some(host => {
+      const peer = this.peers.get(host);
+      return (
+        peer?.isInContact(SILENT_AFTER_MS, nowMs) === true &&
+        !peer.isInContact(DOUBT_AFTER_MS, nowMs)
+      );
+    });
+  }
+
+  /** This host's part where peers out of contact hold equal ones. */
+  private part(
     account: string,
     kind: DemandKind,
     sharers: readonly string[],
     withinMs: number,
     nowMs: number,
-  ): Split {
-    const evenPart = 1 / (sharers.length + 1);
-    const others = new Map<string, number>();
-    const heard = new Map<string, number>();
+  ): number {
+    let members = 1;
     let own = Infinity;
     let sum = 0;
     for (const host of sharers) {
       const peer = this.peers.get(host);
-      if (!peer?.isInContact(withinMs, nowMs)) {
-        others.set(host, evenPart);
-        continue;
-      }
-      const demand = peer.heardDemand(account, kind);
-      heard.set(host, demand);
-      sum += demand;
+      if (!peer?.isInContact(withinMs, nowMs)) continue;
+      members++;
+      sum += peer.heardDemand(account, kind);
       own = Math.min(own, peer.knownDemand(account, kind));
     }
-    const members = heard.size + 1;
-    const pool = members * evenPart;
-    if (own === Infinity) return {own: pool, others};
-    sum += own;
-    const partOf = (demand: number) =>
-      sum > 0
-        ? pool * (EVEN_PART / members + (1 - EVEN_PART) * (demand / sum))
-        : pool / members;
-    for (const [host, demand] of heard) others.set(host, partOf(demand));
-    return {own: partOf(own), others};
+    const pool = members / (sharers.length + 1);
+    return own === Infinity ? pool : partOf(own, sum + own, members, pool);
+  }
+
+  /** The parts of this host and of all others. */
+  private split(
+    account: string,
+    kind: DemandKind,
+    sharers: readonly string[],
+    withinMs: number,
+    nowMs: number,
+  ): Split {
+    const own = this.part(account, kind, sharers, withinMs, nowMs);
+    const inContact = sharers.filter(host =>
+      this.peers.get(host)?.isInContact(withinMs, nowMs),
+    );
+    const members = inContact.length + 1;
+    const evenPart = 1 / (sharers.length + 1);
+    const others = new Map(sharers.map(host => [host, evenPart]));
+    const known = Math.min(
+      ...inContact.map(
+        host => this.peers.get(host)?.knownDemand(account, kind) ?? 0,
+      ),
+    );
+    const heardOf = (host: string) =>
+      this.peers.get(host)?.heardDemand(account, kind) ?? 0;
+    const sum = inContact.reduce((total, host) => total + heardOf(host), known);
+    for (const host of inContact) {
+      const pool = members * evenPart;
+      others.set(host, partOf(heardOf(host), sum, members, pool));
+    }
+    return {own, others};
   }
 
   private apportion(limit: number, split: Split): number {
@@ -157,3 +180,14 @@
     return own + (rank < Math.round(limit - given) ? 1 : 0);
   }
 }
+
+/** Part of one host by its demand, with a little for each. */
+function partOf(
+  demand: number,
+  sum: number,
+  members: number,
+  pool: number,
+): number {
+  if (sum <= 0) return pool / members;
+  return pool * (EVEN_PART / members + (1 - EVEN_PART) * (demand / sum));
+}
--- a/packages/routing/src/cache_index.ts
+++ b/packages/routing/src/cache_index.ts
@@ -5,6 +5,7 @@
 /** How long a prefix stored before a gap in the events counts as cached. */
 const GAP_EXPIRY_MS = 15_000;
 const MAX_PREFIXES = 100_000;
+const MAX_HOLDERS = 16;
 
 interface EngineCache {
   incarnation: string;
@@ -99,14 +100,12 @@
   private store(engine: string, hash: string, nowMs: number): void {
     const entries = this.holders.get(hash) ?? new Map<string, Entry>();
     const {generation} = this.cacheOf(engine);
+    entries.delete(engine);
     entries.set(engine, {storedMs: nowMs, generation});
+    if (entries.size > MAX_HOLDERS) dropOldest(entries);
     this.holders.delete(hash);
     this.holders.set(hash, entries);
-    if (this.holders.size <= MAX_PREFIXES) return;
-    for (const oldest of this.holders.keys()) {
-      this.holders.delete(oldest);
-      return;
-    }
+    if (this.holders.size > MAX_PREFIXES) dropOldest(this.holders);
   }
 
   private cacheOf(engine: string): EngineCache {
@@ -118,3 +117,10 @@
     return cache;
   }
 }
+
+function dropOldest(entries: Map<string, unknown>): void {
+  for (const oldest of entries.keys()) {
+    entries.delete(oldest);
+    return;
+  }
+}
--- a/packages/routing/src/engine.ts
+++ b/packages/routing/src/engine.ts
@@ -7,4 +7,6 @@
   readonly load: EngineLoad;
   /** Monotonic time until which the engine gets no new work. */
   avoidedUntilMs: number;
+  /** Position in the rendezvous order of its model. */
+  position: number;
 }
--- a/packages/routing/src/engine_fleet.ts
+++ b/packages/routing/src/engine_fleet.ts
@@ -20,17 +20,27 @@
     return this.engines.get(name);
   }
 
+  /** Position of an engine in the order of its model. */
+  position(name: string): number | undefined {
+    return this.engines.get(name)?.position;
+  }
+
+  /** Takes over a change of the engine's load. */
+  touch(engine: Engine, nowMs: number): void {
+    this.models.get(engine.upstream.model)?.write(engine, nowMs);
+  }
+
   model(name: string): ModelEngines | undefined {
     return this.models.get(name);
   }
 
   /** Takes the full list; returns the names of the engines that are gone. */
-  update(upstreams: readonly Upstream[]): string[] {
+  update(upstreams: readonly Upstream[], nowMs: number): string[] {
     const names = new Set(upstreams.map(upstream => upstream.name));
     const gone = [...this.engines.keys()].filter(name => !names.has(name));
     for (const name of gone) this.engines.delete(name);
     for (const upstream of upstreams) this.updateEngine(upstream);
-    this.models = this.groupByModel(upstreams);
+    this.models = this.groupByModel(upstreams, nowMs);
     return gone;
   }
 
@@ -46,11 +56,13 @@
         this.classes.indexOf(tokens),
       ),
       avoidedUntilMs: -Infinity,
+      position: 0,
     });
   }
 
   private groupByModel(
     upstreams: readonly Upstream[],
+    nowMs: number,
   ): Map<string, ModelEngines> {
     const names = new Map<string, string[]>();
     for (const {model, name} of upstreams) {
@@ -66,7 +78,10 @@
       const rate =
         this.models.get(model)?.rate ??
         new PrefillRate(this.prefillTokensPerMs);
-      models.set(model, new ModelEngines(ordered, rate));
+      models.set(
+        model,
+        new ModelEngines(ordered, rate, this.classes.size, nowMs),
+      );
     }
     return models;
   }
--- a/packages/routing/src/engine_load.ts
+++ b/packages/routing/src/engine_load.ts
@@ -1,8 +1,8 @@
 import type {LoadReport} from './load_report.js';
+import type {LoadRow} from './load_row.js';
+import {LONGER_PREFILL_TOKENS} from './longer_prefill_tokens.js';
 import type {OwnAttempt} from './own_attempt.js';
 
-/** Wait, in prompt tokens, that all longer prefills of an engine cost a shorter prompt. */
-const LONGER_PREFILL_TOKENS = 8192;
 /** Wait, in prompt tokens, that one request in decoding costs. */
 const DECODING_TOKENS = 64;
 /** Least part of an unfinished prefill that counts as still queued. */
@@ -12,7 +12,7 @@
 export class EngineLoad {
   private report: LoadReport | undefined;
   private readonly attempts = new Map<string, OwnAttempt>();
-  /** Tokens of this host's prefills by class: started after the report. */
+  /** Tokens of this host's prefills that started after the report, by class. */
   private readonly newByClass: Float64Array;
   /** Tokens of this host's unfinished prefills that the report counts. */
   private countedTokens = 0;
@@ -20,45 +20,28 @@
   private doneTokens = 0;
   private usedChange = 0;
   private decodingChange = 0;
-  private longestClass = -1;
 
   constructor(
-    private readonly classCount: number,
+    classCount: number,
     private readonly classIndexOf: (tokens: number) => number,
   ) {
     this.newByClass = new Float64Array(classCount);
   }
 
-  get inFlight(): number {
-    let count = 0;
-    for (const attempt of this.attempts.values()) {
-      if (attempt.endedMs === undefined) count++;
-    }
-    return count;
-  }
-
-  /** Monotonic time of the last report; -Infinity when there is none. */
-  get reportedAtMs(): number {
-    return this.report?.takenAtMs ?? -Infinity;
-  }
-
-  /** Whether the report is newer than the last one; older ones are ignored. */
-  takeReport(report: LoadReport): boolean {
+  /** Takes a report; undefined when it is not newer, else its age when replaced. */
+  takeReport(report: LoadReport, nowMs: number): number | undefined {
     const last = this.report;
     if (last?.incarnation === report.incarnation) {
-      if (report.sequence <= last.sequence) return false;
+      if (report.sequence <= last.sequence) return undefined;
     }
     this.report = report;
-    for (const [id, attempt] of this.attempts) {
-      if (
-        attempt.endedMs !== undefined &&
-        attempt.endedMs <= report.takenAtMs
-      ) {
+    for (const [id, {endedMs}] of this.attempts) {
+      if (endedMs !== undefined && endedMs <= report.takenAtMs) {
         this.attempts.delete(id);
       }
     }
     this.recount();
-    return true;
+    return nowMs - (last?.takenAtMs ?? report.takenAtMs);
   }
 
   startAttempt(id: string, attempt: OwnAttempt): void {
@@ -83,60 +66,63 @@
     this.recount();
   }
 
-  /** Prompt tokens ahead of a new request of the class, as of now. */
-  waitTokens(classIndex: number, tokensPerMs: number, nowMs: number): number {
-    const reported = this.reportedTokens(tokensPerMs, nowMs);
-    let same = 0;
-    let longer = 0;
-    for (let index = 0; index < this.classCount; index++) {
-      const tokens = this.newByClass[index] ?? 0;
-      if (index <= classIndex) same += tokens;
-      else longer += tokens;
-    }
-    if (this.longestClass > classIndex) longer += reported;
-    else same += reported;
-    const decoding = Math.max(
-      0,
-      (this.report?.decoding ?? 0) + this.decodingChange,
-    );
-    return (
-      same +
-      Math.min(longer, LONGER_PREFILL_TOKENS) +
-      decoding * DECODING_TOKENS
-    );
-  }
-
   /** Prompt tokens of any class queued at the engine, as of now. */
   queuedTokens(tokensPerMs: number, nowMs: number): number {
-    let tokens = this.reportedTokens(tokensPerMs, nowMs);
-    for (const queued of this.newByClass) tokens += queued;
-    return tokens;
+    const report = this.report;
+    const ageMs = nowMs - (report?.takenAtMs ?? nowMs);
+    const drained = (report?.queuedTokens ?? 0) - ageMs * tokensPerMs;
+    const left = Math.min(drained, this.mostTokens());
+    const reported = Math.max(left, this.leastTokens());
+    return this.newByClass.reduce((sum, tokens) => sum + tokens, reported);
+  }
+
+  /** The load as the model's table keeps it. */
+  toRow(memoryTokens: number, blockedUntilMs: number): LoadRow {
+    const report = this.report;
+    const used = Math.max(0, (report?.usedTokens ?? 0) + this.usedChange);
+    return {
+      reportedTokens: report?.queuedTokens ?? 0,
+      reportedAtMs: report?.takenAtMs ?? 0,
+      leastTokens: this.leastTokens(),
+      mostTokens: this.mostTokens(),
+      longestClass: this.findLongestClass(),
+      baseTokens: this.baseTokens(),
+      freeTokens: memoryTokens - used,
+      blockedUntilMs,
+    };
   }
 
   /** Whether the engine prefills a prompt of a longer class. */
   hasLonger(classIndex: number): boolean {
-    if (this.longestClass > classIndex) return true;
-    for (let index = classIndex + 1; index < this.classCount; index++) {
-      if ((this.newByClass[index] ?? 0) > 0) return true;
-    }
-    return false;
+    if (this.findLongestClass() > classIndex) return true;
+    return this.newByClass.some(
+      (tokens, index) => index > classIndex && tokens > 0,
+    );
   }
 
-  /** KV memory in use, in tokens. */
-  get usedTokens(): number {
-    return Math.max(0, (this.report?.usedTokens ?? 0) + this.usedChange);
+  /** Wait that decoding and this host's new prefills cause, by class. */
+  private baseTokens(): number[] {
+    const decoding = (this.report?.decoding ?? 0) + this.decodingChange;
+    let shorter = Math.max(0, decoding) * DECODING_TOKENS;
+    let longer = this.newByClass.reduce((sum, tokens) => sum + tokens, 0);
+    return Array.from(this.newByClass, tokens => {
+      shorter += tokens;
+      longer -= tokens;
+      return shorter + Math.min(longer, LONGER_PREFILL_TOKENS);
+    });
   }
 
-  private reportedTokens(tokensPerMs: number, nowMs: number): number {
-    if (!this.report) return this.countedTokens;
-    const ageMs = Math.max(0, nowMs - this.report.takenAtMs);
-    const drained = this.report.queuedTokens - ageMs * tokensPerMs;
-    const left = Math.min(drained, this.report.queuedTokens - this.doneTokens);
-    return Math.max(left, this.countedTokens * UNFINISHED_PART, 0);
+  private leastTokens(): number {
+    return this.countedTokens * UNFINISHED_PART;
+  }
+
+  private mostTokens(): number {
+    if (!this.report) return 0;
+    return Math.max(0, this.report.queuedTokens - this.doneTokens);
   }
 
   private isCounted(attempt: OwnAttempt): boolean {
-    return attempt.startedMs <= this.reportedAtMs;
+    return attempt.startedMs <= (this.report?.takenAtMs ?? -Infinity);
   }
 
   private recount(): void {
@@ -146,38 +132,34 @@
     this.usedChange = 0;
     this.decodingChange = 0;
     for (const attempt of this.attempts.values()) this.countAttempt(attempt);
-    this.longestClass = this.findLongestClass();
   }
 
   private countAttempt(attempt: OwnAttempt): void {
-    const counted = this.isCounted(attempt);
-    const prefilled =
-      attempt.firstTokenMs !== undefined || attempt.endedMs !== undefined;
+    const prefilledMs = attempt.firstTokenMs ?? attempt.endedMs;
     const ended = attempt.endedMs !== undefined;
-    if (!counted && !ended) this.usedChange += attempt.memoryTokens;
-    if (counted && ended) this.usedChange -= attempt.memoryTokens;
-    if (!counted && prefilled && !ended) this.decodingChange++;
-    if (!counted && !prefilled) {
-      const before = this.newByClass[attempt.classIndex] ?? 0;
-      this.newByClass[attempt.classIndex] = before + attempt.prefillTokens;
+    if (!this.isCounted(attempt)) {
+      this.usedChange += attempt.memoryTokens;
+      if (prefilledMs !== undefined) {
+        this.decodingChange++;
+      } else {
+        const before = this.newByClass[attempt.classIndex] ?? 0;
+        this.newByClass[attempt.classIndex] = before + attempt.prefillTokens;
+      }
+      return;
     }
-    if (!counted) return;
-    if (!prefilled) {
+    if (ended) this.usedChange -= attempt.memoryTokens;
+    if (prefilledMs === undefined) {
       this.countedTokens += attempt.prefillTokens;
-    } else if (this.wasPrefilledSince(attempt)) {
+    } else if (prefilledMs > (this.report?.takenAtMs ?? 0)) {
       this.doneTokens += attempt.prefillTokens;
+      if (!ended) this.decodingChange++;
+    } else if (ended) {
+      this.decodingChange--;
     }
   }
 
-  private wasPrefilledSince(attempt: OwnAttempt): boolean {
-    const atMs = attempt.firstTokenMs ?? attempt.endedMs ?? Infinity;
-    return atMs > this.reportedAtMs;
-  }
-
   private findLongestClass(): number {
-    const report = this.report;
-    if (!report || report.longestPrefillTokens <= 0) return -1;
-    if (report.queuedTokens - this.doneTokens <= 0) return -1;
-    return this.classIndexOf(report.longestPrefillTokens);
+    const tokens = this.report?.longestPrefillTokens ?? 0;
+    return tokens > 0 && this.mostTokens() > 0 ? this.classIndexOf(tokens) : -1;
   }
 }
--- a/packages/routing/src/engine_scorer.ts
+++ b/packages/routing/src/engine_scorer.ts
@@ -1,19 +1,25 @@
 import type {Lane} from './lane.js';
 import type {ModelEngines} from './model_engines.js';
 import type {RoutedRequest} from './routed_request.js';
-import type {ScoredEngines} from './scored_engines.js';
 
 /** Wait, in prompt tokens, that choosing another class's engine must save. */
 const OUTSIDE_LANE_TOKENS = 256;
 /** Wait, in prompt tokens, for memory to come free. */
 const NO_MEMORY_TOKENS = 1_000_000;
 
-/** Scores the engines of a model for one request: tokens until its first one. */
+/** Scores engines of a model for one request: tokens to prefill before its own. */
 export class EngineScorer {
+  /** @param positionOf Position of an engine of the model by name. */
+  constructor(
+    private readonly positionOf: (name: string) => number | undefined,
+  ) {}
+
   /**
-   * Writes a score for each engine into the model's table.
+   * Fills the model's shortlist with the engines at the positions given and
+   * with those that hold a prefix of the prompt.
    *
-   * @param lane Positions to use; shorter classes' ones are left out.
+   * @param lane Positions of the request's class.
+   * @param positions Positions to weigh.
    * @param cached Tokens of the prompt cached, by engine.
    */
   score(
@@ -21,36 +27,88 @@
     request: RoutedRequest,
     classIndex: number,
     lane: Lane,
+    positions: Lane,
     cached: ReadonlyMap<string, number>,
     nowMs: number,
-  ): ScoredEngines {
-    const {engines, scores} = model;
-    const tokensPerMs = model.rate.tokensPerMs;
+  ): void {
+    const {table, rate, shortlist} = model;
+    const {tokensPerMs} = rate;
+    const waits = table.waitTokens(classIndex, positions, tokensPerMs, nowMs);
     const needTokens = request.promptTokens + request.answerTokens;
-    const hasCached = cached.size > 0;
+    this.scorePositions(model, waits, needTokens, lane, positions);
+    for (const [name, tokens] of cached) {
+      const row = this.positionOf(name);
+      if (row === undefined || row < lane.start) continue;
+      const index = this.include(model, waits, needTokens, positions, row);
+      const score = (shortlist.scores[index] ?? Infinity) - tokens;
+      shortlist.scores[index] = score;
+      shortlist.lowest = Math.min(shortlist.lowest, score);
+    }
+    this.leaveOut(model, request, needTokens);
+  }
+
+  private scorePositions(
+    model: ModelEngines,
+    waits: Float64Array,
+    needTokens: number,
+    lane: Lane,
+    positions: Lane,
+  ): void {
+    const {rows, scores} = model.shortlist;
+    const {freeTokens} = model.table;
     let lowest = Infinity;
-    let oldestMs = nowMs;
-    for (let index = 0; index < engines.length; index++) {
-      scores[index] = Infinity;
-      const engine = engines[index];
-      if (!engine || index < lane.start) continue;
-      const {upstream, load} = engine;
-      if (upstream.leaving || nowMs < engine.avoidedUntilMs) continue;
-      if (needTokens > upstream.memoryTokens) continue;
-      if (request.avoid.length > 0 && request.avoid.includes(upstream.name)) {
-        continue;
-      }
-      let score =
-        request.promptTokens + load.waitTokens(classIndex, tokensPerMs, nowMs);
-      if (hasCached) score -= cached.get(upstream.name) ?? 0;
-      if (index >= lane.end) score += OUTSIDE_LANE_TOKENS;
-      if (load.usedTokens + needTokens > upstream.memoryTokens) {
-        score += NO_MEMORY_TOKENS;
-      }
-      scores[index] = score;
+    let count = 0;
+    for (let row = positions.start; row < positions.end; row++) {
+      let score = waits[row] ?? Infinity;
+      if ((freeTokens[row] ?? 0) < needTokens) score += NO_MEMORY_TOKENS;
+      if (row >= lane.end) score += OUTSIDE_LANE_TOKENS;
       if (score < lowest) lowest = score;
-      if (load.reportedAtMs < oldestMs) oldestMs = load.reportedAtMs;
+      rows[count] = row;
+      scores[count++] = score;
+    }
+    model.shortlist.count = count;
+    model.shortlist.lowest = lowest;
+  }
+
+  /** Index of an engine in the shortlist; adds it where it is not in it. */
+  private include(
+    model: ModelEngines,
+    waits: Float64Array,
+    needTokens: number,
+    positions: Lane,
+    row: number,
+  ): number {
+    if (row >= positions.start && row < positions.end) {
+      return row - positions.start;
+    }
+    const {shortlist, table} = model;
+    const index = shortlist.count++;
+    const isFull = (table.freeTokens[row] ?? 0) < needTokens;
+    shortlist.rows[index] = row;
+    shortlist.scores[index] =
+      (waits[row] ?? Infinity) + (isFull ? NO_MEMORY_TOKENS : 0);
+    return index;
+  }
+
+  /** Leaves out the engines that the request must not or cannot run on. */
+  private leaveOut(
+    model: ModelEngines,
+    request: RoutedRequest,
+    needTokens: number,
+  ): void {
+    const isLarge = needTokens > model.minMemoryTokens;
+    if (!isLarge && request.avoid.length === 0) return;
+    const {shortlist, engines} = model;
+    shortlist.lowest = Infinity;
+    for (let index = 0; index < shortlist.count; index++) {
+      const upstream = engines[shortlist.rows[index] ?? 0]?.upstream;
+      const isOut =
+        !upstream ||
+        upstream.memoryTokens < needTokens ||
+        request.avoid.includes(upstream.name);
+      if (isOut) shortlist.scores[index] = Infinity;
+      const score = shortlist.scores[index] ?? Infinity;
+      shortlist.lowest = Math.min(shortlist.lowest, score);
     }
-    return {lowest, reportedMs: oldestMs};
   }
 }
--- a/packages/routing/src/lane_router.ts
+++ b/packages/routing/src/lane_router.ts
@@ -10,10 +10,10 @@
 import type {ClassDemand} from './class_demand.js';
 import {EngineFleet} from './engine_fleet.js';
 import {EngineScorer} from './engine_scorer.js';
-import {findLevel} from './find_level.js';
 import type {Lane} from './lane.js';
 import {LaneWidths} from './lane_widths.js';
 import {LengthClasses} from './length_classes.js';
+import {LevelPick} from './level_pick.js';
 import type {ModelEngines} from './model_engines.js';
 import type {RoutedRequest} from './routed_request.js';
 import type {Router} from './router.js';
@@ -23,6 +23,10 @@
 
 /** Engines whose scores differ by less count as equal, in prompt tokens. */
 const NEAR_TOKENS = 512;
+/** Engines weighed for one request while one of them is free. */
+const MAX_WEIGHED = 256;
+/** An engine with a shorter queue counts as free, in prompt tokens. */
+const FREE_TOKENS = 1024;
 /** Longest time for which the arrivals at the peers since a report are guessed. */
 const MAX_REPORT_AGE_MS = 2000;
 /** Time that an engine takes for one token of the answer. */
@@ -42,16 +46,19 @@
 /** Keeps short prompts clear of long prefills by lanes whose widths follow demand. */
 export class LaneRouter implements Router {
   private readonly classes: LengthClasses;
-  private readonly random: RandomGenerator;
+  private readonly level: LevelPick;
   private readonly fleet: EngineFleet;
   private readonly widths: LaneWidths;
   private readonly cache = new CacheIndex();
-  private readonly scorer = new EngineScorer();
+  private readonly scorer: EngineScorer;
+  private readonly random: RandomGenerator;
   private readonly attempts = new Map<string, RunningAttempt>();
 
   constructor(options: RouterOptions) {
     this.classes = new LengthClasses(options.lengthClasses);
     this.random = options.random;
+    this.level = new LevelPick(options.random);
+    this.scorer = new EngineScorer(name => this.fleet.position(name));
     this.fleet = new EngineFleet(this.classes, options.prefillTokensPerMs);
     this.widths = new LaneWidths(this.classes);
   }
@@ -74,12 +81,12 @@
   observe(event: RouterEvent, nowMs: number): void {
     switch (event.kind) {
       case RouterEventKind.UPSTREAMS:
-        for (const name of this.fleet.update(event.upstreams)) {
+        for (const name of this.fleet.update(event.upstreams, nowMs)) {
           this.cache.clear(name);
         }
         break;
       case RouterEventKind.LOAD_REPORT:
-        this.fleet.engine(event.upstream)?.load.takeReport(event);
+        this.takeReport(event, nowMs);
         break;
       case RouterEventKind.CACHE_EVENT:
         this.cache.takeEvent(event.upstream, event, nowMs);
@@ -94,7 +101,7 @@
         this.endAttempt(event.attempt, nowMs);
         break;
       case RouterEventKind.AVOID:
-        this.avoid(event.upstream, event.untilMs);
+        this.avoid(event.upstream, event.untilMs, nowMs);
         break;
       case RouterEventKind.PEER_DEMAND:
         this.widths.observePeer(event.host, event.demands, nowMs);
@@ -120,19 +127,31 @@
     const count = model.engines.length;
     const lane = this.widths.lane(request.model, classIndex, count, nowMs);
     const cached = this.cache.find(request.prefixes, nowMs);
-    const score = (positions: Lane) =>
-      this.scorer.score(model, request, classIndex, positions, cached, nowMs);
-    let scored = score(lane);
-    let aged = false;
-    if (lane.start > 0 && this.isLate(request, model, scored.lowest, nowMs)) {
-      scored = score({start: 0, end: lane.end});
-      aged = true;
+    const score = (inLane: Lane, positions: Lane) =>
+      this.scorer.score(
+        model,
+        request,
+        classIndex,
+        inLane,
+        positions,
+        cached,
+        nowMs,
+      );
+    const {shortlist} = model;
+    const window = this.drawWindow(lane, count);
+    score(lane, window);
+    const isPart = window.end - window.start < count - lane.start;
+    if (isPart && this.isBehindLonger(model, classIndex)) {
+      score(lane, {start: lane.start, end: count});
     }
-    if (scored.lowest === Infinity) return refuse();
-    const ageMs = Math.min(nowMs - scored.reportedMs, MAX_REPORT_AGE_MS);
+    const isAged =
+      lane.start > 0 && this.isLate(request, model, shortlist.lowest, nowMs);
+    if (isAged) score({start: 0, end: lane.end}, {start: 0, end: count});
+    if (shortlist.lowest === Infinity) return refuse();
     const peerTokens =
-      ageMs * this.widths.peerTokensPerMs(request.model, nowMs);
-    const index = this.pick(model, scored.lowest, NEAR_TOKENS + peerTokens);
+      Math.min(model.reportAgeMs, MAX_REPORT_AGE_MS) *
+      this.widths.peerTokensPerMs(request.model, nowMs);
+    const index = this.level.pick(shortlist, NEAR_TOKENS + peerTokens);
     const upstream = model.engines[index]?.upstream.name;
     if (upstream === undefined) return refuse();
     const cachedTokens = cached.get(upstream) ?? 0;
@@ -140,7 +159,14 @@
     return {
       kind: ChoiceKind.UPSTREAM,
       upstream,
-      reason: this.explain(model, index, classIndex, lane, cachedTokens, aged),
+      reason: this.explain(
+        model,
+        index,
+        classIndex,
+        lane,
+        cachedTokens,
+        isAged,
+      ),
       priority,
       chunkTokens: Math.max(
         MIN_CHUNK_TOKENS,
@@ -151,28 +177,21 @@
     };
   }
 
-  /** Two engines by lot among those that the expected arrivals would fill; the better of them. */
-  private pick(model: ModelEngines, lowest: number, tokens: number): number {
-    const {engines, scores} = model;
-    const level = findLevel(scores, engines.length, lowest, tokens);
-    let count = 0;
-    for (let index = 0; index < engines.length; index++) {
-      if ((scores[index] ?? Infinity) < level) count++;
-    }
-    const first = this.draw(model, level, count);
-    const second = this.draw(model, level, count);
-    return (scores[first] ?? Infinity) <= (scores[second] ?? Infinity)
-      ? first
-      : second;
+  /** Whether even the best of the shortlist waits for longer prefills. */
+  private isBehindLonger(model: ModelEngines, classIndex: number): boolean {
+    const {rows, scores, count, lowest} = model.shortlist;
+    if (lowest <= FREE_TOKENS) return false;
+    const index = scores.subarray(0, count).indexOf(lowest);
+    const engine = model.engines[rows[index] ?? 0];
+    return engine?.load.hasLonger(classIndex) ?? true;
   }
 
-  private draw(model: ModelEngines, level: number, count: number): number {
-    let left = count > 1 ? uniformInt(this.random, 0, count - 1) : 0;
-    const {engines, scores} = model;
-    for (let index = 0; index < engines.length; index++) {
-      if ((scores[index] ?? Infinity) < level && left-- === 0) return index;
-    }
-    return -1;
+  /** Some neighbouring positions of the lane, the same number at any size. */
+  private drawWindow(lane: Lane, count: number): Lane {
+    const spare = lane.end - lane.start - MAX_WEIGHED;
+    const start =
+      lane.start + (spare > 0 ? uniformInt(this.random, 0, spare) : 0);
+    return {start, end: Math.min(count, start + MAX_WEIGHED)};
   }
 
   private explain(
@@ -198,8 +217,9 @@
     waitTokens: number,
     nowMs: number,
   ): boolean {
+    const tokens = waitTokens + request.promptTokens;
     const answerMs = request.answerTokens * ANSWER_TOKEN_MS;
-    const expectedMs = waitTokens / model.rate.tokensPerMs + answerMs;
+    const expectedMs = tokens / model.rate.tokensPerMs + answerMs;
     return nowMs + expectedMs * SAFETY > request.deadlineMs;
   }
 
@@ -216,6 +236,17 @@
     return agePriority(first, request.arrivedMs, latestMs, nowMs);
   }
 
+  private takeReport(
+    event: RouterEvent & {kind: RouterEventKind.LOAD_REPORT},
+    nowMs: number,
+  ): void {
+    const engine = this.fleet.engine(event.upstream);
+    const ageMs = engine?.load.takeReport(event, nowMs);
+    if (!engine || ageMs === undefined) return;
+    this.fleet.model(engine.upstream.model)?.observeReportAge(ageMs);
+    this.fleet.touch(engine, nowMs);
+  }
+
   private startAttempt(
     event: RouterEvent & {kind: RouterEventKind.ATTEMPT_STARTED},
     nowMs: number,
@@ -234,6 +265,7 @@
       memoryTokens: request.promptTokens + request.answerTokens,
       alone: engine.load.queuedTokens(model.rate.tokensPerMs, nowMs) <= 0,
     });
+    this.fleet.touch(engine, nowMs);
     this.widths.observeArrival(request.model, classIndex, prefillTokens, nowMs);
   }
 
@@ -247,7 +279,8 @@
     const {upstream, request} = running;
     const engine = this.fleet.engine(upstream);
     const own = engine?.load.takeFirstToken(attempt, nowMs);
-    if (!own) return;
+    if (!engine || !own) return;
+    this.fleet.touch(engine, nowMs);
     if (own.alone) {
       const tokens =
         request.promptTokens - (cachedTokens ?? running.cachedTokens);
@@ -261,12 +294,17 @@
     const running = this.attempts.get(attempt);
     if (!running) return;
     this.attempts.delete(attempt);
-    this.fleet.engine(running.upstream)?.load.endAttempt(attempt, nowMs);
+    const engine = this.fleet.engine(running.upstream);
+    if (!engine) return;
+    engine.load.endAttempt(attempt, nowMs);
+    this.fleet.touch(engine, nowMs);
   }
 
-  private avoid(upstream: string, untilMs: number): void {
+  private avoid(upstream: string, untilMs: number, nowMs: number): void {
     const engine = this.fleet.engine(upstream);
-    if (engine) engine.avoidedUntilMs = untilMs;
+    if (!engine) return;
+    engine.avoidedUntilMs = untilMs;
+    this.fleet.touch(engine, nowMs);
   }
 }
 
--- a/packages/routing/src/lane_widths.ts
+++ b/packages/routing/src/lane_widths.ts
@@ -7,9 +7,17 @@
 const SHORTER_HEADROOM = 1.5;
 /** From this many engines on, one is kept from the longest class. */
 const MIN_ENGINES_TO_RESERVE = 8;
+/** How long a split of the engines is kept. */
+const KEEP_MS = 100;
 const PEER_EXPIRY_MS = 5000;
 const MS_PER_SECOND = 1000;
 
+interface Split {
+  readonly atMs: number;
+  readonly engineCount: number;
+  readonly lanes: readonly Lane[];
+}
+
 interface PeerDemand {
   readonly atMs: number;
   readonly demands: readonly ClassDemand[];
@@ -19,6 +27,7 @@
 export class LaneWidths {
   private readonly meters = new Map<string, ClassMeter[]>();
   private readonly peers = new Map<string, PeerDemand>();
+  private readonly splits = new Map<string, Split>();
 
   constructor(private readonly classes: LengthClasses) {}
 
@@ -73,20 +82,38 @@
     engineCount: number,
     nowMs: number,
   ): Lane {
-    const weights = this.weigh(model, nowMs);
-    const total = weights.reduce((sum, weight) => sum + weight, 0);
-    const before = weights
-      .slice(0, classIndex)
-      .reduce((sum, weight) => sum + weight, 0);
-    const through = before + (weights[classIndex] ?? 0);
-    const share = (weight: number) =>
+    let split = this.splits.get(model);
+    if (split?.engineCount !== engineCount || nowMs - split.atMs >= KEEP_MS) {
+      const weights = this.weigh(model, nowMs);
+      const lanes = weights.map((_, index) =>
+        this.splitOff(weights, index, engineCount),
+      );
+      split = {atMs: nowMs, engineCount, lanes};
+      this.splits.set(model, split);
+    }
+    return split.lanes[classIndex] ?? {start: 0, end: engineCount};
+  }
+
+  private splitOff(
+    weights: readonly number[],
+    classIndex: number,
+    engineCount: number,
+  ): Lane {
+    const sum = (values: readonly number[]) =>
+      values.reduce((total, value) => total + value, 0);
+    const total = sum(weights);
+    const countFor = (weight: number) =>
       total > 0 ? Math.ceil((engineCount * weight) / total) : 0;
     const start = Math.min(
-      Math.max(share(before), this.reserve(classIndex, engineCount)),
+      Math.max(
+        countFor(sum(weights.slice(0, classIndex))),
+        this.reserve(classIndex, engineCount),
+      ),
       engineCount - 1,
     );
+    const through = countFor(sum(weights.slice(0, classIndex + 1)));
     const isLast = classIndex === this.classes.size - 1;
-    const end = isLast ? engineCount : Math.max(share(through), start + 1);
+    const end = isLast ? engineCount : Math.max(through, start + 1);
     return {start, end};
   }
 
--- a/packages/routing/src/model_engines.ts
+++ b/packages/routing/src/model_engines.ts
@@ -1,21 +1,52 @@
 import type {Engine} from './engine.js';
-import {PrefillRate} from './prefill_rate.js';
+import {LoadTable} from './load_table.js';
+import type {PrefillRate} from './prefill_rate.js';
+import {Shortlist} from './shortlist.js';
+
+const AGE_WEIGHT = 0.05;
 
 /** The engines of one model, in rendezvous order. */
 export class ModelEngines {
-  /** Scores of one decision, by position; kept to spare allocations. */
-  readonly scores: Float64Array;
+  readonly table: LoadTable;
+  readonly shortlist: Shortlist;
   /** Memory of the largest engine, in tokens. */
   readonly maxMemoryTokens: number;
+  /** Memory of the smallest engine, in tokens. */
+  readonly minMemoryTokens: number;
+  /** Mean age of a load report when the next one comes, in milliseconds. */
+  private replacedAgeMs = 0;
 
   constructor(
     readonly engines: readonly Engine[],
     readonly rate: PrefillRate,
+    classCount: number,
+    nowMs: number,
   ) {
-    this.scores = new Float64Array(engines.length);
-    this.maxMemoryTokens = engines.reduce(
-      (most, engine) => Math.max(most, engine.upstream.memoryTokens),
-      0,
-    );
+    this.table = new LoadTable(engines.length, classCount);
+    this.shortlist = new Shortlist(engines.length);
+    const memories = engines.map(engine => engine.upstream.memoryTokens);
+    this.maxMemoryTokens = Math.max(0, ...memories);
+    this.minMemoryTokens = Math.min(Infinity, ...memories);
+    engines.forEach((engine, position) => {
+      engine.position = position;
+      this.write(engine, nowMs);
+    });
+  }
+
+  /** Expected age of a load report, in milliseconds. */
+  get reportAgeMs(): number {
+    return this.replacedAgeMs / 2;
+  }
+
+  observeReportAge(ageMs: number): void {
+    this.replacedAgeMs += AGE_WEIGHT * (ageMs - this.replacedAgeMs);
+  }
+
+  /** Takes a change of an engine into the table. */
+  write(engine: Engine, nowMs: number): void {
+    const {upstream, load, position, avoidedUntilMs} = engine;
+    const blockedUntilMs = upstream.leaving ? Infinity : avoidedUntilMs;
+    const row = load.toRow(upstream.memoryTokens, blockedUntilMs);
+    this.table.write(position, row, this.rate.tokensPerMs, nowMs);
   }
 }
