Serve new keys again after a majority lost its memory

When too few members were left with their memory, orders were refused until the last of them restarted too. A host that waited three claim timeouts now counts closures by hosts without memory, and votes beside the survivors, in both cases only for keys newer than the loss. A lost answer of a live issuer is asked for again.

--- a/packages/orders/src/call.ts
+++ b/packages/orders/src/call.ts
@@ -18,4 +18,6 @@
   awaitsClaim: boolean;
   /** Whether another issuer may have dispatched the order. */
   lost: boolean;
+  /** How often that issuer is asked again. */
+  followsLeft: number;
 }
--- a/packages/orders/src/calls.ts
+++ b/packages/orders/src/calls.ts
@@ -7,6 +7,8 @@
 import type {Outbox} from './outbox.js';
 import type {SubmitEvent} from './submit_event.js';
 
+const FOLLOWS_MAX = 3;
+
 /** The calls that wait for an answer. */
 export class Calls {
   private readonly open = new Map<string, Call>();
@@ -23,6 +25,7 @@
       nextAtMs: Infinity,
       awaitsClaim: false,
       lost: false,
+      followsLeft: FOLLOWS_MAX,
     };
     this.open.set(submit.call, call);
     return call;
--- a/packages/orders/src/close_older_views.ts
+++ b/packages/orders/src/close_older_views.ts
@@ -1,44 +1,63 @@
 import type {Activation} from './activation.js';
 import type {MemberState} from './member_state.js';
+import {readStartTime} from './read_start_time.js';
 import type {Standing} from './standing.js';
 import type {View} from './view.js';
 
+type Replies = [string, MemberState][];
+
 /**
  * Decides whether a host that voted in an older view may vote in the present
  * one: a majority of every view that may have been active since has closed it
- * and told its claims.
+ * and told its claims. A host that waited long enough counts closures by hosts
+ * that lost their memory, and votes only for keys newer than the loss.
  */
 export function closeOlderViews(standing: Standing): Activation | undefined {
-  const {view, crashVector} = standing;
-  const replies = [...standing.replies].filter(
-    ([host, state]) =>
-      state.complete && crashVector.isCurrent(host, state.incarnation),
+  const {crashVector} = standing;
+  const replies: Replies = [...standing.replies].filter(([host, state]) =>
+    crashVector.isCurrent(host, state.incarnation),
   );
-  const states = replies.map(([, state]) => state);
+  const complete = replies.filter(([, state]) => state.complete);
+  if (isClosed(standing, complete, complete)) {
+    return makeActivation(standing, complete);
+  }
+  if (standing.patient && isClosed(standing, complete, replies)) {
+    return makeActivation(standing, replies);
+  }
+  return undefined;
+}
+
+function isClosed(
+  standing: Standing,
+  complete: Replies,
+  closers: Replies,
+): boolean {
+  const {view, crashVector, resigned, self} = standing;
+  const closed = new Set(closers.map(([host]) => host));
+  closed.add(self.host);
+  for (const [host, incarnation] of resigned) {
+    if (crashVector.isCurrent(host, incarnation)) closed.add(host);
+  }
+  const states = complete.map(([, state]) => state);
   const base = Math.max(
     standing.activeView,
     ...states.map(state => state.activeView),
   );
-  const closed = new Set(replies.map(([host]) => host));
-  closed.add(standing.self.host);
-  for (const [host, incarnation] of standing.resigned) {
-    if (crashVector.isCurrent(host, incarnation)) closed.add(host);
-  }
-  const older = listOlderViews(standing, states).filter(
-    ({number}) => number >= base && number < view.number,
-  );
-  const allClosed = older.every(
-    ({members, quorum}) =>
-      members.filter(host => closed.has(host)).length >= quorum,
-  );
-  if (!allClosed) return undefined;
-  const starts = states.map(state => state.memoryFromMs);
-  return {memoryFromMs: Math.max(standing.memoryFromMs, ...starts)};
+  return listViews(standing, states)
+    .filter(({number}) => number >= base && number < view.number)
+    .every(
+      ({members, quorum}) =>
+        members.filter(host => closed.has(host)).length >= quorum,
+    );
 }
 
-function listOlderViews(
-  standing: Standing,
-  states: readonly MemberState[],
-): View[] {
+function listViews(standing: Standing, states: readonly MemberState[]): View[] {
   return [...standing.history, ...states.flatMap(state => state.history)];
 }
+
+function makeActivation(standing: Standing, closers: Replies): Activation {
+  const starts = closers.map(([, state]) =>
+    state.complete ? state.memoryFromMs : readStartTime(state.incarnation),
+  );
+  return {memoryFromMs: Math.max(standing.memoryFromMs, ...starts)};
+}
--- a/packages/orders/src/orders.test.ts
+++ b/packages/orders/src/orders.test.ts
@@ -65,7 +65,8 @@
           makeHost: self => new Orders(self),
           ...network,
         });
-        new FaultSteps(site).perform(steps);
+        const last = new FaultSteps(site).perform(steps);
+        expect(new Set(last)).to.eql(new Set(['']));
         expect(site.findViolations()).to.eql([]);
         expect(site.findUnanswered()).to.eql([]);
       });
@@ -147,6 +148,19 @@
     expect([...site.runs.values()]).to.eql([1, 1]);
   });
 
+  it('serves new keys after a majority restarted at once, old ones never', () => {
+    const site = makeSite(3);
+    site.submit(0, 'h0');
+    site.advance(100);
+    for (const name of ['h0', 'h1']) site.restart(name);
+    site.advance(3_000);
+    site.submit(2, 'h0');
+    for (const name of site.hosts.keys()) site.submit(0, name);
+    site.advance(LIMIT_MS);
+    expect([...site.runs.values()]).to.eql([1, 1]);
+    expect(site.findViolations()).to.eql([]);
+  });
+
   it('keeps claims and service while the list names other hosts', () => {
     const site = makeSite(3);
     site.submit(0, 'h0');
--- a/packages/orders/src/orders.ts
+++ b/packages/orders/src/orders.ts
@@ -27,6 +27,7 @@
 const FORWARDS_MAX = 2;
 /** Part of a call's remaining time after which the next host is tried. */
 const FORWARD_SHARE = 1 / 3;
+const FOLLOW_RETRY_MS = 50;
 const EXPIRY_INTERVAL_MS = 10_000;
 
 /** Lets each order run at most once over the hosts of one site. */
@@ -61,6 +62,7 @@
       this.table,
       crashVector,
       outbox,
+      bounds,
       disabled,
     );
     this.witness = new Witness(
@@ -196,7 +198,8 @@
       this.bounds.claimTimeoutMs,
       remainingMs * FORWARD_SHARE,
     );
-    this.calls.forward(call, next, nowMs + waitMs);
+    const nextAtMs = call.lost ? Infinity : nowMs + waitMs;
+    this.calls.forward(call, next, nextAtMs);
   }
 
   private claim(call: Call, nowMs: number): void {
@@ -212,12 +215,22 @@
     const call = this.calls.find(name);
     if (!call?.pending.delete(to) || call.awaitsClaim) return;
     if (call.lost) {
-      if (call.pending.size === 0) {
-        this.calls.fail(call, ORDER_FAILURES.makeUnknown());
-      }
+      this.followAgain(call, to, nowMs);
     } else if (call.latest === to) this.advance(call, nowMs);
   }
 
+  /** Asks the issuer that may have won once more, as long as it may live. */
+  private followAgain(call: Call, to: string, nowMs: number): void {
+    if (call.pending.size > 0) return;
+    if (call.followsLeft === 0 || this.peers.isDead(to)) {
+      this.calls.fail(call, ORDER_FAILURES.makeUnknown());
+      return;
+    }
+    call.followsLeft--;
+    call.route = [to];
+    call.nextAtMs = nowMs + FOLLOW_RETRY_MS;
+  }
+
   private takeForwarded(
     name: string,
     from: string,
--- a/packages/orders/src/proof/fault_steps.ts
+++ b/packages/orders/src/proof/fault_steps.ts
@@ -5,35 +5,58 @@
 const STEP_MAX = 2 ** 31 - 1;
 const STEP_GAP_SHORT_MS = 5;
 const STEP_GAP_LONG_MS = 100;
-const HEAL_MS = 400;
+const HEAL_MS = 6_000;
 const FINISH_MS = 2_000;
 
 /** Performs steps given as numbers on a simulation: calls, faults, lists. */
 export class FaultSteps {
   private names: number;
+  private readonly closed = new Set<string>();
 
   constructor(private readonly simulation: Simulation) {
     this.names = simulation.hosts.size;
   }
 
-  /** Decodes and performs random steps, then heals and resends everything. */
-  perform(steps: readonly number[]): void {
+  /**
+   * Decodes and performs random steps, ends all faults and resends everything.
+   *
+   * @return Failure kinds, or empty text, that each listed host answers to one
+   *     new order at last.
+   */
+  perform(steps: readonly number[]): string[] {
     for (const step of steps) {
       this.step(step);
       this.simulation.advance(this.drawGapMs());
     }
-    this.simulation.network.heal();
-    for (const {name} of [...this.simulation.hosts.values()]) {
-      this.simulation.resume(name);
-    }
+    this.endFaults();
+    for (let index = 0; index < 2 * ORDERS; index++) this.resend(index);
+    this.simulation.advance(FINISH_MS);
+    const before = this.simulation.replies.length;
     for (const member of this.simulation.lists.at(-1) ?? []) {
-      if (!this.simulation.hosts.get(member)?.up) {
-        this.simulation.restart(member);
-      }
+      this.simulation.submit(2 * ORDERS, member);
     }
-    this.simulation.advance(HEAL_MS);
-    for (let index = 0; index < 2 * ORDERS; index++) this.resend(index);
     this.simulation.advance(FINISH_MS);
+    return this.simulation.replies.slice(before).map(({kind}) => kind);
+  }
+
+  private endFaults(): void {
+    const {simulation} = this;
+    simulation.network.heal();
+    simulation.network.stopLosses();
+    for (const {name} of [...simulation.hosts.values()]) {
+      simulation.resume(name);
+    }
+    const names = [...simulation.hosts.keys()];
+    for (const name of names) {
+      const runs = simulation.hosts.get(name)?.up;
+      if (!runs || this.closed.has(name)) simulation.restart(name);
+    }
+    for (const name of names) {
+      for (const peer of names) {
+        simulation.tellPeer(name, peer, PeerState.REACHABLE);
+      }
+    }
+    simulation.advance(HEAL_MS);
   }
 
   /** Performs a number of random steps. */
@@ -114,7 +137,9 @@
         this.restartAll();
         break;
       case 1:
-        if (this.keepsMajority(name)) this.simulation.close(name);
+        if (!this.keepsMajority(name)) break;
+        this.closed.add(name);
+        this.simulation.close(name);
         break;
       case 2:
       case 3:
--- a/packages/orders/src/proof/network.ts
+++ b/packages/orders/src/proof/network.ts
@@ -7,6 +7,7 @@
 /** A network that delays, loses, doubles, reorders, holds and severs. */
 export class Network {
   private cut = new Set<string>();
+  private losing = true;
   private readonly held = new Map<string, (() => void)[]>();
 
   constructor(
@@ -33,7 +34,8 @@
     } = this.options;
     const copies = this.draw(0, 99) < duplicatePercent ? 2 : 1;
     for (let copy = 0; copy < copies; copy++) {
-      const dropped = this.draw(0, 99) < lossPercent || this.isCut(from, to);
+      const unlucky = this.draw(0, 99) < lossPercent && this.losing;
+      const dropped = unlucky || this.isCut(from, to);
       const delayMs = this.drawDelayMs(delayMaxMs);
       this.time.at(this.time.nowMs + delayMs, () => {
         if (!dropped && !this.isCut(from, to)) arrive();
@@ -63,6 +65,11 @@
     this.cut = new Set();
   }
 
+  /** Loses no message from now on. */
+  stopLosses(): void {
+    this.losing = false;
+  }
+
   private drawDelayMs(maxMs: number): number {
     if (maxMs <= 1) return 1;
     const isLate = this.draw(0, 99) < LATE_PERCENT;
--- a/packages/orders/src/recover_memory.ts
+++ b/packages/orders/src/recover_memory.ts
@@ -2,13 +2,15 @@
 import type {MemberState} from './member_state.js';
 import {readStartTime} from './read_start_time.js';
 import type {Standing} from './standing.js';
+import type {View} from './view.js';
 
 type Replies = [string, MemberState][];
 
 /**
  * Decides whether a host without memory may vote in the present view: it has
  * the claims of a majority of active members, or of every member, or all
- * members started without memory.
+ * members started without memory. Where a majority has lost its memory, a host
+ * that waited long enough votes for keys newer than the loss.
  */
 export function recoverMemory(standing: Standing): Activation | undefined {
   const {view, self, crashVector} = standing;
@@ -35,15 +37,36 @@
   if (all && states.every(state => !state.complete)) {
     return formView(standing, replies);
   }
+  if (all && standing.patient && isStranded(view, states)) {
+    const starts = findStarts(standing, replies);
+    const memories = active.map(state => state.memoryFromMs);
+    return {memoryFromMs: Math.max(...starts, ...memories)};
+  }
   return joinFormation(standing, active);
 }
 
+/** Whether some members vote, all others lost their memory, and none waits. */
+function isStranded(view: View, states: readonly MemberState[]): boolean {
+  return (
+    states.some(state => state.complete) &&
+    states.every(state => !state.complete || state.activeView === view.number)
+  );
+}
+
+/** When this host and the others without memory started. */
+function findStarts({self}: Standing, replies: Replies): number[] {
+  const lost = replies.filter(([, state]) => !state.complete);
+  return [
+    readStartTime(self.id),
+    ...lost.map(([, {incarnation}]) => readStartTime(incarnation)),
+  ];
+}
+
 function formView(standing: Standing, replies: Replies): Activation {
   const members = replies.map(([host, {incarnation}]) => ({host, incarnation}));
   members.push({host: standing.self.host, incarnation: standing.self.id});
-  const starts = members.map(({incarnation}) => readStartTime(incarnation));
   return {
-    memoryFromMs: Math.max(...starts),
+    memoryFromMs: Math.max(...findStarts(standing, replies)),
     formation: {view: standing.view.number, members},
   };
 }
--- a/packages/orders/src/recovery.ts
+++ b/packages/orders/src/recovery.ts
@@ -10,12 +10,15 @@
 import {compareIncarnations} from './compare_incarnations.js';
 import type {CrashVector} from './crash_vector.js';
 import type {MemberState} from './member_state.js';
+import type {OrderBounds} from './order_bounds.js';
 import type {Outbox} from './outbox.js';
 import {recoverMemory} from './recover_memory.js';
 import {Safeguard} from './safeguard.js';
 import {StateParts} from './state_parts.js';
 import {View} from './view.js';
 
+/** Claim timeouts after which a host counts on no lost memory any more. */
+const PATIENCE = 3;
 const QUERY_RETRY_MIN_MS = 50;
 const QUERY_RETRY_MAX_MS = 2_000;
 const RECORDS_PER_PART = 2_000;
@@ -33,6 +36,7 @@
   private readonly resigned = new Map<string, string>();
   private replies = new Map<string, MemberState>();
   private readonly parts = new StateParts();
+  private enteredAtMs = 0;
   private round = 0;
   private serial = 0;
   private retryMs = QUERY_RETRY_MIN_MS;
@@ -45,6 +49,7 @@
     private readonly table: ClaimTable,
     private readonly crashVector: CrashVector,
     private readonly outbox: Outbox,
+    private readonly bounds: OrderBounds,
     private readonly disabled: ReadonlySet<Safeguard>,
   ) {
     crashVector.observe(self.host, self.id);
@@ -78,10 +83,11 @@
   enter(view: View, nowMs: number): boolean {
     if (this.current && view.number <= this.current.number) return false;
     this.current = view;
+    this.enteredAtMs = nowMs;
     this.history.push(view);
     this.startRound();
     this.retryMs = QUERY_RETRY_MIN_MS;
-    this.tryActivate();
+    this.tryActivate(nowMs);
     this.query(nowMs);
     return true;
   }
@@ -111,7 +117,7 @@
     if (asked && state.view) {
       this.replies.set(from, readMemberState(incarnation, state));
     }
-    this.tryActivate();
+    this.tryActivate(nowMs);
   }
 
   /** Asks a host that is in a newer view to tell which. */
@@ -234,9 +240,9 @@
     }));
   }
 
-  private tryActivate(): void {
+  private tryActivate(nowMs: number): void {
     if (!this.current || this.isActive()) return;
-    const activation = this.decideActivation(this.current);
+    const activation = this.decideActivation(this.current, nowMs);
     if (!activation) return;
     this.complete = true;
     this.activeView = this.current.number;
@@ -247,7 +253,8 @@
     this.queryAtMs = Infinity;
   }
 
-  private decideActivation(view: View): Activation | undefined {
+  private decideActivation(view: View, nowMs: number): Activation | undefined {
+    const patienceMs = PATIENCE * this.bounds.claimTimeoutMs;
     const standing = {
       self: this.self,
       view,
@@ -256,6 +263,7 @@
       history: this.history,
       memoryFromMs: this.memoryMs,
       resigned: this.resigned,
+      patient: nowMs - this.enteredAtMs >= patienceMs,
       crashVector: this.crashVector,
       replies: this.replies,
     };
--- a/packages/orders/src/standing.ts
+++ b/packages/orders/src/standing.ts
@@ -15,6 +15,8 @@
   readonly memoryFromMs: number;
   /** Last incarnations that vote no more and whose claims are known here. */
   readonly resigned: ReadonlyMap<string, string>;
+  /** Whether the host has waited long for members that have their memory. */
+  readonly patient: boolean;
   readonly crashVector: CrashVector;
   /** Answers of the present round, by host. */
   readonly replies: ReadonlyMap<string, MemberState>;
--- a/packages/orders/src/witness.ts
+++ b/packages/orders/src/witness.ts
@@ -67,7 +67,7 @@
         record,
       );
     }
-    const refusal = record ? undefined : this.findRefusal(claim, wallMs);
+    const refusal = this.findRefusal(claim, record, wallMs);
     if (refusal !== undefined) return this.answer(claim, refusal);
     this.table.vote(claim, this.bounds.keepVoteUntil(wallMs));
     return this.answer(claim, OrderVoteAnswer.ORDER_VOTE_ANSWER_GRANTED);
@@ -88,9 +88,12 @@
 
   private findRefusal(
     claim: OrderClaim,
+    record: ClaimRecord | undefined,
     wallMs: number,
   ): OrderVoteAnswer | undefined {
-    if (this.table.isFull()) return OrderVoteAnswer.ORDER_VOTE_ANSWER_FULL;
+    if (!record && this.table.isFull()) {
+      return OrderVoteAnswer.ORDER_VOTE_ANSWER_FULL;
+    }
     if (this.disabled.has(Safeguard.KEY_AGE)) return undefined;
     const memoryFromMs = this.recovery.memoryFromMs;
     switch (this.bounds.coverKey(claim.key, memoryFromMs, wallMs)) {
