Split routing and resignations from the order decision

A counted resignation now brings the age of its host's memory along, an older answer of a peer never replaces a newer one, and closures by hosts without memory count only once every member of the view was heard.

--- a/packages/orders/src/close_older_views.ts
+++ b/packages/orders/src/close_older_views.ts
@@ -21,7 +21,10 @@
   if (isClosed(standing, complete, complete)) {
     return makeActivation(standing, complete);
   }
-  if (standing.patient && isClosed(standing, complete, replies)) {
+  const all = standing.view.members.every(
+    host => host === standing.self.host || standing.replies.has(host),
+  );
+  if (all && standing.patient && isClosed(standing, complete, replies)) {
     return makeActivation(standing, replies);
   }
   return undefined;
@@ -32,12 +35,10 @@
   complete: Replies,
   closers: Replies,
 ): boolean {
-  const {view, crashVector, resigned, self} = standing;
+  const {view, resigned, self} = standing;
   const closed = new Set(closers.map(([host]) => host));
   closed.add(self.host);
-  for (const [host, incarnation] of resigned) {
-    if (crashVector.isCurrent(host, incarnation)) closed.add(host);
-  }
+  for (const host of resigned.listHosts()) closed.add(host);
   const states = complete.map(([, state]) => state);
   const base = Math.max(
     standing.activeView,
--- a/packages/orders/src/orders.ts
+++ b/packages/orders/src/orders.ts
@@ -1,6 +1,4 @@
-import {ErrorKind, Ran} from '@parsleywood/errors';
 import type {OrderMessage} from '@parsleywood/schema/orders';
-import type {OrderOutcome} from '@parsleywood/schema/peer';
 import type {Decision, Incarnation} from '@parsleywood/types';
 import type {Call} from './call.js';
 import {Calls} from './calls.js';
@@ -17,17 +15,13 @@
 import {Outbox} from './outbox.js';
 import {Peers} from './peers.js';
 import {Recovery} from './recovery.js';
+import {Router} from './router.js';
 import type {Safeguard} from './safeguard.js';
 import type {SubmitEvent} from './submit_event.js';
 import {View} from './view.js';
 import {Witness} from './witness.js';
 
 const DEFAULT_CAPACITY = 500_000;
-/** Hosts that a call is forwarded to before its entry host claims. */
-const FORWARDS_MAX = 2;
-/** Part of a call's remaining time after which the next host is tried. */
-const FORWARD_SHARE = 1 / 3;
-const FOLLOW_RETRY_MS = 50;
 const EXPIRY_INTERVAL_MS = 10_000;
 
 /** Lets each order run at most once over the hosts of one site. */
@@ -41,6 +35,7 @@
   private readonly recovery: Recovery;
   private readonly witness: Witness;
   private readonly claims: Claims;
+  private readonly router: Router;
   private wallOffsetMs = 0;
   private expireAtMs = 0;
   private closing = false;
@@ -51,7 +46,7 @@
    * @param disabled Safeguards left out; for tests alone.
    */
   constructor(
-    private readonly self: Incarnation,
+    self: Incarnation,
     capacity = DEFAULT_CAPACITY,
     disabled: ReadonlySet<Safeguard> = new Set(),
   ) {
@@ -83,6 +78,15 @@
       capacity,
       disabled,
     );
+    this.router = new Router(
+      self.host,
+      bounds,
+      this.peers,
+      this.calls,
+      (call, nowMs) => {
+        this.claim(call, nowMs);
+      },
+    );
   }
 
   handle(event: OrderEvent, nowMs: number): OrderAction[] {
@@ -126,10 +130,10 @@
         this.takeMessage(event, nowMs);
         break;
       case OrderEventKind.FORWARD_FAILED:
-        this.takeForwardFailure(event.call, event.to, nowMs);
+        this.router.takeFailure(event.call, event.to, nowMs);
         break;
       case OrderEventKind.FORWARDED_OUTCOME:
-        this.takeForwarded(event.call, event.from, event.outcome, nowMs);
+        this.router.takeOutcome(event.call, event.from, event.outcome, nowMs);
         break;
       case OrderEventKind.VIEW:
         this.recovery.enter(
@@ -139,7 +143,9 @@
         break;
       case OrderEventKind.PEER:
         this.peers.update(event.host, event.incarnation, event.state);
-        if (this.peers.isDead(event.host)) this.leavePeer(event.host, nowMs);
+        if (this.peers.isDead(event.host)) {
+          this.router.leavePeer(event.host, nowMs);
+        }
         this.claims.settleAll(nowMs);
         break;
       case OrderEventKind.OUTCOME:
@@ -170,38 +176,10 @@
     } else if (this.bounds.isExpired(event.key, event.wallMs)) {
       this.calls.fail(call, ORDER_FAILURES.makeExpired());
     } else {
-      call.route = this.listRoute(call.order, view);
-      this.advance(call, nowMs);
+      this.router.start(call, view, nowMs);
     }
   }
 
-  /** The owner of the key, the next in order, then this host itself. */
-  private listRoute(order: string, view: View): string[] {
-    const reachable = view
-      .rankMembers(order)
-      .filter(host => host === this.self.host || this.peers.isReachable(host));
-    const self = reachable.indexOf(this.self.host);
-    const before = self < 0 ? reachable : reachable.slice(0, self);
-    return before.slice(0, FORWARDS_MAX);
-  }
-
-  /** Tries the next host of a call's route, at last this one. */
-  private advance(call: Call, nowMs: number): void {
-    call.nextAtMs = Infinity;
-    const next = call.route.shift();
-    if (next === undefined) {
-      this.claim(call, nowMs);
-      return;
-    }
-    const remainingMs = call.submit.deadlineMs - nowMs;
-    const waitMs = Math.min(
-      this.bounds.claimTimeoutMs,
-      remainingMs * FORWARD_SHARE,
-    );
-    const nextAtMs = call.lost ? Infinity : nowMs + waitMs;
-    this.calls.forward(call, next, nextAtMs);
-  }
-
   private claim(call: Call, nowMs: number): void {
     const view = this.recovery.view;
     if (!view || (this.closing && !this.claims.has(call.order))) {
@@ -211,52 +189,9 @@
     this.claims.submit(call, view, nowMs, this.readWall(nowMs));
   }
 
-  private takeForwardFailure(name: string, to: string, nowMs: number): void {
-    const call = this.calls.find(name);
-    if (!call?.pending.delete(to) || call.awaitsClaim) return;
-    if (call.lost) {
-      this.followAgain(call, to, nowMs);
-    } else if (call.latest === to) this.advance(call, nowMs);
-  }
-
-  /** Asks the issuer that may have won once more, as long as it may live. */
-  private followAgain(call: Call, to: string, nowMs: number): void {
-    if (call.pending.size > 0) return;
-    if (call.followsLeft === 0 || this.peers.isDead(to)) {
-      this.calls.fail(call, ORDER_FAILURES.makeUnknown());
-      return;
-    }
-    call.followsLeft--;
-    call.route = [to];
-    call.nextAtMs = nowMs + FOLLOW_RETRY_MS;
-  }
-
-  private takeForwarded(
-    name: string,
-    from: string,
-    outcome: OrderOutcome,
-    nowMs: number,
-  ): void {
-    const call = this.calls.find(name);
-    if (!call?.pending.has(from)) return;
-    if (outcome.failureKind === ErrorKind.HOST_UNAVAILABLE) {
-      this.takeForwardFailure(name, from, nowMs);
-      return;
-    }
-    call.pending.delete(from);
-    const otherWays = call.awaitsClaim || call.pending.size > 0;
-    if (!otherWays || isConclusive(outcome)) this.calls.answer(call, outcome);
-  }
-
-  private leavePeer(host: string, nowMs: number): void {
-    for (const call of this.calls.listPending(host)) {
-      this.takeForwardFailure(call.submit.call, host, nowMs);
-    }
-  }
-
   private wake(nowMs: number): void {
     const wallMs = this.readWall(nowMs);
-    for (const call of this.calls.listDue(nowMs)) this.advance(call, nowMs);
+    this.router.wake(nowMs);
     this.claims.wake(nowMs, wallMs);
     this.recovery.wake(nowMs);
   }
@@ -313,11 +248,3 @@
     return nowMs + this.wallOffsetMs;
   }
 }
-
-function isConclusive(outcome: OrderOutcome): boolean {
-  return (
-    outcome.failureKind === '' ||
-    outcome.failureKind === ErrorKind.ORDER_VOID ||
-    outcome.ran !== Ran.UNKNOWN
-  );
-}
--- a/packages/orders/src/recovery.ts
+++ b/packages/orders/src/recovery.ts
@@ -1,18 +1,15 @@
-import type {
-  OrderIncarnation,
-  OrderState,
-  OrderStateQuery,
-} from '@parsleywood/schema/orders';
+import type {OrderState, OrderStateQuery} from '@parsleywood/schema/orders';
 import type {Incarnation} from '@parsleywood/types';
 import type {Activation} from './activation.js';
 import type {ClaimTable} from './claim_table.js';
 import {closeOlderViews} from './close_older_views.js';
-import {compareIncarnations} from './compare_incarnations.js';
 import type {CrashVector} from './crash_vector.js';
 import type {MemberState} from './member_state.js';
 import type {OrderBounds} from './order_bounds.js';
 import type {Outbox} from './outbox.js';
+import {readMemberState} from './read_member_state.js';
 import {recoverMemory} from './recover_memory.js';
+import {Resignations} from './resignations.js';
 import {Safeguard} from './safeguard.js';
 import {StateParts} from './state_parts.js';
 import {View} from './view.js';
@@ -33,7 +30,7 @@
   private history: View[] = [];
   private memoryMs = 0;
   private formation: Activation['formation'];
-  private readonly resigned = new Map<string, string>();
+  private readonly resignations: Resignations;
   private replies = new Map<string, MemberState>();
   private readonly parts = new StateParts();
   private enteredAtMs = 0;
@@ -53,6 +50,7 @@
     private readonly disabled: ReadonlySet<Safeguard>,
   ) {
     crashVector.observe(self.host, self.id);
+    this.resignations = new Resignations(crashVector);
   }
 
   get view(): View | undefined {
@@ -84,7 +82,7 @@
     if (this.current && view.number <= this.current.number) return false;
     this.current = view;
     this.enteredAtMs = nowMs;
-    this.history.push(view);
+    this.history = this.complete ? [...this.history, view] : [view];
     this.startRound();
     this.retryMs = QUERY_RETRY_MIN_MS;
     this.tryActivate(nowMs);
@@ -112,7 +110,7 @@
     this.crashVector.merge(state.crashVector);
     if (state.view) this.enter(View.fromMessage(state.view), nowMs);
     if (!this.parts.take(from, incarnation, state)) return;
-    for (const last of state.resigned) this.noteResigned(last);
+    this.resignations.take(state);
     const asked = state.asker === this.self.id && state.round === this.round;
     if (asked && state.view) {
       this.replies.set(from, readMemberState(incarnation, state));
@@ -131,7 +129,8 @@
     if (this.resigning) return;
     this.resigning = true;
     if (!this.complete) return;
-    this.resigned.set(this.self.host, this.self.id);
+    const {host, id} = this.self;
+    this.resignations.note({host, incarnation: id});
     this.resignSends = RESIGN_SENDS;
     this.wake(nowMs);
   }
@@ -154,14 +153,6 @@
       : this.queryAtMs;
   }
 
-  private noteResigned({host, incarnation}: OrderIncarnation): void {
-    const known = this.resigned.get(host);
-    if (known !== undefined && compareIncarnations(known, incarnation) > 0) {
-      return;
-    }
-    this.resigned.set(host, incarnation);
-  }
-
   private isActive(): boolean {
     return this.complete && this.activeView === this.current?.number;
   }
@@ -222,9 +213,9 @@
         history: this.history.map(view => view.toMessage()),
         records: records.slice(from, from + RECORDS_PER_PART),
         crashVector: this.crashVector.toEntries(),
-        memoryFromMs: this.memoryMs,
+        memoryFromMs: this.tellMemoryFrom(),
         formation: this.formation,
-        resigned: this.listResigned(),
+        resigned: this.complete ? this.resignations.list() : [],
         asker,
         serial: this.serial,
       };
@@ -232,12 +223,9 @@
     }
   }
 
-  private listResigned(): OrderState['resigned'] {
-    if (!this.complete) return [];
-    return [...this.resigned].map(([host, incarnation]) => ({
-      host,
-      incarnation,
-    }));
+  /** Since when the claims known here, also of hosts that left, reach. */
+  private tellMemoryFrom(): number {
+    return Math.max(this.memoryMs, this.resignations.memoryFromMs);
   }
 
   private tryActivate(nowMs: number): void {
@@ -261,8 +249,8 @@
       complete: this.complete,
       activeView: this.activeView,
       history: this.history,
-      memoryFromMs: this.memoryMs,
-      resigned: this.resigned,
+      memoryFromMs: this.tellMemoryFrom(),
+      resigned: this.resignations,
       patient: nowMs - this.enteredAtMs >= patienceMs,
       crashVector: this.crashVector,
       replies: this.replies,
@@ -276,15 +264,3 @@
     return view.has(this.self.host) ? recoverMemory(standing) : undefined;
   }
 }
-
-function readMemberState(incarnation: string, state: OrderState): MemberState {
-  return {
-    incarnation,
-    viewNumber: state.view?.number ?? 0,
-    complete: state.complete,
-    activeView: state.activeView,
-    history: state.history.map(view => View.fromMessage(view)),
-    memoryFromMs: state.memoryFromMs,
-    formation: state.formation,
-  };
-}
--- /dev/null
+++ b/packages/orders/src/resignations.ts
@@ -0,0 +1,43 @@
+import type {OrderIncarnation, OrderState} from '@parsleywood/schema/orders';
+import {compareIncarnations} from './compare_incarnations.js';
+import type {CrashVector} from './crash_vector.js';
+
+/** The hosts that vote no more and whose claims are known here. */
+export class Resignations {
+  private readonly last = new Map<string, string>();
+  private memoryMs = 0;
+
+  constructor(private readonly crashVector: CrashVector) {}
+
+  /** Keys first used before this time may be unknown to those that left. */
+  get memoryFromMs(): number {
+    return this.memoryMs;
+  }
+
+  /** Takes the resignations that a peer tells of, with all its claims. */
+  take(state: OrderState): void {
+    if (state.resigned.length === 0) return;
+    this.memoryMs = Math.max(this.memoryMs, state.memoryFromMs);
+    for (const resigned of state.resigned) this.note(resigned);
+  }
+
+  note({host, incarnation}: OrderIncarnation): void {
+    const known = this.last.get(host);
+    const isNewer =
+      known === undefined || compareIncarnations(known, incarnation) < 0;
+    if (isNewer) this.last.set(host, incarnation);
+  }
+
+  /** Hosts of which no later incarnation is known. */
+  listHosts(): string[] {
+    return this.list()
+      .filter(({host, incarnation}) =>
+        this.crashVector.isCurrent(host, incarnation),
+      )
+      .map(({host}) => host);
+  }
+
+  list(): OrderIncarnation[] {
+    return [...this.last].map(([host, incarnation]) => ({host, incarnation}));
+  }
+}
--- a/packages/orders/src/standing.ts
+++ b/packages/orders/src/standing.ts
@@ -1,6 +1,7 @@
 import type {Incarnation} from '@parsleywood/types';
 import type {CrashVector} from './crash_vector.js';
 import type {MemberState} from './member_state.js';
+import type {Resignations} from './resignations.js';
 import type {View} from './view.js';
 
 /** What a host that wants to vote in a view has gathered. */
@@ -13,8 +14,7 @@
   /** Views entered, from the active one to the present one. */
   readonly history: readonly View[];
   readonly memoryFromMs: number;
-  /** Last incarnations that vote no more and whose claims are known here. */
-  readonly resigned: ReadonlyMap<string, string>;
+  readonly resigned: Resignations;
   /** Whether the host has waited long for members that have their memory. */
   readonly patient: boolean;
   readonly crashVector: CrashVector;
--- a/packages/orders/src/state_parts.ts
+++ b/packages/orders/src/state_parts.ts
@@ -15,7 +15,7 @@
     const {serial, part, parts} = state;
     const known = this.progress.get(from);
     const same = known?.incarnation === incarnation;
-    if (same && known.serial > serial) return parts === 1;
+    if (same && known.serial > serial) return false;
     const progress =
       same && known.serial === serial
         ? known
