--- a/packages/orders/src/orders.test.ts
+++ b/packages/orders/src/orders.test.ts
@@ -128,10 +128,12 @@
 
   it('keeps claims and service while every host is replaced in turn', () => {
     const site = makeSite(3);
+    let closingIndex = 10;
     site.submit(0, 'h0');
     site.advance(100);
     for (const name of ['h0', 'h1', 'h2']) {
       site.close(name);
+      site.submit(closingIndex++, name);
       site.advance(100);
       site.restart(name);
       site.advance(200);
@@ -141,11 +143,11 @@
     site.submit(2, 'h1');
     site.advance(100);
     expect(listReplies(site)).to.eql([
-      '/yes',
+      ...Array.from({length: 4}, () => '/yes'),
       ...Array.from({length: 3}, () => 'order_outcome_unknown/unknown'),
       '/yes',
     ]);
-    expect([...site.runs.values()]).to.eql([1, 1]);
+    expect([...site.runs.values()]).to.eql([1, 1, 1, 1, 1]);
   });
 
   it('serves new keys after a majority restarted at once, old ones never', () => {
--- a/packages/orders/src/orders.ts
+++ b/packages/orders/src/orders.ts
@@ -176,7 +176,7 @@
     } else if (this.bounds.isExpired(event.key, event.wallMs)) {
       this.calls.fail(call, ORDER_FAILURES.makeExpired());
     } else {
-      this.router.start(call, view, nowMs);
+      this.router.start(call, view, this.closing, nowMs);
     }
   }
 
--- a/packages/orders/src/router.ts
+++ b/packages/orders/src/router.ts
@@ -24,13 +24,18 @@
     private readonly claim: (call: Call, nowMs: number) => void,
   ) {}
 
-  /** Sends a call to its key's owner, the next in order, then this host. */
-  start(call: Call, view: View, nowMs: number): void {
+  /**
+   * Sends a call to its key's owner, the next in order, then this host.
+   *
+   * @param closing Whether this host makes no more claims.
+   */
+  start(call: Call, view: View, closing: boolean, nowMs: number): void {
     const reachable = view
       .rankMembers(call.order)
       .filter(host => host === this.self || this.peers.isReachable(host));
     const self = reachable.indexOf(this.self);
-    const before = self < 0 ? reachable : reachable.slice(0, self);
+    const others = reachable.filter(host => host !== this.self);
+    const before = self < 0 || closing ? others : reachable.slice(0, self);
     call.route = before.slice(0, FORWARDS_MAX);
     this.advance(call, nowMs);
   }
