Send whole milliseconds

Monotonic times have fractions, and the encoder of unsigned integers refuses them: every claim of a host on real clocks ended in a RangeError. The test sends all messages through the wire format at fractional times and failed before.

--- a/packages/orders/src/order_bounds.ts
+++ b/packages/orders/src/order_bounds.ts
@@ -52,7 +52,8 @@
 
   /** Until when a witness keeps a record made now. */
   keepVoteUntil(wallMs: number): number {
-    return wallMs + this.keyMaxAgeMs + 2 * this.clockSkewMs + VOTE_DELAY_MAX_MS;
+    const keptMs = this.keyMaxAgeMs + 2 * this.clockSkewMs + VOTE_DELAY_MAX_MS;
+    return Math.floor(wallMs) + keptMs;
   }
 
   /** Until when an issuer keeps a record made now: longer than any witness. */
--- a/packages/orders/src/orders.ts
+++ b/packages/orders/src/orders.ts
@@ -245,6 +245,6 @@
   }
 
   private readWall(nowMs: number): number {
-    return nowMs + this.wallOffsetMs;
+    return Math.floor(nowMs + this.wallOffsetMs);
   }
 }
