--- a/packages/bench/src/measure_membership.ts
+++ b/packages/bench/src/measure_membership.ts
@@ -1,5 +1,6 @@
 import {
   MembershipActionKind,
+  MembershipEventKind,
   MemberState,
   type MembershipAction,
 } from '@parsleywood/membership';
@@ -15,12 +16,16 @@
   suspectAfterMs: 1500,
   deadAfterMs: 4000,
 };
-const SETTLE_MS = 60_000;
+const START_MS = 10_000;
+const SETTLE_MS = 50_000;
 const STEADY_MS = 60_000;
 const DEATHS_A_RUN = 5;
 const DEATH_STEP_MS = 137;
 const AFTER_DEATH_MS = 8_000;
 const AFTER_RESTART_MS = 5_000;
+const LIST_STEP_MS = 250;
+const MAX_LIST_SPREAD_MS = 120_000;
+const NEW_REVISION = 2;
 const BASELINE_STEADY_MS = 5_000;
 const MS_PER_S = 1_000;
 const MAX_BYTES_PER_S = 27_000;
@@ -37,6 +42,10 @@
 interface Sample {
   readonly cost: Cost;
   readonly noticeMs: readonly number[];
+  /** Bytes a second and host while all hosts start together. */
+  readonly startBytesPerS?: number;
+  /** Time until all hosts hold a list that one of them read. */
+  readonly listSpreadMs?: number;
 }
 
 /**
@@ -59,6 +68,7 @@
     Object.assign(figures, summarize(hosts, probed));
     Object.assign(baseline, summarize(hosts, heard));
     targets[`bytesPerSAt${hosts}`] = MAX_BYTES_PER_S;
+    targets[`startBytesPerSAt${hosts}`] = MAX_BYTES_PER_S;
     targets[`processorUsPerSAt${hosts}`] = MAX_PROCESSOR_US_PER_S;
     targets[`${NOTICE_P95}At${hosts}`] = MAX_NOTICE_MS;
   }
@@ -72,14 +82,15 @@
 }
 
 function measureProbing(hosts: number, seed: number): Sample {
-  const cost: Cost = {messages: 0, bytes: 0, processorUs: 0};
-  let isSteady = false;
+  let cost = buildCost();
+  let holders = 0;
   const onAction = (_host: string, action: MembershipAction) => {
-    if (!isSteady || action.kind !== MembershipActionKind.SEND) return;
-    const bytes = MembershipMessage.encode(action.message).finish();
-    MembershipMessage.decode(bytes);
-    cost.messages++;
-    cost.bytes += bytes.length;
+    if (action.kind === MembershipActionKind.LIST_ADOPTED) {
+      holders += action.revision === NEW_REVISION ? 1 : 0;
+    }
+    if (action.kind === MembershipActionKind.SEND) {
+      addMessage(cost, action.message);
+    }
   };
   const site = new VirtualSite({
     hosts,
@@ -89,14 +100,41 @@
     onAction,
   });
   site.startAll();
+  site.run(START_MS);
+  const startBytesPerS = divideCost(cost, hosts, START_MS).bytes;
   site.run(SETTLE_MS);
-  isSteady = true;
+  cost = buildCost();
   cost.processorUs = measureProcessor(() => site.run(STEADY_MS));
-  isSteady = false;
+  const steady = divideCost(cost, hosts, STEADY_MS);
   const noticeMs = Array.from({length: DEATHS_A_RUN}, (_, i) =>
     noticeDeath(site, i),
   ).flat();
-  return {cost: divideCost(cost, hosts, STEADY_MS), noticeMs};
+  const listSpreadMs = spreadList(site, () => holders === hosts);
+  return {cost: steady, noticeMs, startBytesPerS, listSpreadMs};
+}
+
+function spreadList(site: VirtualSite, isSpread: () => boolean): number {
+  const startedMs = site.nowMs;
+  site.tell(site.hosts[0] ?? '', {
+    kind: MembershipEventKind.LIST,
+    list: site.published,
+    revision: NEW_REVISION,
+  });
+  while (!isSpread() && site.nowMs - startedMs < MAX_LIST_SPREAD_MS) {
+    site.run(LIST_STEP_MS);
+  }
+  return site.nowMs - startedMs;
+}
+
+function buildCost(): Cost {
+  return {messages: 0, bytes: 0, processorUs: 0};
+}
+
+function addMessage(cost: Cost, message: MembershipMessage): void {
+  const bytes = MembershipMessage.encode(message).finish();
+  MembershipMessage.decode(bytes);
+  cost.messages++;
+  cost.bytes += bytes.length;
 }
 
 /** Ends and restarts one host; gives the time until each other one noticed. */
@@ -121,7 +159,7 @@
 
 /** Every host tells every other that it is alive, in each interval. */
 function measureHeartbeats(hosts: number, seed: number): Sample {
-  const cost: Cost = {messages: 0, bytes: 0, processorUs: 0};
+  const cost = buildCost();
   const lastHeardMs = Array.from(
     {length: hosts},
     () => new Map<string, number>(),
@@ -131,11 +169,8 @@
     const from = `entry-${fromIndex + 1}`;
     for (let to = 0; to < hosts; to++) {
       if (to === fromIndex) continue;
-      const bytes = MembershipMessage.encode(buildHeartbeat(from)).finish();
-      MembershipMessage.decode(bytes);
+      addMessage(cost, buildHeartbeat(from));
       lastHeardMs[to]?.set(from, nowMs);
-      cost.messages++;
-      cost.bytes += bytes.length;
     }
   };
   cost.processorUs = measureProcessor(() => {
@@ -176,7 +211,17 @@
 ): Record<string, number> {
   const costs = samples.map(sample => sample.cost);
   const noticeMs = samples.flatMap(sample => sample.noticeMs);
+  const startBytes = samples.flatMap(sample => sample.startBytesPerS ?? []);
+  const spreadMs = samples.flatMap(sample => sample.listSpreadMs ?? []);
+  const extra =
+    startBytes.length === 0
+      ? {}
+      : {
+          [`startBytesPerSAt${hosts}`]: pick(startBytes, 0.5),
+          [`listSpreadMsAt${hosts}`]: pick(spreadMs, 0.5),
+        };
   return {
+    ...extra,
     [`messagesPerSAt${hosts}`]: pick(
       costs.map(c => c.messages),
       0.5,
