Take other membership times into force while running

Settings come into force after the start of a host; before, its membership kept the times it was built with. Tests on news move to a file of their own.

--- a/packages/membership/src/member_table.ts
+++ b/packages/membership/src/member_table.ts
@@ -6,6 +6,7 @@
 import {MemberState} from './member_state.js';
 import type {MembershipAction} from './membership_action.js';
 import {MembershipActionKind} from './membership_action_kind.js';
+import type {MembershipSettings} from './membership_settings.js';
 import {overridesClaim} from './overrides_claim.js';
 import {repeatsSuspicion} from './repeats_suspicion.js';
 import {resolveState} from './resolve_state.js';
@@ -29,7 +30,7 @@
 
   constructor(
     private readonly self: string,
-    private readonly deadAfterMs: number,
+    private readonly settings: MembershipSettings,
   ) {}
 
   /** Counts the changes; equal versions mean an equal table. */
@@ -141,7 +142,7 @@
 
   private expiryOf(record: MemberRecord): number {
     const waits = record.incarnation === '' ? FIRST_CONTACT_WAITS : 1;
-    return record.silentSinceMs + waits * this.deadAfterMs;
+    return record.silentSinceMs + waits * this.settings.deadAfterMs;
   }
 
   private add(listed: HostList['hosts'][number], nowMs: number): MemberRecord {
--- a/packages/membership/src/membership.test.ts
+++ b/packages/membership/src/membership.test.ts
@@ -1,15 +1,6 @@
 import {expect} from 'chai';
 import fc from 'fast-check';
-import type {HostList} from '@parsleywood/schema/host_list';
-import {MembershipMessage} from '@parsleywood/schema/membership';
-import {
-  type Member,
-  Membership,
-  MembershipActionKind,
-  MembershipEventKind,
-  MemberState,
-  UpstreamNews,
-} from './index.js';
+import {MembershipActionKind, MemberState} from './index.js';
 import {VirtualSite} from './testing/index.js';
 
 const SETTINGS = {
@@ -69,7 +60,7 @@
     const before = site.changes.length;
     site.pause('entry-1');
     site.run(3000);
-    const {state} = findMember(site, 'entry-2', 'entry-1');
+    const {state} = site.member('entry-2', 'entry-1');
     expect(state).to.equal(MemberState.SUSPECTED);
     site.pause('entry-2');
     site.resume('entry-1');
@@ -133,31 +124,6 @@
     ]);
   });
 
-  it('tells a process that a later one runs under its name', () => {
-    const site = startSite(4);
-    const kind = MembershipEventKind.MESSAGE;
-    const from = 'entry-1';
-    const message = MembershipMessage.fromPartial({address: '10.9.9.9:8082'});
-    const event = {kind, from, incarnation: '5-old', message} as const;
-    const answers = site.membership('entry-2').handle(event, site.nowMs);
-    const sent = answers.flatMap(action =>
-      action.kind === MembershipActionKind.SEND ? [action] : [],
-    );
-    expect(sent.map(({address}) => address)).to.eql(['10.9.9.9:8082']);
-    const later = findIncarnation(site, from);
-    const old = new Membership({
-      self: {host: from, id: '5-old'},
-      address: '10.9.9.9:8082',
-      settings: SETTINGS,
-      seed: 1,
-    });
-    const answer = {...event, from: 'entry-2', message: sent[0]!.message};
-    expect(old.handle(answer, 0)).to.deep.include({
-      kind: MembershipActionKind.SUPERSEDED,
-      incarnation: later,
-    });
-  });
-
   it('recovers from a partition without restarts', () => {
     const property = fc.property(
       SEEDS,
@@ -208,101 +174,6 @@
     }
   });
 
-  it('reports leaving at once, by list, own word or refusal', () => {
-    const ways: ((site: VirtualSite) => void)[] = [
-      site => site.tell('entry-1', {kind: MembershipEventKind.SELF_LEAVING}),
-      site =>
-        site.tell('entry-2', {
-          kind: MembershipEventKind.LIST,
-          list: withLeaving(site, 'entry-1'),
-          revision: 2,
-        }),
-      site =>
-        site.tell('entry-2', {
-          kind: MembershipEventKind.REFUSED,
-          host: 'entry-1',
-          incarnation: findIncarnation(site, 'entry-1'),
-        }),
-    ];
-    for (const leave of ways) {
-      const site = startSite(6);
-      leave(site);
-      site.run(10);
-      const {state} = findMember(site, 'entry-2', 'entry-1');
-      expect(state).to.equal(MemberState.LEAVING);
-      site.run(4 * SETTINGS.probeIntervalMs);
-      for (const host of site.hosts.slice(2)) {
-        const member = findMember(site, host, 'entry-1');
-        expect(member.state).to.equal(MemberState.LEAVING);
-      }
-    }
-  });
-
-  it('proves the death of a host that announced its end', () => {
-    const site = startSite(7);
-    const before = site.changes.length;
-    site.tell('entry-1', {kind: MembershipEventKind.SELF_STOPPED});
-    site.crash('entry-1');
-    site.run(2 * SETTINGS.probeIntervalMs);
-    const deaths = site.changes.slice(before).filter(isDeath);
-    expect(deaths.length).to.equal(HOSTS - 1);
-    expect(deaths.every(change => change.proved)).to.equal(true);
-  });
-
-  it('spreads the newest list among peers and keeps it against older ones', () => {
-    const site = startSite(8);
-    const list = withLeaving(site, 'entry-3');
-    const kind = MembershipEventKind.LIST;
-    site.tell('entry-1', {kind, list, revision: 5});
-    site.run(SETTLED_MS);
-    site.tell('entry-2', {kind, list: site.published, revision: 4});
-    const adopted = site.notices.filter(
-      ({action}) =>
-        action.kind === MembershipActionKind.LIST_ADOPTED &&
-        action.revision === 5,
-    );
-    expect(adopted.map(({host}) => host).sort()).to.eql(site.hosts);
-    const {state} = findMember(site, 'entry-2', 'entry-3');
-    expect(state).to.equal(MemberState.LEAVING);
-  });
-
-  it('joins a host that only its own list names', () => {
-    const site = startSite(9);
-    const grown = {
-      hosts: [
-        ...site.published.hosts,
-        {
-          name: 'entry-10',
-          callers: '10.0.1.1:8080',
-          peers: '10.0.1.1:8082',
-          failureDomain: 'domain-1',
-          state: 'live' as const,
-        },
-      ],
-    };
-    site.start('entry-10', grown, 2);
-    site.run(SETTLED_MS);
-    for (const host of site.hosts) {
-      const {state} = findMember(site, host, 'entry-10');
-      expect(state).to.equal(MemberState.ALIVE);
-    }
-  });
-
-  it('does not forget a death while the host is listed', () => {
-    const site = startSite(10);
-    const stale = findIncarnation(site, 'entry-1');
-    site.crash('entry-1');
-    site.run(10 * MINUTE_MS);
-    const kind = MembershipEventKind.LIST;
-    site.tell('entry-3', {kind, list: site.published, revision: 2});
-    const held = findMember(site, 'entry-3', 'entry-1');
-    expect(held.state).to.equal(MemberState.DEAD);
-    site.start('entry-2');
-    site.run(SETTLED_MS);
-    const {state, incarnation} = findMember(site, 'entry-2', 'entry-1');
-    expect([state, incarnation]).to.eql([MemberState.DEAD, stale]);
-  });
-
   it('settles on the truth after any schedule of faults', () => {
     const step = fc.record({
       what: fc.constantFrom('crash', 'start', 'pause', 'resume', 'cut', 'heal'),
@@ -343,31 +214,12 @@
     });
     fc.assert(property, {seed: 4, numRuns: 40});
   });
-
-  it('tells peers once what a host found out about an upstream', () => {
-    const site = startSite(11);
-    const news = UpstreamNews.LEAVING;
-    const kind = MembershipEventKind.UPSTREAM_NEWS;
-    site.tell('entry-1', {kind, upstream: 'kernel-1', news});
-    site.run(4 * SETTINGS.probeIntervalMs);
-    const told = site.notices.filter(
-      ({action}) => action.kind === MembershipActionKind.UPSTREAM_TOLD,
-    );
-    expect(told.map(({host}) => host).sort()).to.eql(site.hosts.slice(1));
-  });
 });
 
 function startSite(seed: number, lossRate = 0, hosts = HOSTS): VirtualSite {
-  const site = new VirtualSite({
-    hosts,
-    failureDomains: 3,
-    seed,
-    settings: SETTINGS,
-    lossRate,
-  });
-  site.startAll();
-  site.run(SETTLED_MS);
-  return site;
+  const settings = SETTINGS;
+  const options = {hosts, failureDomains: 3, seed, settings, lossRate};
+  return VirtualSite.startSettled(options);
 }
 
 function isDeath(change: {state: MemberState}): boolean {
@@ -398,21 +250,3 @@
     ]),
   );
 }
-
-function withLeaving(site: VirtualSite, name: string): HostList {
-  const hosts = site.published.hosts.map(host =>
-    host.name === name ? {...host, state: 'leaving' as const} : host,
-  );
-  return {hosts};
-}
-
-function findMember(site: VirtualSite, observer: string, host: string): Member {
-  const members = site.membership(observer).members();
-  const found = members.find(member => member.host === host);
-  if (found === undefined) throw new Error(`"${host}" is no member`);
-  return found;
-}
-
-function findIncarnation(site: VirtualSite, host: string): string {
-  return findMember(site, 'entry-2', host).incarnation;
-}
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -8,6 +8,7 @@
 import type {MembershipEvent} from './membership_event.js';
 import {MembershipEventKind} from './membership_event_kind.js';
 import type {MembershipOptions} from './membership_options.js';
+import type {MembershipSettings} from './membership_settings.js';
 import {Messenger} from './messenger.js';
 import {Prober} from './prober.js';
 import {Random} from './random.js';
@@ -23,6 +24,7 @@
 
 /** Tells which hosts of the site are alive, suspected, leaving or dead. */
 export class Membership implements Decision<MembershipEvent, MembershipAction> {
+  private readonly settings: MembershipSettings;
   private readonly random: Random;
   private readonly table: MemberTable;
   private readonly lists = new ListHolder();
@@ -35,11 +37,12 @@
   private nextIndirectMs = Infinity;
 
   constructor(private readonly options: MembershipOptions) {
-    const {self, address, settings, seed} = options;
+    const {self, address, seed} = options;
+    this.settings = {...options.settings};
     this.random = new Random(seed);
-    this.table = new MemberTable(self.host, settings.deadAfterMs);
+    this.table = new MemberTable(self.host, this.settings);
     this.self = new SelfClaim(self);
-    this.prober = new Prober(self.host, this.table, settings, this.random);
+    this.prober = new Prober(self.host, this.table, this.settings, this.random);
     this.messenger = new Messenger(address, this.self, this.table, this.lists);
     this.synchronizer = new Synchronizer(
       this.self,
@@ -54,7 +57,7 @@
       prober: this.prober,
       messenger: this.messenger,
       synchronizer: this.synchronizer,
-      suspectAfterMs: settings.suspectAfterMs,
+      settings: this.settings,
     });
   }
 
@@ -82,6 +85,9 @@
     switch (event.kind) {
       case MembershipEventKind.LIST:
         return this.takeList(event.list, event.revision, nowMs);
+      case MembershipEventKind.SETTINGS:
+        Object.assign(this.settings, event.settings);
+        return [];
       case MembershipEventKind.MESSAGE:
         return this.takeMessage(event, nowMs);
       case MembershipEventKind.REFUSED:
@@ -102,7 +108,7 @@
   /** A late wake means that this process was paused, not the others. */
   private noticeStall(nowMs: number): MembershipAction[] {
     const stalledMs = nowMs - this.wakeAtMs();
-    const {probeIntervalMs} = this.options.settings;
+    const {probeIntervalMs} = this.settings;
     if (!(stalledMs > probeIntervalMs * STALL_INTERVALS)) return [];
     this.table.extendSuspicions(stalledMs);
     this.prober.forgive();
@@ -119,7 +125,7 @@
     if (!this.lists.adopt(list, revision)) return [];
     this.table.adoptList(list, nowMs);
     if (this.nextRoundMs === Infinity) {
-      const {probeIntervalMs} = this.options.settings;
+      const {probeIntervalMs} = this.settings;
       this.nextRoundMs = nowMs + this.random.drawBelow(probeIntervalMs);
     }
     return [{kind: MembershipActionKind.LIST_ADOPTED, list, revision}];
@@ -151,7 +157,7 @@
   }
 
   private startRound(nowMs: number): MembershipAction[] {
-    const {probeIntervalMs} = this.options.settings;
+    const {probeIntervalMs} = this.settings;
     for (const {record, sinceMs} of this.prober.closeRound(nowMs)) {
       if (this.table.suspect(record, sinceMs)) {
         this.messenger.spread(record.host);
--- a/packages/membership/src/membership_event.ts
+++ b/packages/membership/src/membership_event.ts
@@ -1,6 +1,7 @@
 import type {HostList} from '@parsleywood/schema/host_list';
 import type {MembershipMessage} from '@parsleywood/schema/membership';
 import type {MembershipEventKind} from './membership_event_kind.js';
+import type {MembershipSettings} from './membership_settings.js';
 import type {UpstreamNews} from './upstream_news.js';
 
 /** What membership is told. */
@@ -11,6 +12,11 @@
       readonly list: HostList;
       readonly revision: number;
     }
+  /** Other times are in force from now on. */
+  | {
+      readonly kind: MembershipEventKind.SETTINGS;
+      readonly settings: MembershipSettings;
+    }
   /** A peer's message arrived; host and incarnation are the sender's. */
   | {
       readonly kind: MembershipEventKind.MESSAGE;
--- a/packages/membership/src/membership_event_kind.ts
+++ b/packages/membership/src/membership_event_kind.ts
@@ -1,6 +1,7 @@
 /** Kinds of events that membership takes. */
 export enum MembershipEventKind {
   LIST = 'list',
+  SETTINGS = 'settings',
   MESSAGE = 'message',
   WAKE = 'wake',
   REFUSED = 'refused',
--- /dev/null
+++ b/packages/membership/src/membership_news.test.ts
@@ -0,0 +1,183 @@
+import {expect} from 'chai';
+import type {HostList} from '@parsleywood/schema/host_list';
+import {MembershipMessage} from '@parsleywood/schema/membership';
+import {
+  Membership,
+  MembershipActionKind,
+  MembershipEventKind,
+  MemberState,
+  UpstreamNews,
+} from './index.js';
+import {VirtualSite} from './testing/index.js';
+
+const SETTINGS = {
+  probeIntervalMs: 500,
+  suspectAfterMs: 1500,
+  deadAfterMs: 4000,
+};
+const SETTLED_MS = 10_000;
+const HOSTS = 9;
+const MINUTE_MS = 60_000;
+
+describe('news of membership', () => {
+  it('tells a process that a later one runs under its name', () => {
+    const site = startSite(4);
+    const kind = MembershipEventKind.MESSAGE;
+    const from = 'entry-1';
+    const message = MembershipMessage.fromPartial({address: '10.9.9.9:8082'});
+    const event = {kind, from, incarnation: '5-old', message} as const;
+    const answers = site.membership('entry-2').handle(event, site.nowMs);
+    const sent = answers.flatMap(action =>
+      action.kind === MembershipActionKind.SEND ? [action] : [],
+    );
+    expect(sent.map(({address}) => address)).to.eql(['10.9.9.9:8082']);
+    const later = site.member('entry-2', from).incarnation;
+    const old = new Membership({
+      self: {host: from, id: '5-old'},
+      address: '10.9.9.9:8082',
+      settings: SETTINGS,
+      seed: 1,
+    });
+    const answer = {...event, from: 'entry-2', message: sent[0]!.message};
+    expect(old.handle(answer, 0)).to.deep.include({
+      kind: MembershipActionKind.SUPERSEDED,
+      incarnation: later,
+    });
+  });
+
+  it('reports leaving at once, by list, own word or refusal', () => {
+    const ways: ((site: VirtualSite) => void)[] = [
+      site => site.tell('entry-1', {kind: MembershipEventKind.SELF_LEAVING}),
+      site =>
+        site.tell('entry-2', {
+          kind: MembershipEventKind.LIST,
+          list: withLeaving(site, 'entry-1'),
+          revision: 2,
+        }),
+      site =>
+        site.tell('entry-2', {
+          kind: MembershipEventKind.REFUSED,
+          host: 'entry-1',
+          incarnation: site.member('entry-2', 'entry-1').incarnation,
+        }),
+    ];
+    for (const leave of ways) {
+      const site = startSite(6);
+      leave(site);
+      site.run(10);
+      const {state} = site.member('entry-2', 'entry-1');
+      expect(state).to.equal(MemberState.LEAVING);
+      site.run(4 * SETTINGS.probeIntervalMs);
+      for (const host of site.hosts.slice(2)) {
+        const member = site.member(host, 'entry-1');
+        expect(member.state).to.equal(MemberState.LEAVING);
+      }
+    }
+  });
+
+  it('proves the death of a host that announced its end', () => {
+    const site = startSite(7);
+    const before = site.changes.length;
+    site.tell('entry-1', {kind: MembershipEventKind.SELF_STOPPED});
+    site.crash('entry-1');
+    site.run(2 * SETTINGS.probeIntervalMs);
+    const deaths = site.changes.slice(before).filter(isDeath);
+    expect(deaths.length).to.equal(HOSTS - 1);
+    expect(deaths.every(change => change.proved)).to.equal(true);
+  });
+
+  it('spreads the newest list among peers and keeps it against older ones', () => {
+    const site = startSite(8);
+    const list = withLeaving(site, 'entry-3');
+    const kind = MembershipEventKind.LIST;
+    site.tell('entry-1', {kind, list, revision: 5});
+    site.run(SETTLED_MS);
+    site.tell('entry-2', {kind, list: site.published, revision: 4});
+    const adopted = site.notices.filter(
+      ({action}) =>
+        action.kind === MembershipActionKind.LIST_ADOPTED &&
+        action.revision === 5,
+    );
+    expect(adopted.map(({host}) => host).sort()).to.eql(site.hosts);
+    const {state} = site.member('entry-2', 'entry-3');
+    expect(state).to.equal(MemberState.LEAVING);
+  });
+
+  it('joins a host that only its own list names', () => {
+    const site = startSite(9);
+    const grown = {
+      hosts: [
+        ...site.published.hosts,
+        {
+          name: 'entry-10',
+          callers: '10.0.1.1:8080',
+          peers: '10.0.1.1:8082',
+          failureDomain: 'domain-1',
+          state: 'live' as const,
+        },
+      ],
+    };
+    site.start('entry-10', grown, 2);
+    site.run(SETTLED_MS);
+    for (const host of site.hosts) {
+      const {state} = site.member(host, 'entry-10');
+      expect(state).to.equal(MemberState.ALIVE);
+    }
+  });
+
+  it('does not forget a death while the host is listed', () => {
+    const site = startSite(10);
+    const stale = site.member('entry-2', 'entry-1').incarnation;
+    site.crash('entry-1');
+    site.run(10 * MINUTE_MS);
+    const kind = MembershipEventKind.LIST;
+    site.tell('entry-3', {kind, list: site.published, revision: 2});
+    const held = site.member('entry-3', 'entry-1');
+    expect(held.state).to.equal(MemberState.DEAD);
+    site.start('entry-2');
+    site.run(SETTLED_MS);
+    const {state, incarnation} = site.member('entry-2', 'entry-1');
+    expect([state, incarnation]).to.eql([MemberState.DEAD, stale]);
+  });
+
+  it('takes other times into force while it runs', () => {
+    const site = startSite(15);
+    const kind = MembershipEventKind.SETTINGS;
+    const settings = {...SETTINGS, suspectAfterMs: 1000, deadAfterMs: 2000};
+    for (const host of site.hosts) site.tell(host, {kind, settings});
+    const before = site.changes.length;
+    site.crash('entry-1');
+    site.run(2000 + 2 * SETTINGS.probeIntervalMs + 1);
+    const dead = site.changes.slice(before).filter(isDeath);
+    expect(dead.length).to.equal(HOSTS - 1);
+  });
+
+  it('tells peers once what a host found out about an upstream', () => {
+    const site = startSite(11);
+    const news = UpstreamNews.LEAVING;
+    const kind = MembershipEventKind.UPSTREAM_NEWS;
+    site.tell('entry-1', {kind, upstream: 'kernel-1', news});
+    site.run(4 * SETTINGS.probeIntervalMs);
+    const told = site.notices.filter(
+      ({action}) => action.kind === MembershipActionKind.UPSTREAM_TOLD,
+    );
+    expect(told.map(({host}) => host).sort()).to.eql(site.hosts.slice(1));
+  });
+});
+
+function startSite(seed: number): VirtualSite {
+  const settings = SETTINGS;
+  const options = {hosts: HOSTS, failureDomains: 3, seed, settings};
+  return VirtualSite.startSettled(options);
+}
+
+function isDeath(change: {state: MemberState}): boolean {
+  return change.state === MemberState.DEAD;
+}
+
+function withLeaving(site: VirtualSite, name: string): HostList {
+  const hosts = site.published.hosts.map(host =>
+    host.name === name ? {...host, state: 'leaving' as const} : host,
+  );
+  return {hosts};
+}
--- a/packages/membership/src/receiver.ts
+++ b/packages/membership/src/receiver.ts
@@ -9,6 +9,7 @@
 import type {MemberRecord} from './member_record.js';
 import type {MemberTable} from './member_table.js';
 import type {MembershipAction} from './membership_action.js';
+import type {MembershipSettings} from './membership_settings.js';
 import type {Messenger} from './messenger.js';
 import type {Prober} from './prober.js';
 import type {SelfClaim} from './self_claim.js';
@@ -21,7 +22,7 @@
   readonly prober: Prober;
   readonly messenger: Messenger;
   readonly synchronizer: Synchronizer;
-  readonly suspectAfterMs: number;
+  readonly settings: MembershipSettings;
 }
 
 /** Takes what peers say and answers them. */
@@ -178,7 +179,7 @@
     if (record?.incarnation !== update.incarnation) return false;
     if (record.refutation !== update.refutation) return false;
     if (record.claim !== MemberClaim.MEMBER_CLAIM_ALIVE) return false;
-    const {suspectAfterMs} = this.parts;
+    const {suspectAfterMs} = this.parts.settings;
     switch (update.claim) {
       case MemberClaim.MEMBER_CLAIM_SUSPECTED:
         return record.lastAckMs > nowMs - update.silentMs;
--- a/packages/membership/src/testing/virtual_site.ts
+++ b/packages/membership/src/testing/virtual_site.ts
@@ -1,4 +1,5 @@
 import type {HostList} from '@parsleywood/schema/host_list';
+import type {Member} from '../member.js';
 import {Membership} from '../membership.js';
 import type {MembershipAction} from '../membership_action.js';
 import {MembershipActionKind} from '../membership_action_kind.js';
@@ -8,6 +9,7 @@
 import type {SiteChange} from './site_change.js';
 import type {SiteOptions} from './site_options.js';
 
+const SETTLED_MS = 10_000;
 const MIN_LATENCY_MS = 1;
 const LATENCY_SPREAD_MS = 3;
 const LOSS_STEPS = 10_000;
@@ -42,6 +44,14 @@
     this.list = buildList(options.hosts, options.failureDomains);
   }
 
+  /** Starts all hosts and lets them find each other. */
+  static startSettled(options: SiteOptions): VirtualSite {
+    const site = new VirtualSite(options);
+    site.startAll();
+    site.run(SETTLED_MS);
+    return site;
+  }
+
   get nowMs(): number {
     return this.timeMs;
   }
@@ -111,6 +121,14 @@
     return this.find(host).membership;
   }
 
+  /** What one host holds of another. */
+  member(observer: string, host: string): Member {
+    const members = this.membership(observer).members();
+    const found = members.find(member => member.host === host);
+    if (found === undefined) throw new Error(`"${host}" is no member`);
+    return found;
+  }
+
   run(durationMs: number): void {
     const endMs = this.timeMs + durationMs;
     for (; this.timeMs < endMs; this.timeMs++) {
