--- a/packages/bench/src/measure_overhead.ts
+++ b/packages/bench/src/measure_overhead.ts
@@ -87,8 +87,8 @@
   seeds: readonly number[],
 ): Promise<Figures> {
   return withSite(siteChanges, async site => {
-    // Lets both processes compile what they run.
-    await compare(site, {...shape, concurrency: 8}, 0);
+    // Lets the processes compile what they run and the limits settle.
+    await compare(site, {...shape, requests: shape.requests / 2}, 0);
     const pairs: Pair[] = [];
     for (const seed of seeds) pairs.push(await compare(site, shape, seed));
     return {
