Soak a site of real processes in random faults: npm run test:soak

Checks that no order is executed twice, each answer is whole and its own, each request ends in its limit, no order told as not run was executed, and the engines' memory returns to the cache alone.

--- a/packages/bench/src/child.ts
+++ b/packages/bench/src/child.ts
@@ -65,6 +65,13 @@
     this.process.kill(signal);
   }
 
+  /** Ends the process by force. */
+  async kill(): Promise<void> {
+    if (this.isOver) return;
+    this.process.kill('SIGKILL');
+    await this.exited;
+  }
+
   /** Asks the process to end and ends it by force after a time. */
   async stop(waitMs: number): Promise<void> {
     if (this.isOver) return;
--- /dev/null
+++ b/packages/bench/src/run_soak.ts
@@ -0,0 +1,63 @@
+import {CallerLoad} from './caller_load.js';
+import {checkCompletions} from './check_completions.js';
+import {checkEngines} from './check_engines.js';
+import {checkOrders} from './check_orders.js';
+import {LocalSite} from './local_site.js';
+import {readExecutions} from './read_executions.js';
+import {SITE_DEFAULTS} from './site_defaults.js';
+import {SoakFaults} from './soak_faults.js';
+import type {SoakOptions} from './soak_options.js';
+import type {SoakReport} from './soak_report.js';
+
+const MINUTE_MS = 60_000;
+const HOSTS = 4;
+const ENGINE_RESTART_MS = 1_500;
+const LOAD = {
+  completionsPerSecond: 20,
+  ordersPerSecond: 10,
+  promptTokens: 300,
+  answerTokens: 24,
+  limitMs: 10_000,
+};
+
+/** Runs a random schedule of faults against a site under load. */
+export async function runSoak(
+  options: SoakOptions,
+  logs?: string,
+): Promise<SoakReport> {
+  const local = new LocalSite({
+    ...SITE_DEFAULTS,
+    hosts: HOSTS,
+    engineRestartMs: ENGINE_RESTART_MS,
+    ...(logs === undefined ? {} : {logs}),
+  });
+  try {
+    const site = await local.start();
+    const {seed, minutes} = options;
+    const load = new CallerLoad(site, {...LOAD, seed});
+    const faults = new SoakFaults(local, site, seed);
+    load.start();
+    await faults.run(performance.now() + minutes * MINUTE_MS);
+    await load.stop();
+    const executions = await readExecutions(site);
+    const {completions, orders} = load;
+    const {longestPauseMs, counts, unwilling} = faults;
+    return {
+      seed,
+      completions: completions.length,
+      answered: completions.filter(({result}) => result.whole).length,
+      orders: orders.length,
+      placed: orders.filter(({answers}) => answers.at(-1)?.status === 201)
+        .length,
+      faults: counts,
+      violations: [
+        ...checkCompletions(completions, LOAD.limitMs, longestPauseMs),
+        ...checkOrders(orders, executions),
+        ...(await checkEngines(site)),
+        ...unwilling.map(name => `${name}: did not stop when asked to`),
+      ],
+    };
+  } finally {
+    await local.stop();
+  }
+}
--- /dev/null
+++ b/packages/bench/src/soak_report.ts
@@ -0,0 +1,14 @@
+/** What a soak test has found. */
+export interface SoakReport {
+  readonly seed: number;
+  readonly completions: number;
+  /** Completions answered whole. */
+  readonly answered: number;
+  readonly orders: number;
+  /** Orders whose last answer was a success. */
+  readonly placed: number;
+  /** Faults by kind. */
+  readonly faults: Readonly<Record<string, number>>;
+  /** What must not happen and did. */
+  readonly violations: readonly string[];
+}
