Give a reservation's memory to one stream at a time

Two attempts on one reservation each took its whole memory, so that an engine held more than its capacity; the test with two attempts failed before. The batch is a class of its own.

--- a/packages/stand-ins/src/engine_memory.ts
+++ b/packages/stand-ins/src/engine_memory.ts
@@ -7,6 +7,7 @@
   private readonly reservations = new Map<string, Reservation>();
   private readonly exports = new Map<string, KvExport>();
   private readonly users = new Map<string, number>();
+  private readonly holders = new Map<string, string>();
   private privateTokens = 0;
   private heldTokens = 0;
 
@@ -72,8 +73,23 @@
     this.users.set(id, (this.users.get(id) ?? 0) + 1);
   }
 
+  /** Gives a reservation's memory to one stream; 0 when another one has it. */
+  claim(id: string, attempt: string): number {
+    const holder = this.holders.get(id);
+    const reservation = this.reservations.get(id);
+    if (!reservation || (holder ?? attempt) !== attempt) return 0;
+    this.holders.set(id, attempt);
+    return reservation.tokens;
+  }
+
+  /** Takes a reservation's memory back from a stream. */
+  unclaim(id: string, attempt: string): void {
+    if (this.holders.get(id) === attempt) this.holders.delete(id);
+  }
+
   /** Ends a stream's use of a reservation. */
-  endUse(id: string, nowMs: number): void {
+  endUse(id: string, attempt: string, nowMs: number): void {
+    this.unclaim(id, attempt);
     const users = (this.users.get(id) ?? 1) - 1;
     if (users > 0) this.users.set(id, users);
     else this.users.delete(id);
--- a/packages/stand-ins/src/engine_model.test.ts
+++ b/packages/stand-ins/src/engine_model.test.ts
@@ -215,6 +215,18 @@
     expect(model.memory.usedTokens).to.equal(0);
   });
 
+  it('gives the memory of a reservation to one stream at a time', () => {
+    const model = new EngineModel(OPTIONS);
+    const owner = SUBMISSION.owner;
+    model.memory.reserve({id: 'r', owner, tokens: 900, expiresAtMs: 1});
+    const giant = {promptTokens: 898, reservation: 'r'};
+    submit(model, {...giant, attempt: 'a'});
+    submit(model, {...giant, attempt: 'b'});
+    const times = firstTokens(runAll(model));
+    expect(times['b']).to.be.greaterThan((times['a'] ?? 0) + 898);
+    expect(model.memory.usedTokens).to.equal(0);
+  });
+
   it('continues at a position with the same prompt and cache', () => {
     const model = new EngineModel(OPTIONS);
     submit(model, {answerTokens: 5, resumeFrom: 3});
--- a/packages/stand-ins/src/engine_model.ts
+++ b/packages/stand-ins/src/engine_model.ts
@@ -15,8 +15,8 @@
 import {LoadReporter} from './load_reporter.js';
 import {planStep} from './plan_step.js';
 import {PrefixCache} from './prefix_cache.js';
+import {StreamBatch} from './stream_batch.js';
 import {StreamMemory} from './stream_memory.js';
-import {StreamQueue} from './stream_queue.js';
 
 /**
  * A model engine on virtual time: continuous batching with chunked prefill,
@@ -33,13 +33,11 @@
   /** Multiplies the time of each step. */
   slowFactor = 1;
 
-  private readonly cache: PrefixCache;
   private readonly streamMemory: StreamMemory;
+  private readonly batch: StreamBatch;
   private readonly reporter: LoadReporter;
   private readonly events: CacheEventLog;
   private readonly streams = new Map<string, EngineStream>();
-  private readonly running = new StreamQueue();
-  private readonly waiting = new StreamQueue();
   private arrivals = 0;
   private nowMs = 0;
   private stepEndsMs = Infinity;
@@ -48,12 +46,13 @@
 
   constructor(private readonly options: EngineOptions) {
     this.events = new CacheEventLog(options);
-    this.cache = new PrefixCache((kind, hash) =>
+    const cache = new PrefixCache((kind, hash) =>
       this.events.append(kind, hash, this.nowMs),
     );
     const {memoryTokens, blockTokens} = options;
-    this.memory = new EngineMemory(memoryTokens, blockTokens, this.cache);
-    this.streamMemory = new StreamMemory(blockTokens, this.memory, this.cache);
+    this.memory = new EngineMemory(memoryTokens, blockTokens, cache);
+    this.streamMemory = new StreamMemory(blockTokens, this.memory, cache);
+    this.batch = new StreamBatch(options.maxRunning, this.streamMemory);
     this.reporter = new LoadReporter(options.loadIntervalMs, () =>
       this.measureLoad(),
     );
@@ -117,21 +116,12 @@
   /** Holds a copy of an attempt's computed blocks until it is deleted. */
   exportStream(attempt: string): boolean {
     const stream = this.streams.get(attempt);
-    if (!stream) return false;
-    const {blocks, owner} = stream.submission;
-    const computed = blocks.slice(0, stream.pinnedBlocks);
-    const tokens = computed.length * this.options.blockTokens;
-    const kvExport = {id: attempt, owner, tokens, blocks: computed};
-    return this.memory.addExport(kvExport);
+    return stream !== undefined && this.streamMemory.exportBlocks(stream);
   }
 
   /** Stores blocks computed elsewhere; false without room. */
   importBlocks(blocks: readonly string[]): boolean {
-    const missing = blocks.slice(this.cache.match(blocks));
-    const {blockTokens} = this.options;
-    if (!this.memory.makeRoom(missing.length * blockTokens)) return false;
-    for (const hash of missing.reverse()) this.cache.store(hash);
-    return true;
+    return this.streamMemory.importBlocks(blocks);
   }
 
   private submit(submission: EngineSubmission, actions: EngineAction[]): void {
@@ -143,7 +133,7 @@
     }
     const stream = createStream(submission, this.arrivals++, this.nowMs);
     this.streams.set(attempt, stream);
-    this.waiting.add(stream);
+    this.batch.add(stream);
     this.deadlineMs = Math.min(this.deadlineMs, stream.deadlineMs);
     if (submission.reservation) this.memory.beginUse(submission.reservation);
   }
@@ -163,17 +153,13 @@
       return EngineRefusal.LARGER_THAN_MEMORY;
     }
     if (this.leaving) return EngineRefusal.LEAVING;
-    const full = this.waiting.size >= this.options.maxWaiting;
+    const full = this.batch.waitingSize >= this.options.maxWaiting;
     return full ? EngineRefusal.FULL : undefined;
   }
 
   private setPriority(attempt: string, priority: number): void {
     const stream = this.streams.get(attempt);
-    if (!stream) return;
-    const queue = this.waiting.remove(stream) ? this.waiting : this.running;
-    queue.remove(stream);
-    stream.priority = priority;
-    queue.add(stream);
+    if (stream) this.batch.setPriority(stream, priority);
   }
 
   private advance(nowMs: number, actions: EngineAction[]): void {
@@ -198,25 +184,16 @@
   }
 
   private beginStep(): void {
-    this.startWaiting();
+    this.batch.startWaiting();
     this.stepEndsMs = Infinity;
-    if (this.running.size === 0) return;
-    const stepMs = planStep(this.running.list(), this.options);
+    if (this.batch.runningSize === 0) return;
+    const stepMs = planStep(this.batch.listRunning(), this.options);
     this.stepEndsMs = this.nowMs + stepMs * this.slowFactor;
     this.reporter.renew(this.nowMs);
   }
 
-  private startWaiting(): void {
-    while (this.running.size < this.options.maxRunning) {
-      const stream = this.waiting.first();
-      if (!stream || !this.streamMemory.allocate(stream)) return;
-      this.waiting.remove(stream);
-      this.running.add(stream);
-    }
-  }
-
   private endStep(actions: EngineAction[]): void {
-    for (const stream of [...this.running.list()]) {
+    for (const stream of [...this.batch.listRunning()]) {
       if (stream.prefillLeft > 0) {
         if (stream.chunk === 0) continue;
         stream.prefillLeft -= stream.chunk;
@@ -245,7 +222,7 @@
   private end(stream: EngineStream | undefined): void {
     if (!stream) return;
     this.streams.delete(stream.submission.attempt);
-    if (!this.waiting.remove(stream)) this.running.remove(stream);
+    this.batch.remove(stream);
     this.streamMemory.release(stream, this.nowMs);
   }
 
@@ -273,8 +250,8 @@
       memoryTokens: this.options.memoryTokens,
       usedTokens: this.memory.usedTokens,
       cachedTokens: this.memory.cachedTokens,
-      running: this.running.size,
-      waiting: this.waiting.size,
+      running: this.batch.runningSize,
+      waiting: this.batch.waitingSize,
       waitingTokens,
     };
   }
--- a/packages/stand-ins/src/stream_memory.ts
+++ b/packages/stand-ins/src/stream_memory.ts
@@ -19,8 +19,8 @@
 
   /** Takes the memory of the whole stream; false without room. */
   allocate(stream: EngineStream): boolean {
-    const {blocks, reservation = ''} = stream.submission;
-    const reserved = this.memory.readReservation(reservation)?.tokens ?? 0;
+    const {attempt, blocks, reservation = ''} = stream.submission;
+    const reserved = this.memory.claim(reservation, attempt);
     const needed = this.countLocalTokens(stream.submission) - reserved;
     const matched = this.cache.match(blocks);
     for (const hash of blocks.slice(0, matched)) this.cache.pin(hash);
@@ -29,6 +29,7 @@
     const privateTokens = Math.max(0, needed - cachedTokens);
     if (!this.memory.take(privateTokens)) {
       this.unpin(stream);
+      this.memory.unclaim(reservation, attempt);
       return false;
     }
     stream.privateTokens = privateTokens;
@@ -54,11 +55,27 @@
 
   /** Returns all memory of a stream but what it leaves in the cache. */
   release(stream: EngineStream, nowMs: number): void {
-    const {reservation} = stream.submission;
+    const {attempt, reservation} = stream.submission;
     this.unpin(stream);
     this.memory.give(stream.privateTokens);
     stream.privateTokens = 0;
-    if (reservation) this.memory.endUse(reservation, nowMs);
+    if (reservation) this.memory.endUse(reservation, attempt, nowMs);
+  }
+
+  /** Holds a copy of the computed blocks; false without room. */
+  exportBlocks(stream: EngineStream): boolean {
+    const {attempt: id, blocks, owner} = stream.submission;
+    const computed = blocks.slice(0, stream.pinnedBlocks);
+    const tokens = computed.length * this.blockTokens;
+    return this.memory.addExport({id, owner, tokens, blocks: computed});
+  }
+
+  /** Stores blocks computed elsewhere; false without room. */
+  importBlocks(blocks: readonly string[]): boolean {
+    const missing = blocks.slice(this.cache.match(blocks));
+    if (!this.memory.makeRoom(missing.length * this.blockTokens)) return false;
+    for (const hash of missing.reverse()) this.cache.store(hash);
+    return true;
   }
 
   /** Lets the deepest blocks go first, for a block needs those before it. */
