--- a/packages/bench/src/bench.test.ts
+++ b/packages/bench/src/bench.test.ts
@@ -65,8 +65,7 @@
     const check = (changes: Partial<typeof right> & {errorKind?: string}) =>
       checkCompletions(
         [{sentAtMs: 0, expected: 'a b', result: {...right, ...changes}}],
-        1_000,
-        0,
+        {limitMs: 1_000, longestPauseMs: 0, killsAtMs: [3_000]},
       ).length;
     expect(check({})).to.equal(0);
     expect(check({text: 'a'})).to.equal(1);
@@ -74,6 +73,9 @@
     expect(check({text: 'a', whole: false})).to.equal(1);
     expect(check({text: 'a', whole: false, errorKind: 'e'})).to.equal(0);
     expect(check({totalMs: 5_000})).to.equal(1);
+    const cut = {text: '', whole: false, errorKind: 'connection: reset'};
+    expect(check(cut)).to.equal(1);
+    expect(check({...cut, totalMs: 2_000})).to.equal(0);
   });
 
   it('finds orders that broke a promise', () => {
--- a/packages/bench/src/run_soak.ts
+++ b/packages/bench/src/run_soak.ts
@@ -41,7 +41,9 @@
     await load.stop();
     const executions = await readExecutions(site);
     const {completions, orders} = load;
-    const {longestPauseMs, counts, unwilling} = faults;
+    const {longestPauseMs, killsAtMs, counts, unwilling} = faults;
+    const {limitMs} = LOAD;
+    const bounds = {limitMs, longestPauseMs, killsAtMs};
     return {
       seed,
       completions: completions.length,
@@ -51,7 +53,7 @@
         .length,
       faults: counts,
       violations: [
-        ...checkCompletions(completions, LOAD.limitMs, longestPauseMs),
+        ...checkCompletions(completions, bounds),
         ...checkOrders(orders, executions),
         ...(await checkEngines(site)),
         ...unwilling.map(name => `${name}: did not stop when asked to`),
--- a/packages/bench/src/soak_faults.ts
+++ b/packages/bench/src/soak_faults.ts
@@ -51,6 +51,8 @@
   readonly counts: Record<string, number> = {};
   /** Longest pause of a host, in milliseconds. */
   longestPauseMs = 0;
+  /** Monotonic times at which hosts were killed, in milliseconds. */
+  readonly killsAtMs: number[] = [];
   /** Hosts that did not stop by themselves when asked to. */
   readonly unwilling: string[] = [];
 
@@ -94,6 +96,7 @@
 
   private async killHost(durationMs: number): Promise<void> {
     const {name} = this.choose(this.site.hosts);
+    this.killsAtMs.push(performance.now());
     await this.local.findHost(name)?.kill();
     await pause(durationMs);
     await this.restartHost(name);
