Prefer apart engines on each host, and size lanes by need

Cause: with six hosts and reports of half a second, short prompts alone took 616 ms at p95 on 15 engines at 30% load, where a prompt's own prefill takes 382 ms: hosts met at the same engines.

Each host now prefers every n-th engine, apart from its known peers, by the tokens that peers are expected to have sent elsewhere; shorter classes keep a longer one out of the engines that they need at most; waiting for a longer prefill counts as half a chunk; chunks are 25 ms.

--- a/packages/bench/src/measure_decide.ts
+++ b/packages/bench/src/measure_decide.ts
@@ -142,6 +142,7 @@
 
 function createLaneRouter(seed: number): LaneRouter {
   return new LaneRouter({
+    host: 'host-0',
     lengthClasses: LENGTH_CLASSES,
     random: xoroshiro128plus(seed),
   });
--- a/packages/routing/src/engine_fleet.ts
+++ b/packages/routing/src/engine_fleet.ts
@@ -6,6 +6,8 @@
 import {PrefillRate} from './prefill_rate.js';
 import type {Upstream} from './upstream.js';
 
+const DEFAULT_CHUNK_MS = 25;
+
 /** All engines that a host knows, by name and by model. */
 export class EngineFleet {
   private readonly engines = new Map<string, Engine>();
@@ -14,6 +16,7 @@
   constructor(
     private readonly classes: LengthClasses,
     private readonly prefillTokensPerMs: number | undefined,
+    private readonly chunkMs = DEFAULT_CHUNK_MS,
   ) {}
 
   engine(name: string): Engine | undefined {
@@ -80,7 +83,7 @@
         new PrefillRate(this.prefillTokensPerMs);
       models.set(
         model,
-        new ModelEngines(ordered, rate, this.classes.size, nowMs),
+        new ModelEngines(ordered, rate, this.chunkMs, this.classes.size, nowMs),
       );
     }
     return models;
--- a/packages/routing/src/engine_load.ts
+++ b/packages/routing/src/engine_load.ts
@@ -1,6 +1,5 @@
 import type {LoadReport} from './load_report.js';
 import type {LoadRow} from './load_row.js';
-import {LONGER_PREFILL_TOKENS} from './longer_prefill_tokens.js';
 import type {OwnAttempt} from './own_attempt.js';
 
 /** Wait, in prompt tokens, that one request in decoding costs. */
@@ -76,8 +75,16 @@
     return this.newByClass.reduce((sum, tokens) => sum + tokens, reported);
   }
 
-  /** The load as the model's table keeps it. */
-  toRow(memoryTokens: number, blockedUntilMs: number): LoadRow {
+  /**
+   * The load as the model's table keeps it.
+   *
+   * @param longerTokens Wait that longer prefills cost a shorter prompt at most.
+   */
+  toRow(
+    memoryTokens: number,
+    blockedUntilMs: number,
+    longerTokens: number,
+  ): LoadRow {
     const report = this.report;
     const used = Math.max(0, (report?.usedTokens ?? 0) + this.usedChange);
     return {
@@ -86,7 +93,8 @@
       leastTokens: this.leastTokens(),
       mostTokens: this.mostTokens(),
       longestClass: this.findLongestClass(),
-      baseTokens: this.baseTokens(),
+      longerTokens,
+      baseTokens: this.baseTokens(longerTokens),
       freeTokens: memoryTokens - used,
       blockedUntilMs,
     };
@@ -101,14 +109,14 @@
   }
 
   /** Wait that decoding and this host's new prefills cause, by class. */
-  private baseTokens(): number[] {
+  private baseTokens(longerTokens: number): number[] {
     const decoding = (this.report?.decoding ?? 0) + this.decodingChange;
     let shorter = Math.max(0, decoding) * DECODING_TOKENS;
     let longer = this.newByClass.reduce((sum, tokens) => sum + tokens, 0);
     return Array.from(this.newByClass, tokens => {
       shorter += tokens;
       longer -= tokens;
-      return shorter + Math.min(longer, LONGER_PREFILL_TOKENS);
+      return shorter + Math.min(longer, longerTokens);
     });
   }
 
--- a/packages/routing/src/engine_scorer.ts
+++ b/packages/routing/src/engine_scorer.ts
@@ -1,6 +1,7 @@
 import type {Lane} from './lane.js';
 import type {ModelEngines} from './model_engines.js';
 import type {RoutedRequest} from './routed_request.js';
+import type {Scoring} from './scoring.js';
 
 /** Wait, in prompt tokens, that choosing another class's engine must save. */
 const OUTSIDE_LANE_TOKENS = 256;
@@ -17,25 +18,19 @@
   /**
    * Fills the model's shortlist with the engines at the positions given and
    * with those that hold a prefix of the prompt.
-   *
-   * @param lane Positions of the request's class.
-   * @param positions Positions to weigh.
-   * @param cached Tokens of the prompt cached, by engine.
    */
   score(
     model: ModelEngines,
     request: RoutedRequest,
-    classIndex: number,
-    lane: Lane,
-    positions: Lane,
-    cached: ReadonlyMap<string, number>,
+    scoring: Scoring,
     nowMs: number,
   ): void {
+    const {classIndex, lane, positions, cached} = scoring;
     const {table, rate, shortlist} = model;
     const {tokensPerMs} = rate;
     const waits = table.waitTokens(classIndex, positions, tokensPerMs, nowMs);
     const needTokens = request.promptTokens + request.answerTokens;
-    this.scorePositions(model, waits, needTokens, lane, positions);
+    this.scorePositions(model, waits, needTokens, scoring);
     for (const [name, tokens] of cached) {
       const row = this.positionOf(name);
       if (row === undefined || row < lane.start) continue;
@@ -51,8 +46,7 @@
     model: ModelEngines,
     waits: Float64Array,
     needTokens: number,
-    lane: Lane,
-    positions: Lane,
+    {lane, positions, homes, awayTokens}: Scoring,
   ): void {
     const {rows, scores} = model.shortlist;
     const {freeTokens} = model.table;
@@ -62,6 +56,7 @@
       let score = waits[row] ?? Infinity;
       if ((freeTokens[row] ?? 0) < needTokens) score += NO_MEMORY_TOKENS;
       if (row >= lane.end) score += OUTSIDE_LANE_TOKENS;
+      if (row % homes.count !== homes.rank) score += awayTokens;
       if (score < lowest) lowest = score;
       rows[count] = row;
       scores[count++] = score;
--- /dev/null
+++ b/packages/routing/src/home_positions.ts
@@ -0,0 +1,6 @@
+/** Positions that one host prefers among equals: each count-th, from rank on. */
+export interface HomePositions {
+  readonly rank: number;
+  /** Number of hosts that share the engines. */
+  readonly count: number;
+}
--- a/packages/routing/src/lane_router.ts
+++ b/packages/routing/src/lane_router.ts
@@ -33,9 +33,6 @@
 const ANSWER_TOKEN_MS = 20;
 /** Part by which the expected time of a request is taken longer. */
 const SAFETY = 1.5;
-/** Longest prefill between two turns of a running batch. */
-const CHUNK_MS = 100;
-const MIN_CHUNK_TOKENS = 256;
 
 interface RunningAttempt {
   readonly upstream: string;
@@ -59,8 +56,12 @@
     this.random = options.random;
     this.level = new LevelPick(options.random);
     this.scorer = new EngineScorer(name => this.fleet.position(name));
-    this.fleet = new EngineFleet(this.classes, options.prefillTokensPerMs);
-    this.widths = new LaneWidths(this.classes);
+    this.fleet = new EngineFleet(
+      this.classes,
+      options.prefillTokensPerMs,
+      options.chunkMs,
+    );
+    this.widths = new LaneWidths(options.host, this.classes);
   }
 
   choose(request: RoutedRequest, nowMs: number): Choice {
@@ -125,16 +126,24 @@
   ): Choice {
     const classIndex = this.classes.indexOf(request.promptTokens);
     const count = model.engines.length;
-    const lane = this.widths.lane(request.model, classIndex, count, nowMs);
+    const lane = this.widths.lane(
+      request.model,
+      classIndex,
+      count,
+      model.rate.tokensPerMs,
+      nowMs,
+    );
     const cached = this.cache.find(request.prefixes, nowMs);
+    const homes = this.widths.homes(nowMs);
+    const peerTokens =
+      Math.min(model.reportAgeMs, MAX_REPORT_AGE_MS) *
+      this.widths.peerTokensPerMs(request.model, classIndex, nowMs);
+    const scoring = {classIndex, cached, homes, awayTokens: peerTokens / count};
     const score = (inLane: Lane, positions: Lane) =>
       this.scorer.score(
         model,
         request,
-        classIndex,
-        inLane,
-        positions,
-        cached,
+        {...scoring, lane: inLane, positions},
         nowMs,
       );
     const {shortlist} = model;
@@ -148,10 +157,7 @@
       lane.start > 0 && this.isLate(request, model, shortlist.lowest, nowMs);
     if (isAged) score({start: 0, end: lane.end}, {start: 0, end: count});
     if (shortlist.lowest === Infinity) return refuse();
-    const peerTokens =
-      Math.min(model.reportAgeMs, MAX_REPORT_AGE_MS) *
-      this.widths.peerTokensPerMs(request.model, nowMs);
-    const index = this.level.pick(shortlist, NEAR_TOKENS + peerTokens);
+    const index = this.level.pick(shortlist, NEAR_TOKENS);
     const upstream = model.engines[index]?.upstream.name;
     if (upstream === undefined) return refuse();
     const cachedTokens = cached.get(upstream) ?? 0;
@@ -168,10 +174,7 @@
         isAged,
       ),
       priority,
-      chunkTokens: Math.max(
-        MIN_CHUNK_TOKENS,
-        Math.round(model.rate.tokensPerMs * CHUNK_MS),
-      ),
+      chunkTokens: model.chunkTokens,
       cachedTokens,
       priorityChangesAtMs: changesAtMs,
     };
--- a/packages/routing/src/lane_widths.ts
+++ b/packages/routing/src/lane_widths.ts
@@ -1,9 +1,10 @@
 import type {ClassDemand} from './class_demand.js';
 import {ClassMeter} from './class_meter.js';
+import type {HomePositions} from './home_positions.js';
 import type {Lane} from './lane.js';
 import type {LengthClasses} from './length_classes.js';
 
-/** Engines that a shorter class gets beyond its part of the tokens. */
+/** Engines that shorter classes get for each that their tokens keep busy. */
 const SHORTER_HEADROOM = 1.5;
 /** From this many engines on, one is kept from the longest class. */
 const MIN_ENGINES_TO_RESERVE = 8;
@@ -29,7 +30,14 @@
   private readonly peers = new Map<string, PeerDemand>();
   private readonly splits = new Map<string, Split>();
 
-  constructor(private readonly classes: LengthClasses) {}
+  private lastHomes: HomePositions = {rank: 0, count: 1};
+  private homesAtMs = -Infinity;
+
+  /** @param self Name of this host. */
+  constructor(
+    private readonly self: string,
+    private readonly classes: LengthClasses,
+  ) {}
 
   observeArrival(
     model: string,
@@ -63,30 +71,52 @@
     return demands;
   }
 
-  /** Prompt tokens that the peers send a model in one millisecond. */
-  peerTokensPerMs(model: string, nowMs: number): number {
+  /** Positions that this host prefers, apart from those of its known peers. */
+  homes(nowMs: number): HomePositions {
+    if (nowMs - this.homesAtMs < KEEP_MS) return this.lastHomes;
+    const hosts = [...this.peers]
+      .filter(([, {atMs}]) => nowMs - atMs <= PEER_EXPIRY_MS)
+      .map(([host]) => host);
+    const rank = hosts.filter(host => host < this.self).length;
+    this.lastHomes = {rank, count: hosts.length + 1};
+    this.homesAtMs = nowMs;
+    return this.lastHomes;
+  }
+
+  /** Prompt tokens that the peers send in one millisecond, up to the class given. */
+  peerTokensPerMs(model: string, classIndex: number, nowMs: number): number {
     let tokensPerSecond = 0;
     for (const {atMs, demands} of this.peers.values()) {
       if (nowMs - atMs > PEER_EXPIRY_MS) continue;
       for (const demand of demands) {
-        if (demand.model === model) tokensPerSecond += demand.tokensPerSecond;
+        if (demand.model !== model) continue;
+        const index = this.classes.indexOfName(demand.lengthClass);
+        if (index !== undefined && index <= classIndex) {
+          tokensPerSecond += demand.tokensPerSecond;
+        }
       }
     }
     return tokensPerSecond / MS_PER_SECOND;
   }
 
-  /** The class's positions among the engines of the model. */
+  /**
+   * The class's positions among the engines of the model.
+   *
+   * @param tokensPerMs Prefill rate of one engine.
+   */
   lane(
     model: string,
     classIndex: number,
     engineCount: number,
+    tokensPerMs: number,
     nowMs: number,
   ): Lane {
     let split = this.splits.get(model);
     if (split?.engineCount !== engineCount || nowMs - split.atMs >= KEEP_MS) {
       const weights = this.weigh(model, nowMs);
+      const tokensPerSecond = tokensPerMs * MS_PER_SECOND;
       const lanes = weights.map((_, index) =>
-        this.splitOff(weights, index, engineCount),
+        this.splitOff(weights, index, engineCount, tokensPerSecond),
       );
       split = {atMs: nowMs, engineCount, lanes};
       this.splits.set(model, split);
@@ -98,15 +128,18 @@
     weights: readonly number[],
     classIndex: number,
     engineCount: number,
+    tokensPerSecond: number,
   ): Lane {
     const sum = (values: readonly number[]) =>
       values.reduce((total, value) => total + value, 0);
     const total = sum(weights);
     const countFor = (weight: number) =>
       total > 0 ? Math.ceil((engineCount * weight) / total) : 0;
+    const shorter = sum(weights.slice(0, classIndex));
+    const needed = Math.ceil((shorter * SHORTER_HEADROOM) / tokensPerSecond);
     const start = Math.min(
       Math.max(
-        countFor(sum(weights.slice(0, classIndex))),
+        Math.min(countFor(shorter), needed),
         this.reserve(classIndex, engineCount),
       ),
       engineCount - 1,
@@ -134,9 +167,7 @@
         weights[index] = (weights[index] ?? 0) + demand.tokensPerSecond;
       }
     }
-    return weights.map((weight, index) =>
-      index === weights.length - 1 ? weight : weight * SHORTER_HEADROOM,
-    );
+    return weights;
   }
 
   private metersOf(model: string): ClassMeter[] {
--- a/packages/routing/src/load_row.ts
+++ b/packages/routing/src/load_row.ts
@@ -8,6 +8,8 @@
   readonly mostTokens: number;
   /** Class of the longest reported prefill; -1 when there is none. */
   readonly longestClass: number;
+  /** Wait that longer prefills cost a shorter prompt at most, in tokens. */
+  readonly longerTokens: number;
   /** Wait that the rest of the load causes, in prompt tokens, by class. */
   readonly baseTokens: readonly number[];
   readonly freeTokens: number;
--- a/packages/routing/src/load_table.ts
+++ b/packages/routing/src/load_table.ts
@@ -1,6 +1,5 @@
 import type {Lane} from './lane.js';
 import type {LoadRow} from './load_row.js';
-import {LONGER_PREFILL_TOKENS} from './longer_prefill_tokens.js';
 
 /** Rows that are brought up to date together. */
 const BLOCK_ROWS = 128;
@@ -76,7 +75,7 @@
   const left = Math.min(row.reportedTokens - drainedTokens, row.mostTokens);
   let queued = Math.max(left, row.leastTokens);
   if (row.longestClass > classIndex) {
-    queued = Math.min(queued, LONGER_PREFILL_TOKENS);
+    queued = Math.min(queued, row.longerTokens);
   }
   return queued + (row.baseTokens[classIndex] ?? 0);
 }
--- a/packages/routing/src/model_engines.ts
+++ b/packages/routing/src/model_engines.ts
@@ -3,6 +3,7 @@
 import type {PrefillRate} from './prefill_rate.js';
 import {Shortlist} from './shortlist.js';
 
+const MIN_CHUNK_TOKENS = 256;
 const AGE_WEIGHT = 0.05;
 
 /** The engines of one model, in rendezvous order. */
@@ -19,6 +20,7 @@
   constructor(
     readonly engines: readonly Engine[],
     readonly rate: PrefillRate,
+    private readonly chunkMs: number,
     classCount: number,
     nowMs: number,
   ) {
@@ -38,6 +40,12 @@
     return this.replacedAgeMs / 2;
   }
 
+  /** Prompt tokens that an engine should prefill at a time. */
+  get chunkTokens(): number {
+    const tokens = Math.round(this.rate.tokensPerMs * this.chunkMs);
+    return Math.max(MIN_CHUNK_TOKENS, tokens);
+  }
+
   observeReportAge(ageMs: number): void {
     this.replacedAgeMs += AGE_WEIGHT * (ageMs - this.replacedAgeMs);
   }
@@ -46,7 +54,9 @@
   write(engine: Engine, nowMs: number): void {
     const {upstream, load, position, avoidedUntilMs} = engine;
     const blockedUntilMs = upstream.leaving ? Infinity : avoidedUntilMs;
-    const row = load.toRow(upstream.memoryTokens, blockedUntilMs);
+    // A shorter prompt waits for half a chunk of a longer one on average.
+    const longerTokens = this.chunkTokens / 2;
+    const row = load.toRow(upstream.memoryTokens, blockedUntilMs, longerTokens);
     this.table.write(position, row, this.rate.tokensPerMs, nowMs);
   }
 }
