--- a/packages/routing/src/age_priority.ts
+++ b/packages/routing/src/age_priority.ts
@@ -24,8 +24,10 @@
   if (classPriority <= 0) return {priority: 0, changesAtMs: Infinity};
   const risesAtMs = startedMs + slackMs * STEADY_PART;
   const stepMs = (latestStartMs - risesAtMs) / classPriority;
-  const steps =
+  let steps =
     nowMs < risesAtMs ? 0 : Math.floor((nowMs - risesAtMs) / stepMs) + 1;
+  // The division may round down at the very time of a step.
+  if (risesAtMs + steps * stepMs <= nowMs) steps++;
   const priority = Math.max(0, classPriority - steps);
   const changesAtMs = priority === 0 ? Infinity : risesAtMs + steps * stepMs;
   return {priority, changesAtMs};
--- a/packages/routing/src/engine_scorer.ts
+++ b/packages/routing/src/engine_scorer.ts
@@ -4,7 +4,7 @@
 import type {Scoring} from './scoring.js';
 
 /** Wait, in prompt tokens, that choosing another class's engine must save. */
-const OUTSIDE_LANE_TOKENS = 256;
+const OUTSIDE_LANE_TOKENS = 64;
 /** Wait, in prompt tokens, for memory to come free. */
 const NO_MEMORY_TOKENS = 1_000_000;
 
--- a/packages/routing/src/lane_router.ts
+++ b/packages/routing/src/lane_router.ts
@@ -22,7 +22,7 @@
 import type {RouterOptions} from './router_options.js';
 
 /** Engines whose scores differ by less count as equal, in prompt tokens. */
-const NEAR_TOKENS = 512;
+const NEAR_TOKENS = 128;
 /** Engines weighed for one request while one of them is free. */
 const MAX_WEIGHED = 256;
 /** An engine with a shorter queue counts as free, in prompt tokens. */
--- /dev/null
+++ b/packages/routing/src/prompt_estimate.test.ts
@@ -0,0 +1,56 @@
+import {expect} from 'chai';
+import fc from 'fast-check';
+
+import {agePriority} from './age_priority.js';
+import {PromptEstimate} from './prompt_estimate.js';
+
+describe('PromptEstimate', () => {
+  it('learns the ratio of an account and model', () => {
+    const estimate = new PromptEstimate(() => 4);
+    expect(estimate.estimateTokens('x', 'm', 4000)).equal(1000);
+    for (let count = 0; count < 50; count++) {
+      const usage = {account: 'x', model: 'm', bytes: 4000, tokens: 2000};
+      estimate.observeUsage(usage);
+    }
+    expect(estimate.estimateTokens('x', 'm', 4000)).within(1950, 2000);
+    expect(estimate.estimateTokens('y', 'm', 4000)).equal(1000);
+  });
+
+  it('stays within bounds whatever is reported', () => {
+    const number = fc.double({noDefaultInfinity: false});
+    const property = fc.property(
+      fc.array(fc.tuple(number, number)),
+      reports => {
+        const estimate = new PromptEstimate(() => 4);
+        for (const [bytes, tokens] of reports) {
+          estimate.observeUsage({account: 'x', model: 'm', bytes, tokens});
+        }
+        expect(estimate.estimateTokens('x', 'm', 1600)).within(100, 3200);
+      },
+    );
+    fc.assert(property, {seed: 1, numRuns: 300});
+  });
+});
+
+describe('agePriority', () => {
+  it('rises step by step and is first when the slack is gone', () => {
+    const property = fc.property(
+      fc.integer({min: 0, max: 9}),
+      fc.integer({min: -1000, max: 100_000}),
+      (priority, latestMs) => {
+        let nowMs = 0;
+        let last = 10;
+        for (let steps = 0; nowMs < latestMs; steps++) {
+          const aged = agePriority(priority, 0, latestMs, nowMs);
+          expect(aged.priority).below(last);
+          expect(steps).most(10);
+          last = aged.priority;
+          nowMs = aged.changesAtMs;
+        }
+        const end = Math.max(0, latestMs);
+        expect(agePriority(priority, 0, latestMs, end).priority).equal(0);
+      },
+    );
+    fc.assert(property, {seed: 1, numRuns: 300});
+  });
+});
