Carry lane demand to the peers, and announce notable demand only

Cause: routers size their lanes by the peers' demand, and the messages between hosts went out only for accounts with limits. An account whose demand is below what each host keeps without a message is not announced any more.

--- a/packages/admission/src/account_limits.test.ts
+++ b/packages/admission/src/account_limits.test.ts
@@ -2,6 +2,7 @@
 import fc from 'fast-check';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 
+import {AccountLimits} from './account_limits.js';
 import type {Admission} from './admission.js';
 import type {AdmissionSettings} from './admission_settings.js';
 import {FairAdmission} from './fair_admission.js';
@@ -203,6 +204,30 @@
     expect(all).within(0.9 * part, 1.1 * part);
   });
 
+  it('forgets idle accounts and tells peers of busy ones only', () => {
+    const account = {keyHashes: ['0'] as [string], requestsPerSecond: 10};
+    const names = Array.from({length: 20_000}, (_, index) => `a${index}`);
+    const limits = new AccountLimits({
+      self: {host: 'a', id: '1-0'},
+      settings: {
+        ...RATE,
+        accounts: Object.fromEntries(names.map(name => [name, account])),
+      },
+      random: xoroshiro128plus(1),
+    });
+    limits.setPeers(['b'], 0);
+    names.forEach((name, index) => {
+      const offer = {id: name, account: name, model: 'm', deadlineMs: 1e6};
+      limits.check({...offer, lengthClass: 'short', tokens: 1}, index);
+    });
+    expect(limits.activeAccounts).equal(20_000);
+    const message = limits.takeMessages(20_000).get('b');
+    expect(limits.activeAccounts).most(10_001);
+    expect(message?.accounts.length).equal(256);
+    limits.takeMessages(40_000);
+    expect(limits.activeAccounts).equal(0);
+  });
+
   it('is exceeded by hosts that each admit in order of arrival', () => {
     const hosts = new Map<string, Admission>(
       ['host-0', 'host-1'].map(host => [host, new FirstComeAdmission()]),
--- a/packages/admission/src/account_limits.ts
+++ b/packages/admission/src/account_limits.ts
@@ -20,8 +20,8 @@
 const BURST_MS = 300;
 /** An account without requests for this long is forgotten. */
 const IDLE_MS = 10_000;
-/** Demand below this is not worth a message. */
-const MIN_DEMAND = 0.01;
+/** Demand below this part of an equal split needs no message: hosts keep more. */
+const NOTABLE_PART = 0.025;
 const MAX_ANNOUNCED = 256;
 const CONCURRENT_RETRY_MS = 200;
 const UNKNOWN_ACCOUNT: Partial<AccountSettings> = {};
@@ -32,12 +32,14 @@
   private readonly shares: LimitShares;
   private readonly random: RandomGenerator;
   private settings: AdmissionOptions['settings']['accounts'];
+  private readonly laneDemand: AdmissionOptions['laneDemand'];
   private lastSentMs = -Infinity;
   private dueMs = Infinity;
 
   constructor(options: AdmissionOptions) {
     this.shares = new LimitShares(options.self, options.hostsOf);
     this.random = options.random;
+    this.laneDemand = options.laneDemand;
     this.settings = options.settings.accounts;
   }
 
@@ -116,11 +118,13 @@
     if (nowMs < this.dueMs) return messages;
     this.forgetIdle(nowMs);
     const demands = this.collectDemand(nowMs);
+    const lanes = [...(this.laneDemand?.(nowMs) ?? [])];
     for (const host of this.shares.peerNames()) {
       const demand = demands.get(host) ?? new Map<string, Demand>();
-      if (!this.shares.isOwed(host, demand, nowMs)) continue;
+      const isOwed = this.shares.isOwed(host, demand, nowMs);
+      if (!isOwed && lanes.length === 0) continue;
       const message = this.shares.announce(host, demand, nowMs);
-      if (message) messages.set(host, message);
+      if (message) messages.set(host, {...message, lanes});
     }
     this.lastSentMs = nowMs;
     const active = messages.size > 0 || this.accounts.size > 0;
@@ -179,9 +183,10 @@
     for (const [account, state] of this.accounts) {
       if (!state.hasLimits) continue;
       const demand = toDemand(state, nowMs);
-      if (Math.max(...Object.values(demand)) < MIN_DEMAND) continue;
+      const sharers = this.shares.sharersOf(account);
+      if (!isNotable(state, demand, sharers.length + 1)) continue;
       state.announced = demand;
-      for (const host of this.shares.sharersOf(account)) {
+      for (const host of sharers) {
         const told = demands.get(host) ?? new Map<string, Demand>();
         if (told.size < MAX_ANNOUNCED) told.set(account, demand);
         demands.set(host, told);
@@ -214,6 +219,22 @@
   }
 }
 
+/** Whether the demand may exceed what the host keeps without a message. */
+function isNotable(
+  {settings}: AccountState,
+  demand: Demand,
+  hostCount: number,
+): boolean {
+  const {requestsPerSecond, tokensPerSecond, concurrentRequests} = settings;
+  const exceeds = (kind: DemandKind, limit = Infinity) =>
+    demand[kind] > (NOTABLE_PART * limit) / hostCount;
+  return (
+    exceeds(DemandKind.REQUESTS, requestsPerSecond) ||
+    exceeds(DemandKind.TOKENS, tokensPerSecond) ||
+    exceeds(DemandKind.CONCURRENT, concurrentRequests)
+  );
+}
+
 function toDemand(state: AccountState, nowMs: number): Demand {
   return {
     [DemandKind.REQUESTS]: state.requestDemand.perSecond(nowMs),
--- a/packages/admission/src/admission_options.ts
+++ b/packages/admission/src/admission_options.ts
@@ -1,3 +1,4 @@
+import type {LaneDemand} from '@parsleywood/schema/limits';
 import type {Incarnation} from '@parsleywood/types';
 import type {RandomGenerator} from 'pure-rand/types/RandomGenerator';
 
@@ -15,6 +16,8 @@
    * site when absent.
    */
   readonly hostsOf?: (account: string) => readonly string[];
+  /** Demand by length class, sent along to the peers for their routers. */
+  readonly laneDemand?: (nowMs: number) => readonly LaneDemand[];
   /** Requests with at least this time left wait for slack; 1 hour when absent. */
   readonly batchLimitMs?: number;
   /** Longest queue of one model and length class; 1000 when absent. */
