Judge upstreams by liveness, feed load reports to the router, find seed peers

Cause: upstreams were avoided by faults of single calls, the router had no load reports, and a host could not start while the configuration service was down.

--- a/packages/daemon/src/attempt_reader.ts
+++ b/packages/daemon/src/attempt_reader.ts
@@ -11,6 +11,8 @@
   'ENETUNREACH',
   'UND_ERR_CONNECT_TIMEOUT',
 ]);
+/** Kind of refusal by an engine that takes no new work. */
+const LEAVING = 'leaving';
 /** Longest part of an engine's error answer that is kept, in bytes. */
 const MAX_ERROR_BYTES = 2_048;
 
@@ -71,9 +73,8 @@
     if (this.status === 200) {
       this.fault(AttemptFault.BROKEN, 'answer ended without its last event');
     } else {
-      const invalid = this.status === 400;
-      const fault = invalid ? AttemptFault.INVALID : AttemptFault.REFUSED;
-      this.fault(fault, `status ${this.status}`);
+      const refusal = readRefusal(this.errorText);
+      this.fault(this.classify(refusal), `${this.status} ${refusal}`);
     }
   }
 
@@ -88,6 +89,11 @@
     this.fault(fault, code === '' ? error.name : code);
   }
 
+  private classify(refusal: string): AttemptFault {
+    if (refusal === LEAVING) return AttemptFault.LEAVING;
+    return this.status === 400 ? AttemptFault.INVALID : AttemptFault.REFUSED;
+  }
+
   private takeEvent(data: string): void {
     if (this.over) return;
     let event: EngineEvent;
@@ -121,3 +127,13 @@
     this.listener.onFault(this.attempt, fault, detail);
   }
 }
+
+/** Kind of an engine's refusal, as its error body names it. */
+function readRefusal(text: string): string {
+  try {
+    const answer = JSON.parse(text) as {error?: {kind?: unknown}};
+    return String(answer.error?.kind ?? '');
+  } catch {
+    return '';
+  }
+}
--- a/packages/daemon/src/caller_server.ts
+++ b/packages/daemon/src/caller_server.ts
@@ -5,7 +5,7 @@
 import type {Caller} from './caller.js';
 import {CompletionPath} from './completion_path.js';
 import type {CompletionHandler} from './completion_handler.js';
-import {nameHosts} from './name_hosts.js';
+import type {HostNaming} from './host_naming.js';
 import type {ReplyHead} from './reply_head.js';
 import type {ServiceHandler} from './service_handler.js';
 import type {Serving} from './serving.js';
@@ -32,7 +32,7 @@
     private readonly serving: Serving,
     private readonly completions: CompletionHandler,
     private readonly services: ServiceHandler,
-    private readonly isUsable: (host: string) => boolean,
+    private readonly naming: HostNaming,
   ) {
     this.server = fastify({
       bodyLimit: MAX_BODY_BYTES,
@@ -195,19 +195,13 @@
         'the authorization header holds no key of a client account',
       );
     }
-    const {hostsPerAccount, keepHostsForMs} = settings.callers;
-    const named = nameHosts(
-      account ?? request.ip,
-      site.hosts().hosts,
-      hostsPerAccount,
-      this.isUsable,
-    );
+    const named = this.naming.nameFor(account ?? request.ip);
     return {
       hosts: named.map(({callers, failureDomain}) => ({
         address: callers,
         failureDomain,
       })),
-      keepForMs: keepHostsForMs,
+      keepForMs: settings.callers.keepHostsForMs,
     };
   }
 
--- a/packages/daemon/src/completion_session.ts
+++ b/packages/daemon/src/completion_session.ts
@@ -226,15 +226,17 @@
     if (choice === undefined || fault === AttemptFault.INVALID) return;
     const {upstream} = choice;
     this.record(TimelineEventName.ATTEMPT_FAILED, {upstream, state: fault});
-    const untilMs = serving.health.recordFault(upstream);
-    const kind = RouterEventKind.AVOID;
-    serving.traffic.observe({kind, upstream, untilMs});
+    if (fault === AttemptFault.LEAVING) {
+      serving.upstreams.noteLeaving(upstream);
+    } else if (fault !== AttemptFault.REFUSED) {
+      serving.upstreams.noteFailure(upstream);
+    }
   }
 
   private noteAttemptEnded(attempt: string, succeeded: boolean): void {
     if (this.choice === undefined) return;
     this.serving.countCall(this.choice.upstream, -1);
-    if (succeeded) this.serving.health.recordSuccess(this.choice.upstream);
+    if (succeeded) this.serving.upstreams.noteSuccess(this.choice.upstream);
     const kind = RouterEventKind.ATTEMPT_ENDED;
     this.serving.traffic.observe({kind, attempt, succeeded});
   }
--- a/packages/daemon/src/configuration_control.ts
+++ b/packages/daemon/src/configuration_control.ts
@@ -106,7 +106,7 @@
         this.listener.onHosts(action.list, action.revision);
         break;
       case ConfigurationActionKind.UPSTREAMS:
-        this.listener.onUpstreams(action.list);
+        this.listener.onUpstreams(action.list, action.revision);
         break;
       case ConfigurationActionKind.ALARM:
         this.log.error('configuration_alarm', {
--- a/packages/daemon/src/configuration_listener.ts
+++ b/packages/daemon/src/configuration_listener.ts
@@ -6,5 +6,5 @@
 export interface ConfigurationListener {
   onSettings(settings: Settings): void;
   onHosts(list: HostList, revision: number): void;
-  onUpstreams(list: UpstreamList): void;
+  onUpstreams(list: UpstreamList, revision: number): void;
 }
--- a/packages/daemon/src/control_plane.ts
+++ b/packages/daemon/src/control_plane.ts
@@ -1,5 +1,9 @@
 import type {Member} from '@parsleywood/config';
-import {MemberState} from '@parsleywood/membership';
+import {
+  MemberState,
+  type UpstreamChange,
+  type UpstreamNews,
+} from '@parsleywood/membership';
 import {PeerState} from '@parsleywood/orders';
 import type {HostList} from '@parsleywood/schema/host_list';
 import type {LimitMessage} from '@parsleywood/schema/limits';
@@ -10,11 +14,12 @@
 import type {Incarnation} from '@parsleywood/types';
 import type {ConfigurationControl} from './configuration_control.js';
 import type {ConfigurationListener} from './configuration_listener.js';
+import type {HostNaming} from './host_naming.js';
 import type {MembershipControl} from './membership_control.js';
 import type {MembershipListener} from './membership_listener.js';
 import type {OrderDesk} from './order_desk.js';
-import type {PeerTransport} from './peer_transport.js';
 import type {Serving} from './serving.js';
+import type {UpstreamListener} from './upstream_listener.js';
 
 /** State in which order decisions see a member. */
 const PEER_STATES: Readonly<Record<MemberState, PeerState>> = {
@@ -25,7 +30,9 @@
 };
 
 /** Passes news between membership, configuration, orders and limits. */
-export class ControlPlane implements ConfigurationListener, MembershipListener {
+export class ControlPlane
+  implements ConfigurationListener, MembershipListener, UpstreamListener
+{
   private configuration: ConfigurationControl | undefined;
   private membership: MembershipControl | undefined;
   private hostRevision = 0;
@@ -34,7 +41,7 @@
   /** @param end Ends this process at once. */
   constructor(
     private readonly serving: Serving,
-    private readonly transport: PeerTransport,
+    private readonly naming: HostNaming,
     private readonly orders: OrderDesk,
     private readonly end: () => void,
   ) {}
@@ -62,9 +69,11 @@
     const {serving} = this;
     serving.timeline.record(TimelineEventName.CONFIGURATION_ADOPTED);
     serving.site.applySettings(settings);
+    this.naming.forget();
     serving.traffic.applySettings(settings);
     serving.admission.applySettings(settings);
     this.orders.applySettings(settings.orders);
+    this.membership?.applySettings(settings.membership);
   }
 
   onHosts(list: HostList, revision: number): void {
@@ -80,10 +89,11 @@
     this.tellMembers();
   }
 
-  onUpstreams(list: UpstreamList): void {
+  onUpstreams(list: UpstreamList, revision: number): void {
     const {serving} = this;
     this.upstreamsKnown = true;
     serving.site.applyUpstreams(list);
+    serving.upstreams.takeList(list, revision);
     serving.traffic.applyUpstreams();
     const addresses = list.upstreams.map(upstream => upstream.address);
     serving.pools.retain(new Set(addresses));
@@ -99,20 +109,25 @@
     this.tellMembers();
   }
 
-  onUpstreamTold(): void {
-    // Engines and services are judged by this host's own calls and the list.
+  onUpstreamTold(upstream: string, news: UpstreamNews): void {
+    this.serving.upstreams.takeWord(upstream, news);
   }
 
-  onSuperseded(): void {
-    this.end();
+  onUpstreamNews(upstream: string, news: UpstreamNews): void {
+    this.membership?.tellUpstreamNews(upstream, news);
   }
 
-  /** Sends a limit message together with this host's demand for lanes. */
-  sendLimits(host: string, message: LimitMessage): void {
-    const lanes = this.serving.traffic.demand();
-    this.transport.send(host, {
-      body: {$case: 'limit', value: {...message, lanes}},
-    });
+  onUpstreamsChanged(changes: readonly UpstreamChange[]): void {
+    const {timeline, traffic} = this.serving;
+    for (const {upstream, state} of changes) {
+      const name = TimelineEventName.UPSTREAM_CHANGED;
+      timeline.record(name, '', {upstream, state});
+    }
+    traffic.applyUpstreams();
+  }
+
+  onSuperseded(): void {
+    this.end();
   }
 
   takeMessages(from: Incarnation, messages: readonly PeerMessage[]): void {
@@ -139,7 +154,13 @@
     this.serving.admission.takeMessage(host, message);
   }
 
+  /** Takes peers that were found by their address. */
+  addSeeds(members: readonly Member[]): void {
+    if (this.hostRevision === 0) this.configuration?.setMembers(members);
+  }
+
   private tellMembers(): void {
+    this.naming.forget();
     const alive: Member[] = (this.membership?.members() ?? [])
       .filter(member => member.state !== MemberState.DEAD)
       .map(({host, failureDomain}) => ({host, failureDomain}));
--- a/packages/daemon/src/engine_traffic.ts
+++ b/packages/daemon/src/engine_traffic.ts
@@ -21,8 +21,10 @@
   private readonly estimate: PromptEstimate;
   private router: Router | undefined;
   private classes = '';
+  private isUsable: (upstream: string) => boolean = () => false;
 
   constructor(
+    private readonly host: string,
     private readonly clock: Clock,
     private readonly site: SiteView,
     seed: number,
@@ -33,6 +35,11 @@
     );
   }
 
+  /** Sets what tells whether an upstream may get new work. */
+  useLiveness(isUsable: (upstream: string) => boolean): void {
+    this.isUsable = isUsable;
+  }
+
   /** Estimated tokens of a prompt. */
   estimateTokens(account: string, model: string, bytes: number): number {
     return this.estimate.estimateTokens(account, model, bytes);
@@ -48,6 +55,7 @@
     if (classes !== this.classes) {
       this.classes = classes;
       this.router = new LaneRouter({
+        host: this.host,
         lengthClasses: settings.lengthClasses as [
           LengthClassSettings,
           ...LengthClassSettings[],
@@ -58,7 +66,7 @@
     this.applyUpstreams();
   }
 
-  /** Takes over the listed engines. */
+  /** Takes over the listed engines; those not usable get no new work. */
   applyUpstreams(): void {
     const settings = this.site.settings();
     if (settings === undefined) return;
@@ -71,7 +79,7 @@
         name: engine.name,
         model: engine.serves,
         memoryTokens: settings.models[engine.serves]?.engineMemoryTokens ?? 0,
-        leaving: engine.state === 'leaving',
+        leaving: !this.isUsable(engine.name),
       })),
     });
   }
--- a/packages/daemon/src/host_process.ts
+++ b/packages/daemon/src/host_process.ts
@@ -1,5 +1,6 @@
 import {randomBytes} from 'node:crypto';
 import {FairAdmission} from '@parsleywood/admission';
+import {UpstreamState} from '@parsleywood/membership';
 import {Orders} from '@parsleywood/orders';
 import type {StartSettings} from '@parsleywood/schema/start_settings';
 import {TimelineEventName} from '@parsleywood/timeline';
@@ -13,9 +14,11 @@
 import {EngineTraffic} from './engine_traffic.js';
 import {EventLog} from './event_log.js';
 import {HostMetrics} from './host_metrics.js';
+import {HostNaming} from './host_naming.js';
 import {HostState} from './host_state.js';
 import {HostStatusReader} from './host_status_reader.js';
 import {HostTimeline} from './host_timeline.js';
+import {LoadFeed} from './load_feed.js';
 import {MembershipControl} from './membership_control.js';
 import {OperatorServer} from './operator_server.js';
 import {OrderDesk} from './order_desk.js';
@@ -26,9 +29,11 @@
 import {PlatformClient} from './platform_client.js';
 import {ServiceHandler} from './service_handler.js';
 import {Serving} from './serving.js';
+import {SeedPeers} from './seed_peers.js';
 import {SiteReader} from './site_reader.js';
 import {SiteView} from './site_view.js';
 import {SystemClock} from './system_clock.js';
+import {UpstreamControl} from './upstream_control.js';
 import {UpstreamPools} from './upstream_pools.js';
 
 const MEMBERSHIP_SETTINGS = {
@@ -43,8 +48,8 @@
   timeLimitMs: 1,
   firstTokenTargetMs: 1,
 };
-/** Longest time that orders may keep a started host from being ready. */
-const ORDERS_READY_WITHIN_MS = 5_000;
+/** Longest time that orders and upstreams may keep a host from being ready. */
+const READY_WITHIN_MS = 5_000;
 const DRAIN_CHECK_MS = 20;
 const DEFAULT_KEEP_HOSTS_MS = 1_000;
 /** Time for the last messages to peers before the process ends. */
@@ -55,6 +60,9 @@
   private readonly clock = new SystemClock();
   private readonly site = new SiteView();
   private readonly pools = new UpstreamPools();
+  private readonly naming = new HostNaming(this.site, host =>
+    this.isUsable(host),
+  );
   private readonly incarnation: Incarnation;
   private readonly startedMs = this.clock.nowMs();
   private readonly platform: PlatformClient;
@@ -64,6 +72,9 @@
   private readonly control: ControlPlane;
   private readonly configuration: ConfigurationControl;
   private readonly membership: MembershipControl;
+  private readonly upstreams: UpstreamControl;
+  private readonly loads: LoadFeed;
+  private readonly seeds: SeedPeers;
   private readonly callers: CallerServer;
   private readonly operators: OperatorServer;
   private readonly peers: PeerServer;
@@ -88,8 +99,9 @@
     this.transport = new PeerTransport(incarnation, peerKey, timeline, host =>
       this.findPeer(host),
     );
-    const traffic = new EngineTraffic(clock, site, drawSeed());
-    const admission = this.makeAdmission();
+    const {host} = settings;
+    const traffic = new EngineTraffic(host, clock, site, drawSeed());
+    const admission = this.makeAdmission(traffic);
     this.serving = new Serving(
       incarnation,
       clock,
@@ -108,12 +120,31 @@
     );
     this.control = new ControlPlane(
       this.serving,
-      this.transport,
+      this.naming,
       this.orders,
       () => {
         this.end(1);
       },
     );
+    this.upstreams = new UpstreamControl(
+      clock,
+      site,
+      this.pools,
+      log,
+      drawSeed(),
+      this.control,
+    );
+    this.serving.useUpstreams(this.upstreams);
+    this.loads = new LoadFeed(clock, site, this.pools, traffic, upstream =>
+      this.upstreams.isUsable(upstream),
+    );
+    this.seeds = new SeedPeers(
+      settings.seedPeers ?? [],
+      this.transport,
+      members => {
+        this.control.addSeeds(members);
+      },
+    );
     this.configuration = this.makeConfiguration(log);
     this.membership = this.makeMembership(log);
     this.control.connect(this.configuration, this.membership);
@@ -121,7 +152,7 @@
       this.serving,
       new CompletionHandler(this.serving),
       new ServiceHandler(this.serving, this.orders),
-      host => this.isUsable(host),
+      this.naming,
     );
     const status = new HostStatusReader(
       settings,
@@ -156,8 +187,11 @@
     this.serving.admission.start();
     this.membership.start();
     this.configuration.start();
+    this.seeds.start();
+    this.loads.start();
     await this.callers.listen(callers.host, callers.port);
     this.state = HostState.SERVING;
+    this.naming.forget();
     this.serving.log.info('host_started');
     this.serving.timeline.record(TimelineEventName.HOST_STARTED);
   }
@@ -177,6 +211,7 @@
   private async stopGracefully(): Promise<void> {
     const {serving} = this;
     this.state = HostState.DRAINING;
+    this.naming.forget();
     serving.log.info('host_draining', {
       inFlight: serving.inFlightRequests(),
     });
@@ -200,6 +235,9 @@
 
   private async closeControl(): Promise<void> {
     this.configuration.stop();
+    this.seeds.stop();
+    this.loads.stop();
+    this.upstreams.stop();
     this.membership.stop();
     this.orders.stop();
     this.serving.admission.stop();
@@ -214,7 +252,16 @@
     if (this.state !== HostState.SERVING) return false;
     if (!this.control.hasConfiguration()) return false;
     const upMs = this.clock.nowMs() - this.startedMs;
-    return this.orders.mayVote() || upMs > ORDERS_READY_WITHIN_MS;
+    if (upMs > READY_WITHIN_MS) return true;
+    return this.orders.mayVote() && this.hasProbedUpstreams();
+  }
+
+  private hasProbedUpstreams(): boolean {
+    return this.site
+      .allUpstreams()
+      .every(
+        ({name}) => this.upstreams.stateOf(name) !== UpstreamState.PROBING,
+      );
   }
 
   private isUsable(host: string): boolean {
@@ -225,17 +272,19 @@
   private findPeer(host: string): string | undefined {
     const listed = this.site.hosts().hosts.find(one => one.name === host);
     if (listed !== undefined) return listed.peers;
-    return this.membership.addressOf(host);
+    return this.membership.addressOf(host) ?? this.seeds.addressOf(host);
   }
 
-  private makeAdmission(): AdmissionDesk {
+  private makeAdmission(traffic: EngineTraffic): AdmissionDesk {
     const admission = new FairAdmission({
       self: this.incarnation,
+      hostsOf: account => this.naming.nameFor(account).map(({name}) => name),
+      laneDemand: () => traffic.demand(),
       settings: {accounts: {}, lengthClasses: [UNSET_CLASS]},
       random: xoroshiro128plus(drawSeed()),
     });
     return new AdmissionDesk(admission, this.clock, (host, message) => {
-      this.control.sendLimits(host, message);
+      this.transport.send(host, {body: {$case: 'limit', value: message}});
     });
   }
 
--- a/packages/daemon/src/host_status_reader.ts
+++ b/packages/daemon/src/host_status_reader.ts
@@ -44,8 +44,9 @@
       })),
       upstreams: serving.site
         .allUpstreams()
-        .map(({name, kind, serves, address, state}) => ({
-          ...{name, kind, serves, address, state},
+        .map(({name, kind, serves, address}) => ({
+          ...{name, kind, serves, address},
+          state: serving.upstreams.stateOf(name),
           inFlight: serving.openCalls(name),
         })),
     };
--- /dev/null
+++ b/packages/daemon/src/load_feed.ts
@@ -0,0 +1,94 @@
+import type {ListedUpstream} from '@parsleywood/schema/upstream_list';
+import {RouterEventKind} from '@parsleywood/routing';
+import type {Clock} from './clock.js';
+import type {EngineReport} from './engine_report.js';
+import type {EngineTraffic} from './engine_traffic.js';
+import type {SiteView} from './site_view.js';
+import type {UpstreamPools} from './upstream_pools.js';
+
+const POLL_INTERVAL_MS = 500;
+const POLL_TIMEOUT_MS = 1_000;
+
+/** What is known of one engine's reports. */
+interface Reports {
+  /** Grows when the engine's sequence starts anew. */
+  restarts: number;
+  sequence: number;
+  /** Least difference of this host's clock and the engine's, in milliseconds. */
+  offsetMs: number;
+}
+
+/** Reads the engines' load reports for the router. */
+export class LoadFeed {
+  private readonly known = new Map<string, Reports>();
+  private timer: NodeJS.Timeout | undefined;
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly site: SiteView,
+    private readonly pools: UpstreamPools,
+    private readonly traffic: EngineTraffic,
+    private readonly isUsable: (upstream: string) => boolean,
+  ) {}
+
+  start(): void {
+    this.timer = setInterval(() => {
+      this.pollAll();
+    }, POLL_INTERVAL_MS);
+  }
+
+  stop(): void {
+    clearInterval(this.timer);
+  }
+
+  private pollAll(): void {
+    for (const upstream of this.site.allUpstreams()) {
+      if (upstream.kind !== 'engine' || !this.isUsable(upstream.name)) continue;
+      void this.poll(upstream);
+    }
+  }
+
+  private async poll({name, address}: ListedUpstream): Promise<void> {
+    const sentMs = this.clock.nowMs();
+    try {
+      const answer = await this.pools.get(address).request({
+        method: 'GET',
+        path: '/v1/load',
+        signal: AbortSignal.timeout(POLL_TIMEOUT_MS),
+      });
+      if (answer.statusCode === 200) {
+        this.take(name, (await answer.body.json()) as EngineReport, sentMs);
+      } else {
+        await answer.body.dump();
+      }
+    } catch {
+      // A report that does not come leaves the last one in force.
+    }
+  }
+
+  private take(upstream: string, report: EngineReport, sentMs: number): void {
+    const offsetMs = sentMs - report.atMs;
+    const known = this.known.get(upstream) ?? {
+      ...{restarts: 0, sequence: 0},
+      offsetMs,
+    };
+    if (report.sequence < known.sequence) {
+      known.restarts++;
+      known.offsetMs = offsetMs;
+    }
+    known.sequence = report.sequence;
+    known.offsetMs = Math.min(known.offsetMs, offsetMs);
+    this.known.set(upstream, known);
+    this.traffic.observe({
+      kind: RouterEventKind.LOAD_REPORT,
+      upstream,
+      incarnation: String(known.restarts),
+      sequence: report.sequence,
+      takenAtMs: report.atMs + known.offsetMs,
+      queuedTokens: report.waitingTokens,
+      decoding: report.running,
+      usedTokens: report.usedTokens,
+      longestPrefillTokens: report.longestPrefillTokens ?? report.waitingTokens,
+    });
+  }
+}
--- a/packages/daemon/src/membership_control.ts
+++ b/packages/daemon/src/membership_control.ts
@@ -26,14 +26,14 @@
   constructor(
     self: Incarnation,
     address: string,
-    settings: MembershipSettings,
+    private readonly defaults: MembershipSettings,
     seed: number,
     clock: Clock,
     private readonly transport: PeerTransport,
     private readonly log: EventLog,
     private readonly listener: MembershipListener,
   ) {
-    this.membership = new Membership({self, address, settings, seed});
+    this.membership = new Membership({self, address, settings: defaults, seed});
     this.runner = new DecisionRunner(
       this.membership,
       clock,
@@ -68,6 +68,14 @@
     this.runner.stop();
   }
 
+  /** Takes the times of failure detection; absent ones keep the defaults. */
+  applySettings(settings: Partial<MembershipSettings> = {}): void {
+    this.runner.dispatch({
+      kind: MembershipEventKind.SETTINGS,
+      settings: {...this.defaults, ...settings},
+    });
+  }
+
   setList(list: HostList, revision: number): void {
     this.runner.dispatch({kind: MembershipEventKind.LIST, list, revision});
   }
--- a/packages/daemon/src/operator_server.ts
+++ b/packages/daemon/src/operator_server.ts
@@ -108,8 +108,8 @@
     if (Number.isFinite(ageMs)) {
       metrics.configurationAge.set(ageMs / MS_PER_SECOND);
     }
-    for (const {name, state} of site.allUpstreams()) {
-      const usable = state === 'live' && !this.serving.health.isAvoided(name);
+    for (const {name} of site.allUpstreams()) {
+      const usable = this.serving.upstreams.isUsable(name);
       metrics.upstreamUsable.set({upstream: name}, usable ? 1 : 0);
     }
   }
--- a/packages/daemon/src/peer_transport.ts
+++ b/packages/daemon/src/peer_transport.ts
@@ -18,12 +18,12 @@
 const MAX_RECONNECT_BACKOFF_MS = 1_000;
 const MIN_RECONNECT_BACKOFF_MS = 100;
 
-type UnaryMethod<Question, Reply> = (
-  question: Question,
+type PeerCall<Reply> = (
+  client: PeerClient,
   metadata: Metadata,
   options: {deadline: number},
   done: (error: ServiceError | null, reply: Reply) => void,
-) => unknown;
+) => void;
 
 /** Sends messages and calls to the other hosts. */
 export class PeerTransport {
@@ -84,6 +84,19 @@
     return report.map(({json}) => json);
   }
 
+  /** Reads the status of the host at an address, IP:port. */
+  async readStatusAt(address: string): Promise<Result<string, Failure>> {
+    const report = await this.callAt<{json: string}>(
+      address,
+      address,
+      QUERY_TIMEOUT_MS,
+      (client, ...rest) => {
+        client.readStatus({}, ...rest);
+      },
+    );
+    return report.map(({json}) => json);
+  }
+
   async readTimeline(
     host: string,
     query: TimelineQuery,
@@ -125,15 +138,7 @@
   private async call<Reply>(
     host: string,
     limitMs: number,
-    start: (
-      client: PeerClient,
-      ...rest: Parameters<UnaryMethod<unknown, Reply>> extends [
-        unknown,
-        ...infer Rest,
-      ]
-        ? Rest
-        : never
-    ) => void,
+    start: PeerCall<Reply>,
   ): Promise<Result<Reply, Failure>> {
     const address = this.findAddress(host);
     if (address === undefined) {
@@ -141,6 +146,15 @@
         new Failure(ErrorKind.HOST_UNAVAILABLE, `host "${host}" is not listed`),
       );
     }
+    return this.callAt(host, address, limitMs, start);
+  }
+
+  private async callAt<Reply>(
+    host: string,
+    address: string,
+    limitMs: number,
+    start: PeerCall<Reply>,
+  ): Promise<Result<Reply, Failure>> {
     return new Promise(resolve => {
       const options = {deadline: Date.now() + limitMs};
       start(
--- a/packages/daemon/src/serving.ts
+++ b/packages/daemon/src/serving.ts
@@ -16,7 +16,7 @@
 import type {ServiceCall} from './service_call.js';
 import {ServiceClient} from './service_client.js';
 import type {SiteView} from './site_view.js';
-import {UpstreamHealth} from './upstream_health.js';
+import type {UpstreamControl} from './upstream_control.js';
 import type {UpstreamPools} from './upstream_pools.js';
 
 const RETRY_AFTER_MS = 500;
@@ -31,8 +31,8 @@
   readonly engines: EngineClient;
   readonly services: ServiceClient;
   readonly retries = new RetryBudget();
-  readonly health: UpstreamHealth;
   private inFlight = 0;
+  private control: UpstreamControl | undefined;
   private turn = 0;
   private readonly open = new Map<string, number>();
 
@@ -52,7 +52,17 @@
     this.requestPrefix = `${incarnation.host}-${incarnation.id.slice(-6)}`;
     this.engines = new EngineClient(pools);
     this.services = new ServiceClient(pools);
-    this.health = new UpstreamHealth(clock);
+  }
+
+  /** Connects the part that tells which upstreams may get work. */
+  useUpstreams(control: UpstreamControl): void {
+    this.control = control;
+    this.traffic.useLiveness(upstream => control.isUsable(upstream));
+  }
+
+  get upstreams(): UpstreamControl {
+    if (this.control !== undefined) return this.control;
+    throw new Failure(ErrorKind.INTERNAL, 'upstreams are not connected');
   }
 
   /** Settings in force; throws a Failure while there are none. */
@@ -67,16 +77,15 @@
     );
   }
 
-  /** Chooses a service upstream in turn, those without faults first. */
+  /** Chooses a usable service upstream in turn. */
   chooseService(
     service: string,
     excluded: readonly string[],
   ): ListedUpstream | undefined {
-    const live = this.site
+    const usable = this.site
       .serving('service', service)
-      .filter(one => one.state === 'live' && !excluded.includes(one.name));
-    const healthy = live.filter(one => !this.health.isAvoided(one.name));
-    const usable = healthy.length > 0 ? healthy : live;
+      .filter(({name}) => this.upstreams.isUsable(name))
+      .filter(({name}) => !excluded.includes(name));
     return usable[this.turn++ % Math.max(usable.length, 1)];
   }
 
@@ -91,8 +100,8 @@
     this.countCall(name, 1);
     const result = await this.services.send(call, address, limitMs, fencing);
     this.countCall(name, -1);
-    if (result.isOk) this.health.recordSuccess(name);
-    else this.health.recordFault(name);
+    if (result.isOk) this.upstreams.noteSuccess(name);
+    else this.upstreams.noteFailure(name);
     return result;
   }
 
--- /dev/null
+++ b/packages/daemon/src/upstream_control.ts
@@ -0,0 +1,119 @@
+import {
+  UpstreamLiveness,
+  UpstreamNews,
+  UpstreamState,
+} from '@parsleywood/membership';
+import type {UpstreamList} from '@parsleywood/schema/upstream_list';
+import type {Clock} from './clock.js';
+import type {EventLog} from './event_log.js';
+import type {SiteView} from './site_view.js';
+import {Timer} from './timer.js';
+import type {UpstreamListener} from './upstream_listener.js';
+import type {UpstreamPools} from './upstream_pools.js';
+
+const PROBE_PATH = '/healthz';
+const PROBE_TIMEOUT_MS = 1_000;
+
+/** Keeps track of which upstreams may get work from this host. */
+export class UpstreamControl {
+  private readonly liveness: UpstreamLiveness;
+  private readonly timer: Timer;
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly site: SiteView,
+    private readonly pools: UpstreamPools,
+    private readonly log: EventLog,
+    seed: number,
+    private readonly listener: UpstreamListener,
+  ) {
+    this.liveness = new UpstreamLiveness(seed);
+    this.timer = new Timer(clock, () => {
+      this.probeDue();
+    });
+  }
+
+  /** Whether the upstream may get new work. */
+  isUsable(upstream: string): boolean {
+    return this.liveness.stateOf(upstream) === UpstreamState.USABLE;
+  }
+
+  stateOf(upstream: string): UpstreamState {
+    return this.liveness.stateOf(upstream);
+  }
+
+  takeList(list: UpstreamList, revision: number): void {
+    this.liveness.takeList(list, revision, this.clock.nowMs());
+    this.settle();
+  }
+
+  noteSuccess(upstream: string): void {
+    this.liveness.takeSuccess(upstream, this.clock.nowMs());
+    this.settle();
+  }
+
+  /** Takes a fault that is the upstream's, not the request's. */
+  noteFailure(upstream: string): void {
+    const wasUsable = this.isUsable(upstream);
+    this.liveness.takeFailure(upstream, this.clock.nowMs());
+    this.settle();
+    if (wasUsable && !this.isUsable(upstream)) {
+      this.listener.onUpstreamNews(upstream, UpstreamNews.FAILED);
+    }
+  }
+
+  /** Takes the upstream's own word that it is leaving. */
+  noteLeaving(upstream: string): void {
+    this.liveness.takeRefusal(upstream, this.clock.nowMs());
+    this.settle();
+    this.listener.onUpstreamNews(upstream, UpstreamNews.LEAVING);
+  }
+
+  /** Takes a peer's word. */
+  takeWord(upstream: string, news: UpstreamNews): void {
+    this.liveness.takeWord(upstream, news, this.clock.nowMs());
+    this.settle();
+  }
+
+  stop(): void {
+    this.timer.clear();
+  }
+
+  private settle(): void {
+    const changes = this.liveness.takeChanges();
+    for (const {upstream, state} of changes) {
+      this.log.info('upstream_changed', {upstream, state});
+    }
+    if (changes.length > 0) this.listener.onUpstreamsChanged(changes);
+    this.timer.set(this.liveness.wakeAtMs());
+  }
+
+  private probeDue(): void {
+    for (const upstream of this.liveness.takeDueProbes(this.clock.nowMs())) {
+      void this.probe(upstream);
+    }
+    this.settle();
+  }
+
+  private async probe(upstream: string): Promise<void> {
+    const isUp = await this.answers(upstream);
+    this.liveness.takeProbeOutcome(upstream, isUp, this.clock.nowMs());
+    this.settle();
+  }
+
+  private async answers(upstream: string): Promise<boolean> {
+    const listed = this.site.upstream(upstream);
+    if (listed === undefined) return false;
+    try {
+      const answer = await this.pools.get(listed.address).request({
+        method: 'GET',
+        path: PROBE_PATH,
+        signal: AbortSignal.timeout(PROBE_TIMEOUT_MS),
+      });
+      await answer.body.dump();
+      return answer.statusCode === 200;
+    } catch {
+      return false;
+    }
+  }
+}
--- a/packages/requests/src/attempt_fault.ts
+++ b/packages/requests/src/attempt_fault.ts
@@ -2,6 +2,8 @@
 export enum AttemptFault {
   /** The upstream refused the attempt before running it. */
   REFUSED = 'refused',
+  /** The upstream is leaving and takes no new work. */
+  LEAVING = 'leaving',
   /** No connection was made; nothing was sent. */
   UNREACHABLE = 'unreachable',
   /** The connection closed before the answer's end. */
--- a/packages/requests/src/life.ts
+++ b/packages/requests/src/life.ts
@@ -14,6 +14,7 @@
 
 const NOT_RUN: ReadonlySet<AttemptFault> = new Set([
   AttemptFault.REFUSED,
+  AttemptFault.LEAVING,
   AttemptFault.UNREACHABLE,
 ]);
 
