Spread prompts larger than one engine's memory over several engines

Cause: the router answered SPREAD and the host refused such prompts. Conclusion: an engine picker hands such prompts to the spread plan, which reserves all engines or none.

--- a/packages/daemon/src/attempt_call.ts
+++ b/packages/daemon/src/attempt_call.ts
@@ -10,6 +10,10 @@
   readonly owner: string;
   /** 0 is served first. */
   readonly priority: number;
+  /** Reservation at the engine that the attempt uses. */
+  readonly reservation: string | undefined;
+  /** Tokens that other engines hold for the attempt. */
+  readonly remoteTokens: number | undefined;
   /** Output position to continue from. */
   readonly resumeFrom: number;
   /** Time after which the engine ends the work by itself, in milliseconds. */
--- a/packages/daemon/src/completion_session.ts
+++ b/packages/daemon/src/completion_session.ts
@@ -10,31 +10,30 @@
   type LifeEvent,
   type Usage,
 } from '@parsleywood/requests';
-import {
-  ChoiceKind,
-  RouterEventKind,
-  type Choice,
-  type RoutedRequest,
-} from '@parsleywood/routing';
+import {RouterEventKind, type RoutedRequest} from '@parsleywood/routing';
 import {TimelineEventName, type TimelineFields} from '@parsleywood/timeline';
 import type {AdmissionListener} from './admission_listener.js';
 import type {AttemptListener} from './attempt_listener.js';
 import type {CompletionRequest} from './completion_request.js';
 import {DecisionRunner} from './decision_runner.js';
 import type {Delivery} from './delivery.js';
+import type {EnginePick} from './engine_pick.js';
+import type {PickListener} from './pick_listener.js';
 import type {Serving} from './serving.js';
 
 /** Longest silence of an engine before the request moves, in milliseconds. */
 const ENGINE_SILENCE_MS = 5_000;
 const MAX_ATTEMPTS = 4;
-const RETRY_AFTER_MS = 500;
 const MS_PER_SECOND = 1_000;
 
 /** One completion request: its admission, attempts and answer. */
-export class CompletionSession implements AttemptListener, AdmissionListener {
+export class CompletionSession
+  implements AttemptListener, AdmissionListener, PickListener
+{
   private readonly life: Life;
   private readonly runner: DecisionRunner<LifeEvent, LifeAction>;
-  private choice: Extract<Choice, {kind: ChoiceKind.UPSTREAM}> | undefined;
+  private pick: EnginePick | undefined;
+  private pickId = '';
   private hasFirstToken = false;
 
   constructor(
@@ -98,6 +97,22 @@
     this.runner.dispatch({kind: LifeEventKind.REFUSED, failure});
   }
 
+  onPicked(pick: EnginePick): void {
+    this.pick = pick;
+    const {upstream} = pick;
+    this.runner.dispatch({kind: LifeEventKind.CHOSEN, upstream});
+  }
+
+  onNonePicked(failure: Failure): void {
+    this.runner.dispatch({kind: LifeEventKind.NONE_CHOSEN, failure});
+  }
+
+  onPickLost(): void {
+    if (this.pickId === '') return;
+    this.serving.engines.cancel(this.pickId);
+    this.onFault(this.pickId, AttemptFault.BROKEN, 'an engine dropped out');
+  }
+
   onAlive(attempt: string): void {
     this.runner.dispatch({kind: LifeEventKind.ALIVE, attempt});
   }
@@ -144,21 +159,9 @@
   }
 
   private choose(excluded: readonly string[]): void {
-    const {traffic} = this.serving;
+    this.pickId = `${this.routed.id}.${this.life.attemptCount() + 1}`;
     const request = {...this.routed, avoid: excluded};
-    let choice = traffic.choose(request);
-    if (choice?.kind === ChoiceKind.NONE && excluded.length > 0) {
-      // Every engine failed this request once; one of them may be back.
-      choice = traffic.choose({...request, avoid: excluded.slice(-1)});
-    }
-    if (choice?.kind !== ChoiceKind.UPSTREAM) {
-      const retryAfterMs = RETRY_AFTER_MS;
-      this.runner.dispatch({kind: LifeEventKind.NONE_CHOSEN, retryAfterMs});
-      return;
-    }
-    this.choice = choice;
-    const {upstream} = choice;
-    this.runner.dispatch({kind: LifeEventKind.CHOSEN, upstream});
+    this.serving.picker.pick(this.pickId, request, this);
   }
 
   private startAttempt(
@@ -166,8 +169,8 @@
   ): void {
     const {attempt, upstream} = action;
     const engine = this.serving.site.upstream(upstream);
-    const {choice} = this;
-    if (engine === undefined || choice === undefined) {
+    const {pick} = this;
+    if (engine === undefined || pick === undefined) {
       this.onFault(attempt, AttemptFault.UNREACHABLE, 'no longer listed');
       return;
     }
@@ -181,7 +184,7 @@
       attempt,
       upstream,
       request: this.routed,
-      cachedTokens: choice.cachedTokens,
+      cachedTokens: pick.cachedTokens,
     });
     if (this.life.attemptCount() === 1) {
       this.serving.admission.noteStarted(this.routed.id);
@@ -194,7 +197,9 @@
         path: this.request.path,
         body: this.request.body,
         owner: this.serving.owner,
-        priority: choice.priority,
+        priority: pick.priority,
+        reservation: pick.reservation,
+        remoteTokens: pick.remoteTokens,
         resumeFrom: action.resumeFrom,
         limitMs: action.limitMs,
       },
@@ -221,10 +226,10 @@
   }
 
   private noteFault(fault: AttemptFault): void {
-    const {serving, choice} = this;
+    const {serving, pick} = this;
     serving.metrics.retries.inc({fault});
-    if (choice === undefined || fault === AttemptFault.INVALID) return;
-    const {upstream} = choice;
+    if (pick === undefined || fault === AttemptFault.INVALID) return;
+    const {upstream} = pick;
     this.record(TimelineEventName.ATTEMPT_FAILED, {upstream, state: fault});
     if (fault === AttemptFault.LEAVING) {
       serving.upstreams.noteLeaving(upstream);
@@ -234,9 +239,10 @@
   }
 
   private noteAttemptEnded(attempt: string, succeeded: boolean): void {
-    if (this.choice === undefined) return;
-    this.serving.countCall(this.choice.upstream, -1);
-    if (succeeded) this.serving.upstreams.noteSuccess(this.choice.upstream);
+    this.releasePick();
+    if (this.pick === undefined) return;
+    this.serving.countCall(this.pick.upstream, -1);
+    if (succeeded) this.serving.upstreams.noteSuccess(this.pick.upstream);
     const kind = RouterEventKind.ATTEMPT_ENDED;
     this.serving.traffic.observe({kind, attempt, succeeded});
   }
@@ -272,12 +278,18 @@
     this.conclude(failure.kind);
   }
 
+  private releasePick(): void {
+    this.serving.picker.release(this.pickId);
+    this.pickId = '';
+  }
+
   private record(name: TimelineEventName, fields?: TimelineFields): void {
     this.serving.timeline.record(name, this.routed.id, fields);
   }
 
   private conclude(outcome: string): void {
     this.runner.stop();
+    this.releasePick();
     this.serving.metrics.droppedEvents.inc(this.life.droppedEvents());
     this.serving.conclude('completion', outcome, this.request.id);
   }
--- a/packages/daemon/src/control_plane.ts
+++ b/packages/daemon/src/control_plane.ts
@@ -19,6 +19,7 @@
 import type {MembershipListener} from './membership_listener.js';
 import type {OrderDesk} from './order_desk.js';
 import type {Serving} from './serving.js';
+import type {SpreadDesk} from './spread_desk.js';
 import type {UpstreamListener} from './upstream_listener.js';
 
 /** State in which order decisions see a member. */
@@ -42,6 +43,7 @@
   constructor(
     private readonly serving: Serving,
     private readonly naming: HostNaming,
+    private readonly spread: SpreadDesk,
     private readonly orders: OrderDesk,
     private readonly end: () => void,
   ) {}
@@ -124,6 +126,7 @@
       timeline.record(name, '', {upstream, state});
     }
     traffic.applyUpstreams();
+    this.spread.setEngines(traffic.usableEngines());
   }
 
   onSuperseded(): void {
--- a/packages/daemon/src/engine_client.ts
+++ b/packages/daemon/src/engine_client.ts
@@ -33,6 +33,7 @@
         'parsleywood-priority': String(call.priority),
         'parsleywood-resume-from': String(call.resumeFrom),
         'parsleywood-limit-ms': String(Math.ceil(call.limitMs)),
+        ...describeReservation(call),
       },
     };
     try {
@@ -50,3 +51,11 @@
     reader?.abort();
   }
 }
+
+function describeReservation(call: AttemptCall): Record<string, string> {
+  if (call.reservation === undefined) return {};
+  return {
+    'parsleywood-reservation': call.reservation,
+    'parsleywood-remote-tokens': String(call.remoteTokens ?? 0),
+  };
+}
--- a/packages/daemon/src/engine_traffic.ts
+++ b/packages/daemon/src/engine_traffic.ts
@@ -8,6 +8,7 @@
   type RoutedRequest,
   type Router,
   type RouterEvent,
+  type Upstream,
 } from '@parsleywood/routing';
 import type {LengthClassSettings, Settings} from '@parsleywood/schema/settings';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
@@ -68,20 +69,26 @@
 
   /** Takes over the listed engines; those not usable get no new work. */
   applyUpstreams(): void {
-    const settings = this.site.settings();
-    if (settings === undefined) return;
-    const engines = this.site
+    const upstreams = this.listEngines();
+    this.observe({kind: RouterEventKind.UPSTREAMS, upstreams});
+  }
+
+  /** The engines that may get new work. */
+  usableEngines(): Upstream[] {
+    return this.listEngines().filter(({leaving}) => !leaving);
+  }
+
+  private listEngines(): Upstream[] {
+    const models = this.site.settings()?.models ?? {};
+    return this.site
       .allUpstreams()
-      .filter(upstream => upstream.kind === 'engine');
-    this.observe({
-      kind: RouterEventKind.UPSTREAMS,
-      upstreams: engines.map(engine => ({
-        name: engine.name,
-        model: engine.serves,
-        memoryTokens: settings.models[engine.serves]?.engineMemoryTokens ?? 0,
-        leaving: !this.isUsable(engine.name),
-      })),
-    });
+      .filter(upstream => upstream.kind === 'engine')
+      .map(({name, serves}) => ({
+        name,
+        model: serves,
+        memoryTokens: models[serves]?.engineMemoryTokens ?? 0,
+        leaving: !this.isUsable(name),
+      }));
   }
 
   choose(request: RoutedRequest): Choice | undefined {
--- a/packages/daemon/src/host_process.ts
+++ b/packages/daemon/src/host_process.ts
@@ -11,6 +11,7 @@
 import {CompletionHandler} from './completion_handler.js';
 import {ConfigurationControl} from './configuration_control.js';
 import {ControlPlane} from './control_plane.js';
+import {EnginePicker} from './engine_picker.js';
 import {EngineTraffic} from './engine_traffic.js';
 import {EventLog} from './event_log.js';
 import {HostMetrics} from './host_metrics.js';
@@ -27,11 +28,13 @@
 import {PeerServer} from './peer_server.js';
 import {PeerTransport} from './peer_transport.js';
 import {PlatformClient} from './platform_client.js';
+import {ReservationClient} from './reservation_client.js';
 import {ServiceHandler} from './service_handler.js';
 import {Serving} from './serving.js';
 import {SeedPeers} from './seed_peers.js';
 import {SiteReader} from './site_reader.js';
 import {SiteView} from './site_view.js';
+import {SpreadDesk} from './spread_desk.js';
 import {SystemClock} from './system_clock.js';
 import {UpstreamControl} from './upstream_control.js';
 import {UpstreamPools} from './upstream_pools.js';
@@ -75,6 +78,7 @@
   private readonly upstreams: UpstreamControl;
   private readonly loads: LoadFeed;
   private readonly seeds: SeedPeers;
+  private readonly spread: SpreadDesk;
   private readonly callers: CallerServer;
   private readonly operators: OperatorServer;
   private readonly peers: PeerServer;
@@ -102,12 +106,20 @@
     const {host} = settings;
     const traffic = new EngineTraffic(host, clock, site, drawSeed());
     const admission = this.makeAdmission(traffic);
+    const owner = `${incarnation.host}/${incarnation.id}`;
+    this.spread = new SpreadDesk(
+      host,
+      drawSeed(),
+      clock,
+      new ReservationClient(owner, site, this.pools),
+    );
     this.serving = new Serving(
       incarnation,
       clock,
       site,
       this.pools,
       traffic,
+      new EnginePicker(traffic, this.spread),
       admission,
       new HostMetrics(),
       timeline,
@@ -121,6 +133,7 @@
     this.control = new ControlPlane(
       this.serving,
       this.naming,
+      this.spread,
       this.orders,
       () => {
         this.end(1);
@@ -237,6 +250,7 @@
     this.configuration.stop();
     this.seeds.stop();
     this.loads.stop();
+    this.spread.stop();
     this.upstreams.stop();
     this.membership.stop();
     this.orders.stop();
--- /dev/null
+++ b/packages/daemon/src/reservation_client.ts
@@ -0,0 +1,62 @@
+import type {SiteView} from './site_view.js';
+import type {UpstreamPools} from './upstream_pools.js';
+
+const TIMEOUT_MS = 1_000;
+
+/** Reserves and frees memory at engines. */
+export class ReservationClient {
+  /** @param owner Host and incarnation that own the reservations. */
+  constructor(
+    private readonly owner: string,
+    private readonly site: SiteView,
+    private readonly pools: UpstreamPools,
+  ) {}
+
+  /**
+   * Asks an engine to hold memory, or renews the lease on it.
+   *
+   * @return Whether the engine holds it; false also when it did not answer.
+   */
+  async reserve(
+    engine: string,
+    reservation: string,
+    tokens: number,
+    leaseMs: number,
+  ): Promise<boolean> {
+    const content = {owner: this.owner, tokens, expiresInMs: leaseMs};
+    const status = await this.send(engine, reservation, 'POST', content);
+    return status === 200 || status === 201;
+  }
+
+  /** Frees a reservation; one whose engine does not answer expires there. */
+  async release(engine: string, reservation: string): Promise<void> {
+    await this.send(engine, reservation, 'DELETE');
+  }
+
+  private async send(
+    engine: string,
+    reservation: string,
+    method: 'POST' | 'DELETE',
+    content?: object,
+  ): Promise<number> {
+    const listed = this.site.upstream(engine);
+    if (listed === undefined) return 0;
+    try {
+      const answer = await this.pools.get(listed.address).request({
+        method,
+        path: `/v1/reservations/${encodeURIComponent(reservation)}`,
+        ...(content === undefined
+          ? {}
+          : {
+              headers: {'content-type': 'application/json'},
+              body: JSON.stringify(content),
+            }),
+        signal: AbortSignal.timeout(TIMEOUT_MS),
+      });
+      await answer.body.dump();
+      return answer.statusCode;
+    } catch {
+      return 0;
+    }
+  }
+}
--- a/packages/daemon/src/serving.ts
+++ b/packages/daemon/src/serving.ts
@@ -7,6 +7,7 @@
 import type {AdmissionDesk} from './admission_desk.js';
 import type {Clock} from './clock.js';
 import {EngineClient} from './engine_client.js';
+import type {EnginePicker} from './engine_picker.js';
 import type {EngineTraffic} from './engine_traffic.js';
 import type {EventLog} from './event_log.js';
 import type {HostMetrics} from './host_metrics.js';
@@ -42,6 +43,7 @@
     readonly site: SiteView,
     readonly pools: UpstreamPools,
     readonly traffic: EngineTraffic,
+    readonly picker: EnginePicker,
     readonly admission: AdmissionDesk,
     readonly metrics: HostMetrics,
     readonly timeline: HostTimeline,
--- a/packages/requests/src/life.ts
+++ b/packages/requests/src/life.ts
@@ -62,11 +62,7 @@
       case LifeEventKind.CHOSEN:
         return this.start(event.upstream, nowMs);
       case LifeEventKind.NONE_CHOSEN:
-        return this.fail(
-          ErrorKind.UPSTREAM_UNAVAILABLE,
-          'no upstream can take the request now',
-          event.retryAfterMs,
-        );
+        return this.failUnchosen(event.failure);
       case LifeEventKind.WAKE:
         return this.checkSilence(nowMs);
       default:
@@ -190,6 +186,11 @@
     return this.choose();
   }
 
+  /** An earlier attempt may have run although no upstream is left. */
+  private failUnchosen({kind, message, retryAfterMs}: Failure): LifeAction[] {
+    return this.fail(kind, message, retryAfterMs);
+  }
+
   private failAtDeadline(): LifeAction[] {
     return this.fail(
       ErrorKind.TIME_LIMIT,
--- a/packages/requests/src/life_event.ts
+++ b/packages/requests/src/life_event.ts
@@ -9,7 +9,7 @@
   | {readonly kind: LifeEventKind.ADMITTED}
   | {readonly kind: LifeEventKind.REFUSED; readonly failure: Failure}
   | {readonly kind: LifeEventKind.CHOSEN; readonly upstream: string}
-  | {readonly kind: LifeEventKind.NONE_CHOSEN; readonly retryAfterMs: number}
+  | {readonly kind: LifeEventKind.NONE_CHOSEN; readonly failure: Failure}
   | {readonly kind: LifeEventKind.ALIVE; readonly attempt: string}
   | {
       readonly kind: LifeEventKind.TEXT;
