End a request for good after it crashed two engines, and clear its neighbours

Cause: a request that crashes engines was retried on one engine after another. Ruled out: blaming every broken connection: an attempt counts as crashing only when the engine's address refuses connections afterwards. Conclusion: after its first crash a request runs as the only suspect on its engine, by a lease at the engine itself; a second crash condemns it, and peers are told. The retry budget saves up 256 retries for the streams of one engine.

--- a/packages/daemon/src/completion_handler.ts
+++ b/packages/daemon/src/completion_handler.ts
@@ -1,12 +1,14 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {ErrorKind, Failure} from '@parsleywood/errors';
 import type {LengthClassSettings, Settings} from '@parsleywood/schema/settings';
+import {Verdict} from '@parsleywood/requests';
 import type {Caller} from './caller.js';
 import type {CompletionPath} from './completion_path.js';
 import type {CompletionRequest} from './completion_request.js';
 import {CompletionSession} from './completion_session.js';
 import {parseTimeLimit} from './parse_time_limit.js';
 import {readCompletion} from './read_completion.js';
+import {refuseCondemned} from './refuse_condemned.js';
 import type {Serving} from './serving.js';
 import {StreamDelivery} from './stream_delivery.js';
 import {WholeDelivery} from './whole_delivery.js';
@@ -35,6 +37,9 @@
       caller.account,
       this.serving.clock.wallMs(),
     ).unwrapOrElse(throwFailure);
+    if (this.serving.suspects.judge(request) === Verdict.CONDEMNED) {
+      throw refuseCondemned();
+    }
     const promptTokens = this.estimateTokens(request, settings);
     const lengthClass = findLengthClass(settings, promptTokens);
     const limitMs =
--- a/packages/daemon/src/completion_session.ts
+++ b/packages/daemon/src/completion_session.ts
@@ -128,6 +128,30 @@
   }
 
   onFault(attempt: string, fault: AttemptFault, detail: string): void {
+    if (fault === AttemptFault.BROKEN && this.pick !== undefined) {
+      void this.inspectCrash(attempt, this.pick, detail);
+    } else {
+      this.failAttempt(attempt, fault, detail);
+    }
+  }
+
+  /** Finds out whether the engine of a broken attempt is down. */
+  private async inspectCrash(
+    attempt: string,
+    {upstream, isSolo = false}: EnginePick,
+    detail: string,
+  ): Promise<void> {
+    const isDown = await this.serving.upstreams.isDown(upstream);
+    if (isDown) this.serving.suspects.noteCrash(this.request, isSolo);
+    this.failAttempt(attempt, AttemptFault.BROKEN, detail);
+  }
+
+  private failAttempt(
+    attempt: string,
+    fault: AttemptFault,
+    detail: string,
+  ): void {
+    if (this.life.isOver()) return;
     this.noteAttemptEnded(attempt, false);
     this.noteFault(fault);
     const kind = LifeEventKind.ATTEMPT_FAILED;
@@ -161,7 +185,8 @@
   private choose(excluded: readonly string[]): void {
     this.pickId = `${this.routed.id}.${this.life.attemptCount() + 1}`;
     const request = {...this.routed, avoid: excluded};
-    this.serving.picker.pick(this.pickId, request, this);
+    const verdict = this.serving.suspects.judge(this.request);
+    this.serving.picker.pick(this.pickId, request, verdict, this);
   }
 
   private startAttempt(
@@ -257,6 +282,7 @@
       bytes: this.request.promptBytes,
       tokens: usage.promptTokens,
     });
+    if (this.pick?.isSolo) serving.suspects.noteSuccess(this.request);
     const tokens = usage.promptTokens + usage.completionTokens;
     serving.admission.noteFinished(routed.id, true, tokens);
     serving.retries.recordSuccess();
--- a/packages/daemon/src/control_plane.ts
+++ b/packages/daemon/src/control_plane.ts
@@ -145,6 +145,11 @@
         case 'configuration':
           this.configuration?.takeMessage(from.host, body.value);
           break;
+        case 'suspect': {
+          const {fingerprint, bodyBytes, verdict} = body.value;
+          this.serving.suspects.takeNews(fingerprint, bodyBytes, verdict);
+          break;
+        }
         case 'limit':
           this.takeLimits(from.host, body.value);
           break;
--- a/packages/daemon/src/engine_pick.ts
+++ b/packages/daemon/src/engine_pick.ts
@@ -5,6 +5,8 @@
   readonly priority: number;
   /** Prompt tokens expected in the engine's cache. */
   readonly cachedTokens: number;
+  /** Whether the attempt runs as the only suspect on the engine. */
+  readonly isSolo?: boolean;
   /** Reservation at the engine that the attempt uses. */
   readonly reservation?: string;
   /** Tokens of the attempt that other engines hold under the reservation. */
--- a/packages/daemon/src/engine_picker.ts
+++ b/packages/daemon/src/engine_picker.ts
@@ -4,8 +4,11 @@
   type Choice,
   type RoutedRequest,
 } from '@parsleywood/routing';
+import {Verdict} from '@parsleywood/requests';
 import type {EngineTraffic} from './engine_traffic.js';
 import type {PickListener} from './pick_listener.js';
+import {refuseCondemned} from './refuse_condemned.js';
+import type {SoloDesk} from './solo_desk.js';
 import type {SpreadDesk} from './spread_desk.js';
 
 const RETRY_AFTER_MS = 500;
@@ -15,6 +18,7 @@
   constructor(
     private readonly traffic: EngineTraffic,
     private readonly spread: SpreadDesk,
+    private readonly solo: SoloDesk,
   ) {}
 
   /**
@@ -22,9 +26,20 @@
    *
    * @param id Names the pick until its release.
    */
-  pick(id: string, request: RoutedRequest, listener: PickListener): void {
+  pick(
+    id: string,
+    request: RoutedRequest,
+    verdict: Verdict,
+    listener: PickListener,
+  ): void {
+    if (verdict === Verdict.CONDEMNED) {
+      listener.onNonePicked(refuseCondemned());
+      return;
+    }
     const choice = this.choose(request);
-    if (choice?.kind === ChoiceKind.UPSTREAM) {
+    if (choice?.kind === ChoiceKind.UPSTREAM && verdict === Verdict.SUSPECT) {
+      this.pickSolo(id, request, choice.priority, listener);
+    } else if (choice?.kind === ChoiceKind.UPSTREAM) {
       listener.onPicked(choice);
     } else if (choice?.kind === ChoiceKind.SPREAD) {
       const {model, promptTokens, answerTokens, deadlineMs} = request;
@@ -32,20 +47,33 @@
       const {priority} = choice;
       this.spread.need(id, model, tokens, deadlineMs, priority, listener);
     } else {
-      listener.onNonePicked(
-        new Failure(
-          ErrorKind.UPSTREAM_UNAVAILABLE,
-          `no engine of model "${request.model}" can take the request now`,
-          Ran.NO,
-          RETRY_AFTER_MS,
-        ),
-      );
+      listener.onNonePicked(refuseUnavailable(request.model));
     }
   }
 
   /** Ends a pick: its attempt is over or no longer wanted. */
   release(id: string): void {
     this.spread.end(id);
+    this.solo.end(id);
+  }
+
+  private pickSolo(
+    id: string,
+    request: RoutedRequest,
+    priority: number,
+    listener: PickListener,
+  ): void {
+    this.solo.need(
+      id,
+      request.model,
+      request.avoid,
+      upstream => {
+        listener.onPicked({upstream, priority, cachedTokens: 0, isSolo: true});
+      },
+      () => {
+        listener.onNonePicked(refuseUnavailable(request.model));
+      },
+    );
   }
 
   private choose(request: RoutedRequest): Choice | undefined {
@@ -57,3 +85,12 @@
     return this.traffic.choose({...request, avoid: request.avoid.slice(-1)});
   }
 }
+
+function refuseUnavailable(model: string): Failure {
+  return new Failure(
+    ErrorKind.UPSTREAM_UNAVAILABLE,
+    `no engine of model "${model}" can take the request now`,
+    Ran.NO,
+    RETRY_AFTER_MS,
+  );
+}
--- a/packages/daemon/src/host_process.ts
+++ b/packages/daemon/src/host_process.ts
@@ -34,7 +34,9 @@
 import {SeedPeers} from './seed_peers.js';
 import {SiteReader} from './site_reader.js';
 import {SiteView} from './site_view.js';
+import {SoloDesk} from './solo_desk.js';
 import {SpreadDesk} from './spread_desk.js';
+import {SuspectDesk} from './suspect_desk.js';
 import {SystemClock} from './system_clock.js';
 import {UpstreamControl} from './upstream_control.js';
 import {UpstreamPools} from './upstream_pools.js';
@@ -107,19 +109,22 @@
     const traffic = new EngineTraffic(host, clock, site, drawSeed());
     const admission = this.makeAdmission(traffic);
     const owner = `${incarnation.host}/${incarnation.id}`;
-    this.spread = new SpreadDesk(
-      host,
-      drawSeed(),
-      clock,
-      new ReservationClient(owner, site, this.pools),
-    );
+    const reservations = new ReservationClient(owner, site, this.pools);
+    this.spread = new SpreadDesk(host, drawSeed(), clock, reservations);
+    const solo = new SoloDesk(traffic, reservations);
     this.serving = new Serving(
       incarnation,
       clock,
       site,
       this.pools,
       traffic,
-      new EnginePicker(traffic, this.spread),
+      new EnginePicker(traffic, this.spread, solo),
+      new SuspectDesk(clock, news => {
+        this.transport.sendToAll(
+          site.hosts().hosts.map(({name}) => name),
+          {body: {$case: 'suspect', value: news}},
+        );
+      }),
       admission,
       new HostMetrics(),
       timeline,
--- a/packages/daemon/src/peer_transport.ts
+++ b/packages/daemon/src/peer_transport.ts
@@ -56,6 +56,11 @@
     });
   }
 
+  /** Sends a one-way message to several hosts; this one is passed over. */
+  sendToAll(hosts: readonly string[], message: PeerMessage): void {
+    for (const host of hosts) this.send(host, message);
+  }
+
   /** Runs an order at its owner; the failure tells whether it was sent. */
   async runOrder(
     host: string,
--- a/packages/daemon/src/reservation_client.ts
+++ b/packages/daemon/src/reservation_client.ts
@@ -15,6 +15,7 @@
   /**
    * Asks an engine to hold memory, or renews the lease on it.
    *
+   * @param holder Part of the owner's name where one host has several holders.
    * @return Whether the engine holds it; false also when it did not answer.
    */
   async reserve(
@@ -22,8 +23,10 @@
     reservation: string,
     tokens: number,
     leaseMs: number,
+    holder = '',
   ): Promise<boolean> {
-    const content = {owner: this.owner, tokens, expiresInMs: leaseMs};
+    const owner = holder === '' ? this.owner : `${this.owner}/${holder}`;
+    const content = {owner, tokens, expiresInMs: leaseMs};
     const status = await this.send(engine, reservation, 'POST', content);
     return status === 200 || status === 201;
   }
--- a/packages/daemon/src/serving.ts
+++ b/packages/daemon/src/serving.ts
@@ -17,10 +17,14 @@
 import type {ServiceCall} from './service_call.js';
 import {ServiceClient} from './service_client.js';
 import type {SiteView} from './site_view.js';
+import type {SuspectDesk} from './suspect_desk.js';
 import type {UpstreamControl} from './upstream_control.js';
 import type {UpstreamPools} from './upstream_pools.js';
 
 const RETRY_AFTER_MS = 500;
+const RETRIES_PER_SUCCESS = 0.1;
+/** Covers the streams of an engine that dies. */
+const MAX_RETRIES_SAVED = 256;
 
 /** What the handling of requests shares in one process. */
 export class Serving {
@@ -31,7 +35,7 @@
   readonly requestPrefix: string;
   readonly engines: EngineClient;
   readonly services: ServiceClient;
-  readonly retries = new RetryBudget();
+  readonly retries = new RetryBudget(RETRIES_PER_SUCCESS, MAX_RETRIES_SAVED);
   private inFlight = 0;
   private control: UpstreamControl | undefined;
   private turn = 0;
@@ -44,6 +48,7 @@
     readonly pools: UpstreamPools,
     readonly traffic: EngineTraffic,
     readonly picker: EnginePicker,
+    readonly suspects: SuspectDesk,
     readonly admission: AdmissionDesk,
     readonly metrics: HostMetrics,
     readonly timeline: HostTimeline,
--- /dev/null
+++ b/packages/daemon/src/suspect_desk.ts
@@ -0,0 +1,58 @@
+import {createHash} from 'node:crypto';
+import {Suspects, Verdict, type SuspectNews} from '@parsleywood/requests';
+import type {Clock} from './clock.js';
+import type {CompletionRequest} from './completion_request.js';
+
+const VERDICTS = new Set<string>(Object.values(Verdict));
+
+/** Judges requests by what they did to upstreams, here and at the peers. */
+export class SuspectDesk {
+  private readonly suspects = new Suspects();
+
+  /** @param tell Tells every peer. */
+  constructor(
+    private readonly clock: Clock,
+    private readonly tell: (news: SuspectNews) => void,
+  ) {}
+
+  judge({model, body}: CompletionRequest): Verdict {
+    return this.suspects.judge(
+      body.length,
+      () => fingerprint(model, body),
+      this.clock.nowMs(),
+    );
+  }
+
+  /** Takes the crash of an engine on which a request ran. */
+  noteCrash({model, body}: CompletionRequest, wasAlone: boolean): void {
+    const news = this.suspects.takeCrash(
+      fingerprint(model, body),
+      body.length,
+      wasAlone,
+      this.clock.nowMs(),
+    );
+    this.tell(news);
+  }
+
+  /** Takes the whole answer of a request that ran alone. */
+  noteSuccess({model, body}: CompletionRequest): void {
+    const news = this.suspects.takeSuccess(
+      fingerprint(model, body),
+      body.length,
+    );
+    if (news !== undefined) this.tell(news);
+  }
+
+  /** Takes a peer's news; a verdict that is not known here is dropped. */
+  takeNews(name: string, bodyBytes: number, verdict: string): void {
+    if (!VERDICTS.has(verdict)) return;
+    this.suspects.takeNews(
+      {fingerprint: name, bodyBytes, verdict: verdict as Verdict},
+      this.clock.nowMs(),
+    );
+  }
+}
+
+function fingerprint(model: string, body: Buffer): string {
+  return createHash('sha256').update(`${model}\n`).update(body).digest('hex');
+}
--- a/packages/daemon/src/upstream_control.ts
+++ b/packages/daemon/src/upstream_control.ts
@@ -13,6 +13,8 @@
 
 const PROBE_PATH = '/healthz';
 const PROBE_TIMEOUT_MS = 1_000;
+const DOWN_TIMEOUT_MS = 300;
+const GONE = new Set(['ECONNREFUSED', 'ECONNRESET', 'UND_ERR_SOCKET']);
 
 /** Keeps track of which upstreams may get work from this host. */
 export class UpstreamControl {
@@ -75,6 +77,23 @@
     this.settle();
   }
 
+  /** Whether the upstream's process is gone: its address refuses connections. */
+  async isDown(upstream: string): Promise<boolean> {
+    const listed = this.site.upstream(upstream);
+    if (listed === undefined) return false;
+    try {
+      const answer = await this.pools.get(listed.address).request({
+        method: 'GET',
+        path: PROBE_PATH,
+        signal: AbortSignal.timeout(DOWN_TIMEOUT_MS),
+      });
+      await answer.body.dump();
+      return false;
+    } catch (error) {
+      return GONE.has((error as NodeJS.ErrnoException).code ?? '');
+    }
+  }
+
   stop(): void {
     this.timer.clear();
   }
--- a/packages/requests/src/index.ts
+++ b/packages/requests/src/index.ts
@@ -8,3 +8,6 @@
 export {LifeEventKind} from './life_event_kind.js';
 export type {LifeOptions} from './life_options.js';
 export type {Usage} from './usage.js';
+export type {SuspectNews} from './suspect_news.js';
+export {Suspects} from './suspects.js';
+export {Verdict} from './verdict.js';
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -3,6 +3,7 @@
 export {ChoiceKind} from './choice_kind.js';
 export {ChoiceReason} from './choice_reason.js';
 export type {ClassDemand} from './class_demand.js';
+export {orderByRendezvous} from './order_by_rendezvous.js';
 export {LaneRouter} from './lane_router.js';
 export {LeastInFlightRouter} from './least_in_flight_router.js';
 export {LengthClasses} from './length_classes.js';
