--- a/packages/orders/src/recovery.ts
+++ b/packages/orders/src/recovery.ts
@@ -16,7 +16,7 @@
 
 /** Claim timeouts after which a host counts on no lost memory any more. */
 const PATIENCE = 3;
-const QUERY_RETRY_MIN_MS = 50;
+const QUERY_RETRY_MIN_MS = 100;
 const QUERY_RETRY_MAX_MS = 2_000;
 const RECORDS_PER_PART = 2_000;
 const RESIGN_SENDS = 5;
@@ -167,11 +167,23 @@
       this.queryAtMs = Infinity;
       return;
     }
-    for (const host of this.listPeers()) this.sendQuery(host, this.current);
+    for (const host of this.listPeers()) {
+      if (!this.hasFinalReply(host)) this.sendQuery(host, this.current);
+    }
     this.queryAtMs = nowMs + this.retryMs;
     this.retryMs = Math.min(2 * this.retryMs, QUERY_RETRY_MAX_MS);
   }
 
+  /** Whether asking a host again could tell nothing that matters. */
+  private hasFinalReply(host: string): boolean {
+    const reply = this.replies.get(host);
+    return (
+      reply !== undefined &&
+      this.crashVector.isCurrent(host, reply.incarnation) &&
+      reply.activeView === this.current?.number
+    );
+  }
+
   /** Members of the present view and of those that must be closed. */
   private listPeers(): string[] {
     const peers = new Set(this.history.flatMap(({members}) => members));
