Recover from a majority of active members alone

Four hosts: two votes for an abandoned claim proved that no other could win, and the caller was told that the order had not run. The pinned test fails with the old rule.

--- a/packages/orders/src/orders.test.ts
+++ b/packages/orders/src/orders.test.ts
@@ -235,6 +235,23 @@
     });
   }
 
+  it('never runs a denied order, though all its voters restart', () => {
+    const site = makeSite(4);
+    site.network.partition(['h0', 'h1']);
+    isolate(site, 'h0');
+    site.submit(0, 'h0');
+    site.advance(LIMIT_MS);
+    expect(listReplies(site)).to.eql(['order_undecided/no']);
+    for (const name of ['h0', 'h1']) site.restart(name);
+    site.network.heal();
+    site.advance(3_000);
+    site.submit(0, 'h2');
+    site.submit(2, 'h3');
+    site.advance(LIMIT_MS);
+    expect(site.findViolations()).to.eql([]);
+    expect(site.runs.size).to.equal(1);
+  });
+
   it('is safe where four of five drawn witnesses are not', () => {
     const count = (makeHost: (self: {host: string; id: string}) => Orders) => {
       const site = new Simulation({hosts: 9, seed: 1, makeHost});
--- a/packages/orders/src/recover_memory.ts
+++ b/packages/orders/src/recover_memory.ts
@@ -8,8 +8,10 @@
 
 /**
  * Decides whether a host without memory may vote in the present view: it has
- * the claims of a majority of active members, or of every member, or all
- * members started without memory. Where a majority has lost its memory, a host
+ * the claims of a majority of active members, or all members started without
+ * memory. Fewer active members would not do, even if all answered: they share
+ * a host with every quorum, but not with every set of votes behind `ran: no`.
+ * Where a majority has lost its memory, a host
  * that waited long enough votes for keys newer than the loss.
  */
 export function recoverMemory(standing: Standing): Activation | undefined {
@@ -26,10 +28,7 @@
     state => state.complete && state.activeView === view.number,
   );
   const all = replies.length === others.length;
-  if (
-    active.length >= view.quorum ||
-    (all && active.length >= view.blocking && active.length > 0)
-  ) {
+  if (active.length >= view.quorum) {
     return {
       memoryFromMs: Math.max(...active.map(state => state.memoryFromMs)),
     };
