--- a/packages/config/src/configuration_ledger.test.ts
+++ b/packages/config/src/configuration_ledger.test.ts
@@ -71,9 +71,7 @@
         fleet.service.hangs = () => hangs;
         const base = fleet.service.publish('base', FIXTURES.base());
         fleet.run(outageMs);
-        fleet.service.isUp = () => true;
-        fleet.service.hangs = () => false;
-        fleet.service.wakeWatches();
+        fleet.service.heal();
         fleet.run(IN_FORCE_WITHIN_MS);
         expect(fleet.behind({base, overlay: 0})).to.eql([]);
       }),
@@ -249,6 +247,7 @@
   'join',
   'down',
   'up',
+  'slow',
   'old data',
   'publish base',
   'publish overlay',
@@ -275,7 +274,7 @@
   who: number,
   lastsMs: number,
 ): void {
-  const {service, queue} = fleet;
+  const {service} = fleet;
   const host = fleet.hosts[who % fleet.hosts.length]!;
   switch (what) {
     case 'crash':
@@ -283,8 +282,7 @@
     case 'start':
       return fleet.start(host);
     case 'pause':
-      host.pausedUntilMs = queue.nowMs + 3 * lastsMs;
-      return;
+      return fleet.pause(host, 3 * lastsMs);
     case 'split':
       fleet.isLinked = (from, to) => side(from, who) === side(to, who);
       return;
@@ -295,9 +293,10 @@
       service.isUp = () => false;
       return;
     case 'up':
-      service.isUp = () => true;
-      service.visible = () => Infinity;
-      return service.wakeWatches();
+      return service.heal();
+    case 'slow':
+      service.latencyMs = lastsMs / 2;
+      return;
     case 'old data':
       service.visible = name => (side(name, who) ? Infinity : who);
       return;
@@ -319,10 +318,9 @@
 /** Ends all faults and lets every host run, with links and members known. */
 function heal(fleet: LedgerFleet): void {
   fleet.isLinked = () => true;
-  fleet.service.isUp = () => true;
-  fleet.service.visible = () => Infinity;
+  fleet.service.heal();
   for (const host of fleet.hosts) {
-    host.pausedUntilMs = 0;
+    fleet.resume(host);
     if (!host.ledger) fleet.start(host);
   }
 }
--- a/packages/config/src/fake_service.test.ts
+++ b/packages/config/src/fake_service.test.ts
@@ -24,11 +24,22 @@
   isUp: (host: string) => boolean = () => true;
   /** Whether a call of a host gets no answer at all. */
   hangs: (host: string) => boolean = () => false;
+  /** How long an answer takes after what it tells was read. */
+  latencyMs = LATENCY_MS;
   /** The highest revision that a host is served. */
   visible: (host: string) => number = () => Infinity;
 
   constructor(private readonly queue: EventQueue) {}
 
+  /** Ends all faults. */
+  heal(): void {
+    this.isUp = () => true;
+    this.hangs = () => false;
+    this.visible = () => Infinity;
+    this.latencyMs = LATENCY_MS;
+    this.wakeWatches();
+  }
+
   /** Publishes a value and returns its revision. */
   publish(key: string, text: string): number {
     this.published.push({key, revision: ++this.revision, text});
@@ -61,7 +72,8 @@
       if (answered) return;
       answered = true;
       const event = this.answerTo(host, key, after);
-      this.queue.push(this.queue.nowMs + LATENCY_MS, () => reply(event));
+      const atMs = this.queue.nowMs + this.latencyMs;
+      this.queue.push(atMs, () => reply(event));
     };
     const {nowMs} = this.queue;
     if (!this.isUp(host)) this.queue.push(nowMs + REFUSAL_MS, answer);
--- a/packages/config/src/ledger_fleet.test.ts
+++ b/packages/config/src/ledger_fleet.test.ts
@@ -23,7 +23,8 @@
   readonly name: string;
   readonly failureDomain: string;
   ledger: ConfigurationLedger | undefined;
-  pausedUntilMs: number;
+  /** What waits for the end of a pause; undefined where there is none. */
+  backlog: (() => void)[] | undefined;
   wakeMs: number;
   readonly history: ConfigurationRevision[];
   readonly alarms: ConfigurationProblemKind[];
@@ -42,7 +43,7 @@
   readonly reverted: string[] = [];
   /** Whether a message gets from one host to another. */
   isLinked: (from: string, to: string) => boolean = () => true;
-  /** Share of messages lost, in percent. */
+  /** Share of messages lost, and of those doubled, in percent. */
   lossPercent = 0;
   /** Whether hosts learn of each other without the published list. */
   hasSeeds = true;
@@ -57,7 +58,7 @@
       name: `h${index}`,
       failureDomain: `d${index % domains}`,
       ledger: undefined,
-      pausedUntilMs: 0,
+      backlog: undefined,
       wakeMs: Infinity,
       history: [],
       alarms: [],
@@ -84,6 +85,7 @@
       toMember(host),
       xoroshiro128plus(seed),
     );
+    host.backlog = undefined;
     host.wakeMs = Infinity;
     host.history.length = 0;
     host.alarms.length = 0;
@@ -98,6 +100,20 @@
     this.tellMembers(NOTICE_DEATH_MS);
   }
 
+  /** Stops a host for a time; what reaches it meanwhile waits. */
+  pause(host: Host, forMs: number): void {
+    const backlog = (host.backlog ??= []);
+    this.queue.push(this.queue.nowMs + forMs, () => {
+      if (host.backlog === backlog) this.resume(host);
+    });
+  }
+
+  resume(host: Host): void {
+    const backlog = host.backlog ?? [];
+    host.backlog = undefined;
+    for (const deliver of backlog) deliver();
+  }
+
   /** Tells every live host the live hosts of that later time. */
   tellMembers(afterMs: number): void {
     const slots = Math.ceil((this.queue.nowMs + afterMs) / MEMBERS_SLOT_MS);
@@ -132,11 +148,11 @@
     event: ConfigurationEvent,
   ): void {
     if (host.ledger !== ledger) return;
-    if (this.queue.nowMs >= host.pausedUntilMs) {
-      this.handle(host, ledger, event);
+    if (host.backlog) {
+      host.backlog.push(() => this.post(host, ledger, event));
       return;
     }
-    this.queue.push(host.pausedUntilMs, () => this.post(host, ledger, event));
+    this.handle(host, ledger, event);
   }
 
   private handle(
@@ -220,13 +236,20 @@
     }
     const host = this.byName.get(to);
     const ledger = host?.ledger;
-    const lost = uniformInt(this.random, 0, 99) < this.lossPercent;
-    if (!ledger || lost || !this.isLinked(from.name, to)) return;
-    const latencyMs = uniformInt(this.random, 1, MAX_LATENCY_MS);
+    if (!ledger || !this.isLinked(from.name, to)) return;
     const event = {kind: Kind.MESSAGE as const, from: from.name, message};
-    this.queue.push(this.queue.nowMs + latencyMs, () =>
-      this.post(host, ledger, event),
-    );
+    for (let copies = this.drawCopies(); copies > 0; copies--) {
+      const latencyMs = uniformInt(this.random, 1, MAX_LATENCY_MS);
+      this.queue.push(this.queue.nowMs + latencyMs, () =>
+        this.post(host, ledger, event),
+      );
+    }
+  }
+
+  private drawCopies(): number {
+    const drawn = uniformInt(this.random, 0, 99);
+    if (drawn < this.lossPercent) return 0;
+    return drawn < 2 * this.lossPercent ? 2 : 1;
   }
 }
 
