Hold limits where hosts hear each other through a third only

Cause: with the link between two of three hosts cut, each of the two took the part that the third did not use: 656 requests in a window of at most 550 (test 'holds a rate while two hosts hear each other through a third only', failed before).

Messages name the sender's contacts; a host that does not hear one of them uses an equal part at most. Ruled out: an equal part whenever any host is silent, which cuts every account to 1/n at one host's death. A peer that is heard but has not acknowledged anything yet now counts as doubtful rather than silent, so that of two hosts one cannot already go by demand while the other still takes an equal part.

--- a/packages/admission/src/account_limits.test.ts
+++ b/packages/admission/src/account_limits.test.ts
@@ -175,6 +175,25 @@
     fc.assert(property, {seed: 1, numRuns: 40});
   });
 
+  it('holds a rate while two hosts hear each other through a third only', () => {
+    const demand = fc.record({
+      weights: fc.constantFrom([1, 1, 0], [2, 1, 0], [3, 3, 1], [1, 0, 1]),
+      factor: fc.integer({min: 1, max: 4}),
+    });
+    const property = fc.property(
+      fc.array(demand, {minLength: 1, maxLength: 3}),
+      fc.boolean(),
+      (phases, isOneWay) => {
+        const isLost = (from: string, to: string) =>
+          (from === 'host-0' && to === 'host-1') ||
+          (!isOneWay && from === 'host-1' && to === 'host-0');
+        const {most} = count(run(fairHosts(3, RATE), phases, isLost));
+        expect(most).most(MOST_IN_WINDOW);
+      },
+    );
+    fc.assert(property, {seed: 1, numRuns: 30});
+  });
+
   it('holds a token rate', () => {
     const property = fc.property(PHASES, phases => {
       const {most} = count(run(fairHosts(6, TOKENS), phases));
--- a/packages/admission/src/limit_peer.ts
+++ b/packages/admission/src/limit_peer.ts
@@ -7,6 +7,10 @@
 
 /** Announcements that the peer has not seen; past it the oldest are merged. */
 const MAX_UNSEEN = 16;
+/** A peer that was not heard for this long is taken to hold an equal part. */
+const SILENT_AFTER_MS = 3000;
+/** Age of what two hosts know of each other while they are in contact. */
+const CONTACT_MS = 1500;
 const IDLE: Demand = {
   [DemandKind.REQUESTS]: 0,
   [DemandKind.TOKENS]: 0,
@@ -19,25 +23,40 @@
   private heardSequence = 0;
   private heardAtMs = -Infinity;
   private heard = new Map<string, Demand>();
+  private contacts: ReadonlySet<string> = new Set();
   private sentSequence = 0;
   /** From the newest announcement that the peer has seen on. */
   private announced: AnnouncedDemand[] = [];
   private seenAtMs = -Infinity;
 
+  /**
+   * Whether the peer was heard lately; without contact it may or may not go by
+   * what this host says.
+   */
+  isHeard(nowMs: number): boolean {
+    return nowMs - this.heardAtMs <= SILENT_AFTER_MS;
+  }
+
   /** Whether each of the two has lately heard what the other said lately. */
-  isInContact(withinMs: number, nowMs: number): boolean {
+  isInContact(nowMs: number): boolean {
     return (
-      nowMs - this.heardAtMs <= withinMs && nowMs - this.seenAtMs <= withinMs
+      nowMs - this.heardAtMs <= CONTACT_MS &&
+      nowMs - this.seenAtMs <= CONTACT_MS
     );
   }
 
+  /** Whether the peer last said that it is in contact with another host. */
+  isInContactWith(host: string): boolean {
+    return this.contacts.has(host);
+  }
+
   hasAnnounced(account: string): boolean {
     return this.heard.has(account);
   }
 
   /** Whether either side has lately spoken of an account. */
-  isActive(nowMs: number, withinMs: number): boolean {
-    if (this.heard.size > 0 && nowMs - this.heardAtMs <= withinMs) return true;
+  isActive(nowMs: number): boolean {
+    if (this.heard.size > 0 && this.isHeard(nowMs)) return true;
     return this.announced.some(({demands}) => demands.size > 0);
   }
 
@@ -48,6 +67,7 @@
 
   /** Least demand of this host that the peer may go by. */
   knownDemand(account: string, kind: DemandKind): number {
+    if (this.seenAtMs === -Infinity) return 0;
     let least = Infinity;
     for (const {demands} of this.announced) {
       least = Math.min(least, (demands.get(account) ?? IDLE)[kind]);
@@ -59,6 +79,7 @@
   announce(
     incarnation: string,
     demands: ReadonlyMap<string, Demand>,
+    contacts: readonly string[],
     nowMs: number,
   ): LimitMessage {
     const sequence = ++this.sentSequence;
@@ -76,6 +97,7 @@
         concurrent: demand[DemandKind.CONCURRENT],
       })),
       lanes: [],
+      contacts: [...contacts],
     };
   }
 
@@ -90,6 +112,7 @@
     this.incarnation = message.incarnation;
     this.heardSequence = message.sequence;
     this.heardAtMs = nowMs;
+    this.contacts = new Set(message.contacts);
     const before = this.heard;
     this.heard = new Map(
       message.accounts.map(demand => [
--- a/packages/admission/src/limit_shares.ts
+++ b/packages/admission/src/limit_shares.ts
@@ -5,10 +5,6 @@
 import type {DemandKind} from './demand_kind.js';
 import {LimitPeer} from './limit_peer.js';
 
-/** A peer out of contact for this long is taken to hold an equal part. */
-const SILENT_AFTER_MS = 3000;
-/** From here on this host keeps to what it may use in either case. */
-const DOUBT_AFTER_MS = 1500;
 /** Part of a limit that is split evenly, so that new demand finds some. */
 const EVEN_PART = 0.05;
 
@@ -57,10 +53,11 @@
   /** Part of the account's limit that this host may use, above 0 up to 1. */
   share(account: string, kind: DemandKind, nowMs: number): number {
     const sharers = this.sharersOf(account);
-    const surely = this.part(account, kind, sharers, DOUBT_AFTER_MS, nowMs);
-    if (!this.hasDoubt(sharers, nowMs)) return surely;
-    const maybe = this.part(account, kind, sharers, SILENT_AFTER_MS, nowMs);
-    return Math.min(surely, maybe);
+    const inContact = this.inContact(sharers, nowMs);
+    const surely = this.part(account, kind, sharers, inContact);
+    const heard = this.heard(sharers, nowMs);
+    if (heard.length === inContact.length) return surely;
+    return Math.min(surely, this.part(account, kind, sharers, heard));
   }
 
   /** Whole places of the account's limit that this host may use. */
@@ -71,17 +68,19 @@
     nowMs: number,
   ): number {
     const sharers = this.sharersOf(account);
-    const surely = this.split(account, kind, sharers, DOUBT_AFTER_MS, nowMs);
+    const inContact = this.inContact(sharers, nowMs);
+    const surely = this.split(account, kind, sharers, inContact);
     const least = this.apportion(limit, surely);
-    if (!this.hasDoubt(sharers, nowMs)) return least;
-    const maybe = this.split(account, kind, sharers, SILENT_AFTER_MS, nowMs);
+    const heard = this.heard(sharers, nowMs);
+    if (heard.length === inContact.length) return least;
+    const maybe = this.split(account, kind, sharers, heard);
     return Math.min(least, this.apportion(limit, maybe));
   }
 
   /** Whether a message with this demand is owed to the peer. */
   isOwed(host: string, demand: ReadonlyMap<string, Demand>, nowMs: number) {
     const peer = this.peers.get(host);
-    return demand.size > 0 || peer?.isActive(nowMs, SILENT_AFTER_MS) === true;
+    return demand.size > 0 || peer?.isActive(nowMs) === true;
   }
 
   /** Names of the other live hosts. */
@@ -94,7 +93,9 @@
     demand: ReadonlyMap<string, Demand>,
     nowMs: number,
   ): LimitMessage | undefined {
-    return this.peers.get(host)?.announce(this.self.id, demand, nowMs);
+    const contacts = this.inContact(this.peerNames(), nowMs);
+    const peer = this.peers.get(host);
+    return peer?.announce(this.self.id, demand, contacts, nowMs);
   }
 
   /** Takes a message; true when its sender should be answered soon. */
@@ -102,37 +103,48 @@
     return this.peers.get(from)?.hear(message, this.self.id, nowMs) ?? false;
   }
 
-  /** Whether a peer was heard of so long ago that it may count as silent. */
-  private hasDoubt(sharers: readonly string[], nowMs: number): boolean {
-    return sharers.some(host => {
-      const peer = this.peers.get(host);
-      return (
-        peer?.isInContact(SILENT_AFTER_MS, nowMs) === true &&
-        !peer.isInContact(DOUBT_AFTER_MS, nowMs)
-      );
-    });
+  private inContact(hosts: readonly string[], nowMs: number): string[] {
+    return hosts.filter(host => this.peers.get(host)?.isInContact(nowMs));
+  }
+
+  /** Hosts that are in contact or may believe that they are. */
+  private heard(hosts: readonly string[], nowMs: number): string[] {
+    return hosts.filter(host => this.peers.get(host)?.isHeard(nowMs));
   }
 
-  /** This host's part where peers out of contact hold equal ones. */
+  /** This host's part where all but the members hold equal ones. */
   private part(
     account: string,
     kind: DemandKind,
     sharers: readonly string[],
-    withinMs: number,
-    nowMs: number,
+    members: readonly string[],
   ): number {
-    let members = 1;
+    const evenPart = 1 / (sharers.length + 1);
+    if (members.length === 0) return evenPart;
     let own = Infinity;
     let sum = 0;
-    for (const host of sharers) {
+    for (const host of members) {
       const peer = this.peers.get(host);
-      if (!peer?.isInContact(withinMs, nowMs)) continue;
-      members++;
-      sum += peer.heardDemand(account, kind);
-      own = Math.min(own, peer.knownDemand(account, kind));
+      sum += peer?.heardDemand(account, kind) ?? 0;
+      own = Math.min(own, peer?.knownDemand(account, kind) ?? 0);
     }
-    const pool = members / (sharers.length + 1);
-    return own === Infinity ? pool : partOf(own, sum + own, members, pool);
+    const count = members.length + 1;
+    const part = partOf(own, sum + own, count, count * evenPart);
+    return this.isPassedOver(sharers, members)
+      ? Math.min(part, evenPart)
+      : part;
+  }
+
+  /** Whether a member is in contact with a host that this one does not hear. */
+  private isPassedOver(
+    sharers: readonly string[],
+    members: readonly string[],
+  ): boolean {
+    if (members.length === sharers.length) return false;
+    const others = sharers.filter(host => !members.includes(host));
+    return members.some(member =>
+      others.some(host => this.peers.get(member)?.isInContactWith(host)),
+    );
   }
 
   /** The parts of this host and of all others. */
@@ -140,27 +152,23 @@
     account: string,
     kind: DemandKind,
     sharers: readonly string[],
-    withinMs: number,
-    nowMs: number,
+    members: readonly string[],
   ): Split {
-    const own = this.part(account, kind, sharers, withinMs, nowMs);
-    const inContact = sharers.filter(host =>
-      this.peers.get(host)?.isInContact(withinMs, nowMs),
-    );
-    const members = inContact.length + 1;
+    const own = this.part(account, kind, sharers, members);
     const evenPart = 1 / (sharers.length + 1);
     const others = new Map(sharers.map(host => [host, evenPart]));
-    const known = Math.min(
-      ...inContact.map(
-        host => this.peers.get(host)?.knownDemand(account, kind) ?? 0,
-      ),
+    const known = members.map(
+      host => this.peers.get(host)?.knownDemand(account, kind) ?? 0,
     );
     const heardOf = (host: string) =>
       this.peers.get(host)?.heardDemand(account, kind) ?? 0;
-    const sum = inContact.reduce((total, host) => total + heardOf(host), known);
-    for (const host of inContact) {
-      const pool = members * evenPart;
-      others.set(host, partOf(heardOf(host), sum, members, pool));
+    const sum = members.reduce(
+      (total, host) => total + heardOf(host),
+      Math.min(...known),
+    );
+    const count = members.length + 1;
+    for (const host of members) {
+      others.set(host, partOf(heardOf(host), sum, count, count * evenPart));
     }
     return {own, others};
   }
