--- a/packages/routing/src/cache_index.ts
+++ b/packages/routing/src/cache_index.ts
@@ -62,11 +62,6 @@
     for (const {hash} of prefixes) this.store(engine, hash, nowMs);
   }
 
-  /** Drops prefixes that an engine turned out not to hold. */
-  takeMiss(engine: string, prefixes: readonly PrefixMark[]): void {
-    for (const {hash} of prefixes) this.holders.get(hash)?.delete(engine);
-  }
-
   /** Forgets all that an engine holds. */
   clear(engine: string): void {
     this.cacheOf(engine).generation++;
--- a/packages/routing/src/engine_fleet.ts
+++ b/packages/routing/src/engine_fleet.ts
@@ -1,6 +1,7 @@
 import type {Engine} from './engine.js';
 import {EngineLoad} from './engine_load.js';
 import type {LengthClasses} from './length_classes.js';
+import type {LoadReport} from './load_report.js';
 import {ModelEngines} from './model_engines.js';
 import {orderByRendezvous} from './order_by_rendezvous.js';
 import {PrefillRate} from './prefill_rate.js';
@@ -33,6 +34,23 @@
     this.models.get(engine.upstream.model)?.write(engine, nowMs);
   }
 
+  /** Takes a report; older ones and those of unknown engines are ignored. */
+  takeReport(name: string, report: LoadReport, nowMs: number): void {
+    const engine = this.engines.get(name);
+    const ageMs = engine?.load.takeReport(report, nowMs);
+    if (!engine || ageMs === undefined) return;
+    this.models.get(engine.upstream.model)?.observeReportAge(ageMs);
+    this.touch(engine, nowMs);
+  }
+
+  /** Gives the engine no new work until the time given. */
+  avoid(name: string, untilMs: number, nowMs: number): void {
+    const engine = this.engines.get(name);
+    if (!engine) return;
+    engine.avoidedUntilMs = untilMs;
+    this.touch(engine, nowMs);
+  }
+
   model(name: string): ModelEngines | undefined {
     return this.models.get(name);
   }
@@ -47,6 +65,17 @@
     return gone;
   }
 
+  /** Orders the engines anew only where there are others than before. */
+  private order(model: string, names: readonly string[]): readonly string[] {
+    const before = this.models.get(model)?.engines ?? [];
+    const known = new Set(before.map(({upstream}) => upstream.name));
+    const isSame =
+      known.size === names.length && names.every(name => known.has(name));
+    return isSame
+      ? before.map(({upstream}) => upstream.name)
+      : orderByRendezvous(model, names);
+  }
+
   private updateEngine(upstream: Upstream): void {
     const engine = this.engines.get(upstream.name);
     if (engine) {
@@ -75,7 +104,7 @@
     }
     const models = new Map<string, ModelEngines>();
     for (const [model, siblings] of names) {
-      const ordered = orderByRendezvous(model, siblings).flatMap(
+      const ordered = this.order(model, siblings).flatMap(
         name => this.engines.get(name) ?? [],
       );
       const rate =
--- a/packages/routing/src/lane_router.ts
+++ b/packages/routing/src/lane_router.ts
@@ -1,8 +1,7 @@
 import {uniformInt} from 'pure-rand/distribution/uniformInt';
 import type {RandomGenerator} from 'pure-rand/types/RandomGenerator';
 
-import {agePriority} from './age_priority.js';
-import type {AgedPriority} from './aged_priority.js';
+import {AttemptBook} from './attempt_book.js';
 import {CacheIndex} from './cache_index.js';
 import type {Choice} from './choice.js';
 import {ChoiceKind} from './choice_kind.js';
@@ -15,6 +14,7 @@
 import {LengthClasses} from './length_classes.js';
 import {LevelPick} from './level_pick.js';
 import type {ModelEngines} from './model_engines.js';
+import {RequestTiming} from './request_timing.js';
 import type {RoutedRequest} from './routed_request.js';
 import type {Router} from './router.js';
 import type {RouterEvent} from './router_event.js';
@@ -29,17 +29,6 @@
 const FREE_TOKENS = 1024;
 /** Longest time for which the arrivals at the peers since a report are guessed. */
 const MAX_REPORT_AGE_MS = 2000;
-/** Time that an engine takes for one token of the answer. */
-const ANSWER_TOKEN_MS = 20;
-/** Part by which the expected time of a request is taken longer. */
-const SAFETY = 1.5;
-
-interface RunningAttempt {
-  readonly upstream: string;
-  readonly request: RoutedRequest;
-  readonly cachedTokens: number;
-}
-
 /** Keeps short prompts clear of long prefills by lanes whose widths follow demand. */
 export class LaneRouter implements Router {
   private readonly classes: LengthClasses;
@@ -49,7 +38,8 @@
   private readonly cache = new CacheIndex();
   private readonly scorer: EngineScorer;
   private readonly random: RandomGenerator;
-  private readonly attempts = new Map<string, RunningAttempt>();
+  private readonly attempts: AttemptBook;
+  private readonly timing: RequestTiming;
 
   constructor(options: RouterOptions) {
     this.classes = new LengthClasses(options.lengthClasses);
@@ -62,6 +52,13 @@
       options.chunkMs,
     );
     this.widths = new LaneWidths(options.host, this.classes);
+    this.timing = new RequestTiming(this.classes);
+    this.attempts = new AttemptBook(
+      this.classes,
+      this.fleet,
+      this.widths,
+      this.cache,
+    );
   }
 
   choose(request: RoutedRequest, nowMs: number): Choice {
@@ -69,7 +66,7 @@
     if (!model || model.engines.length === 0) return refuse();
     const needTokens = request.promptTokens + request.answerTokens;
     if (needTokens > model.maxMemoryTokens) {
-      const {priority} = this.age(request, model, nowMs);
+      const {priority} = this.timing.age(request, model.rate, nowMs);
       return {
         kind: ChoiceKind.SPREAD,
         reason: ChoiceReason.EXCEEDS_ENGINE,
@@ -87,22 +84,22 @@
         }
         break;
       case RouterEventKind.LOAD_REPORT:
-        this.takeReport(event, nowMs);
+        this.fleet.takeReport(event.upstream, event, nowMs);
         break;
       case RouterEventKind.CACHE_EVENT:
         this.cache.takeEvent(event.upstream, event, nowMs);
         break;
       case RouterEventKind.ATTEMPT_STARTED:
-        this.startAttempt(event, nowMs);
+        this.attempts.start(event, nowMs);
         break;
       case RouterEventKind.FIRST_TOKEN:
-        this.takeFirstToken(event.attempt, event.cachedTokens, nowMs);
+        this.attempts.takeFirstToken(event.attempt, event.cachedTokens, nowMs);
         break;
       case RouterEventKind.ATTEMPT_ENDED:
-        this.endAttempt(event.attempt, nowMs);
+        this.attempts.end(event.attempt, nowMs);
         break;
       case RouterEventKind.AVOID:
-        this.avoid(event.upstream, event.untilMs, nowMs);
+        this.fleet.avoid(event.upstream, event.untilMs, nowMs);
         break;
       case RouterEventKind.PEER_DEMAND:
         this.widths.observePeer(event.host, event.demands, nowMs);
@@ -116,7 +113,7 @@
 
   priority(request: RoutedRequest, nowMs: number): number {
     const model = this.fleet.model(request.model);
-    return model ? this.age(request, model, nowMs).priority : 0;
+    return model ? this.timing.age(request, model.rate, nowMs).priority : 0;
   }
 
   private chooseEngine(
@@ -154,14 +151,15 @@
       score(lane, {start: lane.start, end: count});
     }
     const isAged =
-      lane.start > 0 && this.isLate(request, model, shortlist.lowest, nowMs);
+      lane.start > 0 &&
+      this.timing.isLate(request, model.rate, shortlist.lowest, nowMs);
     if (isAged) score({start: 0, end: lane.end}, {start: 0, end: count});
     if (shortlist.lowest === Infinity) return refuse();
     const index = this.level.pick(shortlist, NEAR_TOKENS);
     const upstream = model.engines[index]?.upstream.name;
     if (upstream === undefined) return refuse();
     const cachedTokens = cached.get(upstream) ?? 0;
-    const {priority, changesAtMs} = this.age(request, model, nowMs);
+    const {priority, changesAtMs} = this.timing.age(request, model.rate, nowMs);
     return {
       kind: ChoiceKind.UPSTREAM,
       upstream,
@@ -212,107 +210,8 @@
     }
     return index < lane.end ? ChoiceReason.LANE : ChoiceReason.OUTSIDE_LANE;
   }
-
-  /** Whether the lane's best engine is expected to miss the limit. */
-  private isLate(
-    request: RoutedRequest,
-    model: ModelEngines,
-    waitTokens: number,
-    nowMs: number,
-  ): boolean {
-    const tokens = waitTokens + request.promptTokens;
-    const answerMs = request.answerTokens * ANSWER_TOKEN_MS;
-    const expectedMs = tokens / model.rate.tokensPerMs + answerMs;
-    return nowMs + expectedMs * SAFETY > request.deadlineMs;
-  }
-
-  private age(
-    request: RoutedRequest,
-    model: ModelEngines,
-    nowMs: number,
-  ): AgedPriority {
-    const {priority} = this.classes.classOf(request.promptTokens);
-    const prefillMs = request.promptTokens / model.rate.tokensPerMs;
-    const answerMs = request.answerTokens * ANSWER_TOKEN_MS;
-    const latestMs = request.deadlineMs - (prefillMs + answerMs) * SAFETY;
-    const first = priority ?? DEFAULT_PRIORITY;
-    return agePriority(first, request.arrivedMs, latestMs, nowMs);
-  }
-
-  private takeReport(
-    event: RouterEvent & {kind: RouterEventKind.LOAD_REPORT},
-    nowMs: number,
-  ): void {
-    const engine = this.fleet.engine(event.upstream);
-    const ageMs = engine?.load.takeReport(event, nowMs);
-    if (!engine || ageMs === undefined) return;
-    this.fleet.model(engine.upstream.model)?.observeReportAge(ageMs);
-    this.fleet.touch(engine, nowMs);
-  }
-
-  private startAttempt(
-    event: RouterEvent & {kind: RouterEventKind.ATTEMPT_STARTED},
-    nowMs: number,
-  ): void {
-    const {attempt, upstream, request, cachedTokens} = event;
-    const engine = this.fleet.engine(upstream);
-    const model = this.fleet.model(request.model);
-    if (!engine || !model || this.attempts.has(attempt)) return;
-    const prefillTokens = Math.max(0, request.promptTokens - cachedTokens);
-    const classIndex = this.classes.indexOf(request.promptTokens);
-    this.attempts.set(attempt, {upstream, request, cachedTokens});
-    engine.load.startAttempt(attempt, {
-      startedMs: nowMs,
-      classIndex,
-      prefillTokens,
-      memoryTokens: request.promptTokens + request.answerTokens,
-      alone: engine.load.queuedTokens(model.rate.tokensPerMs, nowMs) <= 0,
-    });
-    this.fleet.touch(engine, nowMs);
-    this.widths.observeArrival(request.model, classIndex, prefillTokens, nowMs);
-  }
-
-  private takeFirstToken(
-    attempt: string,
-    cachedTokens: number | undefined,
-    nowMs: number,
-  ): void {
-    const running = this.attempts.get(attempt);
-    if (!running) return;
-    const {upstream, request} = running;
-    const engine = this.fleet.engine(upstream);
-    const own = engine?.load.takeFirstToken(attempt, nowMs);
-    if (!engine || !own) return;
-    this.fleet.touch(engine, nowMs);
-    if (own.alone) {
-      const tokens =
-        request.promptTokens - (cachedTokens ?? running.cachedTokens);
-      const rate = this.fleet.model(request.model)?.rate;
-      rate?.observe(tokens, nowMs - own.startedMs);
-    }
-    this.cache.takePrefill(upstream, request.prefixes, nowMs);
-  }
-
-  private endAttempt(attempt: string, nowMs: number): void {
-    const running = this.attempts.get(attempt);
-    if (!running) return;
-    this.attempts.delete(attempt);
-    const engine = this.fleet.engine(running.upstream);
-    if (!engine) return;
-    engine.load.endAttempt(attempt, nowMs);
-    this.fleet.touch(engine, nowMs);
-  }
-
-  private avoid(upstream: string, untilMs: number, nowMs: number): void {
-    const engine = this.fleet.engine(upstream);
-    if (!engine) return;
-    engine.avoidedUntilMs = untilMs;
-    this.fleet.touch(engine, nowMs);
-  }
 }
 
-const DEFAULT_PRIORITY = 5;
-
 function refuse(): Choice {
   return {kind: ChoiceKind.NONE, reason: ChoiceReason.NO_UPSTREAM};
 }
--- a/packages/routing/src/lane_widths.ts
+++ b/packages/routing/src/lane_widths.ts
@@ -74,9 +74,10 @@
   /** Positions that this host prefers, apart from those of its known peers. */
   homes(nowMs: number): HomePositions {
     if (nowMs - this.homesAtMs < KEEP_MS) return this.lastHomes;
-    const hosts = [...this.peers]
-      .filter(([, {atMs}]) => nowMs - atMs <= PEER_EXPIRY_MS)
-      .map(([host]) => host);
+    for (const [host, {atMs}] of this.peers) {
+      if (nowMs - atMs > PEER_EXPIRY_MS) this.peers.delete(host);
+    }
+    const hosts = [...this.peers.keys()];
     const rank = hosts.filter(host => host < this.self).length;
     this.lastHomes = {rank, count: hosts.length + 1};
     this.homesAtMs = nowMs;
