--- a/packages/admission/src/class_lane.ts
+++ b/packages/admission/src/class_lane.ts
@@ -24,7 +24,7 @@
   readonly batch = new BatchQueue();
   readonly limit: FirstTokenLimit;
   readonly hold: HoldEstimate;
-  readonly pacer: ReturnPacer;
+  private readonly pacer: ReturnPacer;
   private readonly running = new Map<string, RunningRequest>();
   /** Admitted requests without a first token, the oldest first. */
   private readonly waiting = new Map<string, RunningRequest>();
@@ -58,7 +58,7 @@
   }
 
   /** Time that the queue needs to free one place, in milliseconds. */
-  placeMs(nowMs: number): number {
+  private placeMs(nowMs: number): number {
     return this.hold.meanMs(nowMs) / this.limit.value;
   }
 
@@ -69,6 +69,12 @@
     return (ahead + 1) * this.placeMs(nowMs);
   }
 
+  /** When a caller that is refused now should come back. */
+  retryAfterMs(nowMs: number): number {
+    const placeMs = this.placeMs(nowMs);
+    return this.pacer.retryAfterMs(this.fair.size * placeMs, placeMs, nowMs);
+  }
+
   /** Whether batch work may use a place now. */
   hasSlack(nowMs: number): boolean {
     return (
--- a/packages/admission/src/fair_admission.ts
+++ b/packages/admission/src/fair_admission.ts
@@ -1,5 +1,4 @@
 import {ErrorKind} from '@parsleywood/errors';
-import TinyQueue from 'tinyqueue';
 
 import {AccountLimits} from './account_limits.js';
 import type {Admission} from './admission.js';
@@ -9,9 +8,11 @@
 import {AdmissionEventKind} from './admission_event_kind.js';
 import type {AdmissionOptions} from './admission_options.js';
 import type {ClassLane} from './class_lane.js';
+import {ExpiryQueue} from './expiry_queue.js';
 import {LaneTable} from './lane_table.js';
 import type {Offer} from './offer.js';
 import type {QueuedOffer} from './queued_offer.js';
+import {toRefusal} from './to_refusal.js';
 
 const DEFAULT_BATCH_LIMIT_MS = 3_600_000;
 const DEFAULT_MAX_QUEUED = 1000;
@@ -30,10 +31,7 @@
   private readonly lanes: LaneTable;
   /** Offers that are queued or admitted. */
   private readonly held = new Map<string, Held>();
-  private readonly expiries = new TinyQueue<QueuedOffer>(
-    [],
-    (a, b) => a.latestStartMs - b.latestStartMs,
-  );
+  private readonly expiries = new ExpiryQueue();
   private batchPollMs = Infinity;
 
   constructor(private readonly options: AdmissionOptions) {
@@ -54,9 +52,11 @@
   }
 
   wakeAtMs(): number {
-    this.dropLeft();
-    const expiryMs = this.expiries.peek()?.latestStartMs ?? Infinity;
-    return Math.min(expiryMs, this.limits.sendAtMs, this.batchPollMs);
+    return Math.min(
+      this.expiries.nextAtMs(),
+      this.limits.sendAtMs,
+      this.batchPollMs,
+    );
   }
 
   private take(
@@ -103,7 +103,7 @@
     if (this.held.has(offer.id)) return;
     const limitMs = this.limits.check(offer, nowMs);
     if (limitMs > 0) {
-      actions.push(refuse(offer, ErrorKind.ACCOUNT_LIMIT, limitMs));
+      actions.push(toRefusal(offer, ErrorKind.ACCOUNT_LIMIT, limitMs));
       return;
     }
     const lane = this.lanes.lane(offer.model, offer.lengthClass);
@@ -230,10 +230,9 @@
 
   private refuseExpired(actions: AdmissionAction[], nowMs: number): void {
     for (;;) {
-      this.dropLeft();
-      const first = this.expiries.peek();
-      if (!first || nowMs < first.latestStartMs) return;
-      this.refuseQueued(first, actions, nowMs);
+      const expired = this.expiries.findExpired(nowMs);
+      if (!expired) return;
+      this.refuseQueued(expired, actions, nowMs);
     }
   }
 
@@ -243,6 +242,7 @@
     nowMs: number,
   ): void {
     const held = this.held.get(queued.offer.id);
+    queued.left = queued.left || !held;
     if (!held) return;
     this.held.delete(queued.offer.id);
     held.lane.noteBusy(nowMs);
@@ -256,26 +256,12 @@
     else lane.fair.remove(queued);
   }
 
-  private dropLeft(): void {
-    while (this.expiries.peek()?.left) this.expiries.pop();
-  }
-
   private refuseOverload(
     offer: Offer,
     lane: ClassLane,
     nowMs: number,
   ): AdmissionAction {
-    const placeMs = lane.placeMs(nowMs);
-    const waitMs = lane.fair.size * placeMs;
-    const retryAfterMs = lane.pacer.retryAfterMs(waitMs, placeMs, nowMs);
-    return refuse(offer, ErrorKind.OVERLOADED, retryAfterMs);
+    const retryAfterMs = lane.retryAfterMs(nowMs);
+    return toRefusal(offer, ErrorKind.OVERLOADED, retryAfterMs);
   }
 }
-
-function refuse(
-  offer: Offer,
-  error: ErrorKind,
-  retryAfterMs: number,
-): AdmissionAction {
-  return {kind: AdmissionActionKind.REFUSE, id: offer.id, error, retryAfterMs};
-}
--- /dev/null
+++ b/packages/admission/src/to_refusal.ts
@@ -0,0 +1,14 @@
+import type {ErrorKind} from '@parsleywood/errors';
+
+import type {AdmissionAction} from './admission_action.js';
+import {AdmissionActionKind} from './admission_action_kind.js';
+import type {Offer} from './offer.js';
+
+/** The action that refuses an offer. */
+export function toRefusal(
+  {id}: Offer,
+  error: ErrorKind,
+  retryAfterMs: number,
+): AdmissionAction {
+  return {kind: AdmissionActionKind.REFUSE, id, error, retryAfterMs};
+}
--- a/packages/routing/src/spread_plan.ts
+++ b/packages/routing/src/spread_plan.ts
@@ -12,6 +12,7 @@
 import {SpreadPhase} from './spread_phase.js';
 import {SpreadReservation} from './spread_reservation.js';
 import {SpreadTask} from './spread_task.js';
+import {SpreadTasks} from './spread_tasks.js';
 
 const DEFAULT_LEASE_MS = 10_000;
 const DEFAULT_ANSWER_TIMEOUT_MS = 1000;
@@ -31,8 +32,7 @@
  * lease, so that nothing outlives its host.
  */
 export class SpreadPlan implements Decision<SpreadEvent, SpreadAction> {
-  private readonly tasks = new Map<string, SpreadTask>();
-  private readonly byReservation = new Map<string, SpreadTask>();
+  private readonly tasks = new SpreadTasks();
   private engines: readonly SpreadEngine[] = [];
   private reservations = 0;
 
@@ -44,19 +44,14 @@
     if (isEnd) this.take(event, actions, nowMs);
     this.endLate(actions, nowMs);
     if (!isEnd) this.take(event, actions, nowMs);
-    for (const task of [...this.tasks.values()]) {
+    for (const task of this.tasks.all()) {
       this.advance(task, actions, nowMs);
     }
     return actions;
   }
 
   wakeAtMs(): number {
-    let earliestMs = Infinity;
-    const isBusy = this.isReserving();
-    for (const task of this.tasks.values()) {
-      earliestMs = Math.min(earliestMs, task.dueAtMs(isBusy));
-    }
-    return earliestMs;
+    return this.tasks.dueAtMs();
   }
 
   private take(
@@ -79,21 +74,21 @@
         this.takeRefused(event.reservation, event.engine, actions, nowMs);
         break;
       case SpreadEventKind.EXPIRED: {
-        const task = this.byReservation.get(event.reservation);
+        const task = this.tasks.byReservation(event.reservation);
         if (task?.reservation?.has(event.engine)) {
           this.lose(task, actions, nowMs);
         }
         break;
       }
       case SpreadEventKind.LOST:
-        for (const task of [...this.tasks.values()]) {
+        for (const task of this.tasks.all()) {
           if (!task.reservation?.has(event.engine)) continue;
           this.lose(task, actions, nowMs);
         }
         break;
       case SpreadEventKind.ENDED: {
         const task = this.tasks.get(event.id);
-        if (task) this.remove(task, actions);
+        if (task) actions.push(...this.tasks.remove(task));
         break;
       }
       case SpreadEventKind.WAKE:
@@ -109,7 +104,7 @@
     const {id, model, tokens, latestStartMs} = event;
     const turn = uniformInt(this.options.random, 0, MAX_TURN);
     const task = new SpreadTask(id, model, tokens, latestStartMs, turn, nowMs);
-    this.tasks.set(id, task);
+    this.tasks.add(task);
   }
 
   private takeReserved(
@@ -117,7 +112,7 @@
     actions: SpreadAction[],
   ): void {
     const {reservation, engine, askedMs} = event;
-    const task = this.byReservation.get(reservation);
+    const task = this.tasks.byReservation(reservation);
     if (task?.reservation?.has(engine)) {
       task.reservation.confirm(engine, askedMs);
       return;
@@ -132,7 +127,7 @@
     actions: SpreadAction[],
     nowMs: number,
   ): void {
-    const task = this.byReservation.get(name);
+    const task = this.tasks.byReservation(name);
     const reservation = task?.reservation;
     if (!task || !reservation?.has(engine)) return;
     if (reservation.isHeldBy(engine)) {
@@ -151,7 +146,7 @@
   ): void {
     if (!this.tasks.has(task.id)) return;
     if (task.phase === SpreadPhase.WAITING) {
-      if (nowMs >= task.retryAtMs && !this.isReserving()) {
+      if (nowMs >= task.retryAtMs && !this.tasks.isReserving()) {
         this.begin(task, actions, nowMs);
       }
       return;
@@ -171,12 +166,12 @@
     const engines = this.engines.filter(engine => engine.model === model);
     const layout = layOutSpread(model, engines, tokens, turn);
     if (!layout) {
-      this.remove(task, actions);
+      actions.push(...this.tasks.remove(task));
       actions.push(this.refuse(id, ErrorKind.UPSTREAM_UNAVAILABLE));
       return;
     }
     const name = `${this.options.host}/${id}/${this.reservations++}`;
-    task.reservation = new SpreadReservation(
+    const reservation = new SpreadReservation(
       name,
       id,
       layout,
@@ -184,8 +179,8 @@
       this.options.answerTimeoutMs ?? DEFAULT_ANSWER_TIMEOUT_MS,
       nowMs + MAX_PARTIAL_MS,
     );
+    this.tasks.reserve(task, reservation);
     task.phase = SpreadPhase.RESERVING;
-    this.byReservation.set(name, task);
     this.reserve(task, actions, nowMs);
   }
 
@@ -233,7 +228,7 @@
     actions: SpreadAction[],
     nowMs: number,
   ): void {
-    this.releaseAll(task, actions);
+    actions.push(...this.tasks.release(task));
     const mostMs = Math.min(MAX_BACKOFF_MS, MIN_BACKOFF_MS * 2 ** task.tries);
     task.tries++;
     task.turn++;
@@ -248,17 +243,17 @@
       this.backOff(task, actions, nowMs);
       return;
     }
-    this.remove(task, actions);
+    actions.push(...this.tasks.remove(task));
     actions.push({kind: SpreadActionKind.STOP, id: task.id});
   }
 
   private endLate(actions: SpreadAction[], nowMs: number): void {
-    for (const task of [...this.tasks.values()]) {
+    for (const task of this.tasks.all()) {
       if (task.phase === SpreadPhase.RUNNING) {
         const isHeld = task.reservation?.isHeld(nowMs) ?? false;
         if (!isHeld) this.lose(task, actions, nowMs);
       } else if (nowMs >= task.latestStartMs) {
-        this.remove(task, actions);
+        actions.push(...this.tasks.remove(task));
         actions.push(this.refuse(task.id, ErrorKind.TIME_LIMIT));
       }
     }
@@ -267,7 +262,7 @@
   /** Starts anew where an engine of a partial reservation takes no new work. */
   private leaveEngines(actions: SpreadAction[], nowMs: number): void {
     const names = new Set(this.engines.map(engine => engine.name));
-    for (const task of this.tasks.values()) {
+    for (const task of this.tasks.all()) {
       if (task.phase !== SpreadPhase.RESERVING) continue;
       const engines = task.reservation?.engines ?? [];
       if (engines.every(name => names.has(name))) continue;
@@ -275,26 +270,6 @@
     }
   }
 
-  private remove(task: SpreadTask, actions: SpreadAction[]): void {
-    this.releaseAll(task, actions);
-    this.tasks.delete(task.id);
-  }
-
-  private releaseAll(task: SpreadTask, actions: SpreadAction[]): void {
-    if (!task.reservation) return;
-    actions.push(...task.reservation.release());
-    this.byReservation.delete(task.reservation.name);
-    task.reservation = undefined;
-  }
-
-  /** Whether a prompt of this host holds part of what it needs. */
-  private isReserving(): boolean {
-    for (const {phase} of this.tasks.values()) {
-      if (phase === SpreadPhase.RESERVING) return true;
-    }
-    return false;
-  }
-
   private refuse(id: string, error: ErrorKind): SpreadAction {
     const retryAfterMs = uniformInt(
       this.options.random,
