Hold the crest on several hosts

Places that were never used let the crest flood the engines, each cut was repeated for requests admitted before it, and refused callers were asked to return at the full served rate, beside new ones.

Places follow use, grow faster while there is room, and are cut once for what a cut can change; returns are paced at a quarter of the served rate; queues are half as long; a tenth of the places is kept for accounts with nothing running.

The test 'starts batch work without slack when its limit comes near' offered its batch request in the first minute of an overload, when places had just grown and were free; it now offers it after a quarter of an hour of overload and asks the same.

--- a/packages/admission/src/class_lane.ts
+++ b/packages/admission/src/class_lane.ts
@@ -13,6 +13,14 @@
 const INITIAL_TOKENS = 512 * 1024;
 const MIN_INITIAL = 2;
 const MAX_INITIAL = 64;
+/** Part of the first-token target that a request may be queued. */
+const QUEUE_PART = 0.5;
+/** Factor on the wait of an account that has others queued, so that few expire. */
+const WAIT_MARGIN = 3;
+/** Part of the served rate at which refused callers are asked to return. */
+const RETURN_PART = 0.25;
+/** Part of the places kept for accounts that have nothing running. */
+const KEPT_PART = 0.1;
 /** Part of the places that batch work may fill while there is slack. */
 const SLACK_PART = 0.7;
 /** Batch work waits for this long after the lane was last short of places. */
@@ -28,6 +36,7 @@
   private readonly running = new Map<string, RunningRequest>();
   /** Admitted requests without a first token, the oldest first. */
   private readonly waiting = new Map<string, RunningRequest>();
+  private readonly runningByAccount = new Map<string, number>();
   private busyMs = -Infinity;
 
   constructor(
@@ -45,13 +54,26 @@
 
   /** Longest time in the queue for a request that a caller waits for. */
   get maxWaitMs(): number {
-    return this.settings.firstTokenTargetMs;
+    return this.settings.firstTokenTargetMs * QUEUE_PART;
   }
 
   get hasPlace(): boolean {
     return this.running.size < this.limit.value;
   }
 
+  /**
+   * The queued offer whose turn it is. The last places are kept for accounts
+   * that have nothing running.
+   */
+  popFair(): QueuedOffer | undefined {
+    const next = this.fair.peek();
+    if (!next) return undefined;
+    const kept = Math.floor(this.limit.value * KEPT_PART);
+    const isLast = this.running.size >= this.limit.value - kept;
+    const isRunning = this.runningByAccount.has(next.offer.account);
+    return isLast && isRunning ? undefined : this.fair.pop();
+  }
+
   setSettings(settings: LengthClassSettings): void {
     this.settings = settings;
     this.limit.setTarget(settings.firstTokenTargetMs);
@@ -65,21 +87,24 @@
   /** Expected time in the queue of a new offer of the account. */
   waitMs(account: string, share: number, nowMs: number): number {
     if (this.hasPlace && this.fair.size === 0) return 0;
+    if (this.hasPlace && !this.runningByAccount.has(account)) return 0;
     const ahead = this.fair.countAhead(account, share);
-    return (ahead + 1) * this.placeMs(nowMs);
+    const margin = this.fair.hasQueued(account) ? WAIT_MARGIN : 1;
+    return (ahead + 1) * this.placeMs(nowMs) * margin;
   }
 
   /** When a caller that is refused now should come back. */
   retryAfterMs(nowMs: number): number {
     const placeMs = this.placeMs(nowMs);
-    return this.pacer.retryAfterMs(this.fair.size * placeMs, placeMs, nowMs);
+    const waitMs = this.fair.size * placeMs;
+    return this.pacer.retryAfterMs(waitMs, placeMs / RETURN_PART, nowMs);
   }
 
   /** Whether batch work may use a place now. */
   hasSlack(nowMs: number): boolean {
     return (
       this.fair.size === 0 &&
-      !this.limit.isStrained &&
+      this.limit.isRelaxed &&
       nowMs - this.busyMs >= CALM_MS &&
       this.running.size < Math.max(1, this.limit.value * SLACK_PART)
     );
@@ -100,6 +125,7 @@
     const request = {offer: queued.offer, admittedMs: nowMs};
     this.running.set(queued.offer.id, request);
     this.waiting.set(queued.offer.id, request);
+    this.countRunning(queued.offer.account, 1);
     this.limit.observeRunning(this.running.size);
   }
 
@@ -132,10 +158,17 @@
     if (!request) return undefined;
     this.running.delete(id);
     this.waiting.delete(id);
+    this.countRunning(request.offer.account, -1);
     if (succeeded) this.hold.observe(nowMs - request.admittedMs, nowMs);
     return request;
   }
 
+  private countRunning(account: string, change: number): void {
+    const count = (this.runningByAccount.get(account) ?? 0) + change;
+    if (count > 0) this.runningByAccount.set(account, count);
+    else this.runningByAccount.delete(account);
+  }
+
   private countOverdue(nowMs: number): number {
     let overdue = 0;
     for (const {admittedMs, startedMs} of this.waiting.values()) {
--- a/packages/admission/src/fair_admission.test.ts
+++ b/packages/admission/src/fair_admission.test.ts
@@ -1,6 +1,8 @@
 import {ErrorKind} from '@parsleywood/errors';
 import {expect} from 'chai';
 import fc from 'fast-check';
+import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
+import {uniformInt} from 'pure-rand/distribution/uniformInt';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 
 import type {Admission} from './admission.js';
@@ -93,6 +95,19 @@
   ).length;
 }
 
+/** Median first-token time of the requests offered in a span of time. */
+function medianFirstTokenMs(
+  virtual: VirtualSite,
+  fromMs: number,
+  toMs: number,
+): number {
+  const times = [...virtual.outcomes.values()]
+    .filter(({offeredMs}) => offeredMs >= fromMs && offeredMs < toMs)
+    .map(({offeredMs, firstTokenMs = Infinity}) => firstTokenMs - offeredMs)
+    .sort((a, b) => a - b);
+  return times[times.length >> 1] ?? NaN;
+}
+
 const CREST: Load[] = [
   {account: 'x', perSecond: 70, fromMs: 0, toMs: 10_000},
   {account: 'y', perSecond: 300, fromMs: 10_000, toMs: 20_000},
@@ -118,15 +133,38 @@
   it('lets the queue go within two seconds after the crest', () => {
     const virtual = site(fair(), CREST);
     virtual.run(60_000);
-    const times = (fromMs: number, toMs: number) =>
-      [...virtual.outcomes.values()]
-        .filter(({offeredMs}) => offeredMs >= fromMs && offeredMs < toMs)
-        .map(({offeredMs, firstTokenMs}) => (firstTokenMs ?? 1e9) - offeredMs)
-        .sort((a, b) => a - b);
-    const before = times(5_000, 10_000);
-    const after = times(22_000, 27_000);
-    const median = (sorted: number[]) => sorted[sorted.length >> 1] ?? NaN;
-    expect(median(after)).most(1.1 * median(before));
+    const before = medianFirstTokenMs(virtual, 5_000, 10_000);
+    const after = medianFirstTokenMs(virtual, 22_000, 27_000);
+    expect(after).most(1.1 * before);
+  });
+
+  it('holds the crest on six hosts that know nothing of each other', () => {
+    const names = Array.from({length: 6}, (_, index) => `host-${index}`);
+    const virtual = new VirtualSite({
+      hosts: new Map(names.map((name, index) => [name, fair(index + 1)])),
+      servers: 30,
+      tokensPerMs: 20,
+      answerMs: 300,
+    });
+    const random = xoroshiro128plus(1);
+    for (let atMs = 0, count = 0; atMs < 30_000; count++) {
+      const perSecond = atMs >= 10_000 && atMs < 20_000 ? 900 : 200;
+      atMs += Math.ceil(
+        (-Math.log(1 - uniformFloat64(random)) * 1000) / perSecond,
+      );
+      const host = names[uniformInt(random, 0, 5)] ?? '';
+      const account = `account-${uniformInt(random, 0, 9)}`;
+      virtual.offer(atMs, host, short(`r${count}`, account, atMs + 3000));
+    }
+    virtual.run(60_000);
+    expect(missed(virtual)).equal(0);
+    const served = [...virtual.outcomes.values()].filter(
+      ({finishedMs = 0}) => finishedMs >= 10_000 && finishedMs < 20_000,
+    );
+    expect(served.length).least(0.9 * 3000);
+    const median = (fromMs: number, toMs: number) =>
+      medianFirstTokenMs(virtual, fromMs, toMs);
+    expect(median(22_000, 27_000)).most(1.1 * median(5_000, 10_000));
   });
 
   it('refuses at once with a time to come back', () => {
@@ -254,15 +292,16 @@
       servers: 3,
       tokensPerMs: 20,
     });
-    for (let index = 0; index * 5000 < hourMs + 600_000; index++) {
+    for (let index = 0; index * 5000 < 2 * hourMs; index++) {
       const atMs = index * 5000;
       virtual.offer(atMs, 'a', giant(`day-${index}`, 'x', atMs + 600_000));
     }
-    virtual.offer(60_000, 'a', giant('night', 'x', 60_000 + hourMs));
+    const offeredMs = 900_000;
+    virtual.offer(offeredMs, 'a', giant('night', 'x', offeredMs + hourMs));
     virtual.run(2 * hourMs);
     const night = virtual.outcomes.get('night');
-    expect(night?.admittedMs).above(hourMs / 2);
-    expect(night?.finishedMs).most(60_000 + hourMs);
+    expect(night?.admittedMs).above(offeredMs + hourMs / 2);
+    expect(night?.finishedMs).most(offeredMs + hourMs);
   });
 
   it('answers each offer once, whatever the load', () => {
--- a/packages/admission/src/fair_admission.ts
+++ b/packages/admission/src/fair_admission.ts
@@ -169,7 +169,7 @@
   ): void {
     while (lane.hasPlace) {
       const due = lane.batch.size > 0 && nowMs >= lane.batchDueMs(nowMs);
-      const queued = due ? lane.batch.pop() : lane.fair.pop();
+      const queued = due ? lane.batch.pop() : lane.popFair();
       if (!queued) break;
       this.admit(lane, queued, actions, nowMs);
     }
@@ -185,7 +185,7 @@
     const waiting = lanes.filter(lane => lane.batch.size > 0);
     if (waiting.length === 0) return;
     const isCalm = lanes.every(
-      lane => lane.fair.size === 0 && !lane.limit.isStrained,
+      lane => lane.fair.size === 0 && lane.limit.isRelaxed,
     );
     for (const lane of waiting) {
       while (isCalm && lane.batch.size > 0 && lane.hasSlack(nowMs)) {
--- a/packages/admission/src/fair_queue.ts
+++ b/packages/admission/src/fair_queue.ts
@@ -24,7 +24,6 @@
   private readonly finishTags = new Map<string, number>();
   private virtualTime = 0;
   private count = 0;
-  private shares = 0;
 
   get size(): number {
     return this.count;
@@ -42,16 +41,19 @@
     this.heap.push({startTag, queued});
   }
 
+  /** The offer whose turn it is. */
+  peek(): QueuedOffer | undefined {
+    while (this.heap.peek()?.queued.left) this.heap.pop();
+    return this.heap.peek()?.queued;
+  }
+
   /** Takes out the offer whose turn it is. */
   pop(): QueuedOffer | undefined {
-    for (;;) {
-      const tagged = this.heap.pop();
-      if (!tagged) return undefined;
-      if (tagged.queued.left) continue;
-      this.virtualTime = tagged.startTag;
-      this.leave(tagged.queued);
-      return tagged.queued;
-    }
+    const next = this.peek();
+    if (!next) return undefined;
+    this.virtualTime = this.heap.pop()?.startTag ?? this.virtualTime;
+    this.leave(next);
+    return next;
   }
 
   /** Takes out an offer out of turn; its account does not pay for it. */
@@ -77,18 +79,25 @@
     return largest?.queued[largest.queued.length - 1];
   }
 
+  hasQueued(account: string): boolean {
+    return this.accounts.has(account);
+  }
+
   /** Offers expected to be served before a new one of the account. */
   countAhead(account: string, share: number): number {
-    const own = this.accounts.get(account);
-    const ownCount = own?.queued.length ?? 0;
-    const shares = this.shares + (own ? 0 : share);
-    return Math.min(this.count, (ownCount + 1) * (shares / share) - 1);
+    const ownCount = this.accounts.get(account)?.queued.length ?? 0;
+    let ahead = ownCount;
+    for (const [other, {queued, share: otherShare}] of this.accounts) {
+      if (other === account) continue;
+      const before = (ownCount * otherShare) / share + 1;
+      ahead += Math.min(queued.length, before);
+    }
+    return ahead;
   }
 
   private addAccount(account: string, share: number): AccountQueue {
     const own = {queued: [], tokens: 0, share};
     this.accounts.set(account, own);
-    this.shares += share;
     return own;
   }
 
@@ -103,7 +112,6 @@
     if (index >= 0) own.queued.splice(index, 1);
     if (own.queued.length > 0) return;
     this.accounts.delete(account);
-    this.shares = this.accounts.size === 0 ? 0 : this.shares - own.share;
     this.forgetPastTags();
   }
 
--- a/packages/admission/src/first_token_limit.ts
+++ b/packages/admission/src/first_token_limit.ts
@@ -5,6 +5,14 @@
 const MIN_DECREASE = 0.5;
 const MAX_DECREASE = 0.9;
 const INCREASE_PART = 0.1;
+/** Increase while first tokens come in less than the fast part of the target. */
+const FAST_INCREASE_PART = 0.5;
+const FAST_PART = 1 / 3;
+/** The limit stays below this many times the requests that ran lately. */
+const MAX_UNUSED_FACTOR = 2;
+const PEAK_DECAY = 0.95;
+/** Limit that is kept without any use. */
+const IDLE_LIMIT = 4;
 /** The limit rises only where this part of it was in use. */
 const USED_PART = 0.8;
 const MIN_LIMIT = 1;
@@ -18,7 +26,10 @@
   private late = 0;
   private sumMs = 0;
   private mostRunning = 0;
+  private lastPeak: number;
+  private cutAtMs = -Infinity;
   private strained = false;
+  private relaxed = true;
 
   /**
    * @param initial Limit at first.
@@ -29,6 +40,7 @@
     private targetMs: number,
   ) {
     this.limit = initial;
+    this.lastPeak = initial;
   }
 
   /** Requests that may run at once. */
@@ -41,6 +53,11 @@
     return this.strained;
   }
 
+  /** Whether first tokens of the last window left much of the target. */
+  get isRelaxed(): boolean {
+    return this.relaxed;
+  }
+
   setTarget(targetMs: number): void {
     this.targetMs = targetMs;
   }
@@ -55,6 +72,8 @@
    * @param overdue Other requests that wait for longer than the target.
    */
   observe(firstTokenMs: number, overdue: number, nowMs: number): void {
+    // Requests admitted before the last cut do not show what it changed.
+    if (nowMs - firstTokenMs < this.cutAtMs) return;
     if (this.windowStartMs === -Infinity) this.windowStartMs = nowMs;
     this.samples++;
     this.sumMs += firstTokenMs;
@@ -63,22 +82,29 @@
     const full = this.samples >= MIN_SAMPLES;
     const elapsedMs = nowMs - this.windowStartMs;
     if (elapsedMs < WINDOW_MS || (!full && elapsedMs < windowMs)) return;
-    this.adjust(overdue);
+    this.adjust(overdue, nowMs);
     this.startWindow(nowMs);
   }
 
-  private adjust(overdue: number): void {
+  private adjust(overdue: number, nowMs: number): void {
     const late = this.late + overdue;
     const count = this.samples + overdue;
+    const meanMs = Math.max(1, this.sumMs / this.samples);
     this.strained = late > count * LATE_PART;
+    this.relaxed = !this.strained && meanMs < this.targetMs * FAST_PART;
     if (this.strained) {
-      const gradient = this.targetMs / Math.max(1, this.sumMs / this.samples);
+      const gradient = this.targetMs / meanMs;
       const factor = Math.min(MAX_DECREASE, Math.max(MIN_DECREASE, gradient));
       this.limit = Math.max(MIN_LIMIT, this.limit * factor);
+      this.cutAtMs = nowMs;
     } else if (this.mostRunning >= this.value * USED_PART) {
-      const step = Math.max(1, this.limit * INCREASE_PART);
+      const part = this.relaxed ? FAST_INCREASE_PART : INCREASE_PART;
+      const step = Math.max(1, this.limit * part);
       this.limit = Math.min(MAX_LIMIT, this.limit + step);
     }
+    this.lastPeak = Math.max(this.mostRunning, this.lastPeak * PEAK_DECAY);
+    const most = Math.max(IDLE_LIMIT, this.lastPeak * MAX_UNUSED_FACTOR);
+    this.limit = Math.min(this.limit, most);
   }
 
   private startWindow(nowMs: number): void {
