--- a/packages/daemon/src/client_library.test.ts
+++ b/packages/daemon/src/client_library.test.ts
@@ -70,7 +70,7 @@
     }
     stream.controller.abort();
     for (;;) {
-      const answer = await fetch(`${site.engine.url}/state`);
+      const answer = await fetch(`${site.engineUrl}/state`);
       const {streams} = (await answer.json()) as {streams: unknown[]};
       if (streams.length === 0) break;
     }
--- a/packages/daemon/src/completion_session.ts
+++ b/packages/daemon/src/completion_session.ts
@@ -141,8 +141,8 @@
     {upstream, isSolo = false}: EnginePick,
     detail: string,
   ): Promise<void> {
-    const isDown = await this.serving.upstreams.isDown(upstream);
-    if (isDown) this.serving.suspects.noteCrash(this.request, isSolo);
+    const hasCrashed = await this.serving.hasCrashed(upstream);
+    if (hasCrashed) this.serving.suspects.noteCrash(this.request, isSolo);
     this.failAttempt(attempt, AttemptFault.BROKEN, detail);
   }
 
--- a/packages/daemon/src/host_process.ts
+++ b/packages/daemon/src/host_process.ts
@@ -152,10 +152,10 @@
       drawSeed(),
       this.control,
     );
-    this.serving.useUpstreams(this.upstreams);
     this.loads = new LoadFeed(clock, site, this.pools, traffic, upstream =>
       this.upstreams.isUsable(upstream),
     );
+    this.serving.useUpstreams(this.upstreams, this.loads);
     this.seeds = new SeedPeers(
       settings.seedPeers ?? [],
       this.transport,
--- a/packages/daemon/src/hostile_input.test.ts
+++ b/packages/daemon/src/hostile_input.test.ts
@@ -145,7 +145,7 @@
   });
 
   it('lives on and sent none of it to an upstream', async () => {
-    const engine = await fetch(`${site.engine.url}/v1/load`);
+    const engine = await fetch(`${site.engineUrl}/v1/load`);
     const executions = await fetch(`${site.service.url}/executions`);
     expect(await engine.json()).to.include({running: 0, usedTokens: 0});
     expect(await executions.json()).to.eql([]);
--- a/packages/daemon/src/load_feed.ts
+++ b/packages/daemon/src/load_feed.ts
@@ -8,12 +8,15 @@
 
 const POLL_INTERVAL_MS = 500;
 const POLL_TIMEOUT_MS = 1_000;
+const RECENT_RESTART_MS = 2_000;
 
 /** What is known of one engine's reports. */
 interface Reports {
   /** Grows when the engine's sequence starts anew. */
   restarts: number;
   sequence: number;
+  /** Monotonic time at which the last restart was seen. */
+  restartedMs: number;
   /** Least difference of this host's clock and the engine's, in milliseconds. */
   offsetMs: number;
 }
@@ -41,6 +44,14 @@
     clearInterval(this.timer);
   }
 
+  /** Whether an engine has lately lost its memory and started anew. */
+  async hasRestarted(upstream: string): Promise<boolean> {
+    const listed = this.site.upstream(upstream);
+    if (listed !== undefined) await this.poll(listed);
+    const restartedMs = this.known.get(upstream)?.restartedMs ?? -Infinity;
+    return this.clock.nowMs() - restartedMs < RECENT_RESTART_MS;
+  }
+
   private pollAll(): void {
     for (const upstream of this.site.allUpstreams()) {
       if (upstream.kind !== 'engine' || !this.isUsable(upstream.name)) continue;
@@ -69,11 +80,12 @@
   private take(upstream: string, report: EngineReport, sentMs: number): void {
     const offsetMs = sentMs - report.atMs;
     const known = this.known.get(upstream) ?? {
-      ...{restarts: 0, sequence: 0},
+      ...{restarts: 0, sequence: 0, restartedMs: -Infinity},
       offsetMs,
     };
     if (report.sequence < known.sequence) {
       known.restarts++;
+      known.restartedMs = this.clock.nowMs();
       known.offsetMs = offsetMs;
     }
     known.sequence = report.sequence;
--- a/packages/daemon/src/serving.ts
+++ b/packages/daemon/src/serving.ts
@@ -12,6 +12,7 @@
 import type {EventLog} from './event_log.js';
 import type {HostMetrics} from './host_metrics.js';
 import type {HostTimeline} from './host_timeline.js';
+import type {LoadFeed} from './load_feed.js';
 import type {ReplyHead} from './reply_head.js';
 import type {ServiceAnswer} from './service_answer.js';
 import type {ServiceCall} from './service_call.js';
@@ -38,6 +39,7 @@
   readonly retries = new RetryBudget(RETRIES_PER_SUCCESS, MAX_RETRIES_SAVED);
   private inFlight = 0;
   private control: UpstreamControl | undefined;
+  private loads: LoadFeed | undefined;
   private turn = 0;
   private readonly open = new Map<string, number>();
 
@@ -61,9 +63,10 @@
     this.services = new ServiceClient(pools);
   }
 
-  /** Connects the part that tells which upstreams may get work. */
-  useUpstreams(control: UpstreamControl): void {
+  /** Connects the parts that tell which upstreams may get work. */
+  useUpstreams(control: UpstreamControl, loads: LoadFeed): void {
     this.control = control;
+    this.loads = loads;
     this.traffic.useLiveness(upstream => control.isUsable(upstream));
   }
 
@@ -72,6 +75,12 @@
     throw new Failure(ErrorKind.INTERNAL, 'upstreams are not connected');
   }
 
+  /** Whether an engine's process is gone or has lately started anew. */
+  async hasCrashed(engine: string): Promise<boolean> {
+    if (await this.upstreams.isDown(engine)) return true;
+    return (await this.loads?.hasRestarted(engine)) ?? false;
+  }
+
   /** Settings in force; throws a Failure while there are none. */
   requireSettings(): Settings {
     const settings = this.site.settings();
--- a/packages/daemon/src/testing/test_site.ts
+++ b/packages/daemon/src/testing/test_site.ts
@@ -21,7 +21,7 @@
 
   private constructor(
     readonly platform: StandIn,
-    readonly engine: StandIn,
+    readonly engines: readonly StandIn[],
     readonly service: StandIn,
     /** Callers' addresses as URLs. */
     readonly urls: readonly string[],
@@ -31,12 +31,13 @@
   ) {}
 
   /** Starts a site and waits until its hosts are ready and orders are open. */
-  static async start(hostCount: number): Promise<TestSite> {
+  static async start(hostCount: number, engineCount = 1): Promise<TestSite> {
     const platform = await startPlatform(0);
-    const engine = await startEngine({
-      models: ['test-llm'],
-      speed: ENGINE_SPEED,
-    });
+    const engines = await Promise.all(
+      Array.from({length: engineCount}, () =>
+        startEngine({models: ['test-llm'], speed: ENGINE_SPEED}),
+      ),
+    );
     const service = await startService({port: 0});
     const ports = await findFreePorts(hostCount * PORTS_PER_HOST);
     const url = (offset: number) => (_: unknown, index: number) =>
@@ -44,7 +45,7 @@
     const indexes = Array.from({length: hostCount});
     const site = new TestSite(
       platform,
-      engine,
+      engines,
       service,
       indexes.map(url(0)),
       indexes.map(url(1)),
@@ -57,6 +58,11 @@
     return site;
   }
 
+  /** Address of the first engine as a URL. */
+  get engineUrl(): string {
+    return this.engines[0]?.url ?? '';
+  }
+
   /** Publishes a value at the platform. */
   async put(key: string, value: unknown): Promise<void> {
     const answer = await fetch(`${this.platform.url}/values/${key}`, {
@@ -74,7 +80,7 @@
 
   async stop(): Promise<void> {
     await Promise.all(this.hosts.map(host => host.stop()));
-    const standIns = [this.platform, this.engine, this.service];
+    const standIns = [this.platform, ...this.engines, this.service];
     await Promise.all(standIns.map(standIn => standIn.close()));
   }
 
@@ -112,7 +118,9 @@
     });
     await this.put(`upstreams/${SITE}`, {
       upstreams: [
-        this.list('engine-1', this.engine, 'engine', 'test-llm'),
+        ...this.engines.map((engine, index) =>
+          this.list(`engine-${index + 1}`, engine, 'engine', 'test-llm'),
+        ),
         this.list('service-1', this.service, 'service', 'test-app'),
       ],
     });
