--- a/packages/admission/src/class_lane.ts
+++ b/packages/admission/src/class_lane.ts
@@ -16,9 +16,9 @@
 /** Part of the first-token target that a request may be queued. */
 const QUEUE_PART = 0.5;
 /** Factor on the wait of an account that has others queued, so that few expire. */
-const WAIT_MARGIN = 3;
+const WAIT_MARGIN = 5;
 /** Part of the served rate at which refused callers are asked to return. */
-const RETURN_PART = 0.25;
+const RETURN_PART = 0.1;
 /** Part of the places kept for accounts that have nothing running. */
 const KEPT_PART = 0.1;
 /** Part of the places that batch work may fill while there is slack. */
