--- a/packages/routing/src/lane_router.test.ts
+++ b/packages/routing/src/lane_router.test.ts
@@ -248,5 +248,8 @@
     expect(lane.has(chosen(router, aged))).equal(false);
     expect(router.priority(request, 0)).equal(8);
     expect(router.priority(request, 550_000)).equal(0);
+    const overnight = ask({deadlineMs: 8 * 3_600_000});
+    expect(router.priority(overnight, 0)).equal(9);
+    expect(router.priority(overnight, 8 * 3_600_000)).equal(0);
   });
 });
--- a/packages/routing/src/request_timing.ts
+++ b/packages/routing/src/request_timing.ts
@@ -9,6 +9,9 @@
 /** Factor on the expected time of a request. */
 const SAFETY = 1.5;
 const DEFAULT_PRIORITY = 5;
+/** A request with at least this time from the start yields to all others. */
+const BATCH_LIMIT_MS = 3_600_000;
+const BATCH_PRIORITY = 9;
 
 /** Compares the expected time of a request with its time limit. */
 export class RequestTiming {
@@ -33,7 +36,8 @@
   age(request: RoutedRequest, rate: PrefillRate, nowMs: number): AgedPriority {
     const {priority} = this.classes.classOf(request.promptTokens);
     const latestMs = request.deadlineMs - this.expectMs(request, rate, 0);
-    const first = priority ?? DEFAULT_PRIORITY;
+    const isBatch = request.deadlineMs - request.arrivedMs >= BATCH_LIMIT_MS;
+    const first = isBatch ? BATCH_PRIORITY : (priority ?? DEFAULT_PRIORITY);
     return agePriority(first, request.arrivedMs, latestMs, nowMs);
   }
 
