--- a/packages/config/src/examples.test.ts
+++ b/packages/config/src/examples.test.ts
@@ -2,6 +2,7 @@
 import {readFileSync} from 'node:fs';
 import {fileURLToPath} from 'node:url';
 import {expect} from 'chai';
+import type {Settings} from '@parsleywood/schema/settings';
 import {
   checkHostList,
   checkSettings,
@@ -41,6 +42,12 @@
       expect(hosts?.hosts.length).to.be.within(6, 9);
       expect(kinds.filter(kind => kind === 'engine')).to.have.length(15);
       expect(kinds.filter(kind => kind === 'service')).to.have.length(3);
+      const overlay = read(`${site}/overlay.json`) as Pick<Settings, 'site'>;
+      const listed = [...(hosts?.hosts ?? []), ...upstreams];
+      const domains = new Set(listed.map(({failureDomain}) => failureDomain));
+      expect([...domains].sort()).to.eql(
+        [...overlay.site.failureDomains].sort(),
+      );
     });
 
     it('has start settings that pass', () => {
