--- a/packages/bench/src/caller_load.ts
+++ b/packages/bench/src/caller_load.ts
@@ -2,6 +2,7 @@
 import {uniformInt} from 'pure-rand/distribution/uniformInt';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import type {RandomGenerator} from 'pure-rand/types/RandomGenerator';
+import {v7} from 'uuid';
 import type {CallResult} from './call_result.js';
 import {CallerClient} from './caller_client.js';
 import type {CallerLoadOptions} from './caller_load_options.js';
@@ -74,9 +75,10 @@
   }
 
   private async order(): Promise<void> {
-    const {limitMs, seed} = this.options;
+    const {limitMs} = this.options;
     const client = this.chooseClient();
-    const idempotencyKey = `order-${seed}-${this.sent++}`;
+    // Tells the hosts when the order was first made.
+    const idempotencyKey = v7();
     const answers: CallResult[] = [];
     this.orders.push({sentAtMs: performance.now(), idempotencyKey, answers});
     const path = `${this.site.service}/orders`;
--- a/packages/bench/src/demo.ts
+++ b/packages/bench/src/demo.ts
@@ -1,5 +1,5 @@
-import {randomUUID} from 'node:crypto';
 import {request} from 'undici';
+import {v7} from 'uuid';
 import {CallerClient} from './caller_client.js';
 import {expectedChatAnswer} from './expected_chat_answer.js';
 import {makeQuestion} from './make_question.js';
@@ -76,7 +76,7 @@
 
   private async showOrder(first: string, second: string): Promise<void> {
     const path = `${this.site.service}/orders`;
-    const idempotencyKey = randomUUID();
+    const idempotencyKey = v7();
     const options = {idempotencyKey, body: {item: 'shell-waste collection'}};
     const order = await this.client.call(first, 'POST', path, options);
     check(order.status === 201, `Order: ${order.body}`);
--- a/packages/bench/src/run_soak.ts
+++ b/packages/bench/src/run_soak.ts
@@ -3,6 +3,7 @@
 import {checkEngines} from './check_engines.js';
 import {checkOrders} from './check_orders.js';
 import {LocalSite} from './local_site.js';
+import type {OrderRecord} from './order_record.js';
 import {readExecutions} from './read_executions.js';
 import {SITE_DEFAULTS} from './site_defaults.js';
 import {SoakFaults} from './soak_faults.js';
@@ -51,6 +52,7 @@
       orders: orders.length,
       placed: orders.filter(({answers}) => answers.at(-1)?.status === 201)
         .length,
+      notPlaced: countNotPlaced(orders),
       faults: counts,
       violations: [
         ...checkCompletions(completions, bounds),
@@ -63,3 +65,16 @@
     await local.stop();
   }
 }
+
+function countNotPlaced(
+  orders: readonly OrderRecord[],
+): Record<string, number> {
+  const counts: Record<string, number> = {};
+  for (const {answers} of orders) {
+    const last = answers.at(-1);
+    if (last?.status === 201) continue;
+    const kind = last?.errorKind ?? String(last?.status);
+    counts[kind] = (counts[kind] ?? 0) + 1;
+  }
+  return counts;
+}
--- a/packages/bench/src/soak_report.ts
+++ b/packages/bench/src/soak_report.ts
@@ -7,6 +7,8 @@
   readonly orders: number;
   /** Orders whose last answer was a success. */
   readonly placed: number;
+  /** Orders that were not placed, by the last answer. */
+  readonly notPlaced: Readonly<Record<string, number>>;
   /** Faults by kind. */
   readonly faults: Readonly<Record<string, number>>;
   /** What must not happen and did. */
