Pass on the revision a service holds, and raise priorities as time runs out

Cause: on a 304 the host answered the ledger with the revision that it had asked for, so a stale service counted as confirming; and long prompts kept the priority of their start at the engine. Before: 'tells the revision that a stale service holds' could not be asked: the client gave undefined.

--- a/packages/daemon/src/completion_session.ts
+++ b/packages/daemon/src/completion_session.ts
@@ -19,6 +19,7 @@
 import type {Delivery} from './delivery.js';
 import type {EnginePick} from './engine_pick.js';
 import type {PickListener} from './pick_listener.js';
+import {PriorityRenewal} from './priority_renewal.js';
 import type {Serving} from './serving.js';
 
 /** Longest silence of an engine before the request moves, in milliseconds. */
@@ -34,6 +35,7 @@
   private readonly runner: DecisionRunner<LifeEvent, LifeAction>;
   private pick: EnginePick | undefined;
   private pickId = '';
+  private readonly renewal: PriorityRenewal;
   private hasFirstToken = false;
 
   constructor(
@@ -43,6 +45,7 @@
     private readonly lengthClass: string,
     private readonly delivery: Delivery,
   ) {
+    this.renewal = new PriorityRenewal(serving.traffic, serving.engines);
     this.life = new Life({
       requestId: request.id,
       deadlineMs: routed.deadlineMs,
@@ -230,6 +233,8 @@
       },
       this,
     );
+    const {address} = engine;
+    this.renewal.start(this.routed, attempt, address, pick.priority);
   }
 
   private noteFirstToken(): void {
@@ -305,6 +310,7 @@
   }
 
   private releasePick(): void {
+    this.renewal.stop();
     this.serving.picker.release(this.pickId);
     this.pickId = '';
   }
--- a/packages/daemon/src/configuration_control.ts
+++ b/packages/daemon/src/configuration_control.ts
@@ -85,12 +85,11 @@
       case ConfigurationActionKind.WATCH:
         this.follow(
           action.key,
-          action.afterRevision,
           this.platform.watch(action.key, action.afterRevision, action.waitMs),
         );
         break;
       case ConfigurationActionKind.READ:
-        this.follow(action.key, 0, this.platform.read(action.key));
+        this.follow(action.key, this.platform.read(action.key));
         break;
       case ConfigurationActionKind.SEND:
         this.transport.send(action.to, {
@@ -118,8 +117,7 @@
 
   private follow(
     key: string,
-    afterRevision: number,
-    reading: Promise<Result<PublishedValue | undefined, Failure>>,
+    reading: Promise<Result<PublishedValue | number, Failure>>,
   ): void {
     void reading.then(result => {
       if (result.isErr) {
@@ -130,13 +128,9 @@
         return;
       }
       const published = result.value;
-      if (published === undefined) {
-        const revision = afterRevision;
-        this.runner.dispatch({
-          kind: ConfigurationEventKind.UNCHANGED,
-          key,
-          revision,
-        });
+      if (typeof published === 'number') {
+        const kind = ConfigurationEventKind.UNCHANGED;
+        this.runner.dispatch({kind, key, revision: published});
         return;
       }
       this.runner.dispatch({
--- a/packages/daemon/src/engine_client.ts
+++ b/packages/daemon/src/engine_client.ts
@@ -5,6 +5,8 @@
 import {AttemptReader} from './attempt_reader.js';
 import type {UpstreamPools} from './upstream_pools.js';
 
+const PRIORITY_TIMEOUT_MS = 1_000;
+
 /** Sends attempts to engines and reads their answers. */
 export class EngineClient {
   private readonly open = new Map<string, AttemptReader>();
@@ -44,6 +46,21 @@
     }
   }
 
+  /** Tells an engine the new priority of an attempt; a loss is harmless. */
+  setPriority(address: string, attempt: string, priority: number): void {
+    const sending = this.pools.get(address).request({
+      method: 'PATCH',
+      path: `/v1/attempts/${encodeURIComponent(attempt)}`,
+      headers: {'content-type': 'application/json'},
+      body: JSON.stringify({priority}),
+      signal: AbortSignal.timeout(PRIORITY_TIMEOUT_MS),
+    });
+    sending.then(
+      answer => answer.body.dump(),
+      () => undefined,
+    );
+  }
+
   /** Closes an attempt's connection, which the engine takes as a cancel. */
   cancel(attempt: string): void {
     const reader = this.open.get(attempt);
--- a/packages/daemon/src/engine_picker.ts
+++ b/packages/daemon/src/engine_picker.ts
@@ -12,6 +12,7 @@
 import type {SpreadDesk} from './spread_desk.js';
 
 const RETRY_AFTER_MS = 500;
+const LATEST_START_SHARE = 0.5;
 
 /** Picks the engine, or the engines, for each attempt of a request. */
 export class EnginePicker {
@@ -42,10 +43,11 @@
     } else if (choice?.kind === ChoiceKind.UPSTREAM) {
       listener.onPicked(choice);
     } else if (choice?.kind === ChoiceKind.SPREAD) {
-      const {model, promptTokens, answerTokens, deadlineMs} = request;
+      const {model, promptTokens, answerTokens} = request;
       const tokens = promptTokens + answerTokens;
       const {priority} = choice;
-      this.spread.need(id, model, tokens, deadlineMs, priority, listener);
+      const latestMs = findLatestStart(request);
+      this.spread.need(id, model, tokens, latestMs, priority, listener);
     } else {
       listener.onNonePicked(refuseUnavailable(request.model));
     }
@@ -94,3 +96,8 @@
     RETRY_AFTER_MS,
   );
 }
+
+/** A prompt that starts in the last part of its time cannot end within it. */
+function findLatestStart({arrivedMs, deadlineMs}: RoutedRequest): number {
+  return arrivedMs + (deadlineMs - arrivedMs) * LATEST_START_SHARE;
+}
--- a/packages/daemon/src/engine_traffic.ts
+++ b/packages/daemon/src/engine_traffic.ts
@@ -95,6 +95,11 @@
     return this.router?.choose(request, this.clock.nowMs());
   }
 
+  /** Priority of a running request at this time; 0 is served first. */
+  priority(request: RoutedRequest): number | undefined {
+    return this.router?.priority(request, this.clock.nowMs());
+  }
+
   observe(event: RouterEvent): void {
     this.router?.observe(event, this.clock.nowMs());
   }
--- a/packages/daemon/src/platform_client.ts
+++ b/packages/daemon/src/platform_client.ts
@@ -16,23 +16,22 @@
 
   constructor(private readonly url: string) {}
 
-  /** Reads a value; undefined when the key has none. */
-  async read(
-    key: string,
-  ): Promise<Result<PublishedValue | undefined, Failure>> {
+  /** Reads a value; 0 when the key has none. */
+  async read(key: string): Promise<Result<PublishedValue | number, Failure>> {
     return this.fetch(key, '', 0);
   }
 
   /**
    * Waits for a value newer than a revision.
    *
-   * @return undefined when none came within waitMs.
+   * @return The revision that the service holds when none came within waitMs;
+   *     0 when it holds no value.
    */
   async watch(
     key: string,
     afterRevision: number,
     waitMs: number,
-  ): Promise<Result<PublishedValue | undefined, Failure>> {
+  ): Promise<Result<PublishedValue | number, Failure>> {
     const query = `?after=${afterRevision}&waitMs=${Math.round(waitMs)}`;
     return this.fetch(key, query, waitMs);
   }
@@ -45,7 +44,7 @@
     key: string,
     query: string,
     waitMs: number,
-  ): Promise<Result<PublishedValue | undefined, Failure>> {
+  ): Promise<Result<PublishedValue | number, Failure>> {
     try {
       const answer = await request(`${this.url}/values/${key}${query}`, {
         dispatcher: this.agent,
@@ -55,8 +54,9 @@
         return Result.ok((await answer.body.json()) as PublishedValue);
       }
       await answer.body.dump();
-      if (answer.statusCode === 304 || answer.statusCode === 404) {
-        return Result.ok(undefined);
+      if (answer.statusCode === 404) return Result.ok(0);
+      if (answer.statusCode === 304) {
+        return Result.ok(readRevision(answer.headers.etag));
       }
       return this.fail(key, `status ${answer.statusCode}`);
     } catch (error) {
@@ -74,3 +74,9 @@
     );
   }
 }
+
+/** Revision in an entity tag, such as "17"; 0 when there is none. */
+function readRevision(tag: string | string[] | undefined): number {
+  const digits = /^"([0-9]+)"$/.exec(String(tag))?.[1];
+  return Number(digits ?? 0);
+}
--- a/packages/stand-ins/src/start_platform.ts
+++ b/packages/stand-ins/src/start_platform.ts
@@ -45,7 +45,8 @@
       if (entry && entry.revision > afterRevision) return reply.send(entry);
       if (!watch) return reply.code(404).send({error: {key}});
       if (Date.now() >= until || request.raw.socket.destroyed) {
-        return reply.code(304).send();
+        const revision = entry?.revision ?? 0;
+        return reply.code(304).header('etag', `"${revision}"`).send();
       }
       await pause(POLL_MS);
     }
