--- a/packages/daemon/src/engine_traffic.ts
+++ b/packages/daemon/src/engine_traffic.ts
@@ -8,6 +8,7 @@
   type RoutedRequest,
   type Router,
   type RouterEvent,
+  type Upstream,
 } from '@parsleywood/routing';
 import type {LengthClassSettings, Settings} from '@parsleywood/schema/settings';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
@@ -21,8 +22,10 @@
   private readonly estimate: PromptEstimate;
   private router: Router | undefined;
   private classes = '';
+  private isUsable: (upstream: string) => boolean = () => false;
 
   constructor(
+    private readonly host: string,
     private readonly clock: Clock,
     private readonly site: SiteView,
     seed: number,
@@ -33,6 +36,11 @@
     );
   }
 
+  /** Sets what tells whether an upstream may get new work. */
+  useLiveness(isUsable: (upstream: string) => boolean): void {
+    this.isUsable = isUsable;
+  }
+
   /** Estimated tokens of a prompt. */
   estimateTokens(account: string, model: string, bytes: number): number {
     return this.estimate.estimateTokens(account, model, bytes);
@@ -48,6 +56,7 @@
     if (classes !== this.classes) {
       this.classes = classes;
       this.router = new LaneRouter({
+        host: this.host,
         lengthClasses: settings.lengthClasses as [
           LengthClassSettings,
           ...LengthClassSettings[],
@@ -58,22 +67,28 @@
     this.applyUpstreams();
   }
 
-  /** Takes over the listed engines. */
+  /** Takes over the listed engines; those not usable get no new work. */
   applyUpstreams(): void {
-    const settings = this.site.settings();
-    if (settings === undefined) return;
-    const engines = this.site
+    const upstreams = this.listEngines();
+    this.observe({kind: RouterEventKind.UPSTREAMS, upstreams});
+  }
+
+  /** The engines that may get new work. */
+  usableEngines(): Upstream[] {
+    return this.listEngines().filter(({leaving}) => !leaving);
+  }
+
+  private listEngines(): Upstream[] {
+    const models = this.site.settings()?.models ?? {};
+    return this.site
       .allUpstreams()
-      .filter(upstream => upstream.kind === 'engine');
-    this.observe({
-      kind: RouterEventKind.UPSTREAMS,
-      upstreams: engines.map(engine => ({
-        name: engine.name,
-        model: engine.serves,
-        memoryTokens: settings.models[engine.serves]?.engineMemoryTokens ?? 0,
-        leaving: engine.state === 'leaving',
-      })),
-    });
+      .filter(upstream => upstream.kind === 'engine')
+      .map(({name, serves}) => ({
+        name,
+        model: serves,
+        memoryTokens: models[serves]?.engineMemoryTokens ?? 0,
+        leaving: !this.isUsable(name),
+      }));
   }
 
   choose(request: RoutedRequest): Choice | undefined {
--- a/packages/daemon/src/serving.ts
+++ b/packages/daemon/src/serving.ts
@@ -7,6 +7,7 @@
 import type {AdmissionDesk} from './admission_desk.js';
 import type {Clock} from './clock.js';
 import {EngineClient} from './engine_client.js';
+import type {EnginePicker} from './engine_picker.js';
 import type {EngineTraffic} from './engine_traffic.js';
 import type {EventLog} from './event_log.js';
 import type {HostMetrics} from './host_metrics.js';
@@ -16,10 +17,14 @@
 import type {ServiceCall} from './service_call.js';
 import {ServiceClient} from './service_client.js';
 import type {SiteView} from './site_view.js';
-import {UpstreamHealth} from './upstream_health.js';
+import type {SuspectDesk} from './suspect_desk.js';
+import type {UpstreamControl} from './upstream_control.js';
 import type {UpstreamPools} from './upstream_pools.js';
 
 const RETRY_AFTER_MS = 500;
+const RETRIES_PER_SUCCESS = 0.1;
+/** Covers the streams of an engine that dies. */
+const MAX_RETRIES_SAVED = 256;
 
 /** What the handling of requests shares in one process. */
 export class Serving {
@@ -30,9 +35,9 @@
   readonly requestPrefix: string;
   readonly engines: EngineClient;
   readonly services: ServiceClient;
-  readonly retries = new RetryBudget();
-  readonly health: UpstreamHealth;
+  readonly retries = new RetryBudget(RETRIES_PER_SUCCESS, MAX_RETRIES_SAVED);
   private inFlight = 0;
+  private control: UpstreamControl | undefined;
   private turn = 0;
   private readonly open = new Map<string, number>();
 
@@ -42,6 +47,8 @@
     readonly site: SiteView,
     readonly pools: UpstreamPools,
     readonly traffic: EngineTraffic,
+    readonly picker: EnginePicker,
+    readonly suspects: SuspectDesk,
     readonly admission: AdmissionDesk,
     readonly metrics: HostMetrics,
     readonly timeline: HostTimeline,
@@ -52,7 +59,17 @@
     this.requestPrefix = `${incarnation.host}-${incarnation.id.slice(-6)}`;
     this.engines = new EngineClient(pools);
     this.services = new ServiceClient(pools);
-    this.health = new UpstreamHealth(clock);
+  }
+
+  /** Connects the part that tells which upstreams may get work. */
+  useUpstreams(control: UpstreamControl): void {
+    this.control = control;
+    this.traffic.useLiveness(upstream => control.isUsable(upstream));
+  }
+
+  get upstreams(): UpstreamControl {
+    if (this.control !== undefined) return this.control;
+    throw new Failure(ErrorKind.INTERNAL, 'upstreams are not connected');
   }
 
   /** Settings in force; throws a Failure while there are none. */
@@ -67,16 +84,15 @@
     );
   }
 
-  /** Chooses a service upstream in turn, those without faults first. */
+  /** Chooses a usable service upstream in turn. */
   chooseService(
     service: string,
     excluded: readonly string[],
   ): ListedUpstream | undefined {
-    const live = this.site
+    const usable = this.site
       .serving('service', service)
-      .filter(one => one.state === 'live' && !excluded.includes(one.name));
-    const healthy = live.filter(one => !this.health.isAvoided(one.name));
-    const usable = healthy.length > 0 ? healthy : live;
+      .filter(({name}) => this.upstreams.isUsable(name))
+      .filter(({name}) => !excluded.includes(name));
     return usable[this.turn++ % Math.max(usable.length, 1)];
   }
 
@@ -91,8 +107,8 @@
     this.countCall(name, 1);
     const result = await this.services.send(call, address, limitMs, fencing);
     this.countCall(name, -1);
-    if (result.isOk) this.health.recordSuccess(name);
-    else this.health.recordFault(name);
+    if (result.isOk) this.upstreams.noteSuccess(name);
+    else this.upstreams.noteFailure(name);
     return result;
   }
 
