Measure what control costs one host: bench control

Cause: no figure told what the hosts spend without callers, so nothing could be worked out for a larger site. Hosts count messages and bytes to peers, calls of the platform and load polls; the bench runs idle sites of real processes and fits lines by hosts, engines and accounts.

--- a/packages/bench/src/bench.test.ts
+++ b/packages/bench/src/bench.test.ts
@@ -6,6 +6,8 @@
 import {makeBaseSettings} from './make_base_settings.js';
 import {makeQuestion} from './make_question.js';
 import {makeReport} from './make_report.js';
+import {compareReadings} from './compare_readings.js';
+import {fitLine} from './fit_line.js';
 
 describe('bench', () => {
   it('meets targets at or within their bounds only', () => {
@@ -110,4 +112,46 @@
     ];
     expect(check(differing, 1)).to.equal(1);
   });
+
+  it('fits lines and gives the cost of one host', () => {
+    const {slope, offset} = fitLine([
+      [1, 5],
+      [2, 7],
+      [3, 9],
+    ]);
+    expect([slope, offset]).to.deep.equal([2, 3]);
+    const before = {
+      atMs: 0,
+      processorMs: 0,
+      peerMessages: 0,
+      peerMessageBytes: 0,
+      peerWireBytes: 0,
+      platformCalls: 0,
+      platformBytes: 0,
+      loadPolls: 0,
+      engineBytes: 0,
+    };
+    const after = {
+      atMs: 2_000,
+      processorMs: 80,
+      peerMessages: 4,
+      peerMessageBytes: 8,
+      peerWireBytes: 12,
+      platformCalls: 16,
+      platformBytes: 20,
+      loadPolls: 24,
+      engineBytes: 28,
+    };
+    expect(compareReadings(before, after, 2)).to.deep.equal({
+      processorPercent: 2,
+      peerMessagesPerS: 1,
+      peerMessageBytesPerS: 2,
+      peerWireBytesPerS: 6,
+      platformCallsPerS: 4,
+      platformBytesPerS: 5,
+      loadPollsPerS: 6,
+      engineBytesPerS: 7,
+      bytesPerS: 18,
+    });
+  });
 });
--- /dev/null
+++ b/packages/daemon/src/count_peer_messages.ts
@@ -0,0 +1,17 @@
+import {PeerMessage} from '@parsleywood/schema/peer';
+import type {HostMetrics} from './host_metrics.js';
+import type {TrafficDirection} from './traffic_direction.js';
+
+/** Counts messages and their encoded bytes by kind. */
+export function countPeerMessages(
+  metrics: HostMetrics,
+  direction: TrafficDirection,
+  messages: readonly PeerMessage[],
+): void {
+  for (const message of messages) {
+    const labels = {direction, kind: message.body?.$case ?? 'unknown'};
+    const bytes = PeerMessage.encode(message).finish().length;
+    metrics.peerMessages.inc(labels);
+    metrics.peerMessageBytes.inc(labels, bytes);
+  }
+}
--- a/packages/daemon/src/host_metrics.ts
+++ b/packages/daemon/src/host_metrics.ts
@@ -81,6 +81,41 @@
     registers: [this.registry],
   });
 
+  readonly peerMessages = new Counter({
+    name: 'parsleywood_peer_messages_total',
+    help: 'Messages sent to and received from other hosts, by kind.',
+    labelNames: ['direction', 'kind'],
+    registers: [this.registry],
+  });
+
+  readonly peerMessageBytes = new Counter({
+    name: 'parsleywood_peer_message_bytes_total',
+    help: 'Encoded bytes of these messages, without the transport.',
+    labelNames: ['direction', 'kind'],
+    registers: [this.registry],
+  });
+
+  readonly peerSocketBytes = new Gauge({
+    name: 'parsleywood_peer_socket_bytes',
+    help: 'Bytes of the connections that other hosts opened to this one.',
+    labelNames: ['direction'],
+    registers: [this.registry],
+  });
+
+  readonly platformCalls = new Counter({
+    name: 'parsleywood_platform_calls_total',
+    help: 'Calls of the configuration service, by read or watch and outcome.',
+    labelNames: ['call', 'outcome'],
+    registers: [this.registry],
+  });
+
+  readonly loadPolls = new Counter({
+    name: 'parsleywood_load_polls_total',
+    help: 'Load reports asked of engines, by outcome.',
+    labelNames: ['outcome'],
+    registers: [this.registry],
+  });
+
   constructor() {
     collectDefaultMetrics({register: this.registry});
   }
--- a/packages/daemon/src/host_process.ts
+++ b/packages/daemon/src/host_process.ts
@@ -34,6 +34,7 @@
 import {SeedPeers} from './seed_peers.js';
 import {SiteReader} from './site_reader.js';
 import {SiteView} from './site_view.js';
+import {SocketMeter} from './socket_meter.js';
 import {SpreadDesk} from './spread_desk.js';
 import {SystemClock} from './system_clock.js';
 import {UpstreamControl} from './upstream_control.js';
@@ -62,6 +63,8 @@
 export class HostProcess {
   private readonly clock = new SystemClock();
   private readonly site = new SiteView();
+  private readonly metrics = new HostMetrics();
+  private readonly peerSockets: SocketMeter;
   private readonly pools = new UpstreamPools();
   private readonly naming = new HostNaming(this.site, host =>
     this.isUsable(host),
@@ -98,10 +101,17 @@
     this.incarnation = nameIncarnation(settings.host, clock.wallMs());
     const {incarnation} = this;
     const log = new EventLog(incarnation, settings.logLevel ?? 'info');
-    this.platform = new PlatformClient(settings.platformUrl);
+    this.platform = new PlatformClient(settings.platformUrl, this.metrics);
     const timeline = new HostTimeline(incarnation, clock);
-    this.transport = new PeerTransport(incarnation, peerKey, timeline, host =>
-      this.findPeer(host),
+    this.transport = new PeerTransport(
+      incarnation,
+      peerKey,
+      timeline,
+      this.metrics,
+      name => this.findPeer(name),
+    );
+    this.peerSockets = new SocketMeter(
+      parseAddress(settings.peersAddress).port,
     );
     const {host} = settings;
     const traffic = new EngineTraffic(host, clock, site, drawSeed());
@@ -121,7 +131,7 @@
       traffic,
       new EnginePicker(traffic, this.spread),
       admission,
-      new HostMetrics(),
+      this.metrics,
       timeline,
       log,
     );
@@ -148,8 +158,13 @@
       this.control,
     );
     this.serving.useUpstreams(this.upstreams);
-    this.loads = new LoadFeed(clock, site, this.pools, traffic, upstream =>
-      this.upstreams.isUsable(upstream),
+    this.loads = new LoadFeed(
+      clock,
+      site,
+      this.pools,
+      traffic,
+      upstream => this.upstreams.isUsable(upstream),
+      this.metrics,
     );
     this.seeds = new SeedPeers(
       settings.seedPeers ?? [],
@@ -178,6 +193,7 @@
       this.serving,
       this.configuration,
       new SiteReader(this.serving, this.transport, status),
+      this.peerSockets,
       () => this.isReady(),
       () => {
         this.drain();
@@ -195,6 +211,7 @@
     const operators = parseAddress(this.settings.operatorsAddress);
     const callers = parseAddress(this.settings.callersAddress);
     await this.operators.listen(operators.host, operators.port);
+    this.peerSockets.start();
     await this.peers.listen(this.settings.peersAddress);
     this.orders.start();
     this.serving.admission.start();
@@ -256,6 +273,7 @@
     this.orders.stop();
     this.serving.admission.stop();
     this.peers.abort();
+    this.peerSockets.stop();
     this.transport.close();
     await this.operators.close();
     await this.pools.close();
--- a/packages/daemon/src/load_feed.ts
+++ b/packages/daemon/src/load_feed.ts
@@ -3,6 +3,7 @@
 import type {Clock} from './clock.js';
 import type {EngineReport} from './engine_report.js';
 import type {EngineTraffic} from './engine_traffic.js';
+import type {HostMetrics} from './host_metrics.js';
 import type {SiteView} from './site_view.js';
 import type {UpstreamPools} from './upstream_pools.js';
 
@@ -29,6 +30,7 @@
     private readonly pools: UpstreamPools,
     private readonly traffic: EngineTraffic,
     private readonly isUsable: (upstream: string) => boolean,
+    private readonly metrics: HostMetrics,
   ) {}
 
   start(): void {
@@ -58,11 +60,14 @@
       });
       if (answer.statusCode === 200) {
         this.take(name, (await answer.body.json()) as EngineReport, sentMs);
+        this.metrics.loadPolls.inc({outcome: 'ok'});
       } else {
         await answer.body.dump();
+        this.metrics.loadPolls.inc({outcome: 'refused'});
       }
     } catch {
       // A report that does not come leaves the last one in force.
+      this.metrics.loadPolls.inc({outcome: 'failed'});
     }
   }
 
--- a/packages/daemon/src/operator_server.ts
+++ b/packages/daemon/src/operator_server.ts
@@ -3,6 +3,8 @@
 import type {ConfigurationControl} from './configuration_control.js';
 import type {Serving} from './serving.js';
 import type {SiteReader} from './site_reader.js';
+import type {SocketMeter} from './socket_meter.js';
+import {TrafficDirection} from './traffic_direction.js';
 
 const DEFAULT_TIMELINE_EVENTS = 1_000;
 const MS_PER_SECOND = 1_000;
@@ -20,6 +22,7 @@
     private readonly serving: Serving,
     private readonly configuration: ConfigurationControl,
     private readonly site: SiteReader,
+    private readonly peerSockets: SocketMeter,
     private readonly isReady: () => boolean,
     private readonly drainSelf: () => void,
   ) {
@@ -99,6 +102,15 @@
   private refreshMetrics(): void {
     const {metrics, admission, site} = this.serving;
     metrics.queued.set(admission.queued());
+    const {peerSockets} = this;
+    metrics.peerSocketBytes.set(
+      {direction: TrafficDirection.RECEIVED},
+      peerSockets.readBytes(),
+    );
+    metrics.peerSocketBytes.set(
+      {direction: TrafficDirection.SENT},
+      peerSockets.writtenBytes(),
+    );
     const revision = this.configuration.revision();
     if (revision !== undefined) {
       metrics.configurationRevision.set({key: 'base'}, revision.base);
--- a/packages/daemon/src/peer_calls.ts
+++ b/packages/daemon/src/peer_calls.ts
@@ -1,10 +1,12 @@
 import type {Delivery, OrderCall, OrderOutcome} from '@parsleywood/schema/peer';
 import type {TimelinePage, TimelineQuery} from '@parsleywood/schema/timeline';
+import {countPeerMessages} from './count_peer_messages.js';
 import type {ControlPlane} from './control_plane.js';
 import type {HostStatusReader} from './host_status_reader.js';
 import type {OrderDesk} from './order_desk.js';
 import type {PeerListener} from './peer_listener.js';
 import type {Serving} from './serving.js';
+import {TrafficDirection} from './traffic_direction.js';
 
 /** Answers peers' calls at this host. */
 export class PeerCalls implements PeerListener {
@@ -19,7 +21,9 @@
   ) {}
 
   takeDelivery(delivery: Delivery): void {
-    this.serving.timeline.observe(delivery.hybridTime);
+    const {metrics, timeline} = this.serving;
+    countPeerMessages(metrics, TrafficDirection.RECEIVED, delivery.messages);
+    timeline.observe(delivery.hybridTime);
     this.control.takeMessages(
       {host: delivery.from, id: delivery.fromIncarnation},
       delivery.messages,
--- a/packages/daemon/src/peer_transport.ts
+++ b/packages/daemon/src/peer_transport.ts
@@ -9,8 +9,11 @@
 import type {TimelinePage, TimelineQuery} from '@parsleywood/schema/timeline';
 import type {Incarnation} from '@parsleywood/types';
 import {Result} from 'true-myth';
+import {countPeerMessages} from './count_peer_messages.js';
+import type {HostMetrics} from './host_metrics.js';
 import type {HostTimeline} from './host_timeline.js';
 import {PEER_KEY_METADATA} from './peer_key_metadata.js';
+import {TrafficDirection} from './traffic_direction.js';
 
 const DELIVER_TIMEOUT_MS = 2_000;
 const QUERY_TIMEOUT_MS = 2_000;
@@ -36,6 +39,7 @@
     private readonly self: Incarnation,
     key: string,
     private readonly timeline: HostTimeline,
+    private readonly metrics: HostMetrics,
     private readonly findAddress: (host: string) => string | undefined,
   ) {
     this.metadata.set(PEER_KEY_METADATA, key);
@@ -120,6 +124,7 @@
   private flush(address: string): void {
     const messages = this.outgoing.get(address) ?? [];
     this.outgoing.delete(address);
+    countPeerMessages(this.metrics, TrafficDirection.SENT, messages);
     this.connect(address).deliver(
       {
         from: this.self.host,
--- a/packages/daemon/src/platform_client.ts
+++ b/packages/daemon/src/platform_client.ts
@@ -1,6 +1,7 @@
 import {ErrorKind, Failure, Ran} from '@parsleywood/errors';
 import {Result} from 'true-myth';
 import {Agent, request} from 'undici';
+import type {HostMetrics} from './host_metrics.js';
 import type {PublishedValue} from './published_value.js';
 
 /** Longest wait for an answer beyond the wait asked for, in milliseconds. */
@@ -14,13 +15,16 @@
     bodyTimeout: ANSWER_TIMEOUT_MS,
   });
 
-  constructor(private readonly url: string) {}
+  constructor(
+    private readonly url: string,
+    private readonly metrics: HostMetrics,
+  ) {}
 
   /** Reads a value; undefined when the key has none. */
   async read(
     key: string,
   ): Promise<Result<PublishedValue | undefined, Failure>> {
-    return this.fetch(key, '', 0);
+    return this.count('read', await this.fetch(key, '', 0));
   }
 
   /**
@@ -34,13 +38,22 @@
     waitMs: number,
   ): Promise<Result<PublishedValue | undefined, Failure>> {
     const query = `?after=${afterRevision}&waitMs=${Math.round(waitMs)}`;
-    return this.fetch(key, query, waitMs);
+    return this.count('watch', await this.fetch(key, query, waitMs));
   }
 
   async close(): Promise<void> {
     await this.agent.destroy();
   }
 
+  private count(
+    call: string,
+    result: Result<PublishedValue | undefined, Failure>,
+  ): Result<PublishedValue | undefined, Failure> {
+    const outcome = result.isOk ? 'ok' : 'failed';
+    this.metrics.platformCalls.inc({call, outcome});
+    return result;
+  }
+
   private async fetch(
     key: string,
     query: string,
