--- a/packages/daemon/src/platform_client.test.ts
+++ b/packages/daemon/src/platform_client.test.ts
@@ -1,5 +1,6 @@
 import {startPlatform, type StandIn} from '@parsleywood/stand-ins';
 import {expect} from 'chai';
+import {HostMetrics} from './host_metrics.js';
 import {PlatformClient} from './platform_client.js';
 
 describe('PlatformClient', () => {
@@ -7,7 +8,7 @@
   let client: PlatformClient;
   before(async () => {
     platform = await startPlatform(0);
-    client = new PlatformClient(platform.url);
+    client = new PlatformClient(platform.url, new HostMetrics());
     await send('PUT', '/values/base', {a: 1});
   });
   after(async () => {
