--- a/packages/daemon/src/serving.ts
+++ b/packages/daemon/src/serving.ts
@@ -163,6 +163,10 @@
     this.inFlight--;
     this.metrics.inFlight.set(this.inFlight);
     this.metrics.requests.inc({call, outcome});
-    this.log.debug('request_concluded', {requestId, call, outcome});
+    if (outcome === 'ok') {
+      this.log.debug('request_answered', {requestId, call});
+    } else {
+      this.log.info('request_failed', {requestId, call, kind: outcome});
+    }
   }
 }
