--- a/packages/cli/src/run_command.test.ts
+++ b/packages/cli/src/run_command.test.ts
@@ -17,7 +17,7 @@
       name: 'entry-1',
       incarnation: '1733280000000-ab12',
       state: 'serving',
-      failureDomain: 'dryer-hall',
+      failureDomain: 'domain-a',
       callers: '10.0.0.1:8080',
       configuration: {base: 4, overlay: 2, ageMs: 1500},
       inFlight: 3,
@@ -27,13 +27,13 @@
         {name: 'entry-2', incarnation: '1733280000001-cd34', state: 'alive'},
         {name: 'entry-3', incarnation: '', state: 'dead'},
       ],
-      upstreams: [buildUpstream('kernel-1', 'usable', 2)],
+      upstreams: [buildUpstream('engine-1', 'usable', 2)],
     },
     {
       name: 'entry-2',
       incarnation: '1733280000001-cd34',
       state: 'draining',
-      failureDomain: 'cracker-shed',
+      failureDomain: 'domain-b',
       callers: '10.0.0.2:8080',
       configuration: {base: 4, overlay: 1, ageMs: 90_000},
       inFlight: 0,
@@ -44,15 +44,15 @@
         {name: 'entry-3', incarnation: '', state: 'suspected'},
       ],
       upstreams: [
-        buildUpstream('kernel-1', 'avoided', 1),
-        buildUpstream('kernel-2', 'leaving', 0),
+        buildUpstream('engine-1', 'avoided', 1),
+        buildUpstream('engine-2', 'leaving', 0),
       ],
     },
     {
       name: 'entry-3',
       incarnation: '',
       state: 'unreachable',
-      failureDomain: 'weighbridge',
+      failureDomain: 'domain-c',
       callers: '10.0.0.3:8080',
       error: 'no answer within 1000 ms',
     },
@@ -60,8 +60,8 @@
 };
 
 const EVENTS = [
-  buildEvent(1, 'entry-1', 'request_received', {account: 'cracker'}),
-  buildEvent(2, 'entry-1', 'attempt_started', {upstream: 'kernel-1'}),
+  buildEvent(1, 'entry-1', 'request_received', {account: 'team-a'}),
+  buildEvent(2, 'entry-1', 'attempt_started', {upstream: 'engine-1'}),
 ];
 
 describe('parsleywood', () => {
@@ -218,7 +218,7 @@
 
 function buildUpstream(name: string, state: string, inFlight: number) {
   const address = '10.0.1.1:9000';
-  return {name, kind: 'engine', serves: 'kernel-llm', address, state, inFlight};
+  return {name, kind: 'engine', serves: 'demo-llm', address, state, inFlight};
 }
 
 function buildEvent(
--- a/packages/config/src/check_settings.test.ts
+++ b/packages/config/src/check_settings.test.ts
@@ -149,14 +149,14 @@
       failureDomain: 'd',
       state: 'live',
     };
-    const list = {hosts: [host, {...host, callers: 'mill:80'}]};
+    const list = {hosts: [host, {...host, callers: 'gateway:80'}]};
     const lines = checkHostList(list).match({
       Ok: () => [],
       Err: problems => problems.map(formatProblem),
     });
     expect(lines).to.eql([
       '/hosts/1/name is "h", allowed is a name that no host has before',
-      '/hosts/1/callers is "mill:80", allowed is an IP number and port, IP:port',
+      '/hosts/1/callers is "gateway:80", allowed is an IP number and port, IP:port',
     ]);
   });
 });
--- a/packages/config/src/examples.test.ts
+++ b/packages/config/src/examples.test.ts
@@ -77,13 +77,13 @@
   const path = fileURLToPath(new URL('almond-mill/start.json', EXAMPLES));
 
   it('names file, path, value and what is allowed in one line', () => {
-    const flags = {callersAddress: 'mill:80', logLevel: undefined};
+    const flags = {callersAddress: 'gateway:80', logLevel: undefined};
     const message = readStartSettings(path, flags).match({
       Ok: () => '',
       Err: fault => fault.message,
     });
     expect(message).to.equal(
-      'flags: /callersAddress is "mill:80", ' +
+      'flags: /callersAddress is "gateway:80", ' +
         'allowed is an IP number and port, IP:port',
     );
   });
--- a/packages/membership/src/membership_news.test.ts
+++ b/packages/membership/src/membership_news.test.ts
@@ -156,7 +156,7 @@
     const site = startSite(11);
     const news = UpstreamNews.LEAVING;
     const kind = MembershipEventKind.UPSTREAM_NEWS;
-    site.tell('entry-1', {kind, upstream: 'kernel-1', news});
+    site.tell('entry-1', {kind, upstream: 'engine-1', news});
     site.run(4 * SETTINGS.probeIntervalMs);
     const told = site.notices.filter(
       ({action}) => action.kind === MembershipActionKind.UPSTREAM_TOLD,
--- a/packages/membership/src/upstream_liveness.test.ts
+++ b/packages/membership/src/upstream_liveness.test.ts
@@ -4,7 +4,7 @@
 import {UpstreamLiveness, UpstreamNews, UpstreamState} from './index.js';
 
 const {USABLE, PROBING, AVOIDED, LEAVING} = UpstreamState;
-const NAME = 'kernel-1';
+const NAME = 'engine-1';
 const LONG_MS = 10_000;
 const PROBE_TIMEOUT_MS = 2_000;
 
@@ -121,7 +121,7 @@
 function listOf(state: 'live' | 'leaving'): UpstreamList {
   const address = '10.0.0.1:9000';
   const kind = 'engine' as const;
-  const rest = {address, kind, serves: 'kernel-llm', failureDomain: 'a', state};
+  const rest = {address, kind, serves: 'demo-llm', failureDomain: 'a', state};
   return {upstreams: [{name: NAME, ...rest}]};
 }
 
--- a/packages/timeline/scripts/measure_record.mjs
+++ b/packages/timeline/scripts/measure_record.mjs
@@ -15,7 +15,7 @@
 
 function record(events) {
   for (let i = 0; i < events; i++) {
-    const fields = {upstream: 'kernel-1', attempt: 1, promptTokens: i};
+    const fields = {upstream: 'engine-1', attempt: 1, promptTokens: i};
     const requestId = 'request-' + (i >> 3);
     timeline.record(
       TimelineEventName.ATTEMPT_STARTED,
--- a/packages/timeline/src/timeline.test.ts
+++ b/packages/timeline/src/timeline.test.ts
@@ -15,7 +15,7 @@
   it('keeps the fields of an event and the host it happened on', () => {
     const timeline = build('entry-1');
     timeline.record(REQUEST_RECEIVED, 1000, 'r-1', {
-      account: 'cracker',
+      account: 'team-a',
       promptTokens: 12,
     });
     const [entry] = timeline.read();
@@ -27,7 +27,7 @@
       sequence: 1,
       name: 'request_received',
       requestId: 'r-1',
-      fields: {account: 'cracker', promptTokens: '12'},
+      fields: {account: 'team-a', promptTokens: '12'},
     });
     expect(entry && decodeEntry(encodeEntry(entry))).to.eql(entry);
   });
