--- a/packages/membership/src/membership.test.ts
+++ b/packages/membership/src/membership.test.ts
@@ -11,7 +11,7 @@
 const NOTICE_MS = SETTINGS.deadAfterMs + 2 * SETTINGS.probeIntervalMs;
 const SETTLED_MS = 10_000;
 const HOSTS = 9;
-const LARGE = 60;
+const LARGE = 90;
 const MINUTE_MS = 60_000;
 const SEEDS = fc.integer({min: 1, max: 1_000_000});
 
