Take an engine's error event as a fault, and count each attempt's end once

Cause: an engine that ends expired work by an error event was read as sending text without a position; and an attempt given up while its crash was looked into was counted as ended twice. After: 9 tests of the attempt reader and 39 of the daemon pass.

--- a/packages/daemon/src/attempt_reader.ts
+++ b/packages/daemon/src/attempt_reader.ts
@@ -104,6 +104,11 @@
       this.controller?.abort(new Error('event is not JSON'));
       return;
     }
+    if (event.error !== undefined) {
+      this.fault(AttemptFault.BROKEN, event.error.kind);
+      this.controller?.abort(new Error('engine ended the attempt'));
+      return;
+    }
     if (event.finish === undefined) {
       this.listener.onText(event.attempt, event.position, event.text ?? '');
       return;
--- a/packages/daemon/src/completion_session.ts
+++ b/packages/daemon/src/completion_session.ts
@@ -35,6 +35,8 @@
   private readonly runner: DecisionRunner<LifeEvent, LifeAction>;
   private pick: EnginePick | undefined;
   private pickId = '';
+  /** The attempt that is open at an engine; empty when none is. */
+  private activeAttempt = '';
   private readonly renewal: PriorityRenewal;
   private hasFirstToken = false;
 
@@ -154,7 +156,8 @@
     fault: AttemptFault,
     detail: string,
   ): void {
-    if (this.life.isOver()) return;
+    // The attempt may have been given up while its crash was looked into.
+    if (attempt !== this.activeAttempt) return;
     this.noteAttemptEnded(attempt, false);
     this.noteFault(fault);
     const kind = LifeEventKind.ATTEMPT_FAILED;
@@ -199,7 +202,9 @@
     const engine = this.serving.site.upstream(upstream);
     const {pick} = this;
     if (engine === undefined || pick === undefined) {
-      this.onFault(attempt, AttemptFault.UNREACHABLE, 'no longer listed');
+      const kind = LifeEventKind.ATTEMPT_FAILED;
+      const fault = AttemptFault.UNREACHABLE;
+      this.runner.dispatch({kind, attempt, fault, detail: 'not listed'});
       return;
     }
     this.record(TimelineEventName.ATTEMPT_STARTED, {
@@ -217,6 +222,7 @@
     if (this.life.attemptCount() === 1) {
       this.serving.admission.noteStarted(this.routed.id);
     }
+    this.activeAttempt = attempt;
     this.serving.countCall(upstream, 1);
     this.serving.engines.start(
       {
@@ -270,7 +276,8 @@
 
   private noteAttemptEnded(attempt: string, succeeded: boolean): void {
     this.releasePick();
-    if (this.pick === undefined) return;
+    if (this.pick === undefined || attempt !== this.activeAttempt) return;
+    this.activeAttempt = '';
     this.serving.countCall(this.pick.upstream, -1);
     if (succeeded) this.serving.upstreams.noteSuccess(this.pick.upstream);
     const kind = RouterEventKind.ATTEMPT_ENDED;
--- a/packages/daemon/src/engine_event.ts
+++ b/packages/daemon/src/engine_event.ts
@@ -4,6 +4,8 @@
   /** Output position in tokens, from 0. */
   readonly position: number;
   readonly text?: string;
+  /** Present where the engine ends the work without an answer. */
+  readonly error?: {readonly kind: string};
   /** Present in the last event. */
   readonly finish?: 'stop' | 'length';
   readonly usage?: {
