--- a/packages/daemon/src/host_status.ts
+++ b/packages/daemon/src/host_status.ts
@@ -1,4 +1,4 @@
-/** Status of one host, as operators read it. */
+/** Status of one host, as operators read it; an unreachable one tells less. */
 export interface HostStatus {
   readonly name: string;
   readonly incarnation: string;
@@ -6,21 +6,21 @@
   readonly state: string;
   readonly failureDomain: string;
   readonly callers: string;
-  readonly configuration: {
+  readonly configuration?: {
     readonly base: number;
     readonly overlay: number;
     /** Time since the configuration service confirmed every value. */
     readonly ageMs: number;
   };
-  readonly inFlight: number;
-  readonly queued: number;
-  readonly upMs: number;
-  readonly members: readonly {
+  readonly inFlight?: number;
+  readonly queued?: number;
+  readonly upMs?: number;
+  readonly members?: readonly {
     readonly name: string;
     readonly incarnation: string;
     readonly state: string;
   }[];
-  readonly upstreams: readonly {
+  readonly upstreams?: readonly {
     readonly name: string;
     readonly kind: string;
     readonly serves: string;
--- a/packages/daemon/src/hostile_input.test.ts
+++ b/packages/daemon/src/hostile_input.test.ts
@@ -126,7 +126,19 @@
       'a path that climbs',
       ['GET /v1/services/test-app/../../x HTTP/1.1', KEY],
       '',
-      [404, 'unknown_call'],
+      [400, 'invalid_request'],
+    ],
+    [
+      'an encoded separator',
+      ['POST /v1/services/test-app/levels%2f..%2forders HTTP/1.1', KEY],
+      '{}',
+      [400, 'invalid_request'],
+    ],
+    [
+      'a dot segment',
+      ['POST /v1/services/test-app/levels/../orders HTTP/1.1', KEY],
+      '{}',
+      [400, 'invalid_request'],
     ],
     ['no HTTP', ['hello there'], '', [400, 'invalid_request']],
   ];
--- a/packages/daemon/src/main.test.ts
+++ b/packages/daemon/src/main.test.ts
@@ -37,16 +37,18 @@
     }
   });
 
-  it('ends with 2 on a file that is no JSON, is missing, or has no peer key', () => {
+  it('ends with 2 on a broken, missing or keyless file, and an unknown flag', () => {
     const broken = join(directory, 'broken.json');
     writeFileSync(broken, '{"host": ');
     const runs = [
       run('--settings', broken),
       run('--settings', join(directory, 'none.json')),
       run('--settings', write(SETTINGS)),
+      run('--unknown', 'flag'),
     ];
-    expect(runs.map(({status}) => status)).to.eql([2, 2, 2]);
-    expect(runs.map(({stderr}) => stderr.split('\n').length)).to.eql([2, 2, 2]);
+    expect(runs.map(({status}) => status)).to.eql([2, 2, 2, 2]);
+    const lines = runs.map(({stderr}) => stderr.trimEnd().split('\n').length);
+    expect(lines).to.eql([1, 1, 1, 1]);
   });
 
   it('lets flags go before the file', () => {
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -32,6 +32,7 @@
   })
   .example('$0 --settings host.json --logLevel debug', 'Starts a host')
   .strict()
+  .fail(message => endWith(EXIT_WRONG_SETTINGS, message))
   .parse();
 
 const settings = readSettings();
--- a/packages/daemon/src/order_desk.ts
+++ b/packages/daemon/src/order_desk.ts
@@ -190,7 +190,7 @@
     this.dispatched.add(name);
     const result = await this.send(open?.call, action.fencing);
     this.dispatched.delete(name);
-    const outcome = formatOutcome(result);
+    const outcome = formatOutcome(result.mapErr(describeForKey));
     this.serving.metrics.orders.inc({outcome: outcome.failureKind || 'ok'});
     this.runner.dispatch({kind: OrderEventKind.OUTCOME, account, key, outcome});
   }
@@ -263,3 +263,12 @@
     .update(call.body)
     .digest('hex');
 }
+
+/** The outcome stays with the key: only another key can come back. */
+function describeForKey({kind, message, ran, retryAfterMs}: Failure): Failure {
+  if (ran === Ran.NO) {
+    const advice = `${message}; it did not run: order again with a new key`;
+    return new Failure(kind, advice, ran, retryAfterMs);
+  }
+  return new Failure(kind, `${message}; the order may have run`, ran);
+}
--- a/packages/daemon/src/service_handler.ts
+++ b/packages/daemon/src/service_handler.ts
@@ -9,6 +9,8 @@
 import type {Serving} from './serving.js';
 
 const SERVICE_PATH = /^\/v1\/services\/([^/?]+)(\/[^?]*)?(\?.*)?$/;
+/** Parts that a service could read as another path than the one matched. */
+const UNSAFE_PATH = /\/\/|\/\.{1,2}(\/|$)|\\|%2e|%2f|%5c/i;
 const DEFAULT_TIME_LIMIT_MS = 10_000;
 const MAX_IDEMPOTENCY_KEY_LENGTH = 256;
 
@@ -34,6 +36,12 @@
     const [, service = '', path = '/', query = ''] =
       SERVICE_PATH.exec(incoming.url ?? '') ?? [];
     const method = incoming.method ?? '';
+    if (UNSAFE_PATH.test(path)) {
+      throw new Failure(
+        ErrorKind.INVALID_REQUEST,
+        'the path has empty or dot segments, a backslash or encoded separators',
+      );
+    }
     const own = settings.services[service];
     const rule = own && findCall(own, method, path);
     if (own === undefined || rule === undefined) {
--- /dev/null
+++ b/packages/daemon/src/service_session.test.ts
@@ -0,0 +1,31 @@
+import {once} from 'node:events';
+import {expect} from 'chai';
+import {TestSite} from './testing/test_site.js';
+
+const ANSWER_AFTER_MS = 2_000;
+const CLOSE_AFTER_MS = 200;
+
+describe('a repeatable service call', () => {
+  let site: TestSite;
+  before(async () => {
+    site = await TestSite.start(1);
+  });
+  after(() => site.stop());
+
+  it('may have run when its only upstream died with it', async () => {
+    await fetch(`${site.service.url}/faults`, {
+      method: 'POST',
+      headers: {'content-type': 'application/json'},
+      body: JSON.stringify({slowMs: ANSWER_AFTER_MS}),
+    });
+    const asking = fetch(`${site.urls[0] ?? ''}/v1/services/test-app/levels`, {
+      headers: {authorization: 'Bearer test-key-one'},
+    });
+    await once(AbortSignal.timeout(CLOSE_AFTER_MS), 'abort');
+    await site.service.close();
+    const answer = await asking;
+    const {error} = (await answer.json()) as {error: {ran: string}};
+    expect(answer.status).to.be.within(502, 503);
+    expect(error.ran).to.equal('unknown');
+  });
+});
--- a/packages/daemon/src/service_session.ts
+++ b/packages/daemon/src/service_session.ts
@@ -1,6 +1,6 @@
 import type {ServerResponse} from 'node:http';
-import {ErrorKind, type Failure} from '@parsleywood/errors';
-import type {Result} from 'true-myth';
+import {ErrorKind, Failure, Ran} from '@parsleywood/errors';
+import {Result} from 'true-myth';
 import type {OrderDesk} from './order_desk.js';
 import {readOutcome} from './read_outcome.js';
 import type {ServiceAnswer} from './service_answer.js';
@@ -12,6 +12,8 @@
 
 /** One call of a plain service, from its checks to its answer. */
 export class ServiceSession {
+  private hasOtherUpstream = true;
+
   constructor(
     private readonly serving: Serving,
     private readonly orders: OrderDesk,
@@ -36,15 +38,22 @@
 
   private async sendRepeatable(): Promise<Result<ServiceAnswer, Failure>> {
     const tried: string[] = [];
+    let mayHaveRun = false;
     for (;;) {
       const result = await this.sendOnce(tried);
-      const last = tried.length >= MAX_ATTEMPTS;
-      if (result.isOk || last || !this.mayMoveOn(result.error)) return result;
+      if (result.isOk) return result;
+      mayHaveRun ||= result.error.ran !== Ran.NO;
+      if (tried.length >= MAX_ATTEMPTS || !this.mayMoveOn(result.error)) {
+        const {kind, message, retryAfterMs} = result.error;
+        const ran = mayHaveRun ? Ran.UNKNOWN : Ran.NO;
+        return Result.err(new Failure(kind, message, ran, retryAfterMs));
+      }
     }
   }
 
   private mayMoveOn(failure: Failure): boolean {
     if (failure.kind === ErrorKind.TIME_LIMIT) return false;
+    if (!this.hasOtherUpstream) return false;
     return this.serving.retries.tryRetry();
   }
 
@@ -53,6 +62,7 @@
   ): Promise<Result<ServiceAnswer, Failure>> {
     const {serving, call} = this;
     const upstream = serving.chooseService(call.service, tried);
+    this.hasOtherUpstream = upstream !== undefined;
     if (upstream === undefined) return serving.refuseUnavailable(call.service);
     tried.push(upstream.name);
     const limitMs = call.deadlineMs - serving.clock.nowMs();
--- a/packages/daemon/src/site_reader.ts
+++ b/packages/daemon/src/site_reader.ts
@@ -75,12 +75,6 @@
       state: 'unreachable',
       failureDomain: listed?.failureDomain ?? '',
       callers: listed?.callers ?? '',
-      configuration: {base: 0, overlay: 0, ageMs: -1},
-      inFlight: 0,
-      queued: 0,
-      upMs: 0,
-      members: [],
-      upstreams: [],
       error: failure.message,
     };
   }
--- a/packages/errors/src/answers.ts
+++ b/packages/errors/src/answers.ts
@@ -2,7 +2,6 @@
 import {ErrorKind} from './error_kind.js';
 
 const INVALID = 'invalid_request_error';
-const PERMISSION = 'permission_error';
 const CONFLICT = 'conflict_error';
 const RATE = 'rate_limit_error';
 const SERVER = 'server_error';
@@ -11,7 +10,6 @@
 export const ANSWERS: Readonly<Record<ErrorKind, Answer>> = {
   [ErrorKind.INVALID_REQUEST]: answerFinally(400, INVALID),
   [ErrorKind.UNAUTHENTICATED]: answerFinally(401, 'authentication_error'),
-  [ErrorKind.FORBIDDEN]: answerFinally(403, PERMISSION),
   [ErrorKind.UNKNOWN_MODEL]: answerFinally(404, INVALID),
   [ErrorKind.UNKNOWN_CALL]: answerFinally(404, INVALID),
   [ErrorKind.NOT_FOUND]: answerFinally(404, INVALID),
--- a/packages/errors/src/error_kind.ts
+++ b/packages/errors/src/error_kind.ts
@@ -4,8 +4,6 @@
   INVALID_REQUEST = 'invalid_request',
   /** No key, or one that belongs to no client account. */
   UNAUTHENTICATED = 'unauthenticated',
-  /** The client account may not do this. */
-  FORBIDDEN = 'forbidden',
   /** No such model. */
   UNKNOWN_MODEL = 'unknown_model',
   /** No such service or call. */
