Replace every host under load without a request cut off or refused

A test on a whole site of three hosts, with callers who keep their addresses and connections, failed before on each of these:

- A host ended while an order that a peer had forwarded to it was open, so the caller was told "order_outcome_unknown".
It now answers the calls of peers before it announces its end, and finishes calls of peers being answered.
- A replacement was named as soon as it was seen alive, and refused requests for lack of settings or of probed upstreams.
Peers now name a new incarnation once it says that it is ready, and it takes no forwarded order until then.
- By reading, without a run that showed it: the listener was closed after keepHostsForMs counted from the stop, although a peer that had not heard yet could name the host later; connections were closed while bodies or unread answers were on their way; nothing told callers on kept connections to move.

--- a/packages/daemon/src/caller_server.ts
+++ b/packages/daemon/src/caller_server.ts
@@ -6,6 +6,7 @@
 import {CompletionPath} from './completion_path.js';
 import type {CompletionHandler} from './completion_handler.js';
 import type {HostNaming} from './host_naming.js';
+import {OpenExchanges} from './open_exchanges.js';
 import type {ReplyHead} from './reply_head.js';
 import type {ServiceHandler} from './service_handler.js';
 import type {Serving} from './serving.js';
@@ -26,7 +27,10 @@
 /** The callers' HTTP interface. */
 export class CallerServer {
   private readonly server: FastifyInstance;
+  /** Requests that have come in and are not answered whole. */
+  readonly exchanges = new OpenExchanges();
   private requests = 0;
+  private isLeaving = false;
 
   constructor(
     private readonly serving: Serving,
@@ -71,6 +75,11 @@
     await this.server.listen({host, port});
   }
 
+  /** Closes each connection after its next answer, so that callers move. */
+  closeAfterAnswers(): void {
+    this.isLeaving = true;
+  }
+
   /** Takes no new connections; ends when the open ones are closed. */
   async close(): Promise<void> {
     await this.server.close();
@@ -99,8 +108,10 @@
         `no ${request.method} ${request.url.split('?')[0] ?? ''} here`,
       );
     });
-    server.addHook('onRequest', (request, _reply, done) => {
+    server.addHook('onRequest', (request, reply, done) => {
       request.id = this.nextRequestId();
+      this.exchanges.add(reply.raw);
+      if (this.isLeaving) reply.raw.shouldKeepAlive = false;
       done();
     });
     server.get('/v1/hosts', request => this.answerHosts(request));
--- a/packages/daemon/src/control_plane.ts
+++ b/packages/daemon/src/control_plane.ts
@@ -18,6 +18,7 @@
 import type {MembershipControl} from './membership_control.js';
 import type {MembershipListener} from './membership_listener.js';
 import type {OrderDesk} from './order_desk.js';
+import type {PeerReadiness} from './peer_readiness.js';
 import type {Serving} from './serving.js';
 import type {SpreadDesk} from './spread_desk.js';
 import type {UpstreamListener} from './upstream_listener.js';
@@ -45,6 +46,7 @@
     private readonly naming: HostNaming,
     private readonly spread: SpreadDesk,
     private readonly orders: OrderDesk,
+    private readonly readiness: PeerReadiness,
     private readonly end: () => void,
   ) {}
 
@@ -107,6 +109,7 @@
       incarnation: member.id,
       state,
     });
+    this.readiness.takeMember(member, state);
     this.orders.setPeer(member, PEER_STATES[state]);
     this.tellMembers();
   }
--- a/packages/daemon/src/host_process.ts
+++ b/packages/daemon/src/host_process.ts
@@ -7,6 +7,7 @@
 import type {Incarnation} from '@parsleywood/types';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {AdmissionDesk} from './admission_desk.js';
+import {CallerDrain} from './caller_drain.js';
 import {CallerServer} from './caller_server.js';
 import {CompletionHandler} from './completion_handler.js';
 import {ConfigurationControl} from './configuration_control.js';
@@ -25,6 +26,7 @@
 import {OrderDesk} from './order_desk.js';
 import {parseAddress} from './parse_address.js';
 import {PeerCalls} from './peer_calls.js';
+import {PeerReadiness} from './peer_readiness.js';
 import {PeerServer} from './peer_server.js';
 import {PeerTransport} from './peer_transport.js';
 import {PlatformClient} from './platform_client.js';
@@ -55,8 +57,7 @@
 };
 /** Longest time that orders and upstreams may keep a host from being ready. */
 const READY_WITHIN_MS = 5_000;
-const DRAIN_CHECK_MS = 20;
-const DEFAULT_KEEP_HOSTS_MS = 1_000;
+const READY_CHECK_MS = 20;
 /** Time for the last messages to peers before the process ends. */
 const FAREWELL_MS = 50;
 
@@ -74,6 +75,7 @@
   private readonly transport: PeerTransport;
   private readonly serving: Serving;
   private readonly orders: OrderDesk;
+  private readonly readiness: PeerReadiness;
   private readonly control: ControlPlane;
   private readonly configuration: ConfigurationControl;
   private readonly membership: MembershipControl;
@@ -85,6 +87,7 @@
   private readonly operators: OperatorServer;
   private readonly peers: PeerServer;
   private state = HostState.STARTING;
+  private wasReady = false;
   private stopping: Promise<void> | undefined;
 
   /**
@@ -135,11 +138,15 @@
       this.transport,
       new Orders(incarnation),
     );
+    this.readiness = new PeerReadiness(this.transport, () => {
+      this.naming.forget();
+    });
     this.control = new ControlPlane(
       this.serving,
       this.naming,
       this.spread,
       this.orders,
+      this.readiness,
       () => {
         this.end(1);
       },
@@ -177,7 +184,7 @@
       this.serving,
       this.configuration,
       this.membership,
-      () => this.state,
+      () => this.describeState(),
     );
     this.operators = new OperatorServer(
       this.serving,
@@ -190,9 +197,16 @@
     );
     this.peers = new PeerServer(
       peerKey,
-      new PeerCalls(this.serving, this.control, this.orders, status, () => {
-        this.drain();
-      }),
+      new PeerCalls(
+        this.serving,
+        this.control,
+        this.orders,
+        status,
+        () => this.describeState() === HostState.STARTING,
+        () => {
+          this.drain();
+        },
+      ),
     );
   }
 
@@ -209,7 +223,7 @@
     this.loads.start();
     await this.callers.listen(callers.host, callers.port);
     this.state = HostState.SERVING;
-    this.naming.forget();
+    void this.watchReadiness();
     this.serving.log.info('host_started');
     this.serving.timeline.record(TimelineEventName.HOST_STARTED);
   }
@@ -235,16 +249,7 @@
     });
     serving.timeline.record(TimelineEventName.HOST_DRAINING);
     this.membership.announceLeaving();
-    // Callers may use this host's address for as long as they were told to.
-    const settings = this.site.settings();
-    await pause(settings?.callers.keepHostsForMs ?? DEFAULT_KEEP_HOSTS_MS);
-    const closed = this.callers.close();
-    while (serving.inFlightRequests() > 0 || this.orders.unanswered() > 0) {
-      await pause(DRAIN_CHECK_MS);
-    }
-    this.callers.closeConnections();
-    await closed;
-    this.orders.close();
+    await new CallerDrain(serving, this.callers, this.orders).run();
     this.membership.announceEnd();
     await pause(FAREWELL_MS);
     await this.closeControl();
@@ -258,17 +263,31 @@
     this.spread.stop();
     this.upstreams.stop();
     this.membership.stop();
+    this.readiness.stop();
     this.orders.stop();
     this.serving.admission.stop();
-    this.peers.abort();
+    await this.peers.close();
     this.transport.close();
     await this.operators.close();
     await this.pools.close();
     await this.platform.close();
   }
 
+  /** Ready for as long as it serves, once it has been ready. */
   private isReady(): boolean {
     if (this.state !== HostState.SERVING) return false;
+    this.wasReady ||= this.isPrepared();
+    return this.wasReady;
+  }
+
+  private async watchReadiness(): Promise<void> {
+    while (this.state === HostState.SERVING && !this.isReady()) {
+      await pause(READY_CHECK_MS);
+    }
+    this.naming.forget();
+  }
+
+  private isPrepared(): boolean {
     if (!this.control.hasConfiguration()) return false;
     const upMs = this.clock.nowMs() - this.startedMs;
     if (upMs > READY_WITHIN_MS) return true;
@@ -283,9 +302,16 @@
       );
   }
 
+  /** Whether callers may be sent to a host. */
   private isUsable(host: string): boolean {
-    if (host !== this.incarnation.host) return this.membership.isUsable(host);
-    return this.state === HostState.SERVING;
+    if (host === this.incarnation.host) return this.isReady();
+    const peer = this.membership.findAlive(host);
+    return peer !== undefined && this.readiness.isReady(peer);
+  }
+
+  private describeState(): HostState {
+    if (this.state !== HostState.SERVING || this.wasReady) return this.state;
+    return HostState.STARTING;
   }
 
   private findPeer(host: string): string | undefined {
--- a/packages/daemon/src/membership_control.ts
+++ b/packages/daemon/src/membership_control.ts
@@ -54,10 +54,11 @@
     return this.members().find(one => one.host === host)?.address;
   }
 
-  /** Whether a host is believed to serve callers. */
-  isUsable(host: string): boolean {
+  /** The incarnation of a host that is alive, if one is. */
+  findAlive(host: string): Incarnation | undefined {
     const member = this.members().find(one => one.host === host);
-    return member === undefined || member.state === MemberState.ALIVE;
+    if (member?.state !== MemberState.ALIVE) return undefined;
+    return {host, id: member.incarnation};
   }
 
   start(): void {
--- a/packages/daemon/src/order_desk.ts
+++ b/packages/daemon/src/order_desk.ts
@@ -72,6 +72,11 @@
     return this.dispatched.size;
   }
 
+  /** Calls of callers and peers that wait for their outcome. */
+  openCalls(): number {
+    return this.open.size;
+  }
+
   applySettings(settings: OrderSettings): void {
     this.runner.dispatch({
       kind: OrderEventKind.SETTINGS,
--- a/packages/daemon/src/peer_calls.ts
+++ b/packages/daemon/src/peer_calls.ts
@@ -1,3 +1,6 @@
+import {ErrorKind, Failure, Ran} from '@parsleywood/errors';
+import {Result} from 'true-myth';
+import {formatOutcome} from './format_outcome.js';
 import type {Delivery, OrderCall, OrderOutcome} from '@parsleywood/schema/peer';
 import type {TimelinePage, TimelineQuery} from '@parsleywood/schema/timeline';
 import type {ControlPlane} from './control_plane.js';
@@ -6,6 +9,8 @@
 import type {PeerListener} from './peer_listener.js';
 import type {Serving} from './serving.js';
 
+const RETRY_AFTER_MS = 500;
+
 /** Answers peers' calls at this host. */
 export class PeerCalls implements PeerListener {
   private forwarded = 0;
@@ -15,6 +20,7 @@
     private readonly control: ControlPlane,
     private readonly orders: OrderDesk,
     private readonly status: HostStatusReader,
+    private readonly isStarting: () => boolean,
     private readonly startDrain: () => void,
   ) {}
 
@@ -29,6 +35,7 @@
   async runOrder(call: OrderCall): Promise<OrderOutcome> {
     const {serving} = this;
     serving.timeline.observe(call.hybridTime);
+    if (this.isStarting()) return formatOutcome(Result.err(refuseEarly()));
     const outcome = await this.orders.run(
       {
         // One caller's request may come by several ways; each is a call.
@@ -60,3 +67,12 @@
     this.startDrain();
   }
 }
+
+function refuseEarly(): Failure {
+  return new Failure(
+    ErrorKind.HOST_UNAVAILABLE,
+    'this host is starting',
+    Ran.NO,
+    RETRY_AFTER_MS,
+  );
+}
--- a/packages/daemon/src/peer_server.ts
+++ b/packages/daemon/src/peer_server.ts
@@ -12,6 +12,7 @@
 import type {PeerListener} from './peer_listener.js';
 
 const MAX_MESSAGE_BYTES = 24 * 1024 * 1024;
+const CLOSE_WITHIN_MS = 500;
 
 /** Listens for peers that show the shared key. */
 export class PeerServer {
@@ -51,20 +52,20 @@
     });
   }
 
-  /** Ends after the calls being answered. */
+  /** Ends after the calls being answered, or at the latest after a time. */
   async close(): Promise<void> {
     await new Promise<void>(resolve => {
+      const timer = setTimeout(() => {
+        this.server.forceShutdown();
+        resolve();
+      }, CLOSE_WITHIN_MS);
       this.server.tryShutdown(() => {
+        clearTimeout(timer);
         resolve();
       });
     });
   }
 
-  /** Ends at once. */
-  abort(): void {
-    this.server.forceShutdown();
-  }
-
   private answer<Question, Reply>(
     handle: (question: Question) => Reply | Promise<Reply>,
   ): (
--- /dev/null
+++ b/packages/daemon/src/testing/read_stream.ts
@@ -0,0 +1,10 @@
+/** Reads the text of a streamed completion; an error when it is not whole. */
+export function readStream(body: string): string {
+  const events = body.split('\n\n').map(event => event.slice('data: '.length));
+  if (!events.includes('[DONE]')) return `not whole: ${body.slice(-200)}`;
+  return events
+    .filter(event => event.startsWith('{'))
+    .map(event => JSON.parse(event) as {choices: {text: string}[]})
+    .map(({choices}) => choices[0]?.text ?? '')
+    .join('');
+}
--- a/packages/daemon/src/testing/test_site.ts
+++ b/packages/daemon/src/testing/test_site.ts
@@ -17,6 +17,8 @@
 
 /** Hosts and stand-ins of a small site, in this process. */
 export class TestSite {
+  /** Exit codes that hosts asked for, in their order. */
+  readonly exitCodes: number[] = [];
   private readonly hosts: HostProcess[] = [];
 
   private constructor(
@@ -28,10 +30,15 @@
     /** Operators' addresses as URLs. */
     readonly operators: readonly string[],
     private readonly ports: readonly number[],
+    private readonly settings: object,
   ) {}
 
   /** Starts a site and waits until its hosts are ready and orders are open. */
-  static async start(hostCount: number, engineCount = 1): Promise<TestSite> {
+  static async start(
+    hostCount: number,
+    engineCount = 1,
+    settings: object = TEST_SETTINGS,
+  ): Promise<TestSite> {
     const platform = await startPlatform(0);
     const engines = await Promise.all(
       Array.from({length: engineCount}, () =>
@@ -50,6 +57,7 @@
       indexes.map(url(0)),
       indexes.map(url(1)),
       ports,
+      settings,
     );
     await site.publish();
     await Promise.all(indexes.map((_, index) => site.startHost(index)));
@@ -78,6 +86,15 @@
     await this.hosts[index]?.stop();
   }
 
+  /** Stops a host gracefully and starts it anew under the same name. */
+  async replaceHost(index: number): Promise<void> {
+    await this.publishHosts(index);
+    await this.stopHost(index);
+    await this.publishHosts();
+    await this.startHost(index);
+    await waitReady(this.operators[index] ?? '');
+  }
+
   async stop(): Promise<void> {
     await Promise.all(this.hosts.map(host => host.stop()));
     const standIns = [this.platform, ...this.engines, this.service];
@@ -99,23 +116,15 @@
         logLevel: 'error',
       },
       'test-peer-key',
-      () => undefined,
+      code => this.exitCodes.push(code),
     );
-    this.hosts.push(host);
+    this.hosts[index] = host;
     await host.start();
   }
 
   private async publish(): Promise<void> {
-    await this.put('base', TEST_SETTINGS);
-    await this.put(`hosts/${SITE}`, {
-      hosts: this.urls.map((_, index) => ({
-        name: `host-${index + 1}`,
-        callers: `127.0.0.1:${this.portsOf(index)[0] ?? 0}`,
-        peers: `127.0.0.1:${this.portsOf(index)[2] ?? 0}`,
-        failureDomain: `domain-${index + 1}`,
-        state: 'live',
-      })),
-    });
+    await this.put('base', this.settings);
+    await this.publishHosts();
     await this.put(`upstreams/${SITE}`, {
       upstreams: [
         ...this.engines.map((engine, index) =>
@@ -126,6 +135,19 @@
     });
   }
 
+  /** Publishes the list of hosts, with one of them leaving. */
+  private async publishHosts(leaving = -1): Promise<void> {
+    await this.put(`hosts/${SITE}`, {
+      hosts: this.urls.map((_, index) => ({
+        name: `host-${index + 1}`,
+        callers: `127.0.0.1:${this.portsOf(index)[0] ?? 0}`,
+        peers: `127.0.0.1:${this.portsOf(index)[2] ?? 0}`,
+        failureDomain: `domain-${index + 1}`,
+        state: index === leaving ? 'leaving' : 'live',
+      })),
+    });
+  }
+
   private async openOrders(): Promise<void> {
     await pause(OPEN_AFTER_MS);
     await this.put(`sites/${SITE}`, {
