--- /dev/null
+++ b/packages/placement/src/index.ts
@@ -0,0 +1,16 @@
+/** Decides which orders engines get: models, adapters, versions and roles. */
+export type {EngineContent} from './engine_content.js';
+export type {EngineLoad} from './engine_load.js';
+export type {EngineOrder} from './engine_order.js';
+export {EngineOrderKind} from './engine_order_kind.js';
+export {Placement} from './placement.js';
+export type {PlacementAction} from './placement_action.js';
+export {PlacementActionKind} from './placement_action_kind.js';
+export type {PlacementEvent} from './placement_event.js';
+export {PlacementEventKind} from './placement_event_kind.js';
+export type {PlacementPlan} from './placement_plan.js';
+export type {PlacementRevision} from './placement_revision.js';
+export {planPlacement} from './plan_placement.js';
+export {toFencing} from './to_fencing.js';
+export type {WantedEngine} from './wanted_engine.js';
+export type {WantedLoad} from './wanted_load.js';
--- /dev/null
+++ b/packages/placement/src/placement_action.ts
@@ -0,0 +1,13 @@
+import type {EngineOrder} from './engine_order.js';
+import type {PlacementActionKind} from './placement_action_kind.js';
+
+/** What the placement of engines asks of its adapter. */
+export type PlacementAction =
+  | {readonly kind: PlacementActionKind.READ; readonly engine: string}
+  | {
+      readonly kind: PlacementActionKind.ORDER;
+      readonly engine: string;
+      readonly order: EngineOrder;
+      /** Monotonic time, in milliseconds, after which it must not be sent. */
+      readonly validUntilMs: number;
+    };
--- /dev/null
+++ b/packages/placement/src/placement_action_kind.ts
@@ -0,0 +1,5 @@
+/** What the placement of engines asks of its adapter. */
+export enum PlacementActionKind {
+  READ = 'read',
+  ORDER = 'order',
+}
--- /dev/null
+++ b/packages/placement/src/placement_event_kind.ts
@@ -0,0 +1,13 @@
+/** What can happen to the placement of engines. */
+export enum PlacementEventKind {
+  PLAN = 'plan',
+  MEMBERS = 'members',
+  /** A peer or an earlier incarnation knows of this fencing number. */
+  KNOWN = 'known',
+  READ_BACK = 'read_back',
+  READ_FAILED = 'read_failed',
+  ORDERED = 'ordered',
+  REFUSED = 'refused',
+  FAILED = 'failed',
+  WAKE = 'wake',
+}
