--- a/packages/placement/src/engine_order.ts
+++ b/packages/placement/src/engine_order.ts
@@ -6,5 +6,6 @@
   readonly kind: EngineOrderKind;
   readonly name?: string;
   readonly version?: string;
+  /** Of `set_role`; absent: the role stays, only the fencing number counts. */
   readonly role?: string;
 }
--- a/packages/placement/src/engine_record.ts
+++ b/packages/placement/src/engine_record.ts
@@ -8,20 +8,24 @@
   content: EngineContent | undefined;
   /** Start of the read that gave `content`; an order makes it void. */
   readAtMs = -Infinity;
-  /** Start of the first read that showed the highest fencing number. */
+  /** End of the first read that showed the fencing number of `content`. */
   fencedAtMs = Infinity;
   nextReadAtMs = -Infinity;
   callStartedAtMs: number | undefined;
   isDown = false;
+  /** Whether a load was ordered and not read back since. */
+  isLoadOrdered = false;
 
   constructor(public wanted: WantedEngine) {}
 
-  takeContent(content: EngineContent): void {
-    const startMs = this.callStartedAtMs ?? -Infinity;
-    if (content.fencing !== this.content?.fencing) this.fencedAtMs = startMs;
+  takeContent(content: EngineContent, nowMs: number): void {
+    const hasRestarted = this.lostLoads(content);
+    const isOther = content.fencing !== this.content?.fencing;
+    if (isOther || hasRestarted) this.fencedAtMs = nowMs;
     this.content = content;
-    this.readAtMs = startMs;
+    this.readAtMs = this.callStartedAtMs ?? -Infinity;
     this.isDown = false;
+    this.isLoadOrdered = false;
     this.callStartedAtMs = undefined;
   }
 
@@ -57,7 +61,7 @@
   }
 
   isLoading(): boolean {
-    return this.loads().some(({ready}) => !ready);
+    return this.isLoadOrdered || this.loads().some(({ready}) => !ready);
   }
 
   /** First wanted load that the engine neither holds nor is loading. */
@@ -85,6 +89,17 @@
     );
   }
 
+  /** Whether loads are gone, as after a restart that no read has shown. */
+  private lostLoads(content: EngineContent): boolean {
+    return this.loads().some(
+      old =>
+        !content.loads.some(
+          ({kind, name, version}) =>
+            kind === old.kind && name === old.name && version === old.version,
+        ),
+    );
+  }
+
   private loads() {
     return this.content?.loads ?? [];
   }
--- /dev/null
+++ b/packages/placement/src/placement.test.ts
@@ -0,0 +1,205 @@
+import {expect} from 'chai';
+import fc from 'fast-check';
+import {EngineOrderKind} from './engine_order_kind.js';
+import {PlacementEventKind} from './placement_event_kind.js';
+import type {PlacementPlan} from './placement_plan.js';
+import {toFencing} from './to_fencing.js';
+import {VirtualSite} from './virtual_site.test.js';
+
+const RATE = 1_000;
+const SIZE_BYTES = 1_500;
+const FAULTS_END_MS = 60_000;
+const END_MS = 600_000;
+
+interface Draw {
+  readonly version: string;
+  readonly adapter: string;
+  readonly prefill: number;
+}
+
+function makePlan(index: number, draw: Draw, checks: boolean[]): PlacementPlan {
+  const {LOAD_MODEL, LOAD_ADAPTER} = EngineOrderKind;
+  return {
+    fencing: toFencing({base: index + 1, overlay: 1, upstreams: 1})!,
+    bytesPerSecond: RATE,
+    loadsAtOnce: 1,
+    readBackMs: 2_000,
+    engines: checks.map((checksFencing, engine) => ({
+      engine: `e${engine}`,
+      model: 'm',
+      role: engine < draw.prefill ? 'prefill' : 'both',
+      checksFencing,
+      loads: [
+        {kind: LOAD_MODEL, name: 'm', version: draw.version, sizeBytes: SIZE_BYTES},
+        {kind: LOAD_ADAPTER, name: 'a', version: draw.adapter, sizeBytes: SIZE_BYTES},
+      ],
+    })),
+  };
+}
+
+const timeMs = fc.integer({min: 0, max: FAULTS_END_MS});
+const hostIndex = fc.integer({min: 0, max: 3});
+const schedules = fc.record({
+  seed: fc.integer(),
+  hosts: fc.integer({min: 2, max: 4}),
+  checks: fc.array(fc.boolean(), {minLength: 2, maxLength: 4}),
+  lossPercent: fc.constantFrom(0, 10, 30),
+  plans: fc.array(
+    fc.record({
+      version: fc.constantFrom('1', '2', '3'),
+      adapter: fc.constantFrom('x', 'y'),
+      prefill: fc.integer({min: 0, max: 1}),
+    }),
+    {minLength: 1, maxLength: 4},
+  ),
+  adoptions: fc.array(
+    fc.record({host: hostIndex, plan: hostIndex, atMs: timeMs}),
+    {maxLength: 12},
+  ),
+  newestHost: hostIndex,
+  views: fc.array(
+    fc.record({
+      host: hostIndex,
+      atMs: timeMs,
+      alive: fc.subarray(['h0', 'h1', 'h2', 'h3']),
+    }),
+    {maxLength: 6},
+  ),
+  pauses: fc.array(
+    fc.record({
+      host: hostIndex,
+      fromMs: timeMs,
+      forMs: fc.integer({min: 100, max: 20_000}),
+    }),
+    {maxLength: 3},
+  ),
+  restarts: fc.array(fc.record({engine: hostIndex, atMs: timeMs}), {
+    maxLength: 3,
+  }),
+});
+type Schedule = typeof schedules extends fc.Arbitrary<infer T> ? T : never;
+
+function runSchedule(schedule: Schedule) {
+  const {seed, hosts, checks, pauses, lossPercent} = schedule;
+  const site = new VirtualSite(
+    seed,
+    hosts,
+    checks,
+    pauses,
+    lossPercent,
+    FAULTS_END_MS,
+  );
+  const plans = schedule.plans.map((draw, i) => makePlan(i, draw, checks));
+  const newest = plans.at(-1)!;
+  const adopt = (host: number, plan: PlacementPlan, atMs: number) => {
+    site.at(atMs, () => {
+      site.tell(host % hosts, {kind: PlacementEventKind.PLAN, plan});
+    });
+  };
+  const names = Array.from({length: hosts}, (_, i) => `h${i}`);
+  const view = (host: number, alive: readonly string[], atMs: number) => {
+    const kind = PlacementEventKind.MEMBERS;
+    site.at(atMs, () => {
+      site.tell(host % hosts, {kind, alive, listed: hosts});
+    });
+  };
+  names.forEach((_, host) => {
+    view(host, names, 0);
+    adopt(host, plans[0]!, 0);
+    view(host, names, FAULTS_END_MS);
+  });
+  for (const {host, plan, atMs} of schedule.adoptions) {
+    adopt(host, plans[plan % plans.length]!, atMs);
+  }
+  for (const {host, alive, atMs} of schedule.views) {
+    const known = alive.filter(name => names.includes(name));
+    view(host, known, atMs);
+  }
+  adopt(schedule.newestHost, newest, FAULTS_END_MS);
+  for (const {engine, atMs} of schedule.restarts) {
+    site.at(atMs, () => site.engines[engine % checks.length]!.restart());
+  }
+  site.run(END_MS);
+  return {site, newest};
+}
+
+describe('Placement', () => {
+  it('brings every engine to the newest plan and never back', () => {
+    const property = fc.property(schedules, schedule => {
+      const {site, newest} = runSchedule(schedule);
+      site.engines.forEach((engine, index) => {
+        expect(engine.reverts).to.deep.equal([]);
+        const wanted = newest.engines[index]!;
+        const {fencing, role, loads} = engine.read(END_MS);
+        expect({fencing, role}).to.deep.equal({
+          fencing: newest.fencing,
+          role: wanted.role,
+        });
+        expect(loads).to.have.deep.members(
+          wanted.loads.map(({kind, name, version}) => {
+            return {kind, name, version, ready: true};
+          }),
+        );
+      });
+    });
+    fc.assert(property, {seed: 1, numRuns: 300});
+  });
+
+  it('keeps a model served while its version changes', () => {
+    const property = fc.property(schedules, schedule => {
+      const {site} = runSchedule({...schedule, restarts: []});
+      expect(site.unservedMs).to.deep.equal([]);
+    });
+    fc.assert(property, {seed: 2, numRuns: 300});
+  });
+
+  it('keeps loads under the rate but for one load a host', () => {
+    const property = fc.property(schedules, schedule => {
+      const {site} = runSchedule(schedule);
+      const timesMs = site.engines
+        .flatMap(engine => engine.loadTimesMs)
+        .sort((a, b) => a - b);
+      timesMs.forEach((fromMs, first) => {
+        timesMs.slice(first).forEach((untilMs, more) => {
+          // An order takes up to 0.9 s to land, so a window is that much longer.
+          const seconds = (untilMs - fromMs + 900) / 1_000;
+          const allowed = RATE * seconds + schedule.hosts * SIZE_BYTES;
+          expect((more + 1) * SIZE_BYTES).to.be.at.most(allowed);
+        });
+      });
+    });
+    fc.assert(property, {seed: 3, numRuns: 300});
+  });
+});
+
+describe('toFencing', () => {
+  const part = fc.integer({min: 0, max: 1_000});
+  const revisions = fc.record({base: part, overlay: part, upstreams: part});
+
+  it('grows with each part', () => {
+    const property = fc.property(revisions, revision => {
+      const before = toFencing(revision)!;
+      for (const key of ['base', 'overlay', 'upstreams'] as const) {
+        const next = {...revision, [key]: revision[key] + 1};
+        expect(toFencing(next)).to.be.above(before);
+      }
+    });
+    fc.assert(property, {seed: 4, numRuns: 500});
+  });
+
+  it('tells revisions of equal sum apart', () => {
+    const property = fc.property(part, part, part, (base, overlay, moved) => {
+      fc.pre(moved > 0);
+      const one = toFencing({base: base + moved, overlay, upstreams: 1});
+      const other = toFencing({base, overlay: overlay + moved, upstreams: 1});
+      const third = toFencing({base, overlay, upstreams: 1 + moved});
+      expect(new Set([one, other, third])).to.have.lengthOf(3);
+    });
+    fc.assert(property, {seed: 5, numRuns: 500});
+  });
+
+  it('refuses revisions that do not fit', () => {
+    const revision = {base: Date.UTC(2030, 0), overlay: 0, upstreams: 0};
+    expect(toFencing(revision)).to.equal(undefined);
+  });
+});
--- a/packages/placement/src/placement.ts
+++ b/packages/placement/src/placement.ts
@@ -1,5 +1,6 @@
 import {orderByRendezvous} from '@parsleywood/routing';
 import type {Decision} from '@parsleywood/types';
+import type {EngineOrder} from './engine_order.js';
 import {EngineOrderKind} from './engine_order_kind.js';
 import {EngineRecord} from './engine_record.js';
 import {LoadPace} from './load_pace.js';
@@ -21,7 +22,7 @@
   private plan: PlacementPlan | undefined;
   private highest = 0;
   private alive: readonly string[] = [];
-  private listed = 1;
+  private listed = 0;
   private readonly records = new Map<string, EngineRecord>();
   private readonly progressAtMs = new Map<string, number>();
   private readonly pace = new LoadPace();
@@ -108,7 +109,7 @@
     const record = this.records.get(event.engine);
     if (record === undefined) return;
     const before = JSON.stringify(record.content);
-    record.takeContent(event.content);
+    record.takeContent(event.content, nowMs);
     this.highest = Math.max(this.highest, event.content.fencing);
     if (before !== JSON.stringify(event.content)) {
       this.progressAtMs.set(record.wanted.model, nowMs);
@@ -129,7 +130,8 @@
       const actsAtMs =
         (this.progressAtMs.get(model) ?? nowMs) + rank * TAKEOVER_MS;
       const isConverged = records.every(one => one.isConverged(plan.fencing));
-      const acts = !isConverged && !this.isStale() && nowMs >= actsAtMs;
+      const mayAct = this.listed > 0 && !this.isStale();
+      const acts = mayAct && !isConverged && nowMs >= actsAtMs;
       if (acts) this.orderModel(plan, records, nowMs);
       else if (!isConverged && actsAtMs > nowMs) this.wakeBy(actsAtMs);
       const periodMs = acts ? BUSY_READ_MS : plan.readBackMs * (rank + 1);
@@ -150,7 +152,9 @@
 
   private rankOf(model: string): number {
     const hosts = [...new Set([...this.alive, this.host])];
-    return orderByRendezvous(model, hosts).indexOf(this.host);
+    // Without a rate one host gives all loads, one after another.
+    const key = this.plan?.bytesPerSecond === undefined ? '' : model;
+    return orderByRendezvous(key, hosts).indexOf(this.host);
   }
 
   private readDue(
@@ -182,8 +186,7 @@
     for (const record of up) {
       if (!record.isFresh(nowMs, FRESH_MS)) continue;
       if ((record.content?.fencing ?? 0) >= plan.fencing) continue;
-      // The role that it has, so that a late older order overrides nothing new.
-      this.setRole(record, record.content?.role ?? '', nowMs);
+      this.setRole(record, undefined, nowMs);
     }
     const isFenced = up.every(
       record =>
@@ -223,25 +226,35 @@
     }
     const {kind, name, version} = load;
     this.give(record, {fencing: plan.fencing, kind, name, version}, nowMs);
+    record.isLoadOrdered = true;
   }
 
   private mayLoad(plan: PlacementPlan, nowMs: number): boolean {
     if (plan.bytesPerSecond === undefined) {
-      return ![...this.records.values()].some(one => one.isLoading());
+      return ![...this.records.values()].some(
+        one => !one.isDown && one.isLoading(),
+      );
     }
     if (this.pace.isFree(nowMs)) return true;
     this.wakeBy(this.pace.nextAtMs());
     return false;
   }
 
-  private setRole(record: EngineRecord, role: string, nowMs: number): void {
+  /** @param role Absent: only raises the fencing number of the engine. */
+  private setRole(
+    record: EngineRecord,
+    role: string | undefined,
+    nowMs: number,
+  ): void {
     const fencing = this.plan?.fencing ?? 0;
-    this.give(record, {fencing, kind: EngineOrderKind.SET_ROLE, role}, nowMs);
+    const kind = EngineOrderKind.SET_ROLE;
+    const order = role === undefined ? {fencing, kind} : {fencing, kind, role};
+    this.give(record, order, nowMs);
   }
 
   private give(
     record: EngineRecord,
-    order: (PlacementAction & {kind: PlacementActionKind.ORDER})['order'],
+    order: EngineOrder,
     nowMs: number,
   ): void {
     const validUntilMs = record.readAtMs + FRESH_MS;
