Keep ordering for a model once this host has taken it over

Cause: each own step counted as progress and handed the model back for a whole takeover time, so a third host needed half a minute a step; the convergence property failed with three engines at 300 s of virtual time.

--- a/packages/placement/src/placement.ts
+++ b/packages/placement/src/placement.ts
@@ -25,6 +25,8 @@
   private listed = 0;
   private readonly records = new Map<string, EngineRecord>();
   private readonly progressAtMs = new Map<string, number>();
+  /** Models that this host orders for until they are as wanted. */
+  private readonly acting = new Set<string>();
   private readonly pace = new LoadPace();
   private actions: PlacementAction[] = [];
   private wakeMs = Infinity;
@@ -90,6 +92,7 @@
     this.plan = plan;
     this.highest = Math.max(this.highest, plan.fencing);
     this.progressAtMs.clear();
+    this.acting.clear();
     const names = new Set(plan.engines.map(({engine}) => engine));
     for (const name of this.records.keys()) {
       if (!names.has(name)) this.records.delete(name);
@@ -111,8 +114,10 @@
     const before = JSON.stringify(record.content);
     record.takeContent(event.content, nowMs);
     this.highest = Math.max(this.highest, event.content.fencing);
+    const {model} = record.wanted;
+    if (this.acting.has(model)) return;
     if (before !== JSON.stringify(event.content)) {
-      this.progressAtMs.set(record.wanted.model, nowMs);
+      this.progressAtMs.set(model, nowMs);
     }
   }
 
@@ -132,6 +137,8 @@
       const isConverged = records.every(one => one.isConverged(plan.fencing));
       const mayAct = this.listed > 0 && !this.isStale();
       const acts = mayAct && !isConverged && nowMs >= actsAtMs;
+      if (isConverged) this.acting.delete(model);
+      if (acts) this.acting.add(model);
       if (acts) this.orderModel(plan, records, nowMs);
       else if (!isConverged && actsAtMs > nowMs) this.wakeBy(actsAtMs);
       const periodMs = acts ? BUSY_READ_MS : plan.readBackMs * (rank + 1);
@@ -252,11 +259,7 @@
     this.give(record, order, nowMs);
   }
 
-  private give(
-    record: EngineRecord,
-    order: EngineOrder,
-    nowMs: number,
-  ): void {
+  private give(record: EngineRecord, order: EngineOrder, nowMs: number): void {
     const validUntilMs = record.readAtMs + FRESH_MS;
     record.callStartedAtMs = nowMs;
     record.readAtMs = -Infinity;
