--- a/packages/daemon/src/testing/test_site.ts
+++ b/packages/daemon/src/testing/test_site.ts
@@ -1,3 +1,4 @@
+import type {ChildProcess} from 'node:child_process';
 import {once} from 'node:events';
 import {
   startEngine,
@@ -5,11 +6,14 @@
   startService,
   type StandIn,
 } from '@parsleywood/stand-ins';
+import type {StartSettings} from '@parsleywood/schema/start_settings';
 import {HostProcess} from '../host_process.js';
 import {findFreePorts} from './find_free_ports.js';
+import {startDaemon} from './start_daemon.js';
 import {TEST_SETTINGS} from './test_settings.js';
 
 const SITE = 'test-site';
+const PEER_KEY = 'test-peer-key';
 const ENGINE_SPEED = 20;
 const PORTS_PER_HOST = 3;
 const POLL_MS = 20;
@@ -101,27 +105,37 @@
     await Promise.all(standIns.map(standIn => standIn.close()));
   }
 
+  /** Stops a host and starts it anew in a process of its own. */
+  async moveHost(index: number): Promise<ChildProcess> {
+    await this.stopHost(index);
+    const child = startDaemon(this.describeHost(index), PEER_KEY);
+    await waitReady(this.operators[index] ?? '');
+    return child;
+  }
+
   private async startHost(index: number): Promise<void> {
-    const [callers, operators, peers] = this.portsOf(index);
-    const host = new HostProcess(
-      {
-        host: `host-${index + 1}`,
-        site: SITE,
-        failureDomain: `domain-${index + 1}`,
-        callersAddress: `127.0.0.1:${callers ?? 0}`,
-        operatorsAddress: `127.0.0.1:${operators ?? 0}`,
-        peersAddress: `127.0.0.1:${peers ?? 0}`,
-        platformUrl: this.platform.url,
-        peerKeyFile: 'unused',
-        logLevel: 'error',
-      },
-      'test-peer-key',
-      code => this.exitCodes.push(code),
+    const host = new HostProcess(this.describeHost(index), PEER_KEY, code =>
+      this.exitCodes.push(code),
     );
     this.hosts[index] = host;
     await host.start();
   }
 
+  private describeHost(index: number): StartSettings {
+    const [callers, operators, peers] = this.portsOf(index);
+    return {
+      host: `host-${index + 1}`,
+      site: SITE,
+      failureDomain: `domain-${index + 1}`,
+      callersAddress: `127.0.0.1:${callers ?? 0}`,
+      operatorsAddress: `127.0.0.1:${operators ?? 0}`,
+      peersAddress: `127.0.0.1:${peers ?? 0}`,
+      platformUrl: this.platform.url,
+      peerKeyFile: 'unused',
+      logLevel: 'error',
+    };
+  }
+
   private async publish(): Promise<void> {
     await this.put('base', this.settings);
     await this.publishHosts();
@@ -178,9 +192,13 @@
 
 async function waitReady(operators: string): Promise<void> {
   for (;;) {
-    const answer = await fetch(`${operators}/readyz`);
-    await answer.arrayBuffer();
-    if (answer.ok) return;
+    try {
+      const answer = await fetch(`${operators}/readyz`);
+      await answer.arrayBuffer();
+      if (answer.ok) return;
+    } catch {
+      // It does not listen yet.
+    }
     await pause(POLL_MS);
   }
 }
