--- a/packages/placement/src/placement.test.ts
+++ b/packages/placement/src/placement.test.ts
@@ -6,8 +6,9 @@
 import {toFencing} from './to_fencing.js';
 import {VirtualSite} from './virtual_site.test.js';
 
-const RATE = 1_000;
-const SIZE_BYTES = 1_500;
+const RATE = 4_000;
+const SMALL_BYTES = 3_000;
+const LARGE_BYTES = 24_000;
 const FAULTS_END_MS = 60_000;
 const END_MS = 240_000;
 
@@ -15,14 +16,20 @@
   readonly version: string;
   readonly adapter: string;
   readonly prefill: number;
+  readonly loadsAtOnce: number;
 }
 
-function makePlan(index: number, draw: Draw, checks: boolean[]): PlacementPlan {
+function makePlan(
+  index: number,
+  draw: Draw,
+  checks: readonly boolean[],
+  sizeBytes: number,
+): PlacementPlan {
   const {LOAD_MODEL, LOAD_ADAPTER} = EngineOrderKind;
   return {
     fencing: toFencing({base: index + 1, overlay: 1, upstreams: 1})!,
     bytesPerSecond: RATE,
-    loadsAtOnce: 1,
+    loadsAtOnce: draw.loadsAtOnce,
     readBackMs: 2_000,
     engines: checks.map((checksFencing, engine) => ({
       engine: `e${engine}`,
@@ -34,13 +41,13 @@
           kind: LOAD_MODEL,
           name: 'm',
           version: draw.version,
-          sizeBytes: SIZE_BYTES,
+          sizeBytes,
         },
         {
           kind: LOAD_ADAPTER,
           name: 'a',
           version: draw.adapter,
-          sizeBytes: SIZE_BYTES,
+          sizeBytes,
         },
       ],
     })),
@@ -59,12 +66,20 @@
       version: fc.constantFrom('1', '2', '3'),
       adapter: fc.constantFrom('x', 'y'),
       prefill: fc.integer({min: 0, max: 1}),
+      loadsAtOnce: fc.integer({min: 1, max: 2}),
     }),
-    {minLength: 1, maxLength: 4},
+    {minLength: 2, maxLength: 4},
   ),
+  stepMs: fc.integer({min: 500, max: 8_000}),
+  isSplit: fc.boolean(),
+  sizeBytes: fc.constant<number>(SMALL_BYTES),
   adoptions: fc.array(
-    fc.record({host: hostIndex, plan: hostIndex, atMs: timeMs}),
-    {maxLength: 12},
+    fc.record({
+      host: hostIndex,
+      plan: hostIndex,
+      jitterMs: fc.integer({min: 0, max: 2_000}),
+    }),
+    {minLength: 2, maxLength: 12},
   ),
   newestHost: hostIndex,
   views: fc.array(
@@ -78,10 +93,10 @@
   pauses: fc.array(
     fc.record({
       host: hostIndex,
-      fromMs: timeMs,
+      fromMs: fc.integer({min: 0, max: 25_000}),
       forMs: fc.integer({min: 100, max: 20_000}),
     }),
-    {maxLength: 3},
+    {maxLength: 4},
   ),
   restarts: fc.array(fc.record({engine: hostIndex, atMs: timeMs}), {
     maxLength: 3,
@@ -99,7 +114,9 @@
     lossPercent,
     FAULTS_END_MS,
   );
-  const plans = schedule.plans.map((draw, i) => makePlan(i, draw, checks));
+  const plans = schedule.plans.map((draw, index) =>
+    makePlan(index, draw, checks, schedule.sizeBytes),
+  );
   const newest = plans.at(-1)!;
   const adopt = (host: number, plan: PlacementPlan, atMs: number) => {
     site.at(atMs, () => {
@@ -113,13 +130,14 @@
       site.tell(host % hosts, {kind, alive, listed: hosts});
     });
   };
-  names.forEach((_, host) => {
-    view(host, names, 0);
+  names.forEach((name, host) => {
+    view(host, schedule.isSplit ? [name] : names, 0);
     adopt(host, plans[0]!, 0);
     view(host, names, FAULTS_END_MS);
   });
-  for (const {host, plan, atMs} of schedule.adoptions) {
-    adopt(host, plans[plan % plans.length]!, atMs);
+  for (const {host, plan, jitterMs} of schedule.adoptions) {
+    const index = plan % plans.length;
+    adopt(host, plans[index]!, index * schedule.stepMs + jitterMs);
   }
   for (const {host, alive, atMs} of schedule.views) {
     const known = alive.filter(name => names.includes(name));
@@ -165,7 +183,7 @@
 
   it('keeps loads under the rate but for one load a host', () => {
     const property = fc.property(schedules, schedule => {
-      const {site} = runSchedule(schedule);
+      const {site} = runSchedule({...schedule, sizeBytes: LARGE_BYTES});
       const timesMs = site.engines
         .flatMap(engine => engine.loadTimesMs)
         .sort((a, b) => a - b);
@@ -173,8 +191,8 @@
         timesMs.slice(first).forEach((untilMs, more) => {
           // An order takes up to 0.9 s to land, so a window is that much longer.
           const seconds = (untilMs - fromMs + 900) / 1_000;
-          const allowed = RATE * seconds + schedule.hosts * SIZE_BYTES;
-          expect((more + 1) * SIZE_BYTES).to.be.at.most(allowed);
+          const allowed = RATE * seconds + schedule.hosts * LARGE_BYTES;
+          expect((more + 1) * LARGE_BYTES).to.be.at.most(allowed);
         });
       });
     });
--- a/packages/placement/src/virtual_site.test.ts
+++ b/packages/placement/src/virtual_site.test.ts
@@ -98,7 +98,7 @@
   private carryOut(host: number, action: PlacementAction): void {
     const engine = this.engines[Number(action.engine.slice(1))]!;
     const isOrder = action.kind === PlacementActionKind.ORDER;
-    const there = this.draw(isOrder ? 900 : 50);
+    const there = this.draw(isOrder && this.draw(1) === 0 ? 900 : 50);
     const back = there + this.draw(50);
     const isLost = this.nowMs < this.quietAtMs && this.isLost();
     const landsAnyway = this.draw(1) === 0;
