--- a/packages/placement/src/virtual_engine.test.ts
+++ b/packages/placement/src/virtual_engine.test.ts
@@ -39,6 +39,10 @@
     );
   }
 
+  isLoading(nowMs: number): boolean {
+    return this.held.some(({readyAtMs}) => readyAtMs > nowMs);
+  }
+
   read(nowMs: number): EngineContent {
     const loads = this.held.map(({kind, name, version, readyAtMs}) => {
       return {kind, name, version, ready: readyAtMs <= nowMs};
--- a/packages/placement/src/virtual_site.test.ts
+++ b/packages/placement/src/virtual_site.test.ts
@@ -27,6 +27,8 @@
   readonly engines: VirtualEngine[];
   /** Times at which no engine served. */
   readonly unservedMs: number[] = [];
+  /** Most engines seen loading at one time. */
+  mostLoading = 0;
   private readonly hosts: Placement[];
   private readonly wakes: number[];
   private readonly random;
@@ -88,6 +90,8 @@
       if (next === undefined || next.atMs > untilMs) break;
       this.nowMs = Math.max(this.nowMs, next.atMs);
       next.run();
+      const loading = this.engines.filter(one => one.isLoading(this.nowMs));
+      this.mostLoading = Math.max(this.mostLoading, loading.length);
       if (!this.engines.some(one => one.isServing(this.nowMs))) {
         this.unservedMs.push(this.nowMs);
       }
