--- a/packages/placement/src/placement.test.ts
+++ b/packages/placement/src/placement.test.ts
@@ -194,6 +194,21 @@
     fc.assert(property, {seed: 2, numRuns: 120});
   });
 
+  it('never goes back on engines that ignore fencing in a split site', () => {
+    const property = fc.property(schedules, schedule => {
+      const checks = schedule.checks.map(() => false);
+      const {stepMs} = schedule;
+      const split = {isSplit: true, lossPercent: 0 as const, views: []};
+      const adoptions = [1, 2, 3].map(plan => {
+        const host = plan % 2;
+        return {host, plan, jitterMs: (stepMs * plan * 7) % 2_000};
+      });
+      const {site} = runSchedule({...schedule, ...split, checks, adoptions});
+      for (const {reverts} of site.engines) expect(reverts).to.deep.equal([]);
+    });
+    fc.assert(property, {seed: 7, numRuns: 150});
+  });
+
   it('loads at most as many engines of a model at once as allowed', () => {
     const property = fc.property(schedules, schedule => {
       const plans = schedule.plans.map(plan => ({...plan, loadsAtOnce: 1}));
