--- a/packages/placement/src/placement.test.ts
+++ b/packages/placement/src/placement.test.ts
@@ -107,7 +107,7 @@
 });
 type Schedule = typeof schedules extends fc.Arbitrary<infer T> ? T : never;
 
-function runSchedule(schedule: Schedule) {
+function runSchedule(schedule: Schedule, orderMs?: readonly number[]) {
   const {seed, hosts, checks, pauses, lossPercent} = schedule;
   const site = new VirtualSite(
     seed,
@@ -116,6 +116,7 @@
     pauses,
     lossPercent,
     FAULTS_END_MS,
+    orderMs,
   );
   const plans = schedule.plans.map((draw, index) =>
     makePlan(index, draw, checks, schedule.sizeBytes),
@@ -197,13 +198,13 @@
   it('never goes back on engines that ignore fencing in a split site', () => {
     const property = fc.property(schedules, schedule => {
       const checks = schedule.checks.map(() => false);
-      const {stepMs} = schedule;
-      const split = {isSplit: true, lossPercent: 0 as const, views: []};
-      const adoptions = [1, 2, 3].map(plan => {
-        const host = plan % 2;
-        return {host, plan, jitterMs: (stepMs * plan * 7) % 2_000};
-      });
-      const {site} = runSchedule({...schedule, ...split, checks, adoptions});
+      const adoptions = [{host: 1, plan: 1, jitterMs: 0}];
+      const split = {hosts: 2, isSplit: true, views: [], pauses: []};
+      const quiet = {lossPercent: 0 as const, restarts: []};
+      const {site} = runSchedule(
+        {...schedule, ...split, ...quiet, checks, adoptions},
+        [900, 10],
+      );
       for (const {reverts} of site.engines) expect(reverts).to.deep.equal([]);
     });
     fc.assert(property, {seed: 7, numRuns: 150});
--- a/packages/placement/src/virtual_site.test.ts
+++ b/packages/placement/src/virtual_site.test.ts
@@ -39,7 +39,10 @@
   private entries = 0;
   private nowMs = 0;
 
-  /** @param quietAtMs Time after which no call is lost. */
+  /**
+   * @param quietAtMs Time after which no call is lost.
+   * @param orderMs Time that each host's orders take to land; drawn if absent.
+   */
   constructor(
     seed: number,
     hosts: number,
@@ -47,6 +50,7 @@
     private readonly pauses: readonly Pause[],
     private readonly lossPercent: number,
     private readonly quietAtMs: number,
+    private readonly orderMs: readonly number[] = [],
   ) {
     this.random = xoroshiro128plus(seed);
     this.engines = checks.map(one => new VirtualEngine(one));
@@ -102,7 +106,8 @@
   private carryOut(host: number, action: PlacementAction): void {
     const engine = this.engines[Number(action.engine.slice(1))]!;
     const isOrder = action.kind === PlacementActionKind.ORDER;
-    const there = this.draw(isOrder && this.draw(1) === 0 ? 900 : 50);
+    const drawnMs = this.draw(isOrder && this.draw(1) === 0 ? 900 : 50);
+    const there = isOrder ? (this.orderMs[host] ?? drawnMs) : drawnMs;
     const back = there + this.draw(50);
     const isLost = this.nowMs < this.quietAtMs && this.isLost();
     const landsAnyway = this.draw(1) === 0;
