--- a/packages/placement/src/placement.ts
+++ b/packages/placement/src/placement.ts
@@ -1,4 +1,3 @@
-import {orderByRendezvous} from '@parsleywood/routing';
 import type {Decision} from '@parsleywood/types';
 import type {EngineOrder} from './engine_order.js';
 import {EngineOrderKind} from './engine_order_kind.js';
@@ -9,13 +8,12 @@
 import type {PlacementEvent} from './placement_event.js';
 import {PlacementEventKind} from './placement_event_kind.js';
 import type {PlacementPlan} from './placement_plan.js';
+import {Turns} from './turns.js';
 
 const FRESH_MS = 1_000;
 /** An order takes effect within this time of the read that allowed it. */
 const HOLD_MS = 3_000;
 const BUSY_READ_MS = 500;
-/** Time without progress after which the next host of the order acts. */
-const TAKEOVER_MS = 15_000;
 
 /** Decides which engines this host reads and which orders it gives them. */
 export class Placement implements Decision<PlacementEvent, PlacementAction> {
@@ -24,15 +22,15 @@
   private alive: readonly string[] = [];
   private listed = 0;
   private readonly records = new Map<string, EngineRecord>();
-  private readonly progressAtMs = new Map<string, number>();
-  /** Models that this host orders for until they are as wanted. */
-  private readonly acting = new Set<string>();
+  private readonly turns: Turns;
   private readonly pace = new LoadPace();
   private actions: PlacementAction[] = [];
   private wakeMs = Infinity;
 
   /** @param host Name of this host. */
-  constructor(private readonly host: string) {}
+  constructor(host: string) {
+    this.turns = new Turns(host);
+  }
 
   /** Whether an engine or a peer showed a newer revision than this host's. */
   isStale(): boolean {
@@ -91,8 +89,7 @@
     if (plan.fencing <= (this.plan?.fencing ?? 0)) return;
     this.plan = plan;
     this.highest = Math.max(this.highest, plan.fencing);
-    this.progressAtMs.clear();
-    this.acting.clear();
+    this.turns.clear();
     const names = new Set(plan.engines.map(({engine}) => engine));
     for (const name of this.records.keys()) {
       if (!names.has(name)) this.records.delete(name);
@@ -101,7 +98,7 @@
       const record = this.records.get(wanted.engine);
       if (record) record.wanted = wanted;
       else this.records.set(wanted.engine, new EngineRecord(wanted));
-      this.progressAtMs.set(wanted.model, nowMs);
+      this.turns.noteProgress(wanted.model, nowMs);
     }
   }
 
@@ -114,10 +111,8 @@
     const before = JSON.stringify(record.content);
     record.takeContent(event.content, nowMs);
     this.highest = Math.max(this.highest, event.content.fencing);
-    const {model} = record.wanted;
-    if (this.acting.has(model)) return;
     if (before !== JSON.stringify(event.content)) {
-      this.progressAtMs.set(model, nowMs);
+      this.turns.noteProgress(record.wanted.model, nowMs);
     }
   }
 
@@ -131,14 +126,15 @@
     const {plan} = this;
     if (plan === undefined) return;
     for (const [model, records] of this.groupByModel()) {
-      const rank = this.rankOf(model);
-      const actsAtMs =
-        (this.progressAtMs.get(model) ?? nowMs) + rank * TAKEOVER_MS;
+      // Without a rate one host gives all loads, one after another.
+      const key = plan.bytesPerSecond === undefined ? '' : model;
+      const rank = this.turns.rankOf(key, this.alive);
+      const actsAtMs = this.turns.actsAtMs(model, rank, nowMs);
       const isConverged = records.every(one => one.isConverged(plan.fencing));
       const mayAct = this.listed > 0 && !this.isStale();
       const acts = mayAct && !isConverged && nowMs >= actsAtMs;
-      if (isConverged) this.acting.delete(model);
-      if (acts) this.acting.add(model);
+      if (isConverged) this.turns.noteConverged(model);
+      if (acts) this.turns.noteActing(model);
       if (acts) this.orderModel(plan, records, nowMs);
       else if (!isConverged && actsAtMs > nowMs) this.wakeBy(actsAtMs);
       const periodMs = acts ? BUSY_READ_MS : plan.readBackMs * (rank + 1);
@@ -157,13 +153,6 @@
     return groups;
   }
 
-  private rankOf(model: string): number {
-    const hosts = [...new Set([...this.alive, this.host])];
-    // Without a rate one host gives all loads, one after another.
-    const key = this.plan?.bytesPerSecond === undefined ? '' : model;
-    return orderByRendezvous(key, hosts).indexOf(this.host);
-  }
-
   private readDue(
     records: readonly EngineRecord[],
     periodMs: number,
