--- a/packages/daemon/src/placement_control.ts
+++ b/packages/daemon/src/placement_control.ts
@@ -46,7 +46,10 @@
     const plan = planPlacement(settings, list, revision);
     if (plan !== undefined) {
       this.runner.dispatch({kind: PlacementEventKind.PLAN, plan});
-    } else if (settings.placement?.enabled) {
+      return;
+    }
+    this.runner.dispatch({kind: PlacementEventKind.DISABLED});
+    if (settings.placement?.enabled) {
       this.log.error('placement_revision_unfit', {...revision});
     }
   }
--- a/packages/placement/src/placement.test.ts
+++ b/packages/placement/src/placement.test.ts
@@ -250,6 +250,16 @@
     );
   });
 
+  it('reads and orders nothing once disabled', () => {
+    const {placement} = startPlacement(true);
+    const content = {fencing: 0, role: 'both', loads: []};
+    placement.handle({kind: PlacementEventKind.DISABLED}, 10);
+    const kind = PlacementEventKind.READ_BACK;
+    const actions = placement.handle({kind, engine: 'e0', content}, 20);
+    expect(actions).to.deep.equal([]);
+    expect(placement.wakeAtMs()).to.equal(Infinity);
+  });
+
   it('keeps loads under the rate but for one load a host', () => {
     const property = fc.property(schedules, schedule => {
       const {site} = runSchedule({...schedule, sizeBytes: LARGE_BYTES});
--- a/packages/placement/src/placement.ts
+++ b/packages/placement/src/placement.ts
@@ -59,6 +59,10 @@
       case PlacementEventKind.PLAN:
         this.takePlan(event.plan, nowMs);
         break;
+      case PlacementEventKind.DISABLED:
+        this.plan = undefined;
+        this.records.clear();
+        break;
       case PlacementEventKind.MEMBERS:
         this.alive = event.alive;
         this.listed = Math.max(event.listed, event.alive.length, 1);
--- a/packages/placement/src/placement_event.ts
+++ b/packages/placement/src/placement_event.ts
@@ -33,4 +33,6 @@
       /** Fencing number that the engine holds. */
       readonly fencing: number;
     }
-  | {readonly kind: PlacementEventKind.WAKE};
+  | {
+      readonly kind: PlacementEventKind.DISABLED | PlacementEventKind.WAKE;
+    };
