--- a/packages/placement/src/virtual_site.test.ts
+++ b/packages/placement/src/virtual_site.test.ts
@@ -27,6 +27,8 @@
   readonly engines: VirtualEngine[];
   /** Times at which no engine served. */
   readonly unservedMs: number[] = [];
+  /** Most engines seen loading at one time. */
+  mostLoading = 0;
   private readonly hosts: Placement[];
   private readonly wakes: number[];
   private readonly random;
@@ -37,7 +39,10 @@
   private entries = 0;
   private nowMs = 0;
 
-  /** @param quietAtMs Time after which no call is lost. */
+  /**
+   * @param quietAtMs Time after which no call is lost.
+   * @param orderMs Time that each host's orders take to land; drawn if absent.
+   */
   constructor(
     seed: number,
     hosts: number,
@@ -45,6 +50,7 @@
     private readonly pauses: readonly Pause[],
     private readonly lossPercent: number,
     private readonly quietAtMs: number,
+    private readonly orderMs: readonly number[] = [],
   ) {
     this.random = xoroshiro128plus(seed);
     this.engines = checks.map(one => new VirtualEngine(one));
@@ -88,6 +94,8 @@
       if (next === undefined || next.atMs > untilMs) break;
       this.nowMs = Math.max(this.nowMs, next.atMs);
       next.run();
+      const loading = this.engines.filter(one => one.isLoading(this.nowMs));
+      this.mostLoading = Math.max(this.mostLoading, loading.length);
       if (!this.engines.some(one => one.isServing(this.nowMs))) {
         this.unservedMs.push(this.nowMs);
       }
@@ -98,7 +106,8 @@
   private carryOut(host: number, action: PlacementAction): void {
     const engine = this.engines[Number(action.engine.slice(1))]!;
     const isOrder = action.kind === PlacementActionKind.ORDER;
-    const there = this.draw(isOrder ? 900 : 50);
+    const drawnMs = this.draw(isOrder && this.draw(1) === 0 ? 900 : 50);
+    const there = isOrder ? (this.orderMs[host] ?? drawnMs) : drawnMs;
     const back = there + this.draw(50);
     const isLost = this.nowMs < this.quietAtMs && this.isLost();
     const landsAnyway = this.draw(1) === 0;
