Order engines to their placement from each host, and use neutral example words

Cause: the placement decision was not run by any host; the stand-in engine, the demo and the site spoke in one user's words. Conclusion: each host plans from settings, upstream list and members; it stops when draining begins.

--- a/packages/bench/src/bench.test.ts
+++ b/packages/bench/src/bench.test.ts
@@ -47,9 +47,9 @@
   });
 
   it('publishes only the hashes of keys', () => {
-    const settings = makeBaseSettings({maintenance: 'secret'}, 1_000);
+    const settings = makeBaseSettings({'team-b': 'secret'}, 1_000);
     expect(JSON.stringify(settings)).to.not.include('secret');
-    expect(settings.accounts['maintenance']?.keyHashes).to.eql([
+    expect(settings.accounts['team-b']?.keyHashes).to.eql([
       '2bb80d537b1da3e38bd30361aa855686bde0eacd7162fef6a25fe97bf527a25b',
     ]);
   });
--- a/packages/bench/src/demo.ts
+++ b/packages/bench/src/demo.ts
@@ -5,7 +5,7 @@
 import {makeQuestion} from './make_question.js';
 import type {SiteReport} from './site_report.js';
 
-const ACCOUNT = 'shift-leads';
+const ACCOUNT = 'team-a';
 const LONG_TOKENS = 200_000;
 const ANSWER_TOKENS = 12;
 const LIMIT_MS = 120_000;
@@ -25,7 +25,7 @@
   async run(): Promise<void> {
     const hosts = await this.showHosts();
     const [first = '', second = first] = hosts;
-    const short = 'How far should hopper 3 be opened for wet husks?';
+    const short = 'How far should valve 3 be opened for wet material?';
     await this.showCompletion('Short question', first, short);
     const long = makeQuestion('Sum up this fault log: ', LONG_TOKENS);
     await this.showCompletion('Long prompt', second, long);
@@ -77,7 +77,7 @@
   private async showOrder(first: string, second: string): Promise<void> {
     const path = `${this.site.service}/orders`;
     const idempotencyKey = v7();
-    const options = {idempotencyKey, body: {item: 'shell-waste collection'}};
+    const options = {idempotencyKey, body: {item: 'box of labels'}};
     const order = await this.client.call(first, 'POST', path, options);
     check(order.status === 201, `Order: ${order.body}`);
     this.print(`Order POST ${path}, by ${order.host}: ${order.body}`);
--- a/packages/bench/src/make_question.ts
+++ b/packages/bench/src/make_question.ts
@@ -1,6 +1,6 @@
 import {BYTES_PER_TOKEN} from '@parsleywood/stand-ins';
 
-const FILLER = 'hopper 3 runs at 71 percent with no fault on record; ';
+const FILLER = 'valve 3 runs at 71 percent with no fault on record; ';
 
 /** Makes a question of about so many tokens that holds a text of its own. */
 export function makeQuestion(own: string, tokens: number): string {
--- a/packages/bench/src/measure_overhead.ts
+++ b/packages/bench/src/measure_overhead.ts
@@ -11,7 +11,7 @@
 import type {SiteOptions} from './site_options.js';
 import type {SiteReport} from './site_report.js';
 
-const ACCOUNT = 'shift-leads';
+const ACCOUNT = 'team-a';
 const SAMPLE_MS = 50;
 const LIMIT_MS = 60_000;
 /** Lets prompts wait on the host until an engine is free, in milliseconds. */
--- a/packages/daemon/src/control_plane.ts
+++ b/packages/daemon/src/control_plane.ts
@@ -19,6 +19,7 @@
 import type {MembershipListener} from './membership_listener.js';
 import type {OrderDesk} from './order_desk.js';
 import type {PeerReadiness} from './peer_readiness.js';
+import type {PlacementControl} from './placement_control.js';
 import type {Serving} from './serving.js';
 import type {SpreadDesk} from './spread_desk.js';
 import type {UpstreamListener} from './upstream_listener.js';
@@ -38,7 +39,7 @@
   private configuration: ConfigurationControl | undefined;
   private membership: MembershipControl | undefined;
   private hostRevision = 0;
-  private upstreamsKnown = false;
+  private upstreams: {list: UpstreamList; revision: number} | undefined;
 
   /** @param end Ends this process at once. */
   constructor(
@@ -47,6 +48,7 @@
     private readonly spread: SpreadDesk,
     private readonly orders: OrderDesk,
     private readonly readiness: PeerReadiness,
+    private readonly placement: PlacementControl,
     private readonly end: () => void,
   ) {}
 
@@ -65,7 +67,7 @@
     return (
       site.settings() !== undefined &&
       this.hostRevision > 0 &&
-      this.upstreamsKnown
+      this.upstreams !== undefined
     );
   }
 
@@ -78,6 +80,7 @@
     serving.admission.applySettings(settings);
     this.orders.applySettings(settings.orders);
     this.membership?.applySettings(settings.membership);
+    this.plan();
   }
 
   onHosts(list: HostList, revision: number): void {
@@ -95,12 +98,13 @@
 
   onUpstreams(list: UpstreamList, revision: number): void {
     const {serving} = this;
-    this.upstreamsKnown = true;
+    this.upstreams = {list, revision};
     serving.site.applyUpstreams(list);
     serving.upstreams.takeList(list, revision);
     serving.traffic.applyUpstreams();
     const addresses = list.upstreams.map(upstream => upstream.address);
     serving.pools.retain(new Set(addresses));
+    this.plan();
   }
 
   onMemberChanged(member: Incarnation, state: MemberState): void {
@@ -176,6 +180,18 @@
       .filter(member => member.state !== MemberState.DEAD)
       .map(({host, failureDomain}) => ({host, failureDomain}));
     this.configuration?.setMembers(alive);
-    this.serving.admission.setPeers(alive.map(({host}) => host));
+    const hosts = alive.map(({host}) => host);
+    this.serving.admission.setPeers(hosts);
+    const listed = this.serving.site.hosts().hosts.length;
+    this.placement.setMembers([this.serving.host, ...hosts], listed);
+  }
+
+  /** Gives the orders for engines their plan once all of it is known. */
+  private plan(): void {
+    const settings = this.serving.site.settings();
+    const revision = this.configuration?.revision();
+    if (!settings || !revision || !this.upstreams) return;
+    const {list, revision: listRevision} = this.upstreams;
+    this.placement.setPlan(settings, list, revision, listRevision);
   }
 }
--- a/packages/daemon/src/host_process.ts
+++ b/packages/daemon/src/host_process.ts
@@ -29,6 +29,8 @@
 import {PeerReadiness} from './peer_readiness.js';
 import {PeerServer} from './peer_server.js';
 import {PeerTransport} from './peer_transport.js';
+import {PlacementClient} from './placement_client.js';
+import {PlacementControl} from './placement_control.js';
 import {PlatformClient} from './platform_client.js';
 import {ReservationClient} from './reservation_client.js';
 import {ServiceHandler} from './service_handler.js';
@@ -79,6 +81,7 @@
   private readonly serving: Serving;
   private readonly orders: OrderDesk;
   private readonly readiness: PeerReadiness;
+  private readonly placement: PlacementControl;
   private readonly control: ControlPlane;
   private readonly configuration: ConfigurationControl;
   private readonly membership: MembershipControl;
@@ -151,12 +154,19 @@
     this.readiness = new PeerReadiness(this.transport, () => {
       this.naming.forget();
     });
+    this.placement = new PlacementControl(
+      host,
+      clock,
+      new PlacementClient(site, this.pools),
+      log,
+    );
     this.control = new ControlPlane(
       this.serving,
       this.naming,
       this.spread,
       this.orders,
       this.readiness,
+      this.placement,
       () => {
         this.end(1);
       },
@@ -266,6 +276,7 @@
     });
     serving.timeline.record(TimelineEventName.HOST_DRAINING);
     this.membership.announceLeaving();
+    this.placement.stop();
     await new CallerDrain(serving, this.callers, this.orders).run();
     this.membership.announceEnd();
     await pause(FAREWELL_MS);
--- a/packages/stand-ins/src/answer.ts
+++ b/packages/stand-ins/src/answer.ts
@@ -1,6 +1,6 @@
 import {createHash} from 'node:crypto';
 
-const WORDS = ['dryer', 'husk', 'kernel', 'hopper', 'joint', 'alloy', 'flux'];
+const WORDS = ['river', 'stone', 'cloud', 'paper', 'amber', 'maple', 'north'];
 const MIX = 0x9e3779b1;
 const SUFFIX_RADIX = 36;
 
--- a/packages/stand-ins/src/stand_ins.test.ts
+++ b/packages/stand-ins/src/stand_ins.test.ts
@@ -13,7 +13,7 @@
 
 const BODY = {
   model: 'm',
-  messages: [{role: 'user', content: 'hopper '.repeat(1_000)}],
+  messages: [{role: 'user', content: 'paper '.repeat(1_000)}],
   max_tokens: 4,
 };
 const ANSWER = expectedAnswer(readPrompt(BODY), 4);
