Let the stand-ins' tests keep their prompt length and await a restart

Ruled out: a fault of the engine; its counts and states are as before. The expectations are unchanged; the question after the crash is asked until the engine answers.

--- a/packages/stand-ins/src/stand_ins.test.ts
+++ b/packages/stand-ins/src/stand_ins.test.ts
@@ -1,3 +1,4 @@
+import {setTimeout} from 'node:timers/promises';
 import {expect} from 'chai';
 import {request, type Dispatcher} from 'undici';
 import {
@@ -13,9 +14,10 @@
 
 const BODY = {
   model: 'm',
-  messages: [{role: 'user', content: 'paper '.repeat(1_000)}],
+  messages: [{role: 'user', content: 'papers '.repeat(1_000)}],
   max_tokens: 4,
 };
+const RESTART_POLL_MS = 5;
 const ANSWER = expectedAnswer(readPrompt(BODY), 4);
 
 interface Answer {
@@ -26,6 +28,17 @@
   readonly json: any;
 }
 
+/** Asks an engine that is starting anew until it listens. */
+async function askUntilUp(url: string): Promise<Answer> {
+  for (;;) {
+    try {
+      return await send('GET', url);
+    } catch {
+      await setTimeout(RESTART_POLL_MS);
+    }
+  }
+}
+
 async function send(
   method: Dispatcher.HttpMethod,
   url: string,
@@ -251,7 +264,7 @@
       const headers = {'parsleywood-attempt': 'b'};
       const cut = await send('POST', path, prompt, headers).catch(String);
       expect(cut).to.be.a('string');
-      const state = (await send('GET', `${url}/state`)).json;
+      const state = (await askUntilUp(`${url}/state`)).json;
       expect(state).to.deep.include({crashes: 1, usedTokens: 0, streams: []});
     });
 
