--- a/packages/cli/src/format_hosts.ts
+++ b/packages/cli/src/format_hosts.ts
@@ -1,7 +1,7 @@
+import type {HostStatus} from '@parsleywood/schema/host_status';
 import {countBy} from './count_by.js';
 import {formatTable} from './format_table.js';
 import {formatValue} from './format_value.js';
-import type {HostStatus} from './host_status.js';
 import type {SiteStatus} from './site_status.js';
 
 const HEAD = ['HOST', 'STATE', 'DOMAIN', 'CALLERS', 'INCARNATION', 'SEEN AS'];
--- a/packages/cli/src/site_status.ts
+++ b/packages/cli/src/site_status.ts
@@ -1,4 +1,4 @@
-import type {HostStatus} from './host_status.js';
+import type {HostStatus} from '@parsleywood/schema/host_status';
 
 /** The hosts of a site as one of them sees them. */
 export interface SiteStatus {
--- a/packages/daemon/src/host_process.ts
+++ b/packages/daemon/src/host_process.ts
@@ -1,17 +1,14 @@
-import {randomBytes} from 'node:crypto';
-import {FairAdmission} from '@parsleywood/admission';
 import {UpstreamState} from '@parsleywood/membership';
 import {Orders} from '@parsleywood/orders';
 import type {StartSettings} from '@parsleywood/schema/start_settings';
 import {TimelineEventName} from '@parsleywood/timeline';
 import type {Incarnation} from '@parsleywood/types';
-import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
-import {AdmissionDesk} from './admission_desk.js';
 import {CallerDrain} from './caller_drain.js';
 import {CallerServer} from './caller_server.js';
 import {CompletionHandler} from './completion_handler.js';
 import {ConfigurationControl} from './configuration_control.js';
 import {ControlPlane} from './control_plane.js';
+import {drawSeed} from './draw_seed.js';
 import {EnginePicker} from './engine_picker.js';
 import {EngineTraffic} from './engine_traffic.js';
 import {EventLog} from './event_log.js';
@@ -21,7 +18,9 @@
 import {HostStatusReader} from './host_status_reader.js';
 import {HostTimeline} from './host_timeline.js';
 import {LoadFeed} from './load_feed.js';
+import {makeAdmission} from './make_admission.js';
 import {MembershipControl} from './membership_control.js';
+import {nameIncarnation} from './name_incarnation.js';
 import {OperatorServer} from './operator_server.js';
 import {OrderDesk} from './order_desk.js';
 import {parseAddress} from './parse_address.js';
@@ -51,13 +50,6 @@
   suspectAfterMs: 1_500,
   deadAfterMs: 4_000,
 };
-/** Stands in until the first settings; no request is taken before. */
-const UNSET_CLASS = {
-  name: 'unset',
-  upToTokens: 1,
-  timeLimitMs: 1,
-  firstTokenTargetMs: 1,
-};
 /** Longest time that orders and upstreams may keep a host from being ready. */
 const READY_WITHIN_MS = 5_000;
 const READY_CHECK_MS = 20;
@@ -123,7 +115,13 @@
     );
     const {host} = settings;
     const traffic = new EngineTraffic(host, clock, site, drawSeed());
-    const admission = this.makeAdmission(traffic);
+    const admission = makeAdmission(
+      incarnation,
+      clock,
+      traffic,
+      this.naming,
+      this.transport,
+    );
     const owner = `${incarnation.host}/${incarnation.id}`;
     const reservations = new ReservationClient(owner, site, this.pools);
     this.spread = new SpreadDesk(host, drawSeed(), clock, reservations);
@@ -349,19 +347,6 @@
     return this.membership.addressOf(host) ?? this.seeds.addressOf(host);
   }
 
-  private makeAdmission(traffic: EngineTraffic): AdmissionDesk {
-    const admission = new FairAdmission({
-      self: this.incarnation,
-      hostsOf: account => this.naming.nameFor(account).map(({name}) => name),
-      laneDemand: () => traffic.demand(),
-      settings: {accounts: {}, lengthClasses: [UNSET_CLASS]},
-      random: xoroshiro128plus(drawSeed()),
-    });
-    return new AdmissionDesk(admission, this.clock, (host, message) => {
-      this.transport.send(host, {body: {$case: 'limit', value: message}});
-    });
-  }
-
   private makeConfiguration(log: EventLog): ConfigurationControl {
     const {host, site, failureDomain} = this.settings;
     return new ConfigurationControl(
@@ -390,14 +375,6 @@
   }
 }
 
-function nameIncarnation(host: string, wallMs: number): Incarnation {
-  return {host, id: `${wallMs}-${randomBytes(3).toString('hex')}`};
-}
-
-function drawSeed(): number {
-  return randomBytes(4).readInt32LE();
-}
-
 async function pause(ms: number): Promise<void> {
   await new Promise(resolve => setTimeout(resolve, ms));
 }
--- a/packages/daemon/src/host_status_reader.ts
+++ b/packages/daemon/src/host_status_reader.ts
@@ -1,7 +1,7 @@
+import type {HostStatus} from '@parsleywood/schema/host_status';
 import type {StartSettings} from '@parsleywood/schema/start_settings';
 import type {ConfigurationControl} from './configuration_control.js';
 import type {HostState} from './host_state.js';
-import type {HostStatus} from './host_status.js';
 import type {MembershipControl} from './membership_control.js';
 import type {Serving} from './serving.js';
 
--- a/packages/daemon/src/seed_peers.ts
+++ b/packages/daemon/src/seed_peers.ts
@@ -1,5 +1,5 @@
+import type {HostStatus} from '@parsleywood/schema/host_status';
 import type {Member} from '@parsleywood/config';
-import type {HostStatus} from './host_status.js';
 import type {PeerTransport} from './peer_transport.js';
 
 const RETRY_MS = 1_000;
--- a/packages/daemon/src/site_reader.ts
+++ b/packages/daemon/src/site_reader.ts
@@ -1,3 +1,4 @@
+import type {HostStatus} from '@parsleywood/schema/host_status';
 import {ErrorKind, Failure} from '@parsleywood/errors';
 import type {TimelineQuery} from '@parsleywood/schema/timeline';
 import {
@@ -5,7 +6,6 @@
   mergeTimelines,
   type TimelineEntry,
 } from '@parsleywood/timeline';
-import type {HostStatus} from './host_status.js';
 import type {HostStatusReader} from './host_status_reader.js';
 import type {PeerTransport} from './peer_transport.js';
 import type {Serving} from './serving.js';
--- a/packages/daemon/src/upstream_control.ts
+++ b/packages/daemon/src/upstream_control.ts
@@ -6,6 +6,7 @@
 import type {UpstreamList} from '@parsleywood/schema/upstream_list';
 import type {Clock} from './clock.js';
 import type {EventLog} from './event_log.js';
+import {ProbeOutcome} from './probe_outcome.js';
 import type {SiteView} from './site_view.js';
 import {Timer} from './timer.js';
 import type {UpstreamListener} from './upstream_listener.js';
@@ -79,19 +80,8 @@
 
   /** Whether the upstream's process is gone: its address refuses connections. */
   async isDown(upstream: string): Promise<boolean> {
-    const listed = this.site.upstream(upstream);
-    if (listed === undefined) return false;
-    try {
-      const answer = await this.pools.get(listed.address).request({
-        method: 'GET',
-        path: PROBE_PATH,
-        signal: AbortSignal.timeout(DOWN_TIMEOUT_MS),
-      });
-      await answer.body.dump();
-      return false;
-    } catch (error) {
-      return GONE.has((error as NodeJS.ErrnoException).code ?? '');
-    }
+    const outcome = await this.ask(upstream, DOWN_TIMEOUT_MS);
+    return outcome === ProbeOutcome.GONE;
   }
 
   stop(): void {
@@ -115,24 +105,29 @@
   }
 
   private async probe(upstream: string): Promise<void> {
-    const isUp = await this.answers(upstream);
+    const outcome = await this.ask(upstream, PROBE_TIMEOUT_MS);
+    const isUp = outcome === ProbeOutcome.UP;
     this.liveness.takeProbeOutcome(upstream, isUp, this.clock.nowMs());
     this.settle();
   }
 
-  private async answers(upstream: string): Promise<boolean> {
+  private async ask(
+    upstream: string,
+    timeoutMs: number,
+  ): Promise<ProbeOutcome> {
     const listed = this.site.upstream(upstream);
-    if (listed === undefined) return false;
+    if (listed === undefined) return ProbeOutcome.SILENT;
     try {
       const answer = await this.pools.get(listed.address).request({
         method: 'GET',
         path: PROBE_PATH,
-        signal: AbortSignal.timeout(PROBE_TIMEOUT_MS),
+        signal: AbortSignal.timeout(timeoutMs),
       });
       await answer.body.dump();
-      return answer.statusCode === 200;
-    } catch {
-      return false;
+      return answer.statusCode === 200 ? ProbeOutcome.UP : ProbeOutcome.SILENT;
+    } catch (error) {
+      const code = (error as NodeJS.ErrnoException).code ?? '';
+      return GONE.has(code) ? ProbeOutcome.GONE : ProbeOutcome.SILENT;
     }
   }
 }
