Let the callers' server share its failures and heads

Cause: a read of the whole change found the refusal of a key three times in caller_server.ts, its reply head beside the one of Serving, and throwFailure in two handlers. Behaviour is unchanged.

--- a/packages/daemon/src/caller_server.ts
+++ b/packages/daemon/src/caller_server.ts
@@ -7,7 +7,6 @@
 import type {CompletionHandler} from './completion_handler.js';
 import type {HostNaming} from './host_naming.js';
 import {OpenExchanges} from './open_exchanges.js';
-import type {ReplyHead} from './reply_head.js';
 import type {ServiceHandler} from './service_handler.js';
 import type {Serving} from './serving.js';
 import {writeFailure} from './write_failure.js';
@@ -53,7 +52,12 @@
       },
       frameworkErrors: (error, _request, reply) => {
         const failure = this.describeError(error.code, error.message);
-        writeFailure(reply.raw, failure, this.nextRequestId(), this.head(''));
+        writeFailure(
+          reply.raw,
+          failure,
+          this.nextRequestId(),
+          this.serving.replyHead(''),
+        );
       },
     });
     this.server.removeAllContentTypeParsers();
@@ -100,7 +104,12 @@
           : this.describeError(code ?? '', message);
       const requestId = request.id;
       reply.hijack();
-      writeFailure(reply.raw, failure, requestId, this.head(requestId));
+      writeFailure(
+        reply.raw,
+        failure,
+        requestId,
+        this.serving.replyHead(requestId),
+      );
     });
     server.setNotFoundHandler(request => {
       throw new Failure(
@@ -146,12 +155,7 @@
     if (keyring === undefined) {
       done(this.refuseWithoutSettings());
     } else if (!keyring.findAccount(request.headers.authorization)) {
-      done(
-        new Failure(
-          ErrorKind.UNAUTHENTICATED,
-          'the authorization header holds no key of a client account',
-        ),
-      );
+      done(this.refuseKey());
     } else {
       done(this.checkBodyLength(request.raw));
     }
@@ -170,7 +174,7 @@
     handle: (caller: Caller, body: Buffer) => void,
   ): void {
     const requestId = request.id;
-    const head = this.head(requestId);
+    const head = this.serving.replyHead(requestId);
     const account = this.serving.site
       .keyring()
       ?.findAccount(request.headers.authorization);
@@ -201,10 +205,7 @@
     const {authorization} = request.headers;
     const account = site.keyring()?.findAccount(authorization);
     if (authorization !== undefined && account === undefined) {
-      throw new Failure(
-        ErrorKind.UNAUTHENTICATED,
-        'the authorization header holds no key of a client account',
-      );
+      throw this.refuseKey();
     }
     const named = this.naming.nameFor(account ?? request.ip);
     return {
@@ -219,10 +220,7 @@
   private answerModels(request: FastifyRequest): object {
     const {site} = this.serving;
     if (!site.keyring()?.findAccount(request.headers.authorization)) {
-      throw new Failure(
-        ErrorKind.UNAUTHENTICATED,
-        'the authorization header holds no key of a client account',
-      );
+      throw this.refuseKey();
     }
     const models = Object.keys(site.settings()?.models ?? {});
     return {
@@ -263,6 +261,13 @@
     );
   }
 
+  private refuseKey(): Failure {
+    return new Failure(
+      ErrorKind.UNAUTHENTICATED,
+      'the authorization header holds no key of a client account',
+    );
+  }
+
   private refuseWithoutSettings(): Failure {
     return new Failure(
       ErrorKind.HOST_UNAVAILABLE,
@@ -272,13 +277,6 @@
     );
   }
 
-  private head(requestId: string): ReplyHead {
-    return {
-      'parsleywood-request-id': requestId,
-      'parsleywood-host': this.serving.host,
-    };
-  }
-
   private nextRequestId(): string {
     return `${this.serving.requestPrefix}-${(this.requests++).toString(36)}`;
   }
--- a/packages/daemon/src/completion_handler.ts
+++ b/packages/daemon/src/completion_handler.ts
@@ -11,6 +11,7 @@
 import {refuseCondemned} from './refuse_condemned.js';
 import type {Serving} from './serving.js';
 import {StreamDelivery} from './stream_delivery.js';
+import {throwFailure} from './throw_failure.js';
 import {WholeDelivery} from './whole_delivery.js';
 
 /** Takes completion requests of callers. */
@@ -128,7 +129,3 @@
   }
   return last;
 }
-
-function throwFailure(failure: Failure): never {
-  throw failure;
-}
--- a/packages/daemon/src/service_handler.ts
+++ b/packages/daemon/src/service_handler.ts
@@ -7,6 +7,7 @@
 import type {ServiceCall} from './service_call.js';
 import {ServiceSession} from './service_session.js';
 import type {Serving} from './serving.js';
+import {throwFailure} from './throw_failure.js';
 
 const SERVICE_PATH = /^\/v1\/services\/([^/?]+)(\/[^?]*)?(\?.*)?$/;
 /** Parts that a service could read as another path than the one matched. */
@@ -88,7 +89,3 @@
   }
   return key;
 }
-
-function throwFailure(failure: Failure): never {
-  throw failure;
-}
