Serve the users' platform by a gateway of published routes: the thin path

Cause: the platform publishes routes, keys and upstreams in a store that can only be read, and lists no hosts; the product could not forward by host and path. Added: packages/forwarding (routes, keys, life of a request, cutting of event streams, shared retry budget), packages/dispatch (what all hosts have placed, the engines' pass model, choice of engines), the gateway in the daemon, hosts that find each other by seeds, and platform/ with names, formats and calls only.

--- a/packages/daemon/src/event_log.ts
+++ b/packages/daemon/src/event_log.ts
@@ -1,6 +1,7 @@
 import type {Incarnation} from '@parsleywood/types';
 import loglevel from 'loglevel';
 import type {LogLevel} from './log_level.js';
+import {LogSink} from './log_sink.js';
 
 /** Fields of one log line; never a prompt's text and never a key. */
 type Fields = Readonly<Record<string, string | number | boolean | undefined>>;
@@ -8,17 +9,23 @@
 /** Writes one JSON line to standard output for each event. */
 export class EventLog {
   private readonly logger = loglevel.getLogger('parsleywood');
+  private readonly sink = new LogSink();
 
   constructor(
     private readonly incarnation: Incarnation,
     level: LogLevel,
   ) {
-    this.logger.methodFactory = () => line => {
-      process.stdout.write(`${String(line)}\n`);
+    this.logger.methodFactory = method => line => {
+      this.sink.write(String(line), method === 'error' || method === 'warn');
     };
     this.logger.setLevel(level, false);
   }
 
+  /** Lines that were dropped to stay within the bounds of the log. */
+  droppedLines(): number {
+    return this.sink.dropped;
+  }
+
   debug(event: string, fields: Fields = {}): void {
     if (this.logger.getLevel() > this.logger.levels.DEBUG) return;
     this.logger.debug(this.format('debug', event, fields));
--- /dev/null
+++ b/packages/daemon/src/gateway/default_header_names.ts
@@ -0,0 +1,19 @@
+import type {HeaderNames} from './header_names.js';
+
+/** Header names of the product's own interface. */
+export const DEFAULT_HEADER_NAMES: HeaderNames = {
+  requestId: 'request-id',
+  timeLimit: 'request-timeout-ms',
+  key: 'account-key',
+  account: 'client-account',
+  tokenCounts: 'token-counts',
+  answerEstimate: 'answer-tokens-estimate',
+  lastEventId: 'last-event-id',
+  expectedUpstream: 'expected-upstream',
+  expectedVersion: 'expected-version',
+  rank: 'request-rank',
+  helpers: 'prompt-helpers',
+  notRun: 'not-run',
+  faultyUpstream: 'faulty-upstream',
+  upstreamId: 'upstream-id',
+};
--- /dev/null
+++ b/packages/daemon/src/gateway/gateway_host.ts
@@ -0,0 +1,237 @@
+import {
+  PlacementBook,
+  UpstreamChooser,
+  UpstreamHealth,
+} from '@parsleywood/dispatch';
+import {SiteLedger} from '@parsleywood/forwarding';
+import {PeerStage} from '@parsleywood/membership';
+import type {GatewaySettings} from '@parsleywood/schema/gateway_settings';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
+import {drawSeed} from '../draw_seed.js';
+import {EventLog} from '../event_log.js';
+import {HostMetrics} from '../host_metrics.js';
+import {HostTimeline} from '../host_timeline.js';
+import {nameIncarnation} from '../name_incarnation.js';
+import {parseAddress} from '../parse_address.js';
+import {PeerServer} from '../peer_server.js';
+import {PeerTransport} from '../peer_transport.js';
+import {SystemClock} from '../system_clock.js';
+import {DirectoryServer} from './directory_server.js';
+import {FleetCalls} from './fleet_calls.js';
+import {FleetLink} from './fleet_link.js';
+import type {GatewayDialect} from './gateway_dialect.js';
+import {GatewayMetrics} from './gateway_metrics.js';
+import type {GatewayParts} from './gateway_parts.js';
+import {GatewayServer} from './gateway_server.js';
+import {ProbeServer} from './probe_server.js';
+import {RetryBudgets} from './retry_budgets.js';
+import {SiteFollower} from './site_follower.js';
+import {SiteKeeper} from './site_keeper.js';
+import type {SiteSource} from './site_source.js';
+import {UpstreamConnections} from './upstream_connections.js';
+
+/** Hosts of one site know each other by their network; the key guards no more. */
+const PEER_KEY = 'parsleywood-gateway';
+/** Longest time for which this directory's answers may be kept. */
+const MAX_DIRECTORY_TTL_MS = 1_000;
+/** Time in which callers still come after a stop began: they learn it by then. */
+const LEAVING_MS = 3_000;
+/** Time kept free at the end of the grace for closing what is left. */
+const CLOSING_MS = 500;
+const CHECK_OPEN_MS = 50;
+
+/** One host that forwards requests by published routes. */
+export class GatewayHost {
+  private readonly clock = new SystemClock();
+  private readonly log: EventLog;
+  private readonly ledger = new SiteLedger();
+  private readonly metrics = new GatewayMetrics(new HostMetrics());
+  private readonly transport: PeerTransport;
+  private readonly keeper: SiteKeeper;
+  private readonly follower: SiteFollower;
+  private readonly fleet: FleetLink;
+  private readonly parts: GatewayParts;
+  private readonly server: GatewayServer;
+  private readonly directory: DirectoryServer;
+  private readonly probes: ProbeServer;
+  private readonly peers: PeerServer;
+  private stage = PeerStage.STARTING;
+  private stopping: Promise<void> | undefined;
+  private version = 0;
+
+  constructor(
+    private readonly settings: GatewaySettings,
+    source: SiteSource,
+    dialect: GatewayDialect,
+  ) {
+    const {clock, ledger, metrics} = this;
+    const {peersAddress, bounds, failureDomain} = settings;
+    const incarnation = nameIncarnation(peersAddress, clock.wallMs());
+    this.log = new EventLog(
+      {...incarnation, host: settings.host},
+      settings.logLevel ?? 'info',
+    );
+    const {log} = this;
+    const timeline = new HostTimeline(incarnation, clock);
+    this.transport = new PeerTransport(
+      incarnation,
+      PEER_KEY,
+      timeline,
+      metrics.host,
+      host => host,
+    );
+    const generator = xoroshiro128plus(drawSeed());
+    const draw = (): number => uniformFloat64(generator);
+    this.keeper = new SiteKeeper(ledger, clock, log, () => {
+      this.takeSite();
+    });
+    this.follower = new SiteFollower(source, this.keeper, log, metrics, draw);
+    const book = new PlacementBook();
+    const health = new UpstreamHealth();
+    this.fleet = new FleetLink(
+      settings,
+      this.transport,
+      this.keeper,
+      () => ledger.snapshot(),
+      book,
+      health,
+      clock,
+      log,
+      () => this.readStage(),
+    );
+    this.parts = {
+      clock,
+      log,
+      metrics,
+      names: dialect.headers,
+      ledger,
+      book,
+      health,
+      chooser: new UpstreamChooser(failureDomain, book, health),
+      budgets: new RetryBudgets(bounds, clock, () => this.fleet.countHosts()),
+      connections: new UpstreamConnections(clock),
+      fleet: this.fleet,
+      draw,
+    };
+    this.server = new GatewayServer(this.parts);
+    this.directory = new DirectoryServer(
+      dialect.directory,
+      () => this.listHosts(),
+      Math.min(bounds.directoryTtlMs, MAX_DIRECTORY_TTL_MS),
+    );
+    this.probes = new ProbeServer(
+      dialect.readinessPath,
+      () => this.readStage() === PeerStage.READY,
+      metrics,
+      () => {
+        metrics.openRequests.set(this.server.openRequests);
+        metrics.droppedLogLines.set(log.droppedLines());
+      },
+    );
+    this.peers = new PeerServer(
+      PEER_KEY,
+      new FleetCalls(
+        this.fleet,
+        timeline,
+        () => this.describe(),
+        () => {
+          void this.stop();
+        },
+      ),
+    );
+  }
+
+  async start(): Promise<void> {
+    const {settings} = this;
+    const at = (address: string): [string, number] => {
+      const {host, port} = parseAddress(address);
+      return [host, port];
+    };
+    this.follower.start();
+    await this.peers.listen(settings.peersAddress);
+    this.fleet.start();
+    await this.probes.listenForReadiness(...at(settings.readinessAddress));
+    await this.probes.listenForMetrics(...at(settings.metricsAddress));
+    await this.directory.listen(...at(settings.directoryAddress));
+    await this.server.listen(...at(settings.callersAddress));
+    this.stage = PeerStage.READY;
+    this.log.info('host_started', {peersAddress: settings.peersAddress});
+  }
+
+  /** Stops after open requests have their answers, or when the grace ends. */
+  stop(): Promise<void> {
+    this.stopping ??= this.stopGracefully();
+    return this.stopping;
+  }
+
+  private async stopGracefully(): Promise<void> {
+    const beganMs = this.clock.nowMs();
+    this.stage = PeerStage.STOPPING;
+    this.log.info('host_stopping', {open: this.server.openRequests});
+    this.fleet.sendBeats();
+    this.server.startLeaving();
+    await pause(LEAVING_MS);
+    this.server.startRefusing();
+    const untilMs = beganMs + this.settings.bounds.stopGraceMs - CLOSING_MS;
+    while (this.server.openRequests > 0 && this.clock.nowMs() < untilMs) {
+      await pause(CHECK_OPEN_MS);
+    }
+    this.log.info('host_stopped', {open: this.server.openRequests});
+    this.follower.stop();
+    this.fleet.stop();
+    await this.server.close();
+    this.parts.connections.close();
+    this.transport.close();
+    await Promise.all([
+      this.directory.close(),
+      this.probes.close(),
+      this.peers.close(),
+    ]);
+  }
+
+  private takeSite(): void {
+    const {ledger, parts} = this;
+    const ids = new Set(ledger.upstreams.listed().map(({id}) => id));
+    parts.connections.retain(ids);
+    parts.health.retain(ids);
+    parts.book.retain(ids);
+    const configuration = ledger.rules?.configuration;
+    if (configuration === undefined || configuration.version === this.version)
+      return;
+    this.version = configuration.version;
+    this.server.applyLimits(configuration.limits);
+  }
+
+  private readStage(): PeerStage {
+    if (this.stage !== PeerStage.READY) return this.stage;
+    return this.ledger.rules === undefined
+      ? PeerStage.STARTING
+      : PeerStage.READY;
+  }
+
+  /** IP:port for callers of the hosts that take work. */
+  private listHosts(): string[] {
+    const own =
+      this.readStage() === PeerStage.READY
+        ? [this.settings.callersAddress]
+        : [];
+    return [...own, ...this.fleet.listReady()];
+  }
+
+  private describe(): object {
+    return {
+      name: this.settings.host,
+      failureDomain: this.settings.failureDomain,
+      state: this.readStage(),
+      revision: this.ledger.revision,
+      version: this.version,
+      storeAgeMs: this.keeper.ageMs(),
+      hosts: this.fleet.countHosts(),
+    };
+  }
+}
+
+async function pause(ms: number): Promise<void> {
+  await new Promise(resolve => setTimeout(resolve, ms));
+}
--- /dev/null
+++ b/packages/daemon/src/gateway/gateway_metrics.ts
@@ -0,0 +1,55 @@
+import {Counter, Gauge, Histogram} from 'prom-client';
+import type {HostMetrics} from '../host_metrics.js';
+
+const LATENCY_BUCKETS_S = [
+  0.005, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 1, 1.5, 2, 4, 8, 15,
+];
+
+/** Metrics of the requests that a gateway forwards. */
+export class GatewayMetrics {
+  readonly requests: Counter;
+  readonly attempts: Counter;
+  readonly firstByteSeconds: Histogram;
+  readonly storeCalls: Counter;
+  readonly openRequests: Gauge;
+  readonly droppedLogLines: Gauge;
+
+  constructor(readonly host: HostMetrics) {
+    const registers = [host.registry];
+    this.requests = new Counter({
+      name: 'parsleywood_forwarded_requests_total',
+      help: 'Forwarded requests concluded, by service and outcome.',
+      labelNames: ['service', 'outcome'],
+      registers,
+    });
+    this.attempts = new Counter({
+      name: 'parsleywood_forward_attempts_total',
+      help: 'Attempts at upstreams, by service and end.',
+      labelNames: ['service', 'end'],
+      registers,
+    });
+    this.firstByteSeconds = new Histogram({
+      name: 'parsleywood_first_answer_seconds',
+      help: 'Time from the request to the first byte of its answer.',
+      labelNames: ['service'],
+      buckets: LATENCY_BUCKETS_S,
+      registers,
+    });
+    this.storeCalls = new Counter({
+      name: 'parsleywood_store_calls_total',
+      help: 'Calls of the store, by kind and outcome.',
+      labelNames: ['call', 'outcome'],
+      registers,
+    });
+    this.openRequests = new Gauge({
+      name: 'parsleywood_open_requests',
+      help: 'Forwarded requests that have no final answer yet.',
+      registers,
+    });
+    this.droppedLogLines = new Gauge({
+      name: 'parsleywood_dropped_log_lines',
+      help: 'Log lines dropped to stay within the bounds of the log.',
+      registers,
+    });
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/gateway/gateway_parts.ts
@@ -0,0 +1,30 @@
+import type {
+  PlacementBook,
+  UpstreamChooser,
+  UpstreamHealth,
+} from '@parsleywood/dispatch';
+import type {SiteLedger} from '@parsleywood/forwarding';
+import type {Clock} from '../clock.js';
+import type {EventLog} from '../event_log.js';
+import type {FleetNews} from './fleet_news.js';
+import type {GatewayMetrics} from './gateway_metrics.js';
+import type {HeaderNames} from './header_names.js';
+import type {RetryBudgets} from './retry_budgets.js';
+import type {UpstreamConnections} from './upstream_connections.js';
+
+/** What the requests of one host share. */
+export interface GatewayParts {
+  readonly clock: Clock;
+  readonly log: EventLog;
+  readonly metrics: GatewayMetrics;
+  readonly names: HeaderNames;
+  readonly ledger: SiteLedger;
+  readonly book: PlacementBook;
+  readonly health: UpstreamHealth;
+  readonly chooser: UpstreamChooser;
+  readonly budgets: RetryBudgets;
+  readonly connections: UpstreamConnections;
+  readonly fleet: FleetNews;
+  /** Draws a number between 0 and 1. */
+  readonly draw: () => number;
+}
--- /dev/null
+++ b/packages/daemon/src/gateway/retry_budgets.ts
@@ -0,0 +1,32 @@
+import {SharedRetryBudget} from '@parsleywood/forwarding';
+import type {GatewaySettings} from '@parsleywood/schema/gateway_settings';
+import type {Clock} from '../clock.js';
+
+/** This host's parts of the retry budgets, by service. */
+export class RetryBudgets {
+  private readonly budgets = new Map<string, SharedRetryBudget>();
+
+  /** @param countHosts Number of hosts that share the budgets. */
+  constructor(
+    private readonly bounds: GatewaySettings['bounds'],
+    private readonly clock: Clock,
+    private readonly countHosts: () => number,
+  ) {}
+
+  recordRequest(service: string): void {
+    this.find(service).recordRequest(this.clock.nowMs());
+  }
+
+  tryRetry(service: string): boolean {
+    return this.find(service).tryRetry(this.countHosts(), this.clock.nowMs());
+  }
+
+  private find(service: string): SharedRetryBudget {
+    const known = this.budgets.get(service);
+    if (known !== undefined) return known;
+    const {retryRatio, retrySlack, retryWindowMs} = this.bounds;
+    const budget = new SharedRetryBudget(retryRatio, retrySlack, retryWindowMs);
+    this.budgets.set(service, budget);
+    return budget;
+  }
+}
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,1 +1,10 @@
-export {};
+/** The parts of a host's process that other packages start or speak to. */
+export {EventLog} from './event_log.js';
+export {GatewayHost} from './gateway/gateway_host.js';
+export type {GatewayDialect} from './gateway/gateway_dialect.js';
+export type {DirectoryDialect} from './gateway/directory_dialect.js';
+export type {HeaderNames} from './gateway/header_names.js';
+export type {SiteSource} from './gateway/site_source.js';
+export type {SourceFault} from './gateway/source_fault.js';
+export {SourceFaultKind} from './gateway/source_fault_kind.js';
+export {DEFAULT_HEADER_NAMES} from './gateway/default_header_names.js';
--- /dev/null
+++ b/packages/daemon/src/log_sink.ts
@@ -0,0 +1,81 @@
+import {write} from 'node:fs';
+
+/** Most bytes of lines that wait for a slow reader. */
+const MAX_WAITING_BYTES = 1_048_576;
+/** Lines of a burst, and lines a second after it. */
+const BURST_LINES = 2_000;
+const LINES_PER_SECOND = 400;
+const STDOUT = 1;
+const MS_PER_SECOND = 1_000;
+
+/**
+ * Writes lines to standard output without blocking: lines beyond a rate, or that
+ * a slow reader does not take, are dropped and counted.
+ */
+export class LogSink {
+  private waiting: string[] = [];
+  private waitingBytes = 0;
+  private isWriting = false;
+  private allowance = BURST_LINES;
+  private refilledAtMs = performance.now();
+  private droppedLines = 0;
+
+  /** Lines dropped so far. */
+  get dropped(): number {
+    return this.droppedLines;
+  }
+
+  /** @param isUrgent Whether the line is kept beyond the rate. */
+  write(line: string, isUrgent: boolean): void {
+    if (
+      !this.takeAllowance(isUrgent) ||
+      this.waitingBytes + line.length > MAX_WAITING_BYTES
+    ) {
+      this.droppedLines++;
+      return;
+    }
+    this.waiting.push(line);
+    this.waitingBytes += line.length + 1;
+    if (!this.isWriting) this.flush();
+  }
+
+  private takeAllowance(isUrgent: boolean): boolean {
+    const nowMs = performance.now();
+    const earned =
+      ((nowMs - this.refilledAtMs) / MS_PER_SECOND) * LINES_PER_SECOND;
+    this.refilledAtMs = nowMs;
+    this.allowance = Math.min(BURST_LINES, this.allowance + earned);
+    if (this.allowance < 1) return isUrgent;
+    this.allowance -= 1;
+    return true;
+  }
+
+  private flush(): void {
+    this.isWriting = true;
+    const bytes = Buffer.from(`${this.waiting.join('\n')}\n`);
+    this.waiting = [];
+    this.waitingBytes = 0;
+    this.writeAll(bytes);
+  }
+
+  private writeAll(bytes: Buffer): void {
+    write(STDOUT, bytes, (error, written) => {
+      if (error?.code === 'EAGAIN') {
+        setTimeout(() => {
+          this.writeAll(bytes);
+        }, 1);
+        return;
+      }
+      // Without a reader there is nobody to tell.
+      const rest = error
+        ? bytes.subarray(bytes.length)
+        : bytes.subarray(written);
+      if (rest.length > 0) {
+        this.writeAll(rest);
+        return;
+      }
+      this.isWriting = false;
+      if (this.waiting.length > 0) this.flush();
+    });
+  }
+}
--- a/packages/daemon/src/peer_transport.ts
+++ b/packages/daemon/src/peer_transport.ts
@@ -125,6 +125,14 @@
     });
   }
 
+  /** Gives up the connection to an address; the next message opens another. */
+  reset(address: string): void {
+    this.streams.get(address)?.close();
+    this.streams.delete(address);
+    this.clients.get(address)?.close();
+    this.clients.delete(address);
+  }
+
   close(): void {
     for (const stream of this.streams.values()) stream.close();
     this.streams.clear();
--- /dev/null
+++ b/packages/dispatch/src/placement_part.ts
@@ -0,0 +1,8 @@
+/** A part of a prompt that one engine reads. */
+export interface PlacementPart {
+  /** Id of the upstream. */
+  readonly upstream: string;
+  readonly tokens: number;
+  /** Pairs of a token and an earlier one, in millions. */
+  readonly millionPairs: number;
+}
--- /dev/null
+++ b/packages/forwarding/src/index.ts
@@ -0,0 +1,26 @@
+/** Decides which route a request takes, and what follows each attempt. */
+export type {Account} from './account.js';
+export {AttemptEnd} from './attempt_end.js';
+export type {CallerLimits} from './caller_limits.js';
+export type {Configuration} from './configuration.js';
+export type {EngineProfile} from './engine_profile.js';
+export {EventCursor} from './event_cursor.js';
+export {KeyTable} from './key_table.js';
+export {NextStep} from './next_step.js';
+export {passGate} from './pass_gate.js';
+export type {Passage} from './passage.js';
+export {RequestKind} from './request_kind.js';
+export {RequestLife} from './request_life.js';
+export type {Route} from './route.js';
+export {RouteTable} from './route_table.js';
+export type {RouteTarget} from './route_target.js';
+export type {Service} from './service.js';
+export {SharedRetryBudget} from './shared_retry_budget.js';
+export type {SiteChange} from './site_change.js';
+export {SiteLedger} from './site_ledger.js';
+export {SiteRules} from './site_rules.js';
+export type {SiteSnapshot} from './site_snapshot.js';
+export {SlidingCount} from './sliding_count.js';
+export type {UpstreamEntry} from './upstream_entry.js';
+export {UpstreamRoll} from './upstream_roll.js';
+export {UpstreamStage} from './upstream_stage.js';
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -13,3 +13,6 @@
 export type {UpstreamChange} from './upstream_change.js';
 export {UpstreamLiveness} from './upstream_liveness.js';
 export {UpstreamState} from './upstream_state.js';
+export type {PeerBeat} from './peer_beat.js';
+export {PeerRoster} from './peer_roster.js';
+export {PeerStage} from './peer_stage.js';
--- a/packages/schema/scripts/document.mjs
+++ b/packages/schema/scripts/document.mjs
@@ -11,6 +11,7 @@
   ['start-settings', 'Start settings'],
   ['host-list', 'Host list'],
   ['upstream-list', 'Upstream list'],
+  ['gateway-settings', 'Gateway settings'],
 ];
 const UNITS = [
   [/latencyMs\.|Ms$/, 'ms'],
