Tell a reset from an end of an answer without length

Node reports a reset that is polled together with the last bytes as an end, so undici completes the answer and the host passed on a part as whole. Ruled out: undici's own completion on ECONNRESET, which was guarded already; the trace shows onHttpSocketEnd each time, socket.errored null. Change: connections stay half open, and an empty line written after such an end fails at once when the connection was reset.

--- /dev/null
+++ b/packages/daemon/src/gateway/upstream_attempt.test.ts
@@ -0,0 +1,188 @@
+import {createServer, type Server, type Socket} from 'node:net';
+import type {AddressInfo} from 'node:net';
+import {AttemptEnd, UpstreamStage} from '@parsleywood/forwarding';
+import {expect} from 'chai';
+import {SystemClock} from '../system_clock.js';
+import type {AnswerHead} from './answer_head.js';
+import {DEFAULT_HEADER_NAMES} from './default_header_names.js';
+import {UpstreamAttempt} from './upstream_attempt.js';
+import {UpstreamConnections} from './upstream_connections.js';
+
+interface Heard {
+  readonly end: AttemptEnd;
+  readonly detail: string;
+  readonly head: AnswerHead | undefined;
+  readonly body: string;
+}
+
+describe('UpstreamAttempt', () => {
+  const connections = new UpstreamConnections(new SystemClock());
+  const servers: Server[] = [];
+
+  afterEach(() => {
+    connections.close();
+    for (const server of servers.splice(0)) server.close();
+  });
+
+  /** Starts an upstream that answers each request by a function. */
+  async function listen(
+    answer: (socket: Socket, request: string) => void,
+  ): Promise<string> {
+    const server = createServer(socket => {
+      socket.on('error', () => undefined);
+      socket.on('data', data => {
+        answer(socket, data.toString());
+      });
+    });
+    servers.push(server);
+    await new Promise<void>(resolve => {
+      server.listen(0, '127.0.0.1', resolve);
+    });
+    return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+  }
+
+  /** Sends one request and hears its end. */
+  async function send(address: string, id = 'r1'): Promise<Heard> {
+    return new Promise(resolve => {
+      let head: AnswerHead | undefined;
+      let body = '';
+      const upstream = {
+        id: 'u1',
+        service: 's',
+        address,
+        failureDomain: 'd',
+        stage: UpstreamStage.READY,
+        slots: 1,
+        startedAtMs: 0,
+      };
+      const request = {
+        id,
+        upstream,
+        method: 'GET',
+        target: '/a/b?c=%20',
+        headers: ['X-Own', 'kept'],
+        body: Buffer.alloc(0),
+      };
+      new UpstreamAttempt(request, connections, DEFAULT_HEADER_NAMES, {
+        onHead: one => {
+          head = one;
+          return true;
+        },
+        onData: chunk => {
+          body += chunk.toString();
+        },
+        onEnd: (end, detail) => {
+          resolve({end, detail, head, body});
+        },
+      }).start();
+    });
+  }
+
+  it('takes a whole answer with its headers, and keeps the connection', async () => {
+    let accepted = 0;
+    const address = await listen((socket, request) => {
+      accepted++;
+      expect(request).to.match(/^GET \/a\/b\?c=%20 HTTP\/1\.1\r\n/);
+      expect(request).to.include('X-Own: kept\r\n');
+      socket.write('HTTP/1.1 200 OK\r\nX-A: b\r\nContent-Length: 2\r\n\r\nok');
+    });
+    const first = await send(address);
+    expect(first.end).to.equal(AttemptEnd.ANSWERED);
+    expect(first.body).to.equal('ok');
+    expect(first.head?.headers).to.include.members(['X-A', 'b']);
+    await new Promise(resolve => setTimeout(resolve, 10));
+    await send(address, 'r2');
+    expect(accepted).to.equal(2);
+    expect(await countConnections()).to.equal(1);
+  });
+
+  it('takes an answer without length that its connection ends', async () => {
+    const address = await listen(socket => {
+      socket.end('HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nwhole');
+    });
+    const {end, body} = await send(address);
+    expect([end, body]).to.deep.equal([AttemptEnd.ANSWERED, 'whole']);
+  });
+
+  for (const head of ['', 'Connection: close\r\n']) {
+    it(`does not take a reset for the end of an answer (${head.trim()})`, async () => {
+      const address = await listen(socket => {
+        socket.write(`HTTP/1.1 200 OK\r\n${head}\r\npart`, () => {
+          setTimeout(() => socket.resetAndDestroy(), 10);
+        });
+      });
+      expect((await send(address)).end).to.equal(AttemptEnd.BROKEN);
+    });
+  }
+
+  it('does not take a reset that comes with the last bytes for the end', async () => {
+    const address = await listen(socket => {
+      socket.write('HTTP/1.1 200 OK\r\n\r\npart', () => {
+        socket.resetAndDestroy();
+        // Bytes and reset wait together, so that both are read in one turn.
+        const untilMs = performance.now() + 20;
+        while (performance.now() < untilMs);
+      });
+    });
+    expect((await send(address)).end).to.equal(AttemptEnd.BROKEN);
+  });
+
+  it('does not take a cut answer for a whole one', async () => {
+    const address = await listen(socket => {
+      socket.end('HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart');
+    });
+    expect((await send(address)).end).to.equal(AttemptEnd.BROKEN);
+  });
+
+  it('does not take the answer of another request', async () => {
+    const address = await listen(socket => {
+      socket.write(
+        'HTTP/1.1 200 OK\r\nRequest-Id: r0\r\nContent-Length: 2\r\n\r\nno',
+      );
+    });
+    const {end, body} = await send(address);
+    expect([end, body]).to.deep.equal([AttemptEnd.BROKEN, '']);
+  });
+
+  it('drops a second answer that nobody asked for', async () => {
+    const answer =
+      'HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nContent-Length: 2\r\n\r\n';
+    const address = await listen((socket, request) => {
+      if (request.includes('/a/b')) socket.write(`${answer}ok${answer}no`);
+    });
+    const {end, body} = await send(address);
+    expect([end, body]).to.deep.equal([AttemptEnd.ANSWERED, 'ok']);
+    await new Promise(resolve => setTimeout(resolve, 20));
+    const second = await send(address, 'r1');
+    expect(second.body).to.equal('ok');
+  });
+
+  it('tells a refusal that states the request did not run', async () => {
+    const address = await listen(socket => {
+      socket.write(
+        'HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n',
+      );
+    });
+    expect((await send(address)).end).to.equal(AttemptEnd.REFUSED);
+  });
+
+  it('tells that nothing was sent when no connection is made', async () => {
+    const server = createServer();
+    await new Promise<void>(resolve => {
+      server.listen(0, '127.0.0.1', resolve);
+    });
+    const {port} = server.address() as AddressInfo;
+    await new Promise(resolve => server.close(resolve));
+    const {end} = await send(`127.0.0.1:${port}`);
+    expect(end).to.equal(AttemptEnd.NOT_SENT);
+  });
+
+  async function countConnections(): Promise<number> {
+    return new Promise((resolve, reject) => {
+      servers[0]?.getConnections((error, count) => {
+        if (error) reject(error);
+        else resolve(count);
+      });
+    });
+  }
+});
--- a/packages/daemon/src/gateway/upstream_attempt.ts
+++ b/packages/daemon/src/gateway/upstream_attempt.ts
@@ -87,7 +87,7 @@
 
   onResponseEnd(): void {
     if (this.isOver) return;
-    if (this.connection.isBroken) {
+    if (this.connection.isBroken()) {
       // undici ends an answer without length when its connection is reset.
       this.finish(AttemptEnd.BROKEN, 'connection reset');
       return;
--- a/packages/daemon/src/gateway/upstream_connection.ts
+++ b/packages/daemon/src/gateway/upstream_connection.ts
@@ -20,6 +20,7 @@
       timeout: CONNECT_TIMEOUT_MS,
       keepAlive: true,
       keepAliveInitialDelay: KEEP_ALIVE_PROBE_MS,
+      allowHalfOpen: true,
     });
     this.client = new Client(`http://${address}`, {
       pipelining: 1,
@@ -42,9 +43,16 @@
     return socket !== undefined && !socket.destroyed && socket.errored === null;
   }
 
-  /** Whether the connection broke rather than ended. */
-  get isBroken(): boolean {
-    return this.socket?.errored != null;
+  /**
+   * Whether the connection broke rather than ended. Node reports a reset that
+   * comes with the last bytes as an end; only a write shows which it was. An
+   * empty line is nothing to an HTTP server.
+   */
+  isBroken(): boolean {
+    const {socket} = this;
+    if (socket === undefined) return true;
+    if (socket.readableEnded && socket.writable) socket.write('\r\n');
+    return socket.errored !== null;
   }
 
   close(): void {
