--- a/packages/daemon/src/gateway/forward_session.ts
+++ b/packages/daemon/src/gateway/forward_session.ts
@@ -7,6 +7,7 @@
   RequestLife,
   type Passage,
   type Route,
+  type UpstreamEntry,
 } from '@parsleywood/forwarding';
 import type {AnswerHead} from './answer_head.js';
 import {attemptPatience} from './attempt_patience.js';
@@ -15,6 +16,7 @@
 import {drawService} from './draw_service.js';
 import type {GatewayParts} from './gateway_parts.js';
 import type {PlacedAttempt} from './placed_attempt.js';
+import {PromptReservations} from './prompt_reservations.js';
 import type {ReceivedRequest} from './received_request.js';
 import {SessionLog} from './session_log.js';
 import {SessionOutcome} from './session_outcome.js';
@@ -41,6 +43,7 @@
   private deadlineTimer: NodeJS.Timeout | undefined;
   private silenceTimer: NodeJS.Timeout | undefined;
   private attempt: UpstreamAttempt | undefined;
+  private reserved: PromptReservations | undefined;
   private head: AnswerHead | undefined;
   private body: Buffer[] = [];
   private isOver = false;
@@ -122,7 +125,7 @@
       end === AttemptEnd.ANSWERED && isCut ? AttemptEnd.BROKEN : end;
     const status = actual === AttemptEnd.ANSWERED ? (head?.status ?? 0) : 0;
     this.log.attemptOver(actual, status, detail, this.desk.current);
-    this.desk.judge(actual, status);
+    this.desk.judge(actual, head?.status ?? 0, head?.faultyAddress ?? '');
     this.endAttempt();
     const step = this.life.endAttempt(
       actual,
@@ -137,7 +140,6 @@
   }
 
   private sendAttempt(): void {
-    const {parts, request} = this;
     const placed = this.desk.place(this.life.attempts);
     if (placed === undefined) {
       this.refuse();
@@ -146,6 +148,30 @@
     this.head = undefined;
     this.body = [];
     this.cursor.dropPart();
+    const {parts} = this;
+    const reserved = new PromptReservations(
+      placed.placement.id,
+      placed.choice,
+      parts.reservations,
+      parts.log,
+    );
+    this.reserved = reserved;
+    if (reserved.isNeeded) void this.sendReserved(placed, reserved);
+    else this.send(placed);
+  }
+
+  private async sendReserved(
+    placed: PlacedAttempt,
+    reserved: PromptReservations,
+  ): Promise<void> {
+    const isWhole = await reserved.take();
+    if (this.isOver || this.reserved !== reserved) reserved.release();
+    else if (isWhole) this.send(placed);
+    else this.onEnd(AttemptEnd.REFUSED, 'no memory reserved');
+  }
+
+  private send(placed: PlacedAttempt): void {
+    const {parts, request} = this;
     const {method, target, id} = request.facts;
     this.attempt = new UpstreamAttempt(
       {
@@ -177,12 +203,18 @@
         leftMs: this.leftMs(),
         afterEventId: this.cursor.lastId,
         rank: choice.plan && Math.min(LOWEST_RANK, rank),
-        helpers: choice.helpers.map(({address}) => address),
+        helpers: choice.helpers.map(helper => this.nameHelper(helper)),
       },
       this.parts.names,
     );
   }
 
+  private nameHelper(helper: UpstreamEntry): string {
+    const reservation = this.reserved?.find(helper);
+    const {address} = helper;
+    return reservation === undefined ? address : `${address}/${reservation}`;
+  }
+
   private relay(events: Buffer): void {
     this.armSilence(attemptPatience.forPause(this.route));
     this.desk.noteFirstEvent();
@@ -227,6 +259,8 @@
     clearTimeout(this.silenceTimer);
     this.attempt?.cancel();
     this.attempt = undefined;
+    this.reserved?.release();
+    this.reserved = undefined;
     this.desk.end();
   }
 
--- a/packages/daemon/src/gateway/gateway_host.ts
+++ b/packages/daemon/src/gateway/gateway_host.ts
@@ -25,6 +25,7 @@
 import type {GatewayParts} from './gateway_parts.js';
 import {GatewayServer} from './gateway_server.js';
 import {ProbeServer} from './probe_server.js';
+import type {ReservationCalls} from './reservation_calls.js';
 import {RetryBudgets} from './retry_budgets.js';
 import {SiteFollower} from './site_follower.js';
 import {SiteKeeper} from './site_keeper.js';
@@ -63,6 +64,7 @@
   constructor(
     private readonly settings: GatewaySettings,
     source: SiteSource,
+    reservations: ReservationCalls,
     dialect: GatewayDialect,
   ) {
     const {clock, ledger, metrics} = this;
@@ -112,6 +114,7 @@
       budgets: new RetryBudgets(bounds, clock, () => this.fleet.countHosts()),
       connections: new UpstreamConnections(clock),
       fleet: this.fleet,
+      reservations,
       draw,
     };
     this.server = new GatewayServer(this.parts);
--- a/packages/daemon/src/gateway/gateway_parts.ts
+++ b/packages/daemon/src/gateway/gateway_parts.ts
@@ -9,6 +9,7 @@
 import type {FleetNews} from './fleet_news.js';
 import type {GatewayMetrics} from './gateway_metrics.js';
 import type {HeaderNames} from './header_names.js';
+import type {ReservationCalls} from './reservation_calls.js';
 import type {RetryBudgets} from './retry_budgets.js';
 import type {UpstreamConnections} from './upstream_connections.js';
 
@@ -25,6 +26,7 @@
   readonly budgets: RetryBudgets;
   readonly connections: UpstreamConnections;
   readonly fleet: FleetNews;
+  readonly reservations: ReservationCalls;
   /** Draws a number between 0 and 1. */
   readonly draw: () => number;
 }
--- a/packages/daemon/src/gateway/upstream_desk.ts
+++ b/packages/daemon/src/gateway/upstream_desk.ts
@@ -1,11 +1,17 @@
 import type {PromptDemand, UpstreamChoice} from '@parsleywood/dispatch';
-import {AttemptEnd, type Passage, type Service} from '@parsleywood/forwarding';
+import {
+  AttemptEnd,
+  type Passage,
+  type Service,
+  type UpstreamEntry,
+} from '@parsleywood/forwarding';
 import {attemptPatience} from './attempt_patience.js';
 import type {GatewayParts} from './gateway_parts.js';
 import type {PlacedAttempt} from './placed_attempt.js';
 import type {ReceivedRequest} from './received_request.js';
 
 const SERVER_ERROR_STATUS = 500;
+const MISDIRECTED_STATUS = 421;
 
 /** Chooses the upstreams of one request, and keeps all hosts' books on it. */
 export class UpstreamDesk {
@@ -56,7 +62,13 @@
       objectiveMs: demand.objectiveMs,
       pauseObjectiveMs: pauseObjectiveMs ?? Infinity,
       parts: plan?.parts ?? [
-        {upstream: upstream.id, tokens: 0, millionPairs: 0, passMs: 0},
+        {
+          upstream: upstream.id,
+          tokens: 0,
+          millionPairs: 0,
+          heldTokens: 0,
+          passMs: 0,
+        },
       ],
     };
     parts.book.add(placement, nowMs);
@@ -90,20 +102,47 @@
     parts.fleet.tellEnd(open.placement.id);
   }
 
-  /** Takes what the end of an attempt says of its upstream. */
-  judge(end: AttemptEnd, status: number): void {
+  /**
+   * Takes what the end of an attempt says of its upstream.
+   *
+   * @param faultyAddress IP:port at fault, where the answer names it.
+   */
+  judge(end: AttemptEnd, status: number, faultyAddress: string): void {
     const {open, parts} = this;
-    if (open === undefined || end === AttemptEnd.REFUSED) return;
-    const {id} = open.choice.upstream;
-    if (end === AttemptEnd.ANSWERED && status < SERVER_ERROR_STATUS) {
-      parts.health.takeSuccess(id);
-      return;
+    if (open === undefined) return;
+    const {upstream, helpers} = open.choice;
+    const faulty = helpers.find(({address}) => address === faultyAddress);
+    if (faulty !== undefined) {
+      // The upstream itself is sound and may have the request again.
+      this.tried.delete(upstream.id);
+      this.blame(faulty, true, end, status);
+    } else if (status === MISDIRECTED_STATUS) {
+      parts.ledger.upstreams.forget(upstream.id);
+    } else if (end === AttemptEnd.ANSWERED && status < SERVER_ERROR_STATUS) {
+      parts.health.takeSuccess(upstream.id);
+    } else if (end !== AttemptEnd.REFUSED) {
+      const isSilent = end === AttemptEnd.SILENT;
+      if (isSilent) parts.connections.distrust(upstream.id);
+      this.blame(
+        upstream,
+        isSilent || end === AttemptEnd.NOT_SENT,
+        end,
+        status,
+      );
+      if (isSilent) for (const one of helpers) this.blame(one, false, end, 0);
     }
-    const isCertain = end === AttemptEnd.NOT_SENT || end === AttemptEnd.SILENT;
-    if (end === AttemptEnd.SILENT) parts.connections.distrust(id);
-    if (!parts.health.takeFailure(id, isCertain, parts.clock.nowMs())) return;
-    parts.fleet.tellFailure(id);
-    parts.log.warn('upstream_avoided', {upstream: id, end, status});
+  }
+
+  private blame(
+    {id}: UpstreamEntry,
+    isCertain: boolean,
+    end: AttemptEnd,
+    status: number,
+  ): void {
+    const {health, clock, fleet, log} = this.parts;
+    if (!health.takeFailure(id, isCertain, clock.nowMs())) return;
+    fleet.tellFailure(id);
+    log.warn('upstream_avoided', {upstream: id, end, status});
   }
 
   private choose(
@@ -136,7 +175,7 @@
     };
   }
 
-  private usable(): ReturnType<GatewayParts['ledger']['upstreams']['usable']> {
+  private usable(): UpstreamEntry[] {
     const {ledger, clock} = this.parts;
     return ledger.upstreams.usable(this.service, clock.nowMs());
   }
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -8,3 +8,4 @@
 export type {SourceFault} from './gateway/source_fault.js';
 export {SourceFaultKind} from './gateway/source_fault_kind.js';
 export {DEFAULT_HEADER_NAMES} from './gateway/default_header_names.js';
+export type {ReservationCalls} from './gateway/reservation_calls.js';
--- a/packages/dispatch/src/forecast_engine.ts
+++ b/packages/dispatch/src/forecast_engine.ts
@@ -36,7 +36,7 @@
     })),
     passMs,
     slotsTaken: own.length,
-    memoryTaken: sum(own, countTokens),
+    memoryTaken: sum(records, record => countMemory(record, upstream)),
     backlogMs: Math.max(0, sum(reading, readMs) - (nowMs - sinceMs)),
     nextPassReadMs: sum(reading.filter(isNew), readMs),
     slowness,
@@ -64,6 +64,15 @@
   return placement.promptTokens + placement.answerTokens;
 }
 
+/** Tokens of memory that a placement takes at an engine. */
+function countMemory(record: PlacementRecord, upstream: string): number {
+  const {placement} = record;
+  const part = placement.parts.find(one => one.upstream === upstream);
+  const held = part?.heldTokens ?? 0;
+  const isFirst = placement.upstream === upstream;
+  return isFirst ? held + placement.answerTokens : held;
+}
+
 function sum(
   records: readonly PlacementRecord[],
   count: (record: PlacementRecord) => number,
--- a/packages/dispatch/src/placement_book.ts
+++ b/packages/dispatch/src/placement_book.ts
@@ -41,9 +41,9 @@
     const record = this.records.get(id);
     if (record?.phase !== PlacementPhase.READING) return;
     record.phase = PlacementPhase.WRITING;
-    for (const {upstream} of record.placement.parts) {
+    for (const {upstream, heldTokens} of record.placement.parts) {
       this.lastReadEnds.set(upstream, nowMs);
-      if (upstream !== record.placement.upstream) {
+      if (upstream !== record.placement.upstream && heldTokens === 0) {
         this.byUpstream.get(upstream)?.delete(record);
       }
     }
--- a/packages/dispatch/src/placement_part.ts
+++ b/packages/dispatch/src/placement_part.ts
@@ -5,6 +5,8 @@
   readonly tokens: number;
   /** Pairs of a token and an earlier one, in millions. */
   readonly millionPairs: number;
+  /** Tokens of the prompt that are kept there; all others are at the first. */
+  readonly heldTokens: number;
   /** Expected length of the pass that reads it, in milliseconds. */
   readonly passMs: number;
 }
--- a/packages/dispatch/src/read_planner.ts
+++ b/packages/dispatch/src/read_planner.ts
@@ -1,4 +1,5 @@
 import type {EngineForecast} from './engine_forecast.js';
+import {holdPrompt} from './hold_prompt.js';
 import {lateLoss} from './late_loss.js';
 import {PassModel} from './pass_model.js';
 import type {PromptDemand} from './prompt_demand.js';
@@ -39,12 +40,14 @@
     demand: PromptDemand,
     engines: readonly EngineForecast[],
   ): ReadPlan | undefined {
-    const roomy = engines.filter(engine => this.hasRoom(demand, engine));
+    const {slots} = this.model.profile;
+    const roomy = engines.filter(({slotsTaken}) => slotsTaken < slots);
     if (roomy.length === 0) return undefined;
     let best: {plan: ReadPlan; cost: number} | undefined;
     const most = this.countReaders(demand, engines);
     for (let count = 1; count <= most; count++) {
       const option = this.planFor(demand, roomy, engines, count);
+      if (option === undefined) continue;
       if (best === undefined || option.cost < best.cost) best = option;
     }
     return best?.plan;
@@ -58,20 +61,12 @@
     return Math.max(1, Math.min(MAX_READERS, useful, engines.length));
   }
 
-  private hasRoom(demand: PromptDemand, engine: EngineForecast): boolean {
-    const {slots, memoryTokens} = this.model.profile;
-    const tokens = demand.promptTokens + demand.answerTokens;
-    return (
-      engine.slotsTaken < slots && engine.memoryTaken + tokens <= memoryTokens
-    );
-  }
-
   private planFor(
     demand: PromptDemand,
     roomy: readonly EngineForecast[],
     engines: readonly EngineForecast[],
     count: number,
-  ): {plan: ReadPlan; cost: number} {
+  ): {plan: ReadPlan; cost: number} | undefined {
     const tokens = Math.ceil(demand.promptTokens / count);
     const pairs = PassModel.countPairs(demand.promptTokens) / count;
     const weight = weighRequest(demand.promptTokens, demand.answerTokens);
@@ -81,7 +76,10 @@
     const isAhead = count > 1;
     const first = least(
       roomy.map(engine => this.describe(engine, tokens, pairs, isAhead)),
-      option => rate(option) + costOfWriter(option.engine),
+      option =>
+        rate(option) +
+        costOfWriter(option.engine) +
+        weight * this.missingRoom(demand, option.engine),
     );
     const others = engines
       .filter(({upstream}) => upstream !== first.engine.upstream)
@@ -89,15 +87,22 @@
       .sort((left, right) => rate(left) - rate(right))
       .slice(0, count - 1);
     const options = [first, ...others];
+    const held = holdPrompt(
+      demand,
+      options.map(({engine}) => engine),
+      this.model.profile.memoryTokens,
+    );
+    if (held === undefined) return undefined;
     const expectedMs = Math.max(...options.map(({finishMs}) => finishMs));
     const harm = options.reduce((total, option) => total + option.harm, 0);
     return {
       plan: {
         expectedMs,
-        parts: options.map(({engine, passMs}) => ({
+        parts: options.map(({engine, passMs}, at) => ({
           upstream: engine.upstream,
           tokens,
           millionPairs: pairs,
+          heldTokens: held[at] ?? 0,
           passMs,
         })),
       },
@@ -110,6 +115,13 @@
     };
   }
 
+  /** Part of the prompt that an engine has no memory for, 0 to 1. */
+  private missingRoom(demand: PromptDemand, engine: EngineForecast): number {
+    const needed = demand.promptTokens + demand.answerTokens;
+    const free = this.model.profile.memoryTokens - engine.memoryTaken;
+    return Math.max(0, needed - Math.max(0, free)) / Math.max(needed, 1);
+  }
+
   /** @param isAhead Whether the part is read before what waits there. */
   private describe(
     engine: EngineForecast,
