--- a/packages/daemon/src/gateway/attempt_patience.ts
+++ b/packages/daemon/src/gateway/attempt_patience.ts
@@ -3,6 +3,9 @@
 /** Answers to wait for beyond the expected time, as a factor and a length. */
 const EXPECTED_FACTOR = 1.5;
 const EXPECTED_SLACK_MS = 500;
+/** The same for the check whether engines can be reached at all. */
+const CHECK_FACTOR = 1.3;
+const CHECK_SLACK_MS = 200;
 /** Part of the time that callers wait which one attempt may use. */
 const PATIENCE_PART = 0.45;
 /** Objectives that a plain call waits before it is sent elsewhere. */
@@ -34,6 +37,11 @@
     );
   },
 
+  /** Time after which it is checked whether the engines can be reached. */
+  untilCheck(expectedMs: number): number {
+    return CHECK_FACTOR * expectedMs + CHECK_SLACK_MS;
+  },
+
   /** Time for the answer of a plain call. */
   forCall(route: Route): number {
     return CALL_OBJECTIVES * route.latencyObjectiveMs;
--- a/packages/daemon/src/gateway/fleet_link.ts
+++ b/packages/daemon/src/gateway/fleet_link.ts
@@ -100,8 +100,8 @@
     this.tell({body: {$case: 'placementEnd', value: id}});
   }
 
-  tellFailure(upstream: string): void {
-    this.tell({body: {$case: 'upstreamFailure', value: {upstream}}});
+  tellFailure(upstream: string, silent: boolean): void {
+    this.tell({body: {$case: 'upstreamFailure', value: {upstream, silent}}});
   }
 
   /** Tells a changed stage at once. */
@@ -145,7 +145,7 @@
         this.book.end(body.value);
         break;
       case 'upstreamFailure':
-        this.health.takeFailure(body.value.upstream, false, nowMs);
+        this.health.takeFailure(body.value.upstream, body.value.silent, nowMs);
         break;
       case 'siteQuery':
         this.answerQuery(host, body.value.revision);
--- a/packages/daemon/src/gateway/fleet_news.ts
+++ b/packages/daemon/src/gateway/fleet_news.ts
@@ -5,5 +5,6 @@
   tellStart(placement: Placement): void;
   tellWriting(id: string): void;
   tellEnd(id: string): void;
-  tellFailure(upstream: string): void;
+  /** @param isSilent Whether the upstream did not answer at all. */
+  tellFailure(upstream: string, isSilent: boolean): void;
 }
--- a/packages/daemon/src/gateway/forward_session.ts
+++ b/packages/daemon/src/gateway/forward_session.ts
@@ -62,10 +62,11 @@
     const {facts, receivedAtMs} = request;
     this.cursor = new EventCursor(facts.lastEventId);
     const service = drawService(route, parts.draw());
-    this.desk = new UpstreamDesk(parts, passage, request, service);
     this.log = new SessionLog(parts, passage, request, service);
     const limitMs = Math.min(facts.timeLimitMs ?? Infinity, route.timeoutMs);
     this.deadlineMs = receivedAtMs + limitMs;
+    const {deadlineMs} = this;
+    this.desk = new UpstreamDesk(parts, passage, request, service, deadlineMs);
   }
 
   start(): void {
@@ -164,9 +165,12 @@
     placed: PlacedAttempt,
     reserved: PromptReservations,
   ): Promise<void> {
-    const isWhole = await reserved.take();
+    const unanswered = await reserved.take();
+    for (const engine of unanswered) {
+      this.desk.blame(engine, true, AttemptEnd.SILENT, 0);
+    }
     if (this.isOver || this.reserved !== reserved) reserved.release();
-    else if (isWhole) this.send(placed);
+    else if (reserved.isWhole) this.send(placed);
     else this.onEnd(AttemptEnd.REFUSED, 'no memory reserved');
   }
 
@@ -226,19 +230,44 @@
   private armFirst({choice}: PlacedAttempt): void {
     const {route} = this;
     const {plan} = choice;
-    this.armSilence(
-      plan
-        ? attemptPatience.forFirstEvent(route, plan.expectedMs)
-        : attemptPatience.forCall(route),
-    );
+    if (plan === undefined) {
+      this.armSilence(attemptPatience.forCall(route));
+      return;
+    }
+    const {expectedMs} = plan;
+    const limitMs = attemptPatience.forFirstEvent(route, expectedMs);
+    const checkMs = attemptPatience.untilCheck(expectedMs);
+    if (checkMs >= limitMs) {
+      this.armSilence(limitMs);
+      return;
+    }
+    this.arm(checkMs, () => {
+      this.armSilence(limitMs - checkMs);
+      void this.checkUpstreams();
+    });
   }
 
   private armSilence(afterMs: number): void {
+    this.arm(afterMs, () => {
+      this.endSilent();
+    });
+  }
+
+  private arm(afterMs: number, act: () => void): void {
     clearTimeout(this.silenceTimer);
     if (!this.life.isRepeatable) return;
-    this.silenceTimer = setTimeout(() => {
-      this.endSilent();
-    }, afterMs);
+    this.silenceTimer = setTimeout(act, afterMs);
+  }
+
+  /** Moves the request early when one of its engines cannot be reached. */
+  private async checkUpstreams(): Promise<void> {
+    const {attempt} = this;
+    const unreached = await this.desk.findUnreached();
+    if (this.isOver || this.attempt !== attempt || this.head) return;
+    for (const engine of unreached) {
+      this.desk.blame(engine, true, AttemptEnd.SILENT, 0);
+    }
+    if (unreached.length > 0) this.endSilent();
   }
 
   /** Moves a silent request once, when there is where to move it. */
--- a/packages/daemon/src/gateway/gateway_host.ts
+++ b/packages/daemon/src/gateway/gateway_host.ts
@@ -31,6 +31,7 @@
 import {SiteKeeper} from './site_keeper.js';
 import type {SiteSource} from './site_source.js';
 import {UpstreamConnections} from './upstream_connections.js';
+import {UpstreamWatch} from './upstream_watch.js';
 
 /** Hosts of one site know each other by their network; the key guards no more. */
 const PEER_KEY = 'parsleywood-gateway';
@@ -52,6 +53,7 @@
   private readonly keeper: SiteKeeper;
   private readonly follower: SiteFollower;
   private readonly fleet: FleetLink;
+  private readonly watch: UpstreamWatch;
   private readonly parts: GatewayParts;
   private readonly server: GatewayServer;
   private readonly directory: DirectoryServer;
@@ -91,6 +93,7 @@
     this.follower = new SiteFollower(source, this.keeper, log, metrics, draw);
     const book = new PlacementBook();
     const health = new UpstreamHealth();
+    this.watch = new UpstreamWatch(health, ledger, clock);
     this.fleet = new FleetLink(
       settings,
       this.transport,
@@ -152,6 +155,7 @@
       return [host, port];
     };
     this.follower.start();
+    this.watch.start();
     await this.peers.listen(settings.peersAddress);
     this.fleet.start();
     await this.probes.listenForReadiness(...at(settings.readinessAddress));
@@ -182,6 +186,7 @@
     }
     this.log.info('host_stopped', {open: this.server.openRequests});
     this.follower.stop();
+    this.watch.stop();
     this.fleet.stop();
     await this.server.close();
     this.parts.connections.close();
--- a/packages/daemon/src/gateway/prompt_reservations.ts
+++ b/packages/daemon/src/gateway/prompt_reservations.ts
@@ -2,6 +2,7 @@
 import type {UpstreamEntry} from '@parsleywood/forwarding';
 import type {EventLog} from '../event_log.js';
 import type {ReservationCalls} from './reservation_calls.js';
+import {ReservationOutcome} from './reservation_outcome.js';
 
 /**
  * Length of a lease: below the 4 s within which memory must be free again after a
@@ -24,6 +25,7 @@
   private readonly holds: readonly Hold[];
   private timer: NodeJS.Timeout | undefined;
   private isReleased = false;
+  private holdsAll = false;
 
   /** @param name Names the attempt among all hosts. */
   constructor(
@@ -43,29 +45,43 @@
     return this.holds.length > 0;
   }
 
+  /** Whether all leases were taken. */
+  get isWhole(): boolean {
+    return this.holdsAll;
+  }
+
   /** The reservation at an engine, if there is one. */
   find(engine: UpstreamEntry): string | undefined {
     return this.holds.find(hold => hold.engine.id === engine.id)?.reservation;
   }
 
-  /** Takes all leases; gives back those taken when one is refused. */
-  async take(): Promise<boolean> {
-    const taken = await Promise.all(this.holds.map(hold => this.reserve(hold)));
-    const isWhole = taken.every(Boolean);
+  /**
+   * Takes all leases; gives back those taken when one is not to be had.
+   *
+   * @return Engines that did not answer.
+   */
+  async take(): Promise<UpstreamEntry[]> {
+    const outcomes = await Promise.all(
+      this.holds.map(hold => this.reserve(hold)),
+    );
+    this.holdsAll = outcomes.every(one => one === ReservationOutcome.HELD);
     this.log.info('memory_reserved', {
       attempt: this.name,
       engines: this.holds.length,
       tokens: this.holds.reduce((sum, {tokens}) => sum + tokens, 0),
-      isWhole,
+      outcomes: outcomes.join(' '),
     });
-    if (!isWhole || this.isReleased) {
-      this.release();
-      return false;
-    }
+    if (!this.holdsAll || this.isReleased) this.release();
+    else this.renewAlways();
+    return this.holds
+      .filter((_hold, at) => outcomes[at] === ReservationOutcome.NO_ANSWER)
+      .map(({engine}) => engine);
+  }
+
+  private renewAlways(): void {
     this.timer = setInterval(() => {
       for (const hold of this.holds) void this.reserve(hold);
     }, RENEW_MS);
-    return true;
   }
 
   /** Gives all leases back; what does not answer ends by itself. */
@@ -75,8 +91,12 @@
     for (const hold of this.holds) void this.giveBack(hold);
   }
 
-  private async reserve({engine, reservation, tokens}: Hold): Promise<boolean> {
-    if (this.isReleased) return false;
+  private async reserve({
+    engine,
+    reservation,
+    tokens,
+  }: Hold): Promise<ReservationOutcome> {
+    if (this.isReleased) return ReservationOutcome.REFUSED;
     return this.calls.reserve(engine, reservation, tokens, LEASE_MS);
   }
 
--- a/packages/daemon/src/gateway/upstream_desk.ts
+++ b/packages/daemon/src/gateway/upstream_desk.ts
@@ -6,6 +6,7 @@
   type UpstreamEntry,
 } from '@parsleywood/forwarding';
 import {attemptPatience} from './attempt_patience.js';
+import {canConnect} from './can_connect.js';
 import type {GatewayParts} from './gateway_parts.js';
 import type {PlacedAttempt} from './placed_attempt.js';
 import type {ReceivedRequest} from './received_request.js';
@@ -19,12 +20,16 @@
   private open: PlacedAttempt | undefined;
   private isWriting = false;
 
-  /** @param service Name of the service that the request goes to. */
+  /**
+   * @param service Name of the service that the request goes to.
+   * @param deadlineMs Monotonic time at which the request ends.
+   */
   constructor(
     private readonly parts: GatewayParts,
     private readonly passage: Passage,
     private readonly request: ReceivedRequest,
     readonly service: string,
+    private readonly deadlineMs: number,
   ) {}
 
   /** Whether any upstream of the service may get work. */
@@ -133,15 +138,27 @@
     }
   }
 
-  private blame(
+  /** Upstreams of the open attempt that take no connections. */
+  async findUnreached(): Promise<UpstreamEntry[]> {
+    if (this.open === undefined) return [];
+    const {upstream, helpers} = this.open.choice;
+    const engines = [upstream, ...helpers];
+    const reached = await Promise.all(
+      engines.map(({address}) => canConnect(address)),
+    );
+    return engines.filter((_engine, at) => !reached[at]);
+  }
+
+  /** Holds a failure against an upstream, here and at the other hosts. */
+  blame(
     {id}: UpstreamEntry,
-    isCertain: boolean,
+    isSilent: boolean,
     end: AttemptEnd,
     status: number,
   ): void {
     const {health, clock, fleet, log} = this.parts;
-    if (!health.takeFailure(id, isCertain, clock.nowMs())) return;
-    fleet.tellFailure(id);
+    if (!health.takeFailure(id, isSilent, clock.nowMs())) return;
+    fleet.tellFailure(id, isSilent);
     log.warn('upstream_avoided', {upstream: id, end, status});
   }
 
@@ -171,7 +188,10 @@
       promptTokens: facts.promptTokens,
       answerTokens: Math.min(facts.answerEstimate || mean, most),
       objectiveMs: route.latencyObjectiveMs - waitedMs,
-      patienceMs: attemptPatience.ofCaller(route) - waitedMs,
+      patienceMs: Math.min(
+        attemptPatience.ofCaller(route) - waitedMs,
+        this.deadlineMs - nowMs,
+      ),
     };
   }
 
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -9,3 +9,4 @@
 export {SourceFaultKind} from './gateway/source_fault_kind.js';
 export {DEFAULT_HEADER_NAMES} from './gateway/default_header_names.js';
 export type {ReservationCalls} from './gateway/reservation_calls.js';
+export {ReservationOutcome} from './gateway/reservation_outcome.js';
--- a/packages/dispatch/src/read_planner.ts
+++ b/packages/dispatch/src/read_planner.ts
@@ -34,7 +34,7 @@
    * Plans a prompt.
    *
    * @param engines Engines that may answer it, with what they are doing.
-   * @return Undefined when no engine has room for it.
+   * @return Undefined when no engine has room for it, or none in time.
    */
   plan(
     demand: PromptDemand,
@@ -50,7 +50,9 @@
       if (option === undefined) continue;
       if (best === undefined || option.cost < best.cost) best = option;
     }
-    return best?.plan;
+    const isHopeless =
+      best !== undefined && best.plan.expectedMs > demand.patienceMs;
+    return isHopeless ? undefined : best?.plan;
   }
 
   private countReaders(
--- a/packages/dispatch/src/upstream_health.ts
+++ b/packages/dispatch/src/upstream_health.ts
@@ -13,6 +13,8 @@
 interface Health {
   failures: number;
   avoidUntilMs: number;
+  /** Whether it did not answer at all the last time. */
+  isUnreached: boolean;
   slowness: number;
 }
 
@@ -24,10 +26,14 @@
 export class UpstreamHealth {
   private readonly known = new Map<string, Health>();
 
-  /** @return Whether the upstream is avoided from now on. */
-  takeFailure(upstream: string, isCertain: boolean, nowMs: number): boolean {
+  /**
+   * @param isSilent Whether it did not answer at all.
+   * @return Whether the upstream is avoided from now on.
+   */
+  takeFailure(upstream: string, isSilent: boolean, nowMs: number): boolean {
     const health = this.find(upstream);
-    health.failures += isCertain ? FAILURES_TO_AVOID : 1;
+    health.failures += isSilent ? FAILURES_TO_AVOID : 1;
+    if (isSilent) health.isUnreached = true;
     if (health.failures < FAILURES_TO_AVOID) return false;
     const doublings = health.failures - FAILURES_TO_AVOID;
     const avoidMs = Math.min(MAX_AVOID_MS, FIRST_AVOID_MS * 2 ** doublings);
@@ -41,6 +47,20 @@
     if (health === undefined) return;
     health.failures = 0;
     health.avoidUntilMs = 0;
+    health.isUnreached = false;
+  }
+
+  /** It takes connections again; its next answers tell the rest. */
+  takeReached(upstream: string): void {
+    const health = this.known.get(upstream);
+    if (health !== undefined) health.isUnreached = false;
+  }
+
+  /** Upstreams that did not answer at all, and were not reached since. */
+  unreached(): string[] {
+    return [...this.known]
+      .filter(([, {isUnreached}]) => isUnreached)
+      .map(([name]) => name);
   }
 
   /** @param ratio Time to the first event against the one expected. */
@@ -68,7 +88,12 @@
   private find(upstream: string): Health {
     const known = this.known.get(upstream);
     if (known !== undefined) return known;
-    const health = {failures: 0, avoidUntilMs: 0, slowness: 1};
+    const health = {
+      failures: 0,
+      avoidUntilMs: 0,
+      isUnreached: false,
+      slowness: 1,
+    };
     this.known.set(upstream, health);
     return health;
   }
