Price engine time by the backlog, read an engine's pace from its events

Change: a millisecond of engine time costs more the further engines are behind, so that the longest prompts are refused first, with the expected time as Retry-After; slowness is the shortest time between a few events against a pass; streams of engines that take connections are moved later.

--- a/packages/daemon/src/gateway/attempt_patience.ts
+++ b/packages/daemon/src/gateway/attempt_patience.ts
@@ -1,13 +1,15 @@
 import type {Route} from '@parsleywood/forwarding';
 
 /** Answers to wait for beyond the expected time, as a factor and a length. */
-const EXPECTED_FACTOR = 1.5;
-const EXPECTED_SLACK_MS = 500;
+const EXPECTED_FACTOR = 2;
+const EXPECTED_SLACK_MS = 700;
 /** The same for the check whether engines can be reached at all. */
 const CHECK_FACTOR = 1.3;
 const CHECK_SLACK_MS = 200;
 /** Part of the time that callers wait which one attempt may use. */
-const PATIENCE_PART = 0.45;
+const PATIENCE_PART = 0.6;
+/** Longest wait that stems from the caller's patience alone. */
+const MAX_PATIENCE_PART_MS = 3_000;
 /** Objectives that a plain call waits before it is sent elsewhere. */
 const CALL_OBJECTIVES = 2;
 /** Pauses, in objectives and in length, after which a stream moves. */
@@ -33,7 +35,10 @@
   forFirstEvent(route: Route, expectedMs: number): number {
     return Math.max(
       EXPECTED_FACTOR * expectedMs + EXPECTED_SLACK_MS,
-      PATIENCE_PART * attemptPatience.ofCaller(route),
+      Math.min(
+        PATIENCE_PART * attemptPatience.ofCaller(route),
+        MAX_PATIENCE_PART_MS,
+      ),
     );
   },
 
--- a/packages/daemon/src/gateway/forward_session.ts
+++ b/packages/daemon/src/gateway/forward_session.ts
@@ -24,8 +24,10 @@
 import {UpstreamDesk} from './upstream_desk.js';
 import {writeAttemptHeaders} from './write_attempt_headers.js';
 
-/** When to come back after a refusal for want of room, in milliseconds. */
+/** Least time to come back after a refusal for want of room. */
 const ROOM_RETRY_MS = 500;
+/** Longest time after which callers are asked to come back. */
+const MAX_RETRY_MS = 3_000;
 /** When to come back after upstreams could not be reached. */
 const UNAVAILABLE_RETRY_MS = 300;
 const LOWEST_RANK = 9;
@@ -142,8 +144,8 @@
 
   private sendAttempt(): void {
     const placed = this.desk.place(this.life.attempts);
-    if (placed === undefined) {
-      this.refuse();
+    if (!('placement' in placed)) {
+      this.refuse(placed.waitMs);
       return;
     }
     this.head = undefined;
@@ -221,7 +223,7 @@
 
   private relay(events: Buffer): void {
     this.armSilence(attemptPatience.forPause(this.route));
-    this.desk.noteFirstEvent();
+    this.desk.noteEvents();
     this.log.noteEvents();
     if (!this.reply.hasStarted && this.head) this.reply.start(this.head);
     this.reply.write(events);
@@ -310,7 +312,8 @@
     );
   }
 
-  private refuse(): void {
+  /** @param waitMs Time until there is room; 0 or below when unknown. */
+  private refuse(waitMs: number): void {
     if (this.life.attempts > 0) {
       this.failAfterAttempts('no other upstream');
       return;
@@ -319,7 +322,11 @@
     const [kind, message] = hasUpstreams
       ? [ErrorKind.OVERLOADED, `no room at ${service}`]
       : [ErrorKind.UPSTREAM_UNAVAILABLE, `no upstream of ${service}`];
-    this.fail(new Failure(kind, message, Ran.NO, ROOM_RETRY_MS));
+    const retryAfterMs = Math.min(
+      Math.max(waitMs, ROOM_RETRY_MS),
+      MAX_RETRY_MS,
+    );
+    this.fail(new Failure(kind, message, Ran.NO, retryAfterMs));
   }
 
   private failAfterAttempts(message: string): void {
--- a/packages/daemon/src/gateway/upstream_desk.ts
+++ b/packages/daemon/src/gateway/upstream_desk.ts
@@ -1,4 +1,9 @@
-import type {PromptDemand, UpstreamChoice} from '@parsleywood/dispatch';
+import {
+  PassMeter,
+  type PromptDemand,
+  type Shortage,
+  type UpstreamChoice,
+} from '@parsleywood/dispatch';
 import {
   AttemptEnd,
   type Passage,
@@ -19,6 +24,7 @@
   private readonly tried = new Set<string>();
   private open: PlacedAttempt | undefined;
   private isWriting = false;
+  private meter = new PassMeter();
 
   /**
    * @param service Name of the service that the request goes to.
@@ -48,14 +54,14 @@
     return this.open;
   }
 
-  /** Chooses and books an attempt; undefined when nothing has room for it. */
-  place(attempt: number): PlacedAttempt | undefined {
+  /** Chooses and books an attempt, or tells when there is room for it. */
+  place(attempt: number): PlacedAttempt | Shortage {
     const {parts, request} = this;
     const nowMs = parts.clock.nowMs();
     const service = this.passage.rules.service(this.service);
     const demand = this.describeDemand(service, nowMs);
     const choice = this.choose(service, demand, nowMs);
-    if (choice === undefined) return undefined;
+    if (!('upstream' in choice)) return choice;
     const {upstream, plan} = choice;
     const {pauseObjectiveMs} = this.passage.route;
     const placement = {
@@ -84,18 +90,24 @@
     return this.open;
   }
 
-  /** The first event of the attempt came. */
-  noteFirstEvent(): void {
+  /** Events of the attempt came. */
+  noteEvents(): void {
     const {open, parts} = this;
-    if (open === undefined || this.isWriting) return;
-    this.isWriting = true;
+    if (open === undefined) return;
     const nowMs = parts.clock.nowMs();
-    const {choice, placement, sentAtMs} = open;
-    parts.book.startWriting(placement.id, nowMs);
-    parts.fleet.tellWriting(placement.id);
-    if (choice.plan === undefined) return;
-    const expectedMs = Math.max(choice.plan.expectedMs, 1);
-    parts.health.takeTime(choice.upstream.id, (nowMs - sentAtMs) / expectedMs);
+    const {choice, placement} = open;
+    if (!this.isWriting) {
+      this.isWriting = true;
+      this.meter = new PassMeter();
+      parts.book.startWriting(placement.id, nowMs);
+      parts.fleet.tellWriting(placement.id);
+    }
+    const passMs = this.meter.takeEvent(nowMs);
+    const service = this.passage.rules.service(this.service);
+    if (passMs === undefined || service?.engine === undefined) return;
+    const {stepMs, stepsPerPass} = service.engine;
+    const ratio = passMs / (stepMs * stepsPerPass);
+    parts.health.takePace(choice.upstream.id, ratio);
   }
 
   /** The attempt is over: its room is free again. */
@@ -166,7 +178,7 @@
     service: Service | undefined,
     demand: PromptDemand,
     nowMs: number,
-  ): UpstreamChoice | undefined {
+  ): UpstreamChoice | Shortage {
     const {chooser, draw} = this.parts;
     const candidates = chooser.candidates(this.usable(), this.tried, nowMs);
     if (service?.engine === undefined) {
--- a/packages/dispatch/src/read_planner.ts
+++ b/packages/dispatch/src/read_planner.ts
@@ -5,6 +5,7 @@
 import type {PromptDemand} from './prompt_demand.js';
 import type {ReadOption} from './read_option.js';
 import type {ReadPlan} from './read_plan.js';
+import type {Shortage} from './shortage.js';
 import {weighRequest} from './weigh_request.js';
 
 /** Most engines that read one prompt: 16 helpers and the answering one. */
@@ -21,6 +22,15 @@
  */
 const FIRST_WRITER_COST = 1_000;
 
+/**
+ * Price of an engine's time, in tokens for a millisecond, for each millisecond
+ * that engines are behind on average. Work grows with the square of a prompt and
+ * worth with its length, so that at a long backlog the longest are refused first.
+ */
+const PRICE_PER_BACKLOG_MS = 0.012;
+/** What a refusal loses: the request may come back once and be served. */
+const REFUSAL_LOSS = 0.9;
+
 /**
  * Chooses the engines that read a prompt by what all requests lose: the one
  * that is placed, those that wait for the same pass, and those whose answers
@@ -34,15 +44,15 @@
    * Plans a prompt.
    *
    * @param engines Engines that may answer it, with what they are doing.
-   * @return Undefined when no engine has room for it, or none in time.
+   * @return The plan, or when room is expected.
    */
   plan(
     demand: PromptDemand,
     engines: readonly EngineForecast[],
-  ): ReadPlan | undefined {
+  ): ReadPlan | Shortage {
     const {slots} = this.model.profile;
     const roomy = engines.filter(({slotsTaken}) => slotsTaken < slots);
-    if (roomy.length === 0) return undefined;
+    if (roomy.length === 0) return {waitMs: 0};
     let best: {plan: ReadPlan; cost: number} | undefined;
     const most = this.countReaders(demand, engines);
     for (let count = 1; count <= most; count++) {
@@ -50,9 +60,24 @@
       if (option === undefined) continue;
       if (best === undefined || option.cost < best.cost) best = option;
     }
-    const isHopeless =
-      best !== undefined && best.plan.expectedMs > demand.patienceMs;
-    return isHopeless ? undefined : best?.plan;
+    if (best === undefined) return {waitMs: 0};
+    const {expectedMs} = best.plan;
+    const weight = weighRequest(demand.promptTokens, demand.answerTokens);
+    const cost = best.cost + this.priceTime(demand, engines);
+    const isHopeless = expectedMs > demand.patienceMs;
+    if (!isHopeless && cost < REFUSAL_LOSS * weight) return best.plan;
+    return {waitMs: expectedMs - demand.objectiveMs};
+  }
+
+  /** What a prompt's time at engines costs while they are behind. */
+  private priceTime(
+    demand: PromptDemand,
+    engines: readonly EngineForecast[],
+  ): number {
+    const behindMs = engines.reduce((sum, {backlogMs}) => sum + backlogMs, 0);
+    const price = (PRICE_PER_BACKLOG_MS * behindMs) / engines.length;
+    const pairs = PassModel.countPairs(demand.promptTokens);
+    return price * this.model.readMs(demand.promptTokens, pairs);
   }
 
   private countReaders(
--- a/packages/dispatch/src/upstream_chooser.ts
+++ b/packages/dispatch/src/upstream_chooser.ts
@@ -6,6 +6,7 @@
 import type {PlacementBook} from './placement_book.js';
 import type {PromptDemand} from './prompt_demand.js';
 import {ReadPlanner} from './read_planner.js';
+import type {Shortage} from './shortage.js';
 import type {UpstreamChoice} from './upstream_choice.js';
 import type {UpstreamHealth} from './upstream_health.js';
 
@@ -35,32 +36,32 @@
     candidates: readonly UpstreamEntry[],
     tieBreak: number,
     nowMs: number,
-  ): UpstreamChoice | undefined {
+  ): UpstreamChoice | Shortage {
     const upstream = pickServiceUpstream(
       candidates,
       this.failureDomain,
       id => this.book.work(id, nowMs).records.length,
       tieBreak,
     );
-    return upstream && {upstream, helpers: []};
+    return upstream ? {upstream, helpers: []} : {waitMs: 0};
   }
 
-  /** Chooses the engines of a prompt; undefined when none has room. */
+  /** Chooses the engines of a prompt, or tells when there is room. */
   chooseEngines(
     candidates: readonly UpstreamEntry[],
     service: Service,
     demand: PromptDemand,
     nowMs: number,
-  ): UpstreamChoice | undefined {
+  ): UpstreamChoice | Shortage {
     const model = this.modelOf(service);
-    if (model === undefined) return undefined;
+    if (model === undefined) return {waitMs: 0};
     const engines = this.forecast(candidates, model, nowMs);
     const plan = new ReadPlanner(model).plan(demand, engines);
-    if (plan === undefined) return undefined;
+    if (!('parts' in plan)) return plan;
     const byId = new Map(candidates.map(entry => [entry.id, entry]));
     const readers = plan.parts.flatMap(part => byId.get(part.upstream) ?? []);
     const [upstream, ...helpers] = readers;
-    return upstream && {upstream, helpers, plan};
+    return upstream ? {upstream, helpers, plan} : {waitMs: 0};
   }
 
   /** What each engine is expected to be doing. */
--- a/packages/dispatch/src/upstream_health.ts
+++ b/packages/dispatch/src/upstream_health.ts
@@ -4,11 +4,11 @@
 const MAX_AVOID_MS = 4_000;
 /** Failures in a row after which an upstream is avoided. */
 const FAILURES_TO_AVOID = 2;
-/** Weight of the newest answer in the mean slowness. */
-const SLOWNESS_WEIGHT = 0.2;
+/** Weight of the newest measurement in the mean slowness. */
+const SLOWNESS_WEIGHT = 0.5;
 /** Bounds of slowness: beyond them the forecast is what is wrong. */
 const MIN_SLOWNESS = 1;
-const MAX_SLOWNESS = 6;
+const MAX_SLOWNESS = 10;
 
 interface Health {
   failures: number;
@@ -63,8 +63,8 @@
       .map(([name]) => name);
   }
 
-  /** @param ratio Time to the first event against the one expected. */
-  takeTime(upstream: string, ratio: number): void {
+  /** @param ratio Time of a pass against the one expected. */
+  takePace(upstream: string, ratio: number): void {
     const health = this.find(upstream);
     const bounded = Math.min(Math.max(ratio, MIN_SLOWNESS), MAX_SLOWNESS);
     health.slowness += SLOWNESS_WEIGHT * (bounded - health.slowness);
