--- a/.ci/test.mjs
+++ b/.ci/test.mjs
@@ -1,20 +1,24 @@
 // Runs all built tests, lets pass only the failures that KNOWN-RED.txt lists,
 // and prints those. An optional argument keeps the tests of one package.
 import {existsSync, readFileSync, readdirSync} from 'node:fs';
-import {join} from 'node:path';
+import {basename, join} from 'node:path';
 import Mocha from 'mocha';
 
 const PACKAGES = 'packages';
+const PLATFORM = 'platform';
 const KNOWN_RED = 'KNOWN-RED.txt';
 const TEST_TIMEOUT_MS = 60_000;
 
 const chosen = process.argv[2];
 const mocha = new Mocha({timeout: TEST_TIMEOUT_MS, reporter: 'dot'});
-for (const name of readdirSync(PACKAGES).sort()) {
-  const dist = join(PACKAGES, name, 'dist');
-  if (!existsSync(dist) || (chosen && chosen !== name)) continue;
+const folders = readdirSync(PACKAGES)
+  .sort()
+  .map(name => join(PACKAGES, name));
+for (const folder of [...folders, PLATFORM]) {
+  const dist = join(folder, 'dist');
+  if (!existsSync(dist) || (chosen && chosen !== basename(folder))) continue;
   for (const file of readdirSync(dist, {recursive: true}).sort()) {
-    const source = join(PACKAGES, name, 'src', file.replace(/\.js$/, '.ts'));
+    const source = join(folder, 'src', file.replace(/\.js$/, '.ts'));
     if (file.endsWith('.test.js') && existsSync(source)) {
       mocha.addFile(join(dist, file));
     }
--- a/packages/daemon/src/gateway/session_log.ts
+++ b/packages/daemon/src/gateway/session_log.ts
@@ -11,7 +11,7 @@
 /** Logs and counts what is decided on one request. */
 export class SessionLog {
   private firstMs: number | undefined;
-  private lastEventMs = 0;
+  private lastEventMs: number | undefined;
   private longestPauseMs = 0;
 
   constructor(
@@ -31,7 +31,7 @@
 
   noteEvents(): void {
     const nowMs = this.parts.clock.nowMs();
-    if (this.lastEventMs > 0) {
+    if (this.lastEventMs !== undefined) {
       const pauseMs = nowMs - this.lastEventMs;
       this.longestPauseMs = Math.max(this.longestPauseMs, pauseMs);
     }
--- a/packages/dispatch/src/pass_meter.ts
+++ b/packages/dispatch/src/pass_meter.ts
@@ -6,13 +6,13 @@
  * read are longer, so the shortest of a few is one that only wrote.
  */
 export class PassMeter {
-  private lastMs = 0;
+  private lastMs: number | undefined;
   private shortestMs = Infinity;
   private gaps = 0;
 
   /** @return Time of a pass, once for every few events. */
   takeEvent(nowMs: number): number | undefined {
-    if (this.lastMs > 0) {
+    if (this.lastMs !== undefined) {
       this.shortestMs = Math.min(this.shortestMs, nowMs - this.lastMs);
       this.gaps++;
     }
--- /dev/null
+++ b/packages/dispatch/src/placement_book.test.ts
@@ -0,0 +1,106 @@
+import {expect} from 'chai';
+import {forecastEngine} from './forecast_engine.js';
+import {PassModel} from './pass_model.js';
+import type {Placement} from './placement.js';
+import {PlacementBook} from './placement_book.js';
+import {ENGINE_PROFILE} from './testing/engine_profile.js';
+
+const MODEL = new PassModel(ENGINE_PROFILE);
+
+function placement(id: string, changes: Partial<Placement> = {}): Placement {
+  return {
+    id,
+    host: 'h1',
+    upstream: 'a',
+    promptTokens: 5_000,
+    answerTokens: 1_000,
+    objectiveMs: 300,
+    pauseObjectiveMs: 250,
+    parts: [part('a', 5_000)],
+    ...changes,
+  };
+}
+
+function part(
+  upstream: string,
+  tokens: number,
+  changes: Partial<Placement['parts'][number]> = {},
+): Placement['parts'][number] {
+  const millionPairs = PassModel.countPairs(tokens);
+  return {
+    upstream,
+    tokens,
+    millionPairs,
+    heldTokens: tokens,
+    passMs: 0,
+    ...changes,
+  };
+}
+
+describe('PlacementBook', () => {
+  let book: PlacementBook;
+
+  beforeEach(() => {
+    book = new PlacementBook();
+  });
+
+  const forecast = (
+    upstream: string,
+    nowMs: number,
+  ): ReturnType<typeof forecastEngine> =>
+    forecastEngine(upstream, book.work(upstream, nowMs), MODEL, 1, nowMs);
+
+  it('counts a prompt as backlog until its first event, then as a writer', () => {
+    book.add(placement('1'), 0);
+    expect(forecast('a', 0).backlogMs).to.be.closeTo(34.5, 1);
+    expect(forecast('a', 10).backlogMs).to.be.closeTo(24.5, 1);
+    book.startWriting('1', 40);
+    const {backlogMs, writers, memoryTaken} = forecast('a', 40);
+    expect([backlogMs, writers.length, memoryTaken]).to.deep.equal([
+      0, 1, 6_000,
+    ]);
+    book.end('1');
+    expect(forecast('a', 50).slotsTaken).to.equal(0);
+    expect(book.size).to.equal(0);
+  });
+
+  it('counts a helper until the prompt is read, and what it holds until the end', () => {
+    const parts = [part('a', 9_000), part('b', 9_000, {heldTokens: 7_000})];
+    book.add(placement('1', {parts}), 0);
+    expect(forecast('b', 0).backlogMs).to.be.greaterThan(50);
+    expect(forecast('b', 0).slotsTaken).to.equal(0);
+    book.startWriting('1', 100);
+    expect(forecast('b', 100).backlogMs).to.equal(0);
+    expect(forecast('b', 100).memoryTaken).to.equal(7_000);
+    book.end('1');
+    expect(forecast('b', 100).memoryTaken).to.equal(0);
+  });
+
+  it('knows which answers have paused already', () => {
+    book.add(placement('1'), 0);
+    book.startWriting('1', 40);
+    book.add(placement('2', {parts: [part('a', 60_000, {passMs: 700})]}), 50);
+    expect(forecast('a', 50).writers[0]?.pauseObjectiveMs).to.equal(Infinity);
+  });
+
+  it('forgets what a host placed that is gone, and what is too old', () => {
+    book.add(placement('1'), 0);
+    book.add(placement('2', {host: 'h2'}), 0);
+    book.dropHost('h1');
+    expect(book.size).to.equal(1);
+    expect(forecast('a', 30_000).slotsTaken).to.equal(0);
+  });
+
+  it('takes news in any order and twice', () => {
+    book.startWriting('1', 0);
+    book.end('1');
+    book.add(placement('1'), 0);
+    book.add(placement('1'), 0);
+    book.startWriting('1', 1);
+    book.startWriting('1', 2);
+    expect(forecast('a', 2).slotsTaken).to.equal(1);
+    book.end('1');
+    book.end('1');
+    expect(book.size).to.equal(0);
+  });
+});
--- /dev/null
+++ b/packages/dispatch/src/upstream_health.test.ts
@@ -0,0 +1,65 @@
+import {expect} from 'chai';
+import {PassMeter} from './pass_meter.js';
+import {UpstreamHealth} from './upstream_health.js';
+
+describe('UpstreamHealth', () => {
+  let health: UpstreamHealth;
+
+  beforeEach(() => {
+    health = new UpstreamHealth();
+  });
+
+  // Load pattern: an upstream fails a part of its requests for some seconds.
+  it('avoids an upstream after two failures in a row, for longer each time', () => {
+    health.takeFailure('a', false, 0);
+    expect(health.isAvoided('a', 0)).to.equal(false);
+    expect(health.takeFailure('a', false, 0)).to.equal(true);
+    expect(health.isAvoided('a', 499)).to.equal(true);
+    expect(health.isAvoided('a', 500)).to.equal(false);
+    health.takeFailure('a', false, 500);
+    expect(health.isAvoided('a', 1_499)).to.equal(true);
+    for (let count = 0; count < 9; count++)
+      health.takeFailure('a', false, 2_000);
+    expect(health.isAvoided('a', 5_999)).to.equal(true);
+    expect(health.isAvoided('a', 6_000)).to.equal(false);
+  });
+
+  it('forgets failures after a whole answer', () => {
+    health.takeFailure('a', false, 0);
+    health.takeSuccess('a');
+    health.takeFailure('a', false, 0);
+    expect(health.isAvoided('a', 0)).to.equal(false);
+  });
+
+  it('avoids a silent upstream at once and lists it until it is reached', () => {
+    expect(health.takeFailure('a', true, 0)).to.equal(true);
+    expect(health.unreached()).to.deep.equal(['a']);
+    health.takeReached('a');
+    expect(health.unreached()).to.deep.equal([]);
+    expect(health.isAvoided('a', 100)).to.equal(true);
+  });
+
+  it('follows the pace of an engine within bounds', () => {
+    for (let count = 0; count < 12; count++) health.takePace('a', 8);
+    expect(health.slowness('a')).to.be.closeTo(8, 0.1);
+    for (let count = 0; count < 12; count++) health.takePace('a', 0.2);
+    expect(health.slowness('a')).to.be.closeTo(1, 0.1);
+  });
+
+  it('forgets upstreams that are no longer listed', () => {
+    health.takeFailure('a', true, 0);
+    health.retain(new Set(['b']));
+    expect(health.isAvoided('a', 0)).to.equal(false);
+    expect(health.unreached()).to.deep.equal([]);
+  });
+});
+
+describe('PassMeter', () => {
+  it('takes the shortest of a few gaps, so that passes that read do not count', () => {
+    const meter = new PassMeter();
+    const times = [0, 45, 300, 346, 391, 600, 646];
+    const readings = times.map(time => meter.takeEvent(time));
+    expect(readings.slice(0, 6).every(one => one === undefined)).to.equal(true);
+    expect(readings[6]).to.equal(45);
+  });
+});
--- /dev/null
+++ b/packages/forwarding/src/pass_gate.test.ts
@@ -0,0 +1,64 @@
+import {ErrorKind} from '@parsleywood/errors';
+import {expect} from 'chai';
+import {passGate} from './pass_gate.js';
+import {RequestKind} from './request_kind.js';
+import type {Route} from './route.js';
+import {SiteRules} from './site_rules.js';
+
+const ROUTE: Route = {
+  name: 'r',
+  host: 'a.example',
+  prefix: '/x/',
+  kind: RequestKind.SAFE,
+  resumable: false,
+  targets: [{service: 's', weight: 1}],
+  maxAttempts: 2,
+  timeoutMs: 1_000,
+  latencyObjectiveMs: 100,
+  priority: 1,
+  allowsAnonymous: false,
+};
+const RULES = new SiteRules({
+  version: 1,
+  routes: [ROUTE, {...ROUTE, prefix: '/open/', allowsAnonymous: true}],
+  services: [],
+  limits: {
+    maxHeaderBytes: 1,
+    maxBodyBytes: 1,
+    headerTimeoutMs: 1,
+    idleTimeoutMs: 1,
+  },
+  accounts: [{name: 'shop', keys: ['k1', 'k2']}],
+});
+
+function refusal(
+  rules: SiteRules | undefined,
+  target: string,
+  key?: string,
+): string {
+  const result = passGate(rules, 'a.example', target, key);
+  return result.isErr ? result.error.kind : 'passed';
+}
+
+describe('passGate', () => {
+  it('finds the account of a key', () => {
+    const result = passGate(RULES, 'a.example', '/x/1', 'k2');
+    expect(result.isOk && result.value.account?.name).to.equal('shop');
+  });
+
+  it('refuses unknown keys and missing ones, but for open routes', () => {
+    expect(refusal(RULES, '/x/1', 'k3')).to.equal(ErrorKind.UNAUTHENTICATED);
+    expect(refusal(RULES, '/x/1')).to.equal(ErrorKind.UNAUTHENTICATED);
+    expect(refusal(RULES, '/open/1')).to.equal('passed');
+  });
+
+  it('refuses a path without a route', () => {
+    expect(refusal(RULES, '/y/', 'k1')).to.equal(ErrorKind.NOT_FOUND);
+  });
+
+  it('asks to come back while no configuration is known', () => {
+    expect(refusal(undefined, '/x/1', 'k1')).to.equal(
+      ErrorKind.HOST_UNAVAILABLE,
+    );
+  });
+});
--- /dev/null
+++ b/packages/forwarding/src/route_table.test.ts
@@ -0,0 +1,50 @@
+import {expect} from 'chai';
+import {RequestKind} from './request_kind.js';
+import type {Route} from './route.js';
+import {RouteTable} from './route_table.js';
+
+function route(host: string, prefix: string): Route {
+  return {
+    name: `${host}${prefix}`,
+    host,
+    prefix,
+    kind: RequestKind.SAFE,
+    resumable: false,
+    targets: [{service: 's', weight: 1}],
+    maxAttempts: 2,
+    timeoutMs: 1_000,
+    latencyObjectiveMs: 100,
+    priority: 1,
+    allowsAnonymous: false,
+  };
+}
+
+describe('RouteTable', () => {
+  const table = new RouteTable([
+    route('a.example', '/'),
+    route('a.example', '/x/'),
+    route('a.example', '/x/y/'),
+    route('b.example', '/x/'),
+  ]);
+
+  const find = (host: string, target: string): string | undefined =>
+    table.find(host, target)?.name;
+
+  it('takes the longest prefix of the host', () => {
+    expect(find('a.example', '/x/y/z')).to.equal('a.example/x/y/');
+    expect(find('a.example', '/x/yy')).to.equal('a.example/x/');
+    expect(find('a.example', '/x')).to.equal('a.example/');
+    expect(find('b.example', '/x/')).to.equal('b.example/x/');
+  });
+
+  it('finds nothing for an unknown host or path', () => {
+    expect(find('c.example', '/x/')).to.equal(undefined);
+    expect(find('b.example', '/y/')).to.equal(undefined);
+    expect(find('b.example', '')).to.equal(undefined);
+  });
+
+  it('ignores case and port of the host, and slashes of the query', () => {
+    expect(find('B.Example:8080', '/x/1?q=/y/')).to.equal('b.example/x/');
+    expect(find('b.example', '/x?q=/x/')).to.equal(undefined);
+  });
+});
--- /dev/null
+++ b/packages/membership/src/peer_roster.test.ts
@@ -0,0 +1,52 @@
+import {expect} from 'chai';
+import type {PeerBeat} from './peer_beat.js';
+import {PeerRoster} from './peer_roster.js';
+import {PeerStage} from './peer_stage.js';
+
+function beat(address: string, changes: Partial<PeerBeat> = {}): PeerBeat {
+  return {
+    peersAddress: address,
+    callersAddress: `${address}/callers`,
+    failureDomain: 'd',
+    incarnation: '1',
+    stage: PeerStage.READY,
+    revision: 1,
+    hearsReceiver: true,
+    knownAddresses: [],
+    ...changes,
+  };
+}
+
+describe('PeerRoster', () => {
+  let roster: PeerRoster;
+
+  beforeEach(() => {
+    roster = new PeerRoster('self', ['self', 'seed']);
+  });
+
+  it('asks the seeds, and all that they know', () => {
+    expect(roster.targets(0)).to.deep.equal(['seed']);
+    roster.take(beat('seed', {knownAddresses: ['self', 'b']}), 0);
+    expect(roster.targets(0)).to.have.members(['seed', 'b']);
+  });
+
+  it('holds a host alive for as long as it is heard', () => {
+    roster.take(beat('b'), 0);
+    expect(roster.alive(1_199)).to.have.length(1);
+    expect(roster.hears('b', 1_199)).to.equal(true);
+    expect(roster.alive(1_200)).to.have.length(0);
+    roster.take(beat('b'), 2_000);
+    expect(roster.alive(2_000)).to.have.length(1);
+  });
+
+  it('tells that another incarnation runs at an address', () => {
+    expect(roster.take(beat('b'), 0)).to.equal(undefined);
+    expect(roster.take(beat('b'), 1)).to.equal(undefined);
+    expect(roster.take(beat('b', {incarnation: '2'}), 2)).to.equal('1');
+  });
+
+  it('gives up an address that is no seed, and never a seed', () => {
+    roster.take(beat('b'), 0);
+    expect(roster.targets(30_001)).to.deep.equal(['seed']);
+  });
+});
