Refuse finally what no set of engines can ever hold

Cause: max_tokens of 10^12 was answered 503 with retryAfterMs, although it can never fit; the same held for token counts at the gateway. Change: prompt and answer together beyond the model's context, and at the gateway beyond the memory of the most engines that read one prompt, are 400 prompt_too_long without a time to come back; an answer estimate is believed up to ten mean answers.

--- a/packages/daemon/src/completion_handler.ts
+++ b/packages/daemon/src/completion_handler.ts
@@ -107,10 +107,12 @@
       model,
       promptBytes,
     );
-    if (tokens > own.contextTokens) {
+    const {maxTokens} = request;
+    // No engines hold more than the model's context, however many read it.
+    if (tokens + maxTokens > own.contextTokens) {
       throw new Failure(
         ErrorKind.PROMPT_TOO_LONG,
-        `the prompt has about ${tokens} tokens; model "${model}" takes ${own.contextTokens}`,
+        `the prompt has about ${tokens} tokens and asks for ${maxTokens}; model "${model}" takes ${own.contextTokens} in all`,
       );
     }
     return tokens;
--- a/packages/daemon/src/gateway/forward_session.ts
+++ b/packages/daemon/src/gateway/forward_session.ts
@@ -314,6 +314,11 @@
 
   /** @param waitMs Time until there is room; 0 or below when unknown. */
   private refuse(waitMs: number): void {
+    if (this.desk.isTooLong) {
+      const message = 'no set of engines holds a prompt of this length';
+      this.fail(new Failure(ErrorKind.PROMPT_TOO_LONG, message));
+      return;
+    }
     if (this.life.attempts > 0) {
       this.failAfterAttempts('no other upstream');
       return;
--- a/packages/daemon/src/gateway/upstream_desk.ts
+++ b/packages/daemon/src/gateway/upstream_desk.ts
@@ -1,4 +1,5 @@
 import {
+  canEverHold,
   PassMeter,
   type PromptDemand,
   type Shortage,
@@ -18,6 +19,8 @@
 
 const SERVER_ERROR_STATUS = 500;
 const MISDIRECTED_STATUS = 421;
+/** Longest answer believed, in mean answers: estimates are often far off. */
+const MAX_ANSWER_MEANS = 10;
 
 /** Chooses the upstreams of one request, and keeps all hosts' books on it. */
 export class UpstreamDesk {
@@ -43,6 +46,13 @@
     return this.usable().length > 0;
   }
 
+  /** Whether the prompt is longer than all engines together can hold. */
+  get isTooLong(): boolean {
+    const engine = this.passage.rules.service(this.service)?.engine;
+    const {promptTokens} = this.request.facts;
+    return engine !== undefined && !canEverHold(engine, promptTokens);
+  }
+
   /** Whether an upstream is left that did not have the request yet. */
   get hasOther(): boolean {
     const current = this.open?.choice.upstream.id;
@@ -198,7 +208,11 @@
     const most = facts.maxAnswerTokens || Infinity;
     return {
       promptTokens: facts.promptTokens,
-      answerTokens: Math.min(facts.answerEstimate || mean, most),
+      answerTokens: Math.min(
+        facts.answerEstimate || mean,
+        most,
+        MAX_ANSWER_MEANS * mean,
+      ),
       objectiveMs: route.latencyObjectiveMs - waitedMs,
       patienceMs: Math.min(
         attemptPatience.ofCaller(route) - waitedMs,
--- a/packages/daemon/src/hostile_input.test.ts
+++ b/packages/daemon/src/hostile_input.test.ts
@@ -80,6 +80,12 @@
       body,
       [400, 'invalid_request'],
     ],
+    [
+      'more answer than any engines hold',
+      [CHAT, KEY],
+      body.replace(/^\{/, '{"max_tokens":1000000000000,'),
+      [400, 'prompt_too_long'],
+    ],
     [
       'an over-long header',
       [CHAT, KEY, `x-long: ${'x'.repeat(20_000)}`],
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -1,9 +1,11 @@
 /** Decides which upstreams get a request, from what all hosts have placed. */
+export {canEverHold} from './can_ever_hold.js';
 export type {EngineForecast} from './engine_forecast.js';
 export type {EngineReader} from './engine_reader.js';
 export type {EngineWriter} from './engine_writer.js';
 export {forecastEngine} from './forecast_engine.js';
 export {lateLoss} from './late_loss.js';
+export {MAX_READERS} from './max_readers.js';
 export {PassMeter} from './pass_meter.js';
 export {PassModel} from './pass_model.js';
 export {pickServiceUpstream} from './pick_service_upstream.js';
--- a/packages/dispatch/src/read_planner.ts
+++ b/packages/dispatch/src/read_planner.ts
@@ -1,6 +1,7 @@
 import type {EngineForecast} from './engine_forecast.js';
 import {holdPrompt} from './hold_prompt.js';
 import {lateLoss} from './late_loss.js';
+import {MAX_READERS} from './max_readers.js';
 import {PassModel} from './pass_model.js';
 import type {PromptDemand} from './prompt_demand.js';
 import type {ReadOption} from './read_option.js';
@@ -8,8 +9,6 @@
 import type {Shortage} from './shortage.js';
 import {weighRequest} from './weigh_request.js';
 
-/** Most engines that read one prompt: 16 helpers and the answering one. */
-const MAX_READERS = 17;
 /** Least part of a prompt that is worth an engine of its own, in tokens. */
 const MIN_PART_TOKENS = 2_048;
 /** What a millisecond until the first event costs, in tokens. */
--- a/packages/dispatch/src/upstream_health.test.ts
+++ b/packages/dispatch/src/upstream_health.test.ts
@@ -18,8 +18,9 @@
     expect(health.isAvoided('a', 500)).to.equal(false);
     health.takeFailure('a', false, 500);
     expect(health.isAvoided('a', 1_499)).to.equal(true);
-    for (let count = 0; count < 9; count++)
+    for (let count = 0; count < 9; count++) {
       health.takeFailure('a', false, 2_000);
+    }
     expect(health.isAvoided('a', 5_999)).to.equal(true);
     expect(health.isAvoided('a', 6_000)).to.equal(false);
   });
