Send a request no more that crashed two engines; reload settings on SIGHUP

The gateway judges streams by target, key and body with the same desk as completions: an engine that takes no connection after a break has crashed under the request; the second crash ends it at all hosts with 422, a whole answer clears it.

--- a/packages/daemon/src/gateway/fleet_link.ts
+++ b/packages/daemon/src/gateway/fleet_link.ts
@@ -4,6 +4,7 @@
   PlacementBook,
   UpstreamHealth,
 } from '@parsleywood/dispatch';
+import type {SuspectNews} from '@parsleywood/requests';
 import type {SiteSnapshot} from '@parsleywood/forwarding';
 import {
   HostStage,
@@ -15,6 +16,7 @@
 import type {Clock} from '../clock.js';
 import type {EventLog} from '../event_log.js';
 import type {PeerTransport} from '../peer_transport.js';
+import type {SuspectDesk} from '../suspect_desk.js';
 import type {FleetNews} from './fleet_news.js';
 import type {SiteKeeper} from './site_keeper.js';
 
@@ -50,6 +52,7 @@
     private readonly snapshot: () => SiteSnapshot,
     private readonly book: PlacementBook,
     private readonly health: UpstreamHealth,
+    private readonly suspects: SuspectDesk,
     private readonly clock: Clock,
     private readonly log: EventLog,
     private readonly readStage: () => PeerStage,
@@ -104,6 +107,21 @@
     this.tell({body: {$case: 'upstreamFailure', value: {upstream, silent}}});
   }
 
+  tellSuspect(news: SuspectNews): void {
+    for (const {peersAddress} of this.alive) {
+      this.transport.send(
+        peersAddress,
+        {body: {$case: 'suspect', value: news}},
+        peersAddress,
+      );
+    }
+  }
+
+  /** Takes the addresses that are asked for others from now on. */
+  setSeeds(seeds: readonly string[]): void {
+    this.roster.setSeeds(seeds);
+  }
+
   /** Tells a changed stage at once. */
   sendBeats(): void {
     const nowMs = this.clock.nowMs();
@@ -124,8 +142,12 @@
 
   takeDelivery(delivery: Delivery): void {
     for (const {body} of delivery.messages) {
-      if (body?.$case !== 'fleet') continue;
-      this.take(delivery.from, delivery.fromIncarnation, body.value);
+      if (body?.$case === 'fleet') {
+        this.take(delivery.from, delivery.fromIncarnation, body.value);
+      } else if (body?.$case === 'suspect') {
+        const {fingerprint, bodyBytes, verdict} = body.value;
+        this.suspects.takeNews(fingerprint, bodyBytes, verdict);
+      }
     }
   }
 
--- a/packages/daemon/src/gateway/forward_session.ts
+++ b/packages/daemon/src/gateway/forward_session.ts
@@ -9,6 +9,9 @@
   type Route,
   type UpstreamEntry,
 } from '@parsleywood/forwarding';
+import {Verdict} from '@parsleywood/requests';
+import {refuseCondemned} from '../refuse_condemned.js';
+import type {SuspectSubject} from '../suspect_subject.js';
 import type {AnswerHead} from './answer_head.js';
 import {attemptPatience} from './attempt_patience.js';
 import type {AttemptWatcher} from './attempt_watcher.js';
@@ -76,7 +79,8 @@
     this.deadlineTimer = setTimeout(() => {
       this.endAtDeadline();
     }, this.leftMs());
-    this.sendAttempt();
+    if (this.judge() === Verdict.CONDEMNED) this.fail(refuseCondemned());
+    else this.sendAttempt();
   }
 
   /** The caller closed the connection. */
@@ -128,6 +132,7 @@
       end === AttemptEnd.ANSWERED && isCut ? AttemptEnd.BROKEN : end;
     const status = actual === AttemptEnd.ANSWERED ? (head?.status ?? 0) : 0;
     this.log.attemptOver(actual, status, detail, this.desk.current);
+    if (actual === AttemptEnd.BROKEN && this.mayCrash()) void this.noteBreak();
     this.desk.judge(actual, head?.status ?? 0, head?.faultyAddress ?? '');
     this.endAttempt();
     const step = this.life.endAttempt(
@@ -142,6 +147,32 @@
     else this.failAfterAttempts(detail || 'upstream refused');
   }
 
+  /** An upstream that takes no connections after a break has crashed. */
+  private async noteBreak(): Promise<void> {
+    const {suspects} = this.parts;
+    const unreached = await this.desk.findUnreached();
+    if (unreached.length === 0) return;
+    const isSecond = this.judge() === Verdict.SUSPECT;
+    suspects.noteCrash(this.subject(), isSecond);
+    this.log.crashed(unreached.map(({id}) => id).join(' '), isSecond);
+  }
+
+  private judge(): Verdict {
+    if (!this.mayCrash()) return Verdict.CLEAR;
+    return this.parts.suspects.judge(this.subject());
+  }
+
+  /** Whether the request can be told from others by its body. */
+  private mayCrash(): boolean {
+    const {kind} = this.route;
+    return kind === RequestKind.STREAM && this.request.body.length > 0;
+  }
+
+  private subject(): SuspectSubject {
+    const {target, key = ''} = this.request.facts;
+    return {model: `${target} ${key}`, body: this.request.body};
+  }
+
   private sendAttempt(): void {
     const placed = this.desk.place(this.life.attempts);
     if (!('placement' in placed)) {
@@ -299,6 +330,9 @@
     if (this.isStreaming()) {
       if (!this.reply.hasStarted) this.reply.start(head);
       this.reply.end();
+      if (this.judge() === Verdict.SUSPECT) {
+        this.parts.suspects.noteSuccess(this.subject());
+      }
     } else if (this.reply.hasStarted) {
       // The status of the first upstream is sent; only a cut shows the failure.
       this.reply.abort();
--- a/packages/daemon/src/gateway/gateway_host.ts
+++ b/packages/daemon/src/gateway/gateway_host.ts
@@ -16,6 +16,7 @@
 import {parseAddress} from '../parse_address.js';
 import {PeerServer} from '../peer_server.js';
 import {PeerTransport} from '../peer_transport.js';
+import {SuspectDesk} from '../suspect_desk.js';
 import {SystemClock} from '../system_clock.js';
 import {DirectoryServer} from './directory_server.js';
 import {FleetCalls} from './fleet_calls.js';
@@ -93,6 +94,9 @@
     this.follower = new SiteFollower(source, this.keeper, log, metrics, draw);
     const book = new PlacementBook();
     const health = new UpstreamHealth();
+    const suspects = new SuspectDesk(clock, news => {
+      this.fleet.tellSuspect(news);
+    });
     this.watch = new UpstreamWatch(health, ledger, clock);
     this.fleet = new FleetLink(
       settings,
@@ -101,6 +105,7 @@
       () => ledger.snapshot(),
       book,
       health,
+      suspects,
       clock,
       log,
       () => this.readStage(),
@@ -118,6 +123,7 @@
       connections: new UpstreamConnections(clock),
       fleet: this.fleet,
       reservations,
+      suspects,
       draw,
     };
     this.server = new GatewayServer(this.parts);
@@ -198,6 +204,14 @@
     ]);
   }
 
+  /** Takes changed settings; addresses stay until the next start. */
+  reload(settings: GatewaySettings): void {
+    this.fleet.setSeeds(settings.seedPeers);
+    this.parts.budgets.setBounds(settings.bounds);
+    const seeds = settings.seedPeers.join(' ');
+    this.log.info('settings_reloaded', {seeds});
+  }
+
   private takeSite(): void {
     const {ledger, parts} = this;
     const ids = new Set(ledger.upstreams.listed().map(({id}) => id));
--- a/packages/daemon/src/gateway/gateway_parts.ts
+++ b/packages/daemon/src/gateway/gateway_parts.ts
@@ -6,6 +6,7 @@
 import type {SiteLedger} from '@parsleywood/forwarding';
 import type {Clock} from '../clock.js';
 import type {EventLog} from '../event_log.js';
+import type {SuspectDesk} from '../suspect_desk.js';
 import type {FleetNews} from './fleet_news.js';
 import type {GatewayMetrics} from './gateway_metrics.js';
 import type {HeaderNames} from './header_names.js';
@@ -27,6 +28,7 @@
   readonly connections: UpstreamConnections;
   readonly fleet: FleetNews;
   readonly reservations: ReservationCalls;
+  readonly suspects: SuspectDesk;
   /** Draws a number between 0 and 1. */
   readonly draw: () => number;
 }
--- a/packages/daemon/src/gateway/retry_budgets.ts
+++ b/packages/daemon/src/gateway/retry_budgets.ts
@@ -8,11 +8,18 @@
 
   /** @param countHosts Number of hosts that share the budgets. */
   constructor(
-    private readonly bounds: GatewaySettings['bounds'],
+    private bounds: GatewaySettings['bounds'],
     private readonly clock: Clock,
     private readonly countHosts: () => number,
   ) {}
 
+  /** Starts the budgets anew when their bounds change. */
+  setBounds(bounds: GatewaySettings['bounds']): void {
+    if (JSON.stringify(bounds) === JSON.stringify(this.bounds)) return;
+    this.bounds = bounds;
+    this.budgets.clear();
+  }
+
   recordRequest(service: string): void {
     this.find(service).recordRequest(this.clock.nowMs());
   }
--- a/packages/daemon/src/gateway/session_log.ts
+++ b/packages/daemon/src/gateway/session_log.ts
@@ -75,6 +75,16 @@
     });
   }
 
+  /** An upstream crashed under the request. */
+  crashed(upstreams: string, isCondemned: boolean): void {
+    const requestId = this.request.facts.id;
+    this.parts.log.warn('upstream_crashed', {
+      requestId,
+      upstreams,
+      isCondemned,
+    });
+  }
+
   over(
     outcome: SessionOutcome | Failure,
     status: number | undefined,
--- a/packages/daemon/src/suspect_desk.ts
+++ b/packages/daemon/src/suspect_desk.ts
@@ -1,7 +1,7 @@
 import {createHash} from 'node:crypto';
 import {Suspects, Verdict, type SuspectNews} from '@parsleywood/requests';
 import type {Clock} from './clock.js';
-import type {CompletionRequest} from './completion_request.js';
+import type {SuspectSubject} from './suspect_subject.js';
 
 const VERDICTS = new Set<string>(Object.values(Verdict));
 
@@ -15,7 +15,7 @@
     private readonly tell: (news: SuspectNews) => void,
   ) {}
 
-  judge({model, body}: CompletionRequest): Verdict {
+  judge({model, body}: SuspectSubject): Verdict {
     return this.suspects.judge(
       body.length,
       () => fingerprint(model, body),
@@ -24,7 +24,7 @@
   }
 
   /** Takes the crash of an engine on which a request ran. */
-  noteCrash({model, body}: CompletionRequest, wasAlone: boolean): void {
+  noteCrash({model, body}: SuspectSubject, wasAlone: boolean): void {
     const news = this.suspects.takeCrash(
       fingerprint(model, body),
       body.length,
@@ -35,7 +35,7 @@
   }
 
   /** Takes the whole answer of a request that ran alone. */
-  noteSuccess({model, body}: CompletionRequest): void {
+  noteSuccess({model, body}: SuspectSubject): void {
     const news = this.suspects.takeSuccess(
       fingerprint(model, body),
       body.length,
--- a/packages/membership/src/peer_roster.ts
+++ b/packages/membership/src/peer_roster.ts
@@ -22,7 +22,7 @@
    */
   constructor(
     private readonly self: string,
-    private readonly seeds: readonly string[],
+    private seeds: readonly string[],
   ) {}
 
   /**
@@ -51,6 +51,11 @@
     return [...all];
   }
 
+  /** Takes other addresses that are always tried. */
+  setSeeds(seeds: readonly string[]): void {
+    this.seeds = seeds;
+  }
+
   hears(address: string, nowMs: number): boolean {
     const peer = this.peers.get(address);
     return peer !== undefined && nowMs - peer.heardAtMs < GONE_AFTER_MS;
