--- a/packages/daemon/src/gateway/forward_session.ts
+++ b/packages/daemon/src/gateway/forward_session.ts
@@ -51,6 +51,7 @@
   private reserved: PromptReservations | undefined;
   private head: AnswerHead | undefined;
   private body: Buffer[] = [];
+  private sentAttempts = 0;
   private isOver = false;
 
   /** @param onOver Told once when the request has its final answer. */
@@ -223,6 +224,7 @@
       parts.names,
       this,
     );
+    this.sentAttempts++;
     this.armFirst(placed);
     this.log.attemptSent(this.life.attempts, placed, this.leftMs());
     this.attempt.start();
@@ -382,8 +384,8 @@
     this.isOver = true;
     clearTimeout(this.deadlineTimer);
     clearTimeout(this.silenceTimer);
-    const {life, cursor, head} = this;
-    this.log.over(outcome, head?.status, life.attempts, cursor.count);
+    const {sentAttempts, cursor, head} = this;
+    this.log.over(outcome, head?.status, sentAttempts, cursor.count);
     this.onOver();
   }
 
--- a/packages/daemon/src/gateway/gateway_host.ts
+++ b/packages/daemon/src/gateway/gateway_host.ts
@@ -118,7 +118,7 @@
       ledger,
       book,
       health,
-      chooser: new UpstreamChooser(failureDomain, book, health),
+      chooser: new UpstreamChooser(settings.host, failureDomain, book, health),
       budgets: new RetryBudgets(bounds, clock, () => this.fleet.countHosts()),
       connections: new UpstreamConnections(clock),
       fleet: this.fleet,
--- /dev/null
+++ b/packages/dispatch/src/upstream_chooser.test.ts
@@ -0,0 +1,74 @@
+import {
+  UpstreamStage,
+  type Service,
+  type UpstreamEntry,
+} from '@parsleywood/forwarding';
+import {expect} from 'chai';
+import {PlacementBook} from './placement_book.js';
+import {ENGINE_PROFILE} from './testing/engine_profile.js';
+import {UpstreamChooser} from './upstream_chooser.js';
+import {UpstreamHealth} from './upstream_health.js';
+
+const SERVICE: Service = {
+  name: 's',
+  healthPath: '/health',
+  maxConnections: 100,
+  engine: ENGINE_PROFILE,
+};
+const DEMAND = {
+  promptTokens: 5_000,
+  answerTokens: 1_300,
+  objectiveMs: 300,
+  patienceMs: 2_000,
+};
+
+function entry(id: string): UpstreamEntry {
+  return {
+    id,
+    service: 's',
+    address: '10.0.0.1:80',
+    failureDomain: 'd',
+    stage: UpstreamStage.READY,
+    slots: 11,
+    startedAtMs: 0,
+  };
+}
+
+const ENGINES = Array.from({length: 14}, (_, at) => entry(`engine-${at}`));
+
+function makeChooser(
+  host: string,
+  health = new UpstreamHealth(),
+): UpstreamChooser {
+  return new UpstreamChooser(host, 'd', new PlacementBook(), health);
+}
+
+describe('UpstreamChooser', () => {
+  // Load pattern: all hosts start at once, and know nothing of each other yet.
+  it('lets hosts that know nothing begin with different engines', () => {
+    const hosts = Array.from({length: 9}, (_, at) => `host-${at}`);
+    const chosen = hosts.map(host => {
+      const chooser = makeChooser(host);
+      const candidates = chooser.candidates(ENGINES, new Set(), 0);
+      const choice = chooser.chooseEngines(candidates, SERVICE, DEMAND, 0);
+      return 'upstream' in choice ? choice.upstream.id : '';
+    });
+    // 11 slots an engine: a third of the hosts may still meet there.
+    const counts = ENGINES.map(
+      ({id}) => chosen.filter(one => one === id).length,
+    );
+    expect(Math.max(...counts)).to.be.at.most(hosts.length / 3);
+  });
+
+  it('leaves out what was tried, and what is avoided while another is left', () => {
+    const health = new UpstreamHealth();
+    const chooser = makeChooser('h', health);
+    const names = (tried: string[]): string[] =>
+      chooser
+        .candidates(ENGINES.slice(0, 3), new Set(tried), 0)
+        .map(({id}) => id);
+    health.takeFailure('engine-0', true, 0);
+    expect(names(['engine-1'])).to.deep.equal(['engine-2']);
+    expect(names(['engine-1', 'engine-2'])).to.deep.equal(['engine-0']);
+  });
+});
--- a/packages/dispatch/src/upstream_chooser.ts
+++ b/packages/dispatch/src/upstream_chooser.ts
@@ -1,4 +1,5 @@
 import type {Service, UpstreamEntry} from '@parsleywood/forwarding';
+import {orderByRendezvous} from '@parsleywood/routing';
 import type {EngineForecast} from './engine_forecast.js';
 import {forecastEngine} from './forecast_engine.js';
 import {PassModel} from './pass_model.js';
@@ -12,9 +13,15 @@
 
 /** Chooses upstreams by what hosts have placed and how upstreams have answered. */
 export class UpstreamChooser {
+  private positions = new Map<string, number>();
   private readonly models = new WeakMap<Service, PassModel>();
 
+  /**
+   * @param host Name of this host: hosts that know nothing of each other yet, as
+   *     after a start of all, begin with different engines.
+   */
   constructor(
+    private readonly host: string,
     private readonly failureDomain: string,
     private readonly book: PlacementBook,
     private readonly health: UpstreamHealth,
@@ -28,7 +35,8 @@
   ): UpstreamEntry[] {
     const fresh = usable.filter(({id}) => !tried.has(id));
     const trusted = fresh.filter(({id}) => !this.health.isAvoided(id, nowMs));
-    return trusted.length > 0 ? trusted : fresh;
+    const chosen = trusted.length > 0 ? trusted : fresh;
+    return this.order(chosen);
   }
 
   /** Chooses the upstream of a plain call. */
@@ -89,4 +97,19 @@
     this.models.set(service, model);
     return model;
   }
+
+  /** Orders upstreams by this host's own preference among equals. */
+  private order(entries: readonly UpstreamEntry[]): UpstreamEntry[] {
+    if (entries.some(({id}) => !this.positions.has(id))) {
+      const names = entries.map(({id}) => id);
+      const known = [...this.positions.keys()];
+      const ordered = orderByRendezvous(this.host, [...known, ...names]);
+      this.positions = new Map(ordered.map((name, at) => [name, at]));
+    }
+    const positionOf = ({id}: UpstreamEntry): number =>
+      this.positions.get(id) ?? 0;
+    return [...entries].sort(
+      (left, right) => positionOf(left) - positionOf(right),
+    );
+  }
 }
