--- /dev/null
+++ b/packages/daemon/src/gateway/find_time_limit.test.ts
@@ -0,0 +1,43 @@
+import {RequestKind, type Route} from '@parsleywood/forwarding';
+import {expect} from 'chai';
+import {findTimeLimit} from './find_time_limit.js';
+import type {RequestFacts} from './request_facts.js';
+
+const ROUTE: Route = {
+  name: 'r',
+  host: 'a.example',
+  prefix: '/',
+  kind: RequestKind.SAFE,
+  resumable: false,
+  targets: [],
+  maxAttempts: 1,
+  timeoutMs: 1_200,
+  latencyObjectiveMs: 100,
+  priority: 1,
+  allowsAnonymous: false,
+};
+const FACTS: RequestFacts = {
+  id: 'r1',
+  method: 'GET',
+  target: '/',
+  host: 'a.example',
+  key: undefined,
+  timeLimitMs: 2_500,
+  promptTokens: 0,
+  maxAnswerTokens: 0,
+  answerEstimate: 0,
+  lastEventId: undefined,
+};
+
+describe('findTimeLimit', () => {
+  it("takes the smaller one of caller's and route's", () => {
+    expect(findTimeLimit(FACTS, ROUTE)).to.equal(1_200);
+    expect(findTimeLimit({...FACTS, timeLimitMs: 900}, ROUTE)).to.equal(900);
+  });
+
+  it('is finite where neither has one, as timers take no infinite time', () => {
+    const facts = {...FACTS, timeLimitMs: undefined};
+    const route = {...ROUTE, timeoutMs: Infinity};
+    expect(findTimeLimit(facts, route)).to.equal(600_000);
+  });
+});
--- a/packages/daemon/src/gateway/forward_session.ts
+++ b/packages/daemon/src/gateway/forward_session.ts
@@ -9,14 +9,14 @@
   type Route,
   type UpstreamEntry,
 } from '@parsleywood/forwarding';
-import {Verdict} from '@parsleywood/requests';
 import {refuseCondemned} from '../refuse_condemned.js';
-import type {SuspectSubject} from '../suspect_subject.js';
 import type {AnswerHead} from './answer_head.js';
 import {attemptPatience} from './attempt_patience.js';
 import type {AttemptWatcher} from './attempt_watcher.js';
 import type {CallerReply} from './caller_reply.js';
+import {CrashJudge} from './crash_judge.js';
 import {drawService} from './draw_service.js';
+import {findTimeLimit} from './find_time_limit.js';
 import type {GatewayParts} from './gateway_parts.js';
 import type {PlacedAttempt} from './placed_attempt.js';
 import {PromptReservations} from './prompt_reservations.js';
@@ -44,6 +44,7 @@
   private readonly cursor: EventCursor;
   private readonly desk: UpstreamDesk;
   private readonly log: SessionLog;
+  private readonly crashes: CrashJudge;
   private readonly deadlineMs: number;
   private deadlineTimer: NodeJS.Timeout | undefined;
   private silenceTimer: NodeJS.Timeout | undefined;
@@ -69,10 +70,10 @@
     this.cursor = new EventCursor(facts.lastEventId);
     const service = drawService(route, parts.draw());
     this.log = new SessionLog(parts, passage, request, service);
-    const limitMs = Math.min(facts.timeLimitMs ?? Infinity, route.timeoutMs);
-    this.deadlineMs = receivedAtMs + limitMs;
+    this.deadlineMs = receivedAtMs + findTimeLimit(facts, route);
     const {deadlineMs} = this;
     this.desk = new UpstreamDesk(parts, passage, request, service, deadlineMs);
+    this.crashes = new CrashJudge(parts, route, request, this.desk, this.log);
   }
 
   start(): void {
@@ -80,7 +81,7 @@
     this.deadlineTimer = setTimeout(() => {
       this.endAtDeadline();
     }, this.leftMs());
-    if (this.judge() === Verdict.CONDEMNED) this.fail(refuseCondemned());
+    if (this.crashes.isCondemned()) this.fail(refuseCondemned());
     else this.sendAttempt();
   }
 
@@ -133,7 +134,7 @@
       end === AttemptEnd.ANSWERED && isCut ? AttemptEnd.BROKEN : end;
     const status = actual === AttemptEnd.ANSWERED ? (head?.status ?? 0) : 0;
     this.log.attemptOver(actual, status, detail, this.desk.current);
-    if (actual === AttemptEnd.BROKEN && this.mayCrash()) void this.noteBreak();
+    if (actual === AttemptEnd.BROKEN) void this.crashes.noteBreak();
     this.desk.judge(actual, head?.status ?? 0, head?.faultyAddress ?? '');
     this.endAttempt();
     const step = this.life.endAttempt(
@@ -148,32 +149,6 @@
     else this.failAfterAttempts(detail || 'upstream refused');
   }
 
-  /** An upstream that takes no connections after a break has crashed. */
-  private async noteBreak(): Promise<void> {
-    const {suspects} = this.parts;
-    const unreached = await this.desk.findUnreached();
-    if (unreached.length === 0) return;
-    const isSecond = this.judge() === Verdict.SUSPECT;
-    suspects.noteCrash(this.subject(), isSecond);
-    this.log.crashed(unreached.map(({id}) => id).join(' '), isSecond);
-  }
-
-  private judge(): Verdict {
-    if (!this.mayCrash()) return Verdict.CLEAR;
-    return this.parts.suspects.judge(this.subject());
-  }
-
-  /** Whether the request can be told from others by its body. */
-  private mayCrash(): boolean {
-    const {kind} = this.route;
-    return kind === RequestKind.STREAM && this.request.body.length > 0;
-  }
-
-  private subject(): SuspectSubject {
-    const {target, key = ''} = this.request.facts;
-    return {model: `${target} ${key}`, body: this.request.body};
-  }
-
   private sendAttempt(): void {
     const placed = this.desk.place(this.life.attempts);
     if (!('placement' in placed)) {
@@ -332,9 +307,7 @@
     if (this.isStreaming()) {
       if (!this.reply.hasStarted) this.reply.start(head);
       this.reply.end();
-      if (this.judge() === Verdict.SUSPECT) {
-        this.parts.suspects.noteSuccess(this.subject());
-      }
+      this.crashes.noteSuccess();
     } else if (this.reply.hasStarted) {
       // The status of the first upstream is sent; only a cut shows the failure.
       this.reply.abort();
--- a/packages/daemon/src/gateway/gateway_server.ts
+++ b/packages/daemon/src/gateway/gateway_server.ts
@@ -8,6 +8,7 @@
 } from '@parsleywood/forwarding';
 import fastify, {type FastifyInstance, type FastifyRequest} from 'fastify';
 import {CallerReply} from './caller_reply.js';
+import {findTimeLimit} from './find_time_limit.js';
 import {ForwardSession} from './forward_session.js';
 import type {GatewayParts} from './gateway_parts.js';
 import {readBody} from './read_body.js';
@@ -120,8 +121,7 @@
       this.refuse(facts, reply, passage);
       return;
     }
-    const {timeoutMs} = passage.route;
-    const limitMs = Math.min(facts.timeLimitMs ?? Infinity, timeoutMs);
+    const limitMs = findTimeLimit(facts, passage.route);
     const body = await readBody(request.raw, this.limits.maxBodyBytes, limitMs);
     if (body.isErr) {
       this.refuse(facts, reply, body.error);
--- a/packages/daemon/src/gateway/write_attempt_headers.ts
+++ b/packages/daemon/src/gateway/write_attempt_headers.ts
@@ -20,7 +20,6 @@
     names.account,
     names.timeLimit,
     names.expectedUpstream,
-    names.expectedVersion,
     names.rank,
     names.helpers,
     names.lastEventId,
