--- a/packages/daemon/src/gateway/default_header_names.ts
+++ b/packages/daemon/src/gateway/default_header_names.ts
@@ -15,5 +15,4 @@
   helpers: 'prompt-helpers',
   notRun: 'not-run',
   faultyUpstream: 'faulty-upstream',
-  upstreamId: 'upstream-id',
 };
--- a/packages/daemon/src/gateway/forward_session.ts
+++ b/packages/daemon/src/gateway/forward_session.ts
@@ -5,7 +5,7 @@
   NextStep,
   RequestKind,
   RequestLife,
-  type Passage,
+  type RouteMatch,
   type Route,
   type UpstreamEntry,
 } from '@parsleywood/forwarding';
@@ -58,21 +58,21 @@
   /** @param onOver Told once when the request has its final answer. */
   constructor(
     private readonly parts: GatewayParts,
-    private readonly passage: Passage,
+    private readonly match: RouteMatch,
     private readonly request: ReceivedRequest,
     private readonly reply: CallerReply,
     private readonly onOver: () => void,
   ) {
-    const {route} = passage;
+    const {route} = match;
     this.route = route;
     this.life = new RequestLife(route);
     const {facts, receivedAtMs} = request;
     this.cursor = new EventCursor(facts.lastEventId);
     const service = drawService(route, parts.draw());
-    this.log = new SessionLog(parts, passage, request, service);
+    this.log = new SessionLog(parts, match, request, service);
     this.deadlineMs = receivedAtMs + findTimeLimit(facts, route);
     const {deadlineMs} = this;
-    this.desk = new UpstreamDesk(parts, passage, request, service, deadlineMs);
+    this.desk = new UpstreamDesk(parts, match, request, service, deadlineMs);
     this.crashes = new CrashJudge(parts, route, request, this.desk, this.log);
   }
 
@@ -206,14 +206,14 @@
   }
 
   private writeHeaders({choice}: PlacedAttempt): string[] {
-    const {request, passage, route} = this;
-    const rank = passage.account?.priority ?? route.priority;
+    const {request, match, route} = this;
+    const rank = match.account?.priority ?? route.priority;
     return writeAttemptHeaders(
       request.headers,
       request.body.length,
       {
         upstreamId: choice.upstream.id,
-        account: passage.account?.name,
+        account: match.account?.name,
         leftMs: this.leftMs(),
         afterEventId: this.cursor.lastId,
         rank: choice.plan && Math.min(LOWEST_RANK, rank),
--- a/packages/daemon/src/gateway/gateway_server.ts
+++ b/packages/daemon/src/gateway/gateway_server.ts
@@ -2,9 +2,9 @@
 import type {Socket} from 'node:net';
 import {ErrorKind, Failure} from '@parsleywood/errors';
 import {
-  passGate,
+  matchRequest,
   type CallerLimits,
-  type Passage,
+  type RouteMatch,
 } from '@parsleywood/forwarding';
 import fastify, {type FastifyInstance, type FastifyRequest} from 'fastify';
 import {CallerReply} from './caller_reply.js';
@@ -116,12 +116,12 @@
     );
     const reply = new CallerReply(response, facts.id, parts.names.requestId);
     if (this.isLeaving) reply.closeAfterwards();
-    const passage = this.checkHead(request.raw, facts);
-    if (passage instanceof Failure) {
-      this.refuse(facts, reply, passage);
+    const match = this.checkHead(request.raw, facts);
+    if (match instanceof Failure) {
+      this.refuse(facts, reply, match);
       return;
     }
-    const limitMs = findTimeLimit(facts, passage.route);
+    const limitMs = findTimeLimit(facts, match.route);
     const body = await readBody(request.raw, this.limits.maxBodyBytes, limitMs);
     if (body.isErr) {
       this.refuse(facts, reply, body.error);
@@ -129,18 +129,18 @@
     }
     const headers = request.raw.rawHeaders;
     const received = {facts, headers, body: body.value, receivedAtMs};
-    this.forward(passage, received, reply, response);
+    this.forward(match, received, reply, response);
   }
 
   private forward(
-    passage: Passage,
+    match: RouteMatch,
     received: ConstructorParameters<typeof ForwardSession>[2],
     reply: CallerReply,
     response: ServerResponse,
   ): void {
     const session = new ForwardSession(
       this.parts,
-      passage,
+      match,
       received,
       reply,
       () => {
@@ -157,7 +157,7 @@
   private checkHead(
     request: IncomingMessage,
     facts: RequestFacts,
-  ): Passage | Failure {
+  ): RouteMatch | Failure {
     if (this.isRefusing) {
       const message = 'this host stops';
       const kind = ErrorKind.HOST_UNAVAILABLE;
@@ -173,8 +173,8 @@
       return new Failure(ErrorKind.HEADERS_TOO_LARGE, message);
     }
     const {host, target, key} = facts;
-    const passage = passGate(this.parts.ledger.rules, host, target, key);
-    return passage.isOk ? passage.value : passage.error;
+    const match = matchRequest(this.parts.ledger.rules, host, target, key);
+    return match.isOk ? match.value : match.error;
   }
 
   private refuse(
--- a/packages/daemon/src/gateway/header_names.ts
+++ b/packages/daemon/src/gateway/header_names.ts
@@ -16,8 +16,6 @@
   readonly lastEventId: string;
   /** Id of the upstream that alone may run the request. */
   readonly expectedUpstream: string;
-  /** Weights' version that alone may run the request. */
-  readonly expectedVersion: string;
   /** Rank at the engine, 0 to 9, 0 first. */
   readonly rank: string;
   /** Engines that read parts of the prompt: IP:port or IP:port/reservation. */
@@ -26,6 +24,4 @@
   readonly notRun: string;
   /** IP:port of the upstream at fault for a refusal. */
   readonly faultyUpstream: string;
-  /** Id of the upstream that answers. */
-  readonly upstreamId: string;
 }
--- a/packages/daemon/src/gateway/session_log.ts
+++ b/packages/daemon/src/gateway/session_log.ts
@@ -1,5 +1,5 @@
 import type {Failure} from '@parsleywood/errors';
-import {AttemptEnd, type Passage} from '@parsleywood/forwarding';
+import {AttemptEnd, type RouteMatch} from '@parsleywood/forwarding';
 import type {GatewayParts} from './gateway_parts.js';
 import type {PlacedAttempt} from './placed_attempt.js';
 import type {ReceivedRequest} from './received_request.js';
@@ -16,7 +16,7 @@
 
   constructor(
     private readonly parts: GatewayParts,
-    private readonly passage: Passage,
+    private readonly match: RouteMatch,
     private readonly request: ReceivedRequest,
     private readonly service: string,
   ) {}
@@ -91,16 +91,16 @@
     attempts: number,
     events: number,
   ): void {
-    const {parts, passage, request, service} = this;
+    const {parts, match, request, service} = this;
     const failure = typeof outcome === 'string' ? undefined : outcome;
     const name = failure?.kind ?? String(outcome);
     parts.metrics.requests.inc({service, outcome: name});
     parts.log.info('request_over', {
       requestId: request.facts.id,
-      route: passage.route.name,
+      route: match.route.name,
       service,
-      account: passage.account?.name,
-      version: passage.rules.configuration.version,
+      account: match.account?.name,
+      version: match.rules.configuration.version,
       outcome: name,
       status,
       ran: failure?.ran,
--- a/packages/daemon/src/gateway/upstream_desk.ts
+++ b/packages/daemon/src/gateway/upstream_desk.ts
@@ -7,7 +7,7 @@
 } from '@parsleywood/dispatch';
 import {
   AttemptEnd,
-  type Passage,
+  type RouteMatch,
   type Service,
   type UpstreamEntry,
 } from '@parsleywood/forwarding';
@@ -35,7 +35,7 @@
    */
   constructor(
     private readonly parts: GatewayParts,
-    private readonly passage: Passage,
+    private readonly match: RouteMatch,
     private readonly request: ReceivedRequest,
     readonly service: string,
     private readonly deadlineMs: number,
@@ -48,7 +48,7 @@
 
   /** Whether the prompt is longer than all engines together can hold. */
   get isTooLong(): boolean {
-    const engine = this.passage.rules.service(this.service)?.engine;
+    const engine = this.match.rules.service(this.service)?.engine;
     const {promptTokens} = this.request.facts;
     return engine !== undefined && !canEverHold(engine, promptTokens);
   }
@@ -68,12 +68,12 @@
   place(attempt: number): PlacedAttempt | Shortage {
     const {parts, request} = this;
     const nowMs = parts.clock.nowMs();
-    const service = this.passage.rules.service(this.service);
+    const service = this.match.rules.service(this.service);
     const demand = this.describeDemand(service, nowMs);
     const choice = this.choose(service, demand, nowMs);
     if (!('upstream' in choice)) return choice;
     const {upstream, plan} = choice;
-    const {pauseObjectiveMs} = this.passage.route;
+    const {pauseObjectiveMs} = this.match.route;
     const placement = {
       id: `${request.facts.id}/${attempt}`,
       host: '',
@@ -113,7 +113,7 @@
       parts.fleet.tellWriting(placement.id);
     }
     const passMs = this.meter.takeEvent(nowMs);
-    const service = this.passage.rules.service(this.service);
+    const service = this.match.rules.service(this.service);
     if (passMs === undefined || service?.engine === undefined) return;
     const {stepMs, stepsPerPass} = service.engine;
     const ratio = passMs / (stepMs * stepsPerPass);
@@ -202,7 +202,7 @@
     nowMs: number,
   ): PromptDemand {
     const {facts, receivedAtMs} = this.request;
-    const {route} = this.passage;
+    const {route} = this.match;
     const waitedMs = nowMs - receivedAtMs;
     const mean = service?.engine?.meanAnswerTokens ?? 0;
     const most = facts.maxAnswerTokens || Infinity;
--- a/packages/forwarding/src/pass_gate.test.ts
+++ b/packages/forwarding/src/match_request.test.ts
@@ -1,6 +1,6 @@
 import {ErrorKind} from '@parsleywood/errors';
 import {expect} from 'chai';
-import {passGate} from './pass_gate.js';
+import {matchRequest} from './match_request.js';
 import {RequestKind} from './request_kind.js';
 import type {Route} from './route.js';
 import {SiteRules} from './site_rules.js';
@@ -36,13 +36,13 @@
   target: string,
   key?: string,
 ): string {
-  const result = passGate(rules, 'a.example', target, key);
+  const result = matchRequest(rules, 'a.example', target, key);
   return result.isErr ? result.error.kind : 'passed';
 }
 
-describe('passGate', () => {
+describe('matchRequest', () => {
   it('finds the account of a key', () => {
-    const result = passGate(RULES, 'a.example', '/x/1', 'k2');
+    const result = matchRequest(RULES, 'a.example', '/x/1', 'k2');
     expect(result.isOk && result.value.account?.name).to.equal('shop');
   });
 
--- a/packages/forwarding/src/pass_gate.ts
+++ b/packages/forwarding/src/match_request.ts
@@ -1,6 +1,6 @@
 import {ErrorKind, Failure} from '@parsleywood/errors';
 import {Result} from 'true-myth';
-import type {Passage} from './passage.js';
+import type {RouteMatch} from './route_match.js';
 import type {SiteRules} from './site_rules.js';
 
 /** When a host that knows no configuration yet may know one. */
@@ -11,12 +11,12 @@
  *
  * @param rules Rules in force; undefined until a configuration is known.
  */
-export function passGate(
+export function matchRequest(
   rules: SiteRules | undefined,
   host: string,
   target: string,
   key: string | undefined,
-): Result<Passage, Failure> {
+): Result<RouteMatch, Failure> {
   if (rules === undefined) {
     const message = 'this host knows no configuration yet';
     return refuse(ErrorKind.HOST_UNAVAILABLE, message, CONFIGURATION_RETRY_MS);
@@ -37,6 +37,6 @@
   kind: ErrorKind,
   message: string,
   retryAfterMs?: number,
-): Result<Passage, Failure> {
+): Result<RouteMatch, Failure> {
   return Result.err(new Failure(kind, message, undefined, retryAfterMs));
 }
--- a/packages/forwarding/src/passage.ts
+++ b/packages/forwarding/src/route_match.ts
@@ -3,7 +3,7 @@
 import type {SiteRules} from './site_rules.js';
 
 /** Route and account of a request, under the rules in force when it came. */
-export interface Passage {
+export interface RouteMatch {
   readonly rules: SiteRules;
   readonly route: Route;
   /** Absent for a request without a key. */
--- a/packages/forwarding/src/site_ledger.ts
+++ b/packages/forwarding/src/site_ledger.ts
@@ -1,14 +1,14 @@
 import type {SiteChange} from './site_change.js';
 import {SiteRules} from './site_rules.js';
 import type {SiteSnapshot} from './site_snapshot.js';
-import {UpstreamRoll} from './upstream_roll.js';
+import {UpstreamRegistry} from './upstream_registry.js';
 
 /**
  * Holds the newest configuration and the list of upstreams. Neither revision nor
  * version goes back, whichever of store and peers is heard first.
  */
 export class SiteLedger {
-  readonly upstreams = new UpstreamRoll();
+  readonly upstreams = new UpstreamRegistry();
   private current: SiteRules | undefined;
   private heldRevision = 0;
 
--- a/packages/forwarding/src/upstream_roll.ts
+++ b/packages/forwarding/src/upstream_registry.ts
@@ -11,7 +11,7 @@
  * The upstreams that may get new work. An entry that lapses while the store is
  * away may belong to a live upstream, so it stays usable for a short time.
  */
-export class UpstreamRoll {
+export class UpstreamRegistry {
   private readonly entries = new Map<string, UpstreamEntry>();
   private readonly lapsed = new Map<
     string,
