--- a/packages/daemon/src/gateway/default_header_names.ts
+++ b/packages/daemon/src/gateway/default_header_names.ts
@@ -10,7 +10,6 @@
   answerEstimate: 'answer-tokens-estimate',
   lastEventId: 'last-event-id',
   expectedUpstream: 'expected-upstream',
-  expectedVersion: 'expected-version',
   rank: 'request-rank',
   helpers: 'prompt-helpers',
   notRun: 'not-run',
