Move a silent stream only where it can go on

Change: attempts, retry budget and room are asked before the attempt is given up; without them the request waits on. Test: a stream of a route with one attempt and a pause of 1 s: cut before, whole after.

--- a/packages/daemon/src/gateway/forward_session.ts
+++ b/packages/daemon/src/gateway/forward_session.ts
@@ -280,13 +280,23 @@
     if (unreached.length > 0) this.endSilent();
   }
 
-  /** Moves a silent request once, when there is where to move it. */
+  /** Moves a silent request once; one that cannot be moved waits on. */
   private endSilent(): void {
-    if (this.isOver || !this.desk.hasOther || this.life.attempts > 0) return;
+    if (this.isOver || !this.mayMove()) return;
     this.attempt?.cancel();
     this.onEnd(AttemptEnd.SILENT, 'upstream silent');
   }
 
+  private mayMove(): boolean {
+    const {desk, life, parts} = this;
+    return (
+      life.attempts === 0 &&
+      life.allowsMove(this.leftMs()) &&
+      parts.budgets.hasRetry(desk.service) &&
+      desk.hasRoomElsewhere
+    );
+  }
+
   private endAtDeadline(): void {
     if (this.isOver) return;
     const ran = this.ran();
--- a/packages/daemon/src/gateway/retry_budgets.ts
+++ b/packages/daemon/src/gateway/retry_budgets.ts
@@ -24,6 +24,10 @@
     this.find(service).recordRequest(this.clock.nowMs());
   }
 
+  hasRetry(service: string): boolean {
+    return this.find(service).hasRetry(this.countHosts(), this.clock.nowMs());
+  }
+
   tryRetry(service: string): boolean {
     return this.find(service).tryRetry(this.countHosts(), this.clock.nowMs());
   }
--- a/packages/daemon/src/gateway/upstream_desk.ts
+++ b/packages/daemon/src/gateway/upstream_desk.ts
@@ -59,6 +59,14 @@
     return this.usable().some(({id}) => id !== current && !this.tried.has(id));
   }
 
+  /** Whether another upstream would take the request now. */
+  get hasRoomElsewhere(): boolean {
+    const nowMs = this.parts.clock.nowMs();
+    const service = this.match.rules.service(this.service);
+    const demand = this.describeDemand(service, nowMs);
+    return 'upstream' in this.choose(service, demand, nowMs);
+  }
+
   /** The attempt that is not over. */
   get current(): PlacedAttempt | undefined {
     return this.open;
--- a/packages/forwarding/src/request_life.ts
+++ b/packages/forwarding/src/request_life.ts
@@ -38,6 +38,12 @@
     return kind === RequestKind.SAFE;
   }
 
+  /** Whether an attempt that is given up now may be followed by another. */
+  allowsMove(leftMs: number): boolean {
+    const isLast = this.maybeRun + 1 >= this.route.maxAttempts;
+    return this.isRepeatable && !isLast && leftMs > MIN_ATTEMPT_MS;
+  }
+
   /**
    * Takes the end of an attempt.
    *
--- a/packages/forwarding/src/shared_retry_budget.ts
+++ b/packages/forwarding/src/shared_retry_budget.ts
@@ -31,15 +31,19 @@
   }
 
   /**
-   * Takes one retry.
+   * Tells whether a retry is left.
    *
    * @param hosts Number of hosts that share the slack, this one included.
-   * @return False when the budget is used up.
    */
-  tryRetry(hosts: number, nowMs: number): boolean {
+  hasRetry(hosts: number, nowMs: number): boolean {
     const own = this.ratio * this.requests.count(nowMs);
     const allowed = USED_PART * (own + this.slack / Math.max(hosts, 1));
-    if (this.retries.count(nowMs) + 1 > allowed) return false;
+    return this.retries.count(nowMs) + 1 <= allowed;
+  }
+
+  /** Takes one retry; false when the budget is used up. */
+  tryRetry(hosts: number, nowMs: number): boolean {
+    if (!this.hasRetry(hosts, nowMs)) return false;
     this.retries.add(nowMs);
     return true;
   }
