--- a/packages/daemon/src/gateway/gateway_host.ts
+++ b/packages/daemon/src/gateway/gateway_host.ts
@@ -14,6 +14,7 @@
 import {HostTimeline} from '../host_timeline.js';
 import {nameIncarnation} from '../name_incarnation.js';
 import {parseAddress} from '../parse_address.js';
+import {pause} from '../pause.js';
 import {PeerServer} from '../peer_server.js';
 import {PeerTransport} from '../peer_transport.js';
 import {SuspectDesk} from '../suspect_desk.js';
@@ -254,7 +255,3 @@
     };
   }
 }
-
-async function pause(ms: number): Promise<void> {
-  await new Promise(resolve => setTimeout(resolve, ms));
-}
--- a/packages/daemon/src/host_process.ts
+++ b/packages/daemon/src/host_process.ts
@@ -24,6 +24,7 @@
 import {OperatorServer} from './operator_server.js';
 import {OrderDesk} from './order_desk.js';
 import {parseAddress} from './parse_address.js';
+import {pause} from './pause.js';
 import {PeerCalls} from './peer_calls.js';
 import {PeerReadiness} from './peer_readiness.js';
 import {PeerServer} from './peer_server.js';
@@ -374,7 +375,3 @@
     );
   }
 }
-
-async function pause(ms: number): Promise<void> {
-  await new Promise(resolve => setTimeout(resolve, ms));
-}
