Sort the daemon's files into folders by whom they speak to

A hundred files stood side by side in packages/daemon/src. They are now in host, callers, upstreams, peers, control, operators and sessions, beside gateway and testing. Files were moved and imports rewritten by a script; no code changed.

Checked: types, linter, formatter, 80 tests of the package.

--- a/packages/daemon/src/caller_drain.ts
+++ b/packages/daemon/src/callers/caller_drain.ts
@@ -1,7 +1,7 @@
 import {setTimeout as pause} from 'node:timers/promises';
 import type {CallerServer} from './caller_server.js';
-import type {OrderDesk} from './order_desk.js';
-import type {Serving} from './serving.js';
+import type {OrderDesk} from '../control/order_desk.js';
+import type {Serving} from '../host/serving.js';
 
 const CHECK_MS = 20;
 const DEFAULT_KEEP_HOSTS_MS = 1_000;
--- a/packages/daemon/src/caller_server.ts
+++ b/packages/daemon/src/callers/caller_server.ts
@@ -5,10 +5,10 @@
 import type {Caller} from './caller.js';
 import {CompletionPath} from './completion_path.js';
 import type {CompletionHandler} from './completion_handler.js';
-import type {HostNaming} from './host_naming.js';
+import type {HostNaming} from '../host/host_naming.js';
 import {OpenExchanges} from './open_exchanges.js';
 import type {ServiceHandler} from './service_handler.js';
-import type {Serving} from './serving.js';
+import type {Serving} from '../host/serving.js';
 import {writeFailure} from './write_failure.js';
 
 /** Largest body that is read at all, in bytes; settings may allow less. */
--- a/packages/daemon/src/completion_handler.ts
+++ b/packages/daemon/src/callers/completion_handler.ts
@@ -9,9 +9,9 @@
 import {parseTimeLimit} from './parse_time_limit.js';
 import {readCompletion} from './read_completion.js';
 import {refuseCondemned} from './refuse_condemned.js';
-import type {Serving} from './serving.js';
+import type {Serving} from '../host/serving.js';
 import {StreamDelivery} from './stream_delivery.js';
-import {throwFailure} from './throw_failure.js';
+import {throwFailure} from '../host/throw_failure.js';
 import {WholeDelivery} from './whole_delivery.js';
 
 /** Takes completion requests of callers. */
--- a/packages/daemon/src/completion_session.ts
+++ b/packages/daemon/src/callers/completion_session.ts
@@ -12,15 +12,15 @@
 } from '@parsleywood/requests';
 import {RouterEventKind, type RoutedRequest} from '@parsleywood/routing';
 import {TimelineEventName, type TimelineFields} from '@parsleywood/timeline';
-import type {AdmissionListener} from './admission_listener.js';
-import type {AttemptListener} from './attempt_listener.js';
+import type {AdmissionListener} from '../control/admission_listener.js';
+import type {AttemptListener} from '../upstreams/attempt_listener.js';
 import type {CompletionRequest} from './completion_request.js';
-import {DecisionRunner} from './decision_runner.js';
+import {DecisionRunner} from '../host/decision_runner.js';
 import type {Delivery} from './delivery.js';
-import type {EnginePick} from './engine_pick.js';
-import type {PickListener} from './pick_listener.js';
-import {PriorityRenewal} from './priority_renewal.js';
-import type {Serving} from './serving.js';
+import type {EnginePick} from '../upstreams/engine_pick.js';
+import type {PickListener} from '../upstreams/pick_listener.js';
+import {PriorityRenewal} from '../upstreams/priority_renewal.js';
+import type {Serving} from '../host/serving.js';
 
 /** Longest silence of an engine before the request moves, in milliseconds. */
 const ENGINE_SILENCE_MS = 5_000;
--- a/packages/daemon/src/service_handler.ts
+++ b/packages/daemon/src/callers/service_handler.ts
@@ -2,12 +2,12 @@
 import {ErrorKind, Failure} from '@parsleywood/errors';
 import type {Caller} from './caller.js';
 import {findCall} from './find_call.js';
-import type {OrderDesk} from './order_desk.js';
+import type {OrderDesk} from '../control/order_desk.js';
 import {parseTimeLimit} from './parse_time_limit.js';
 import type {ServiceCall} from './service_call.js';
 import {ServiceSession} from './service_session.js';
-import type {Serving} from './serving.js';
-import {throwFailure} from './throw_failure.js';
+import type {Serving} from '../host/serving.js';
+import {throwFailure} from '../host/throw_failure.js';
 
 const SERVICE_PATH = /^\/v1\/services\/([^/?]+)(\/[^?]*)?(\?.*)?$/;
 /** Parts that a service could read as another path than the one matched. */
--- a/packages/daemon/src/service_session.test.ts
+++ b/packages/daemon/src/callers/service_session.test.ts
@@ -1,6 +1,6 @@
 import {once} from 'node:events';
 import {expect} from 'chai';
-import {TestSite} from './testing/test_site.js';
+import {TestSite} from '../testing/test_site.js';
 
 const ANSWER_AFTER_MS = 2_000;
 const CLOSE_AFTER_MS = 200;
--- a/packages/daemon/src/service_session.ts
+++ b/packages/daemon/src/callers/service_session.ts
@@ -1,11 +1,11 @@
 import type {ServerResponse} from 'node:http';
 import {ErrorKind, Failure, Ran} from '@parsleywood/errors';
 import {Result} from 'true-myth';
-import type {OrderDesk} from './order_desk.js';
-import {readOutcome} from './read_outcome.js';
-import type {ServiceAnswer} from './service_answer.js';
+import type {OrderDesk} from '../control/order_desk.js';
+import {readOutcome} from '../peers/read_outcome.js';
+import type {ServiceAnswer} from '../upstreams/service_answer.js';
 import type {ServiceCall} from './service_call.js';
-import type {Serving} from './serving.js';
+import type {Serving} from '../host/serving.js';
 import {writeFailure} from './write_failure.js';
 
 const MAX_ATTEMPTS = 3;
--- a/packages/daemon/src/admission_desk.ts
+++ b/packages/daemon/src/control/admission_desk.ts
@@ -10,8 +10,8 @@
 import {ErrorKind, Failure, Ran} from '@parsleywood/errors';
 import type {LimitMessage} from '@parsleywood/schema/limits';
 import type {AdmissionListener} from './admission_listener.js';
-import type {Clock} from './clock.js';
-import {DecisionRunner} from './decision_runner.js';
+import type {Clock} from '../host/clock.js';
+import {DecisionRunner} from '../host/decision_runner.js';
 
 /** Runs admission for the requests of this host. */
 export class AdmissionDesk {
--- a/packages/daemon/src/configuration_control.ts
+++ b/packages/daemon/src/control/configuration_control.ts
@@ -12,11 +12,11 @@
 import type {ConfigurationMessage} from '@parsleywood/schema/configuration';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import type {Result} from 'true-myth';
-import type {Clock} from './clock.js';
+import type {Clock} from '../host/clock.js';
 import type {ConfigurationListener} from './configuration_listener.js';
-import {DecisionRunner} from './decision_runner.js';
-import type {EventLog} from './event_log.js';
-import type {PeerTransport} from './peer_transport.js';
+import {DecisionRunner} from '../host/decision_runner.js';
+import type {EventLog} from '../host/event_log.js';
+import type {PeerTransport} from '../peers/peer_transport.js';
 import type {PlatformClient} from './platform_client.js';
 import type {PublishedValue} from './published_value.js';
 
--- a/packages/daemon/src/control_plane.ts
+++ b/packages/daemon/src/control/control_plane.ts
@@ -14,15 +14,15 @@
 import type {Incarnation} from '@parsleywood/types';
 import type {ConfigurationControl} from './configuration_control.js';
 import type {ConfigurationListener} from './configuration_listener.js';
-import type {HostNaming} from './host_naming.js';
+import type {HostNaming} from '../host/host_naming.js';
 import type {MembershipControl} from './membership_control.js';
 import type {MembershipListener} from './membership_listener.js';
 import type {OrderDesk} from './order_desk.js';
-import type {PeerReadiness} from './peer_readiness.js';
+import type {PeerReadiness} from '../peers/peer_readiness.js';
 import type {PlacementControl} from './placement_control.js';
-import type {Serving} from './serving.js';
-import type {SpreadDesk} from './spread_desk.js';
-import type {UpstreamListener} from './upstream_listener.js';
+import type {Serving} from '../host/serving.js';
+import type {SpreadDesk} from '../upstreams/spread_desk.js';
+import type {UpstreamListener} from '../upstreams/upstream_listener.js';
 
 /** State in which order decisions see a member. */
 const PEER_STATES: Readonly<Record<MemberState, PeerState>> = {
--- a/packages/daemon/src/make_admission.ts
+++ b/packages/daemon/src/control/make_admission.ts
@@ -2,11 +2,11 @@
 import type {Incarnation} from '@parsleywood/types';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {AdmissionDesk} from './admission_desk.js';
-import type {Clock} from './clock.js';
-import {drawSeed} from './draw_seed.js';
-import type {EngineTraffic} from './engine_traffic.js';
-import type {HostNaming} from './host_naming.js';
-import type {PeerTransport} from './peer_transport.js';
+import type {Clock} from '../host/clock.js';
+import {drawSeed} from '../host/draw_seed.js';
+import type {EngineTraffic} from '../upstreams/engine_traffic.js';
+import type {HostNaming} from '../host/host_naming.js';
+import type {PeerTransport} from '../peers/peer_transport.js';
 
 /** Stands in until the first settings; no request is taken before. */
 const UNSET_CLASS = {
--- a/packages/daemon/src/membership_control.ts
+++ b/packages/daemon/src/control/membership_control.ts
@@ -12,11 +12,11 @@
 import type {HostList} from '@parsleywood/schema/host_list';
 import type {MembershipMessage} from '@parsleywood/schema/membership';
 import type {Incarnation} from '@parsleywood/types';
-import type {Clock} from './clock.js';
-import {DecisionRunner} from './decision_runner.js';
-import type {EventLog} from './event_log.js';
+import type {Clock} from '../host/clock.js';
+import {DecisionRunner} from '../host/decision_runner.js';
+import type {EventLog} from '../host/event_log.js';
 import type {MembershipListener} from './membership_listener.js';
-import type {PeerTransport} from './peer_transport.js';
+import type {PeerTransport} from '../peers/peer_transport.js';
 
 /** Runs membership against the peers of the site. */
 export class MembershipControl {
--- a/packages/daemon/src/order_desk.ts
+++ b/packages/daemon/src/control/order_desk.ts
@@ -15,12 +15,12 @@
 import {TimelineEventName, type TimelineFields} from '@parsleywood/timeline';
 import type {Incarnation} from '@parsleywood/types';
 import {Result} from 'true-myth';
-import {DecisionRunner} from './decision_runner.js';
-import {formatOutcome} from './format_outcome.js';
-import type {PeerTransport} from './peer_transport.js';
-import type {ServiceAnswer} from './service_answer.js';
-import type {ServiceCall} from './service_call.js';
-import type {Serving} from './serving.js';
+import {DecisionRunner} from '../host/decision_runner.js';
+import {formatOutcome} from '../peers/format_outcome.js';
+import type {PeerTransport} from '../peers/peer_transport.js';
+import type {ServiceAnswer} from '../upstreams/service_answer.js';
+import type {ServiceCall} from '../callers/service_call.js';
+import type {Serving} from '../host/serving.js';
 
 /** A call that waits for its order's outcome. */
 interface OpenCall {
--- a/packages/daemon/src/placement_control.test.ts
+++ b/packages/daemon/src/control/placement_control.test.ts
@@ -3,12 +3,12 @@
 import type {UpstreamList} from '@parsleywood/schema/upstream_list';
 import {startEngine, type StandIn} from '@parsleywood/stand-ins';
 import {expect} from 'chai';
-import {EventLog} from './event_log.js';
-import {PlacementClient} from './placement_client.js';
+import {EventLog} from '../host/event_log.js';
+import {PlacementClient} from '../upstreams/placement_client.js';
 import {PlacementControl} from './placement_control.js';
-import {SiteView} from './site_view.js';
-import {SystemClock} from './system_clock.js';
-import {UpstreamPools} from './upstream_pools.js';
+import {SiteView} from '../host/site_view.js';
+import {SystemClock} from '../host/system_clock.js';
+import {UpstreamPools} from '../upstreams/upstream_pools.js';
 
 const MODEL = 'demo-llm';
 const LOADS = {loadModelMs: 100, loadAdapterMs: 50};
--- a/packages/daemon/src/placement_control.ts
+++ b/packages/daemon/src/control/placement_control.ts
@@ -9,10 +9,10 @@
 import type {ConfigurationRevision} from '@parsleywood/config';
 import type {Settings} from '@parsleywood/schema/settings';
 import type {UpstreamList} from '@parsleywood/schema/upstream_list';
-import type {Clock} from './clock.js';
-import {DecisionRunner} from './decision_runner.js';
-import type {EventLog} from './event_log.js';
-import type {PlacementClient} from './placement_client.js';
+import type {Clock} from '../host/clock.js';
+import {DecisionRunner} from '../host/decision_runner.js';
+import type {EventLog} from '../host/event_log.js';
+import type {PlacementClient} from '../upstreams/placement_client.js';
 
 /** Runs the placement decisions against the engines of the site. */
 export class PlacementControl {
--- a/packages/daemon/src/platform_client.test.ts
+++ b/packages/daemon/src/control/platform_client.test.ts
@@ -1,6 +1,6 @@
 import {startPlatform, type StandIn} from '@parsleywood/stand-ins';
 import {expect} from 'chai';
-import {HostMetrics} from './host_metrics.js';
+import {HostMetrics} from '../host/host_metrics.js';
 import {PlatformClient} from './platform_client.js';
 
 describe('PlatformClient', () => {
--- a/packages/daemon/src/platform_client.ts
+++ b/packages/daemon/src/control/platform_client.ts
@@ -1,7 +1,7 @@
 import {ErrorKind, Failure, Ran} from '@parsleywood/errors';
 import {Result} from 'true-myth';
 import {Agent, request} from 'undici';
-import type {HostMetrics} from './host_metrics.js';
+import type {HostMetrics} from '../host/host_metrics.js';
 import type {PublishedValue} from './published_value.js';
 
 /** Longest wait for an answer beyond the wait asked for, in milliseconds. */
--- a/packages/daemon/src/gateway/can_connect.ts
+++ b/packages/daemon/src/gateway/can_connect.ts
@@ -1,5 +1,5 @@
 import {connect} from 'node:net';
-import {parseAddress} from '../parse_address.js';
+import {parseAddress} from '../host/parse_address.js';
 
 /** Time for a connection: hosts and upstreams are a few milliseconds apart. */
 const CONNECT_MS = 300;
--- a/packages/daemon/src/gateway/crash_judge.ts
+++ b/packages/daemon/src/gateway/crash_judge.ts
@@ -1,6 +1,6 @@
 import {RequestKind, type Route} from '@parsleywood/forwarding';
 import {Verdict} from '@parsleywood/requests';
-import type {SuspectSubject} from '../suspect_subject.js';
+import type {SuspectSubject} from '../upstreams/suspect_subject.js';
 import type {GatewayParts} from './gateway_parts.js';
 import type {ReceivedRequest} from './received_request.js';
 import type {SessionLog} from './session_log.js';
--- a/packages/daemon/src/gateway/fleet_link.ts
+++ b/packages/daemon/src/gateway/fleet_link.ts
@@ -13,10 +13,10 @@
 } from '@parsleywood/schema/fleet';
 import type {Delivery} from '@parsleywood/schema/peer';
 import type {GatewaySettings} from '@parsleywood/schema/gateway_settings';
-import type {Clock} from '../clock.js';
-import type {EventLog} from '../event_log.js';
-import type {PeerTransport} from '../peer_transport.js';
-import type {SuspectDesk} from '../suspect_desk.js';
+import type {Clock} from '../host/clock.js';
+import type {EventLog} from '../host/event_log.js';
+import type {PeerTransport} from '../peers/peer_transport.js';
+import type {SuspectDesk} from '../upstreams/suspect_desk.js';
 import type {FleetNews} from './fleet_news.js';
 import type {SiteKeeper} from './site_keeper.js';
 
--- a/packages/daemon/src/gateway/forward_session.ts
+++ b/packages/daemon/src/gateway/forward_session.ts
@@ -9,7 +9,7 @@
   type Route,
   type UpstreamEntry,
 } from '@parsleywood/forwarding';
-import {refuseCondemned} from '../refuse_condemned.js';
+import {refuseCondemned} from '../callers/refuse_condemned.js';
 import type {AnswerHead} from './answer_head.js';
 import {attemptPatience} from './attempt_patience.js';
 import type {AttemptWatcher} from './attempt_watcher.js';
--- a/packages/daemon/src/gateway/gateway_metrics.ts
+++ b/packages/daemon/src/gateway/gateway_metrics.ts
@@ -1,5 +1,5 @@
 import {Counter, Gauge, Histogram} from 'prom-client';
-import type {HostMetrics} from '../host_metrics.js';
+import type {HostMetrics} from '../host/host_metrics.js';
 
 const LATENCY_BUCKETS_S = [
   0.005, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 1, 1.5, 2, 4, 8, 15,
--- a/packages/daemon/src/gateway/gateway_parts.ts
+++ b/packages/daemon/src/gateway/gateway_parts.ts
@@ -4,9 +4,9 @@
   UpstreamHealth,
 } from '@parsleywood/dispatch';
 import type {SiteLedger} from '@parsleywood/forwarding';
-import type {Clock} from '../clock.js';
-import type {EventLog} from '../event_log.js';
-import type {SuspectDesk} from '../suspect_desk.js';
+import type {Clock} from '../host/clock.js';
+import type {EventLog} from '../host/event_log.js';
+import type {SuspectDesk} from '../upstreams/suspect_desk.js';
 import type {FleetNews} from './fleet_news.js';
 import type {GatewayMetrics} from './gateway_metrics.js';
 import type {HeaderNames} from './header_names.js';
--- a/packages/daemon/src/gateway/prompt_reservations.ts
+++ b/packages/daemon/src/gateway/prompt_reservations.ts
@@ -1,6 +1,6 @@
 import type {UpstreamChoice} from '@parsleywood/dispatch';
 import type {UpstreamEntry} from '@parsleywood/forwarding';
-import type {EventLog} from '../event_log.js';
+import type {EventLog} from '../host/event_log.js';
 import type {ReservationCalls} from './reservation_calls.js';
 import {ReservationOutcome} from './reservation_outcome.js';
 
--- a/packages/daemon/src/gateway/retry_budgets.ts
+++ b/packages/daemon/src/gateway/retry_budgets.ts
@@ -1,6 +1,6 @@
 import {SharedRetryBudget} from '@parsleywood/forwarding';
 import type {GatewaySettings} from '@parsleywood/schema/gateway_settings';
-import type {Clock} from '../clock.js';
+import type {Clock} from '../host/clock.js';
 
 /** This host's parts of the retry budgets, by service. */
 export class RetryBudgets {
--- a/packages/daemon/src/gateway/site_follower.ts
+++ b/packages/daemon/src/gateway/site_follower.ts
@@ -1,4 +1,4 @@
-import type {EventLog} from '../event_log.js';
+import type {EventLog} from '../host/event_log.js';
 import type {GatewayMetrics} from './gateway_metrics.js';
 import type {SiteKeeper} from './site_keeper.js';
 import type {SiteSource} from './site_source.js';
--- a/packages/daemon/src/gateway/site_keeper.ts
+++ b/packages/daemon/src/gateway/site_keeper.ts
@@ -3,8 +3,8 @@
   SiteLedger,
   SiteSnapshot,
 } from '@parsleywood/forwarding';
-import type {Clock} from '../clock.js';
-import type {EventLog} from '../event_log.js';
+import type {Clock} from '../host/clock.js';
+import type {EventLog} from '../host/event_log.js';
 
 /** How long after a failed call an entry that vanished may have lapsed. */
 const LAPSE_DOUBT_MS = 8_000;
--- a/packages/daemon/src/gateway/upstream_attempt.test.ts
+++ b/packages/daemon/src/gateway/upstream_attempt.test.ts
@@ -2,7 +2,7 @@
 import type {AddressInfo} from 'node:net';
 import {AttemptEnd, UpstreamStage} from '@parsleywood/forwarding';
 import {expect} from 'chai';
-import {SystemClock} from '../system_clock.js';
+import {SystemClock} from '../host/system_clock.js';
 import type {AnswerHead} from './answer_head.js';
 import {DEFAULT_HEADER_NAMES} from './default_header_names.js';
 import {UpstreamAttempt} from './upstream_attempt.js';
--- a/packages/daemon/src/gateway/upstream_connections.ts
+++ b/packages/daemon/src/gateway/upstream_connections.ts
@@ -1,4 +1,4 @@
-import type {Clock} from '../clock.js';
+import type {Clock} from '../host/clock.js';
 import {UpstreamConnection} from './upstream_connection.js';
 
 /** Most idle connections kept for one upstream. */
--- a/packages/daemon/src/gateway/upstream_watch.ts
+++ b/packages/daemon/src/gateway/upstream_watch.ts
@@ -1,6 +1,6 @@
 import type {UpstreamHealth} from '@parsleywood/dispatch';
 import type {SiteLedger} from '@parsleywood/forwarding';
-import type {Clock} from '../clock.js';
+import type {Clock} from '../host/clock.js';
 import {canConnect} from './can_connect.js';
 
 /** Interval of the checks. */
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,5 +1,5 @@
 /** The parts of a host's process that other packages start or speak to. */
-export {EventLog} from './event_log.js';
+export {EventLog} from './host/event_log.js';
 export {GatewayHost} from './gateway/gateway_host.js';
 export type {GatewayDialect} from './gateway/gateway_dialect.js';
 export type {DirectoryDialect} from './gateway/directory_dialect.js';
--- a/packages/daemon/src/host_status_reader.ts
+++ b/packages/daemon/src/operators/host_status_reader.ts
@@ -1,9 +1,9 @@
 import type {HostStatus} from '@parsleywood/schema/host_status';
 import type {StartSettings} from '@parsleywood/schema/start_settings';
-import type {ConfigurationControl} from './configuration_control.js';
-import type {HostState} from './host_state.js';
-import type {MembershipControl} from './membership_control.js';
-import type {Serving} from './serving.js';
+import type {ConfigurationControl} from '../control/configuration_control.js';
+import type {HostState} from '../host/host_state.js';
+import type {MembershipControl} from '../control/membership_control.js';
+import type {Serving} from '../host/serving.js';
 
 /** Reads the status of this host. */
 export class HostStatusReader {
--- a/packages/daemon/src/operator_server.ts
+++ b/packages/daemon/src/operators/operator_server.ts
@@ -1,10 +1,10 @@
 import {ANSWERS, ErrorKind, Failure, formatFailure} from '@parsleywood/errors';
 import fastify, {type FastifyInstance} from 'fastify';
-import type {ConfigurationControl} from './configuration_control.js';
-import type {Serving} from './serving.js';
+import type {ConfigurationControl} from '../control/configuration_control.js';
+import type {Serving} from '../host/serving.js';
 import type {SiteReader} from './site_reader.js';
-import type {SocketMeter} from './socket_meter.js';
-import {TrafficDirection} from './traffic_direction.js';
+import type {SocketMeter} from '../host/socket_meter.js';
+import {TrafficDirection} from '../host/traffic_direction.js';
 
 const DEFAULT_TIMELINE_EVENTS = 1_000;
 const MS_PER_SECOND = 1_000;
--- a/packages/daemon/src/site_reader.ts
+++ b/packages/daemon/src/operators/site_reader.ts
@@ -7,8 +7,8 @@
   type TimelineEntry,
 } from '@parsleywood/timeline';
 import type {HostStatusReader} from './host_status_reader.js';
-import type {PeerTransport} from './peer_transport.js';
-import type {Serving} from './serving.js';
+import type {PeerTransport} from '../peers/peer_transport.js';
+import type {Serving} from '../host/serving.js';
 
 /** Reads over all hosts of the site, as seen from this one. */
 export class SiteReader {
--- a/packages/daemon/src/count_peer_messages.ts
+++ b/packages/daemon/src/peers/count_peer_messages.ts
@@ -1,6 +1,6 @@
 import {PeerMessage} from '@parsleywood/schema/peer';
-import type {HostMetrics} from './host_metrics.js';
-import type {TrafficDirection} from './traffic_direction.js';
+import type {HostMetrics} from '../host/host_metrics.js';
+import type {TrafficDirection} from '../host/traffic_direction.js';
 
 /** Counts messages and their encoded bytes by kind. */
 export function countPeerMessages(
--- a/packages/daemon/src/format_outcome.ts
+++ b/packages/daemon/src/peers/format_outcome.ts
@@ -1,7 +1,7 @@
 import {Ran, type Failure} from '@parsleywood/errors';
 import type {OrderOutcome} from '@parsleywood/schema/peer';
 import type {Result} from 'true-myth';
-import type {ServiceAnswer} from './service_answer.js';
+import type {ServiceAnswer} from '../upstreams/service_answer.js';
 
 /** Formats the end of an order for peers. */
 export function formatOutcome(
--- a/packages/daemon/src/peer_calls.ts
+++ b/packages/daemon/src/peers/peer_calls.ts
@@ -4,12 +4,12 @@
 import type {Delivery, OrderCall, OrderOutcome} from '@parsleywood/schema/peer';
 import type {TimelinePage, TimelineQuery} from '@parsleywood/schema/timeline';
 import {countPeerMessages} from './count_peer_messages.js';
-import type {ControlPlane} from './control_plane.js';
-import type {HostStatusReader} from './host_status_reader.js';
-import type {OrderDesk} from './order_desk.js';
+import type {ControlPlane} from '../control/control_plane.js';
+import type {HostStatusReader} from '../operators/host_status_reader.js';
+import type {OrderDesk} from '../control/order_desk.js';
 import type {PeerListener} from './peer_listener.js';
-import type {Serving} from './serving.js';
-import {TrafficDirection} from './traffic_direction.js';
+import type {Serving} from '../host/serving.js';
+import {TrafficDirection} from '../host/traffic_direction.js';
 
 const RETRY_AFTER_MS = 500;
 
--- a/packages/daemon/src/peer_readiness.ts
+++ b/packages/daemon/src/peers/peer_readiness.ts
@@ -1,7 +1,7 @@
 import type {HostStatus} from '@parsleywood/schema/host_status';
 import {MemberState} from '@parsleywood/membership';
 import type {Incarnation} from '@parsleywood/types';
-import {HostState} from './host_state.js';
+import {HostState} from '../host/host_state.js';
 import type {PeerTransport} from './peer_transport.js';
 
 const ASK_INTERVAL_MS = 100;
--- a/packages/daemon/src/peer_transport.ts
+++ b/packages/daemon/src/peers/peer_transport.ts
@@ -10,11 +10,11 @@
 import type {Incarnation} from '@parsleywood/types';
 import {Result} from 'true-myth';
 import {countPeerMessages} from './count_peer_messages.js';
-import type {HostMetrics} from './host_metrics.js';
-import type {HostTimeline} from './host_timeline.js';
+import type {HostMetrics} from '../host/host_metrics.js';
+import type {HostTimeline} from '../host/host_timeline.js';
 import {PEER_KEY_METADATA} from './peer_key_metadata.js';
 import {PeerStream} from './peer_stream.js';
-import {TrafficDirection} from './traffic_direction.js';
+import {TrafficDirection} from '../host/traffic_direction.js';
 
 const QUERY_TIMEOUT_MS = 2_000;
 const MAX_MESSAGE_BYTES = 24 * 1024 * 1024;
--- a/packages/daemon/src/read_outcome.ts
+++ b/packages/daemon/src/peers/read_outcome.ts
@@ -1,7 +1,7 @@
 import {ErrorKind, Failure, Ran} from '@parsleywood/errors';
 import type {OrderOutcome} from '@parsleywood/schema/peer';
 import {Result} from 'true-myth';
-import type {ServiceAnswer} from './service_answer.js';
+import type {ServiceAnswer} from '../upstreams/service_answer.js';
 
 const KINDS = new Set<string>(Object.values(ErrorKind));
 
--- a/packages/daemon/src/client_library.test.ts
+++ b/packages/daemon/src/sessions/client_library.test.ts
@@ -1,6 +1,6 @@
 import {expect} from 'chai';
 import OpenAI from 'openai';
-import {TestSite} from './testing/test_site.js';
+import {TestSite} from '../testing/test_site.js';
 
 describe('an unmodified client library', () => {
   let site: TestSite;
--- a/packages/daemon/src/crashing_request.test.ts
+++ b/packages/daemon/src/sessions/crashing_request.test.ts
@@ -1,5 +1,5 @@
 import {expect} from 'chai';
-import {TestSite} from './testing/test_site.js';
+import {TestSite} from '../testing/test_site.js';
 
 const HOSTS = 3;
 const ENGINES = 4;
--- a/packages/daemon/src/engine_faults.test.ts
+++ b/packages/daemon/src/sessions/engine_faults.test.ts
@@ -1,8 +1,8 @@
 import {setTimeout as pause} from 'node:timers/promises';
 import {expectedAnswer} from '@parsleywood/stand-ins';
 import {expect} from 'chai';
-import {readStream} from './testing/read_stream.js';
-import {TestSite} from './testing/test_site.js';
+import {readStream} from '../testing/read_stream.js';
+import {TestSite} from '../testing/test_site.js';
 
 const TOKENS = 200;
 const LIMIT_MS = 800;
--- a/packages/daemon/src/engine_memory.test.ts
+++ b/packages/daemon/src/sessions/engine_memory.test.ts
@@ -2,7 +2,7 @@
 import type {ChildProcess} from 'node:child_process';
 import {setTimeout as pause} from 'node:timers/promises';
 import {expect} from 'chai';
-import {TestSite} from './testing/test_site.js';
+import {TestSite} from '../testing/test_site.js';
 
 const STREAMS = 4;
 const TOKENS = 20_000;
--- a/packages/daemon/src/graceful_stop.test.ts
+++ b/packages/daemon/src/sessions/graceful_stop.test.ts
@@ -1,9 +1,9 @@
 import {setTimeout as pause} from 'node:timers/promises';
 import {expectedAnswer} from '@parsleywood/stand-ins';
 import {expect} from 'chai';
-import {readStream} from './testing/read_stream.js';
-import {TestCaller} from './testing/test_caller.js';
-import {TestSite} from './testing/test_site.js';
+import {readStream} from '../testing/read_stream.js';
+import {TestCaller} from '../testing/test_caller.js';
+import {TestSite} from '../testing/test_site.js';
 
 const HOSTS = 3;
 const CALLERS_OF_A_KIND = 2;
--- a/packages/daemon/src/hostile_input.test.ts
+++ b/packages/daemon/src/sessions/hostile_input.test.ts
@@ -1,7 +1,7 @@
 import {once} from 'node:events';
 import {connect} from 'node:net';
 import {expect} from 'chai';
-import {TestSite} from './testing/test_site.js';
+import {TestSite} from '../testing/test_site.js';
 
 const KEY = 'authorization: Bearer test-key-one';
 const JSON_TYPE = 'content-type: application/json';
--- a/packages/daemon/src/session.test.ts
+++ b/packages/daemon/src/sessions/session.test.ts
@@ -1,8 +1,8 @@
 import {readFileSync, writeFileSync} from 'node:fs';
 import {expect} from 'chai';
-import {TestSite} from './testing/test_site.js';
+import {TestSite} from '../testing/test_site.js';
 
-const GOLDEN = new URL('../golden/session.json', import.meta.url);
+const GOLDEN = new URL('../../golden/session.json', import.meta.url);
 const AUTHORIZATION = {authorization: 'Bearer test-key-one'};
 
 /** One request and its answer, without what differs from run to run. */
--- a/packages/daemon/src/engine_picker.ts
+++ b/packages/daemon/src/upstreams/engine_picker.ts
@@ -7,7 +7,7 @@
 import {Verdict} from '@parsleywood/requests';
 import type {EngineTraffic} from './engine_traffic.js';
 import type {PickListener} from './pick_listener.js';
-import {refuseCondemned} from './refuse_condemned.js';
+import {refuseCondemned} from '../callers/refuse_condemned.js';
 import type {SoloDesk} from './solo_desk.js';
 import type {SpreadDesk} from './spread_desk.js';
 
--- a/packages/daemon/src/engine_traffic.ts
+++ b/packages/daemon/src/upstreams/engine_traffic.ts
@@ -13,8 +13,8 @@
 import type {LengthClassSettings, Settings} from '@parsleywood/schema/settings';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import type {RandomGenerator} from 'pure-rand/types/RandomGenerator';
-import type {Clock} from './clock.js';
-import type {SiteView} from './site_view.js';
+import type {Clock} from '../host/clock.js';
+import type {SiteView} from '../host/site_view.js';
 
 /** Chooses engines for requests, by the router, and keeps it informed. */
 export class EngineTraffic {
--- a/packages/daemon/src/load_feed.ts
+++ b/packages/daemon/src/upstreams/load_feed.ts
@@ -1,10 +1,10 @@
 import type {ListedUpstream} from '@parsleywood/schema/upstream_list';
 import {RouterEventKind} from '@parsleywood/routing';
-import type {Clock} from './clock.js';
+import type {Clock} from '../host/clock.js';
 import type {EngineReport} from './engine_report.js';
 import type {EngineTraffic} from './engine_traffic.js';
-import type {HostMetrics} from './host_metrics.js';
-import type {SiteView} from './site_view.js';
+import type {HostMetrics} from '../host/host_metrics.js';
+import type {SiteView} from '../host/site_view.js';
 import type {UpstreamPools} from './upstream_pools.js';
 
 const POLL_INTERVAL_MS = 500;
--- a/packages/daemon/src/placement_client.ts
+++ b/packages/daemon/src/upstreams/placement_client.ts
@@ -1,6 +1,6 @@
 import type {EngineContent, EngineOrder} from '@parsleywood/placement';
 import type {Dispatcher} from 'undici';
-import type {SiteView} from './site_view.js';
+import type {SiteView} from '../host/site_view.js';
 import type {UpstreamPools} from './upstream_pools.js';
 
 const PATH = '/v1/orders';
--- a/packages/daemon/src/reservation_client.ts
+++ b/packages/daemon/src/upstreams/reservation_client.ts
@@ -1,4 +1,4 @@
-import type {SiteView} from './site_view.js';
+import type {SiteView} from '../host/site_view.js';
 import type {UpstreamPools} from './upstream_pools.js';
 
 const TIMEOUT_MS = 1_000;
--- a/packages/daemon/src/service_client.ts
+++ b/packages/daemon/src/upstreams/service_client.ts
@@ -1,7 +1,7 @@
 import {ErrorKind, Failure, Ran} from '@parsleywood/errors';
 import {Result} from 'true-myth';
 import type {ServiceAnswer} from './service_answer.js';
-import type {ServiceCall} from './service_call.js';
+import type {ServiceCall} from '../callers/service_call.js';
 import type {UpstreamPools} from './upstream_pools.js';
 
 const NOT_SENT = new Set([
--- a/packages/daemon/src/spread_desk.ts
+++ b/packages/daemon/src/upstreams/spread_desk.ts
@@ -8,8 +8,8 @@
   type SpreadEvent,
 } from '@parsleywood/routing';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
-import type {Clock} from './clock.js';
-import {DecisionRunner} from './decision_runner.js';
+import type {Clock} from '../host/clock.js';
+import {DecisionRunner} from '../host/decision_runner.js';
 import type {PickListener} from './pick_listener.js';
 import type {ReservationClient} from './reservation_client.js';
 
--- a/packages/daemon/src/suspect_desk.ts
+++ b/packages/daemon/src/upstreams/suspect_desk.ts
@@ -1,6 +1,6 @@
 import {createHash} from 'node:crypto';
 import {Suspects, Verdict, type SuspectNews} from '@parsleywood/requests';
-import type {Clock} from './clock.js';
+import type {Clock} from '../host/clock.js';
 import type {SuspectSubject} from './suspect_subject.js';
 
 const VERDICTS = new Set<string>(Object.values(Verdict));
--- a/packages/daemon/src/upstream_control.ts
+++ b/packages/daemon/src/upstreams/upstream_control.ts
@@ -4,11 +4,11 @@
   UpstreamState,
 } from '@parsleywood/membership';
 import type {UpstreamList} from '@parsleywood/schema/upstream_list';
-import type {Clock} from './clock.js';
-import type {EventLog} from './event_log.js';
+import type {Clock} from '../host/clock.js';
+import type {EventLog} from '../host/event_log.js';
 import {ProbeOutcome} from './probe_outcome.js';
-import type {SiteView} from './site_view.js';
-import {Timer} from './timer.js';
+import type {SiteView} from '../host/site_view.js';
+import {Timer} from '../host/timer.js';
 import type {UpstreamListener} from './upstream_listener.js';
 import type {UpstreamPools} from './upstream_pools.js';
 
