Test the log's bounds and reservations, bound plain answers, fill the time line

- LogSink takes its output and clock, and is tested with readers that take nothing, a part, nothing for now, or have left.
- PromptReservations and the platform's OrderClient have tests of their own: partial grants, no answer, a release that is lost, a reused address.
- A plain answer is kept whole before it is passed on, so that a truncated one can be repeated; beyond 16 MiB the attempt counts as broken.
The new test first saw the host take all 64 MiB.
- Gateways record requests, attempts, hosts and configurations in the time line and serve the time line of all hosts at /v1/timeline of the metrics address.
One function gathers it for both kinds of host.
- host_ready tells when a host could first answer.
- Fields that were decoded and read by nothing are gone: health path, most connections, report lag, start of a server.
- Session tests of the platform are two files with one site stand-in.

Checked: types, linter, 28 tests of the platform and 5 of each new file.

--- a/packages/daemon/src/gateway/fleet_link.ts
+++ b/packages/daemon/src/gateway/fleet_link.ts
@@ -5,6 +5,7 @@
   UpstreamHealth,
 } from '@parsleywood/dispatch';
 import type {SuspectNews} from '@parsleywood/requests';
+import {TimelineEventName} from '@parsleywood/timeline';
 import type {SiteSnapshot} from '@parsleywood/forwarding';
 import {
   HostStage,
@@ -15,6 +16,7 @@
 import type {GatewaySettings} from '@parsleywood/schema/gateway_settings';
 import type {Clock} from '../host/clock.js';
 import type {EventLog} from '../host/event_log.js';
+import type {HostTimeline} from '../host/host_timeline.js';
 import type {PeerTransport} from '../peers/peer_transport.js';
 import type {SuspectDesk} from '../upstreams/suspect_desk.js';
 import type {FleetNews} from './fleet_news.js';
@@ -55,6 +57,7 @@
     private readonly suspects: SuspectDesk,
     private readonly clock: Clock,
     private readonly log: EventLog,
+    private readonly timeline: HostTimeline,
     private readonly readStage: () => PeerStage,
   ) {
     this.roster = new PeerRoster(settings.peersAddress, settings.seedPeers);
@@ -76,6 +79,11 @@
     return this.alive.length + 1;
   }
 
+  /** IP:port for peers of the other hosts that are heard. */
+  listPeers(): string[] {
+    return this.alive.map(({peersAddress}) => peersAddress);
+  }
+
   /** IP:port for callers of the other hosts that are ready. */
   listReady(): string[] {
     return this.roster
@@ -203,17 +211,24 @@
     const after = new Set(alive.map(({peersAddress}) => peersAddress));
     for (const {peersAddress} of alive) {
       if (!before.has(peersAddress)) {
-        this.log.info('peer_heard', {peer: peersAddress});
+        this.notePeer(peersAddress, true);
       }
     }
     for (const {peersAddress} of this.alive) {
       if (!after.has(peersAddress)) {
-        this.log.warn('peer_lost', {peer: peersAddress});
+        this.notePeer(peersAddress, false);
       }
     }
     this.alive = alive;
   }
 
+  private notePeer(peer: string, isHeard: boolean): void {
+    if (isHeard) this.log.info('peer_heard', {peer});
+    else this.log.warn('peer_lost', {peer});
+    const state = isHeard ? 'heard' : 'lost';
+    this.timeline.record(TimelineEventName.MEMBER_CHANGED, '', {peer, state});
+  }
+
   /** A host that does not hear this one may hold a connection that is dead. */
   private reconnect(address: string, nowMs: number): void {
     if (nowMs - (this.resetAtMs.get(address) ?? -Infinity) < RESET_MS) return;
--- a/packages/daemon/src/gateway/forward_session.ts
+++ b/packages/daemon/src/gateway/forward_session.ts
@@ -33,6 +33,8 @@
 const MAX_RETRY_MS = 3_000;
 /** When to come back after upstreams could not be reached. */
 const UNAVAILABLE_RETRY_MS = 300;
+/** Longest plain answer, in bytes: it is checked whole before it is passed on. */
+const MAX_ANSWER_BYTES = 16_777_216;
 const LOWEST_RANK = 9;
 const SERVER_ERROR_STATUS = 500;
 const OK_STATUS = 200;
@@ -52,6 +54,7 @@
   private reserved: PromptReservations | undefined;
   private head: AnswerHead | undefined;
   private body: Buffer[] = [];
+  private bodyBytes = 0;
   private sentAttempts = 0;
   private isOver = false;
 
@@ -114,7 +117,7 @@
 
   onData(chunk: Buffer): void {
     if (!this.isStreaming()) {
-      this.body.push(chunk);
+      this.keep(chunk);
       return;
     }
     const events = this.cursor.take(chunk);
@@ -149,6 +152,18 @@
     else this.failAfterAttempts(detail || 'upstream refused');
   }
 
+  /** Keeps a part of a plain answer until the answer is whole. */
+  private keep(chunk: Buffer): void {
+    this.body.push(chunk);
+    this.bodyBytes += chunk.length;
+    if (this.bodyBytes <= MAX_ANSWER_BYTES) return;
+    this.attempt?.cancel();
+    this.onEnd(
+      AttemptEnd.BROKEN,
+      `answer longer than ${MAX_ANSWER_BYTES} bytes`,
+    );
+  }
+
   private sendAttempt(): void {
     const placed = this.desk.place(this.life.attempts);
     if (!('placement' in placed)) {
@@ -157,6 +172,7 @@
     }
     this.head = undefined;
     this.body = [];
+    this.bodyBytes = 0;
     this.cursor.dropPart();
     const {parts} = this;
     const reserved = new PromptReservations(
--- a/packages/daemon/src/gateway/gateway_host.ts
+++ b/packages/daemon/src/gateway/gateway_host.ts
@@ -5,6 +5,7 @@
 } from '@parsleywood/dispatch';
 import {SiteLedger} from '@parsleywood/forwarding';
 import {PeerStage} from '@parsleywood/membership';
+import {TimelineEventName} from '@parsleywood/timeline';
 import type {GatewaySettings} from '@parsleywood/schema/gateway_settings';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
@@ -15,6 +16,7 @@
 import {nameIncarnation} from '../host/name_incarnation.js';
 import {parseAddress} from '../host/parse_address.js';
 import {pause} from '../host/pause.js';
+import {gatherTimeline} from '../peers/gather_timeline.js';
 import {PeerServer} from '../peers/peer_server.js';
 import {PeerTransport} from '../peers/peer_transport.js';
 import {SuspectDesk} from '../upstreams/suspect_desk.js';
@@ -49,6 +51,7 @@
 export class GatewayHost {
   private readonly clock = new SystemClock();
   private readonly log: EventLog;
+  private readonly timeline: HostTimeline;
   private readonly ledger = new SiteLedger();
   private readonly metrics = new GatewayMetrics(new HostMetrics());
   private readonly transport: PeerTransport;
@@ -64,6 +67,7 @@
   private stage = PeerStage.STARTING;
   private stopping: Promise<void> | undefined;
   private version = 0;
+  private wasReady = false;
 
   constructor(
     private readonly settings: GatewaySettings,
@@ -79,7 +83,8 @@
       settings.logLevel ?? 'info',
     );
     const {log} = this;
-    const timeline = new HostTimeline(incarnation, clock);
+    this.timeline = new HostTimeline(incarnation, clock);
+    const {timeline} = this;
     this.transport = new PeerTransport(
       incarnation,
       PEER_KEY,
@@ -109,11 +114,13 @@
       suspects,
       clock,
       log,
+      timeline,
       () => this.readStage(),
     );
     this.parts = {
       clock,
       log,
+      timeline,
       metrics,
       names: dialect.headers,
       ledger,
@@ -141,6 +148,13 @@
         metrics.openRequests.set(this.server.openRequests);
         metrics.droppedLogLines.set(log.droppedLines());
       },
+      query =>
+        gatherTimeline(
+          timeline.read(query),
+          this.fleet.listPeers(),
+          this.transport,
+          query,
+        ),
     );
     this.peers = new PeerServer(
       PEER_KEY,
@@ -161,6 +175,7 @@
       const {host, port} = parseAddress(address);
       return [host, port];
     };
+    this.timeline.record(TimelineEventName.HOST_STARTED);
     this.follower.start();
     this.watch.start();
     await this.peers.listen(settings.peersAddress);
@@ -171,6 +186,7 @@
     await this.server.listen(...at(settings.callersAddress));
     this.stage = PeerStage.READY;
     this.log.info('host_started', {peersAddress: settings.peersAddress});
+    this.noteReady();
   }
 
   /** Stops after open requests have their answers, or when the grace ends. */
@@ -182,6 +198,7 @@
   private async stopGracefully(): Promise<void> {
     const beganMs = this.clock.nowMs();
     this.stage = PeerStage.STOPPING;
+    this.timeline.record(TimelineEventName.HOST_DRAINING);
     this.log.info('host_stopping', {open: this.server.openRequests});
     this.fleet.sendBeats();
     this.server.startLeaving();
@@ -191,6 +208,7 @@
     while (this.server.openRequests > 0 && this.clock.nowMs() < untilMs) {
       await pause(CHECK_OPEN_MS);
     }
+    this.timeline.record(TimelineEventName.HOST_STOPPED);
     this.log.info('host_stopped', {open: this.server.openRequests});
     this.follower.stop();
     this.watch.stop();
@@ -224,9 +242,26 @@
       return;
     }
     this.version = configuration.version;
+    this.timeline.record(TimelineEventName.CONFIGURATION_ADOPTED, '', {
+      revision: ledger.revision,
+    });
+    this.noteReady();
     this.server.applyLimits(configuration.limits);
   }
 
+  /** Tells once that this host can answer. */
+  private noteReady(): void {
+    if (this.wasReady || this.readStage() !== PeerStage.READY) return;
+    this.wasReady = true;
+    this.timeline.record(TimelineEventName.HOST_SERVING);
+    this.log.info('host_ready', {
+      version: this.version,
+      revision: this.ledger.revision,
+      // The monotonic clock starts with the process.
+      sinceStartMs: Math.round(this.clock.nowMs()),
+    });
+  }
+
   private readStage(): PeerStage {
     if (this.stage !== PeerStage.READY) return this.stage;
     return this.ledger.rules === undefined
--- a/packages/daemon/src/gateway/gateway_parts.ts
+++ b/packages/daemon/src/gateway/gateway_parts.ts
@@ -6,6 +6,7 @@
 import type {SiteLedger} from '@parsleywood/forwarding';
 import type {Clock} from '../host/clock.js';
 import type {EventLog} from '../host/event_log.js';
+import type {HostTimeline} from '../host/host_timeline.js';
 import type {SuspectDesk} from '../upstreams/suspect_desk.js';
 import type {FleetNews} from './fleet_news.js';
 import type {GatewayMetrics} from './gateway_metrics.js';
@@ -18,6 +19,7 @@
 export interface GatewayParts {
   readonly clock: Clock;
   readonly log: EventLog;
+  readonly timeline: HostTimeline;
   readonly metrics: GatewayMetrics;
   readonly names: HeaderNames;
   readonly ledger: SiteLedger;
--- a/packages/daemon/src/gateway/probe_server.ts
+++ b/packages/daemon/src/gateway/probe_server.ts
@@ -1,11 +1,15 @@
 import {createServer, type Server} from 'node:http';
+import type {TimelineQuery} from '@parsleywood/schema/timeline';
+import type {TimelineEntry} from '@parsleywood/timeline';
 import fastify, {type FastifyInstance} from 'fastify';
+import {readTimelineQuery} from '../host/read_timeline_query.js';
+import {answerFailures} from '../operators/answer_failures.js';
 import type {GatewayMetrics} from './gateway_metrics.js';
 
 const READY_STATUS = 200;
 const NOT_READY_STATUS = 503;
 
-/** Answers whether this host is ready, and serves its metrics. */
+/** Answers whether this host is ready, and serves metrics and time line. */
 export class ProbeServer {
   private readonly app: FastifyInstance = fastify();
   /** Second address of the same routes: another library instance costs time. */
@@ -13,12 +17,16 @@
     this.app.routing(request, response);
   });
 
-  /** @param refresh Brings gauges up to date before they are read. */
+  /**
+   * @param refresh Brings gauges up to date before they are read.
+   * @param readTimeline Reads the events of all hosts.
+   */
   constructor(
     path: string,
     isReady: () => boolean,
     metrics: GatewayMetrics,
     refresh: () => void,
+    readTimeline: (query: TimelineQuery) => Promise<TimelineEntry[]>,
   ) {
     this.app.get(path, async (_request, reply) => {
       const ready = isReady();
@@ -31,6 +39,13 @@
       refresh();
       return reply.type(registry.contentType).send(await registry.metrics());
     });
+    this.app.get<{Querystring: Record<string, string | undefined>}>(
+      '/v1/timeline',
+      async ({query}) => ({
+        events: await readTimeline(readTimelineQuery(query)),
+      }),
+    );
+    answerFailures(this.app, 'probe');
   }
 
   async listenForReadiness(host: string, port: number): Promise<void> {
--- a/packages/daemon/src/gateway/session_log.ts
+++ b/packages/daemon/src/gateway/session_log.ts
@@ -1,9 +1,10 @@
 import type {Failure} from '@parsleywood/errors';
 import {AttemptEnd, type RouteMatch} from '@parsleywood/forwarding';
+import {TimelineEventName, type TimelineFields} from '@parsleywood/timeline';
 import type {GatewayParts} from './gateway_parts.js';
 import type {PlacedAttempt} from './placed_attempt.js';
 import type {ReceivedRequest} from './received_request.js';
-import type {SessionOutcome} from './session_outcome.js';
+import {SessionOutcome} from './session_outcome.js';
 
 const SERVER_ERROR_STATUS = 500;
 const MS_PER_SECOND = 1_000;
@@ -19,9 +20,15 @@
     private readonly match: RouteMatch,
     private readonly request: ReceivedRequest,
     private readonly service: string,
-  ) {}
+  ) {
+    this.record(TimelineEventName.REQUEST_RECEIVED, {
+      service,
+      promptTokens: request.facts.promptTokens,
+    });
+  }
 
   noteHead(): void {
+    this.record(TimelineEventName.ATTEMPT_FIRST_TOKEN);
     this.firstMs ??= this.sinceReceived();
     this.parts.metrics.firstByteSeconds.observe(
       {service: this.service},
@@ -41,6 +48,12 @@
   attemptSent(attempt: number, placed: PlacedAttempt, leftMs: number): void {
     const {parts, request} = this;
     const {upstream, helpers, plan} = placed.choice;
+    this.record(TimelineEventName.ATTEMPT_STARTED, {
+      attempt,
+      upstream: upstream.id,
+      engines: helpers.length + 1,
+      limitMs: Math.round(leftMs),
+    });
     parts.log.info('attempt_sent', {
       requestId: request.facts.id,
       attempt,
@@ -62,11 +75,17 @@
   ): void {
     const {parts, request, service} = this;
     parts.metrics.attempts.inc({service, end});
+    const upstream = placed?.choice.upstream.id;
     if (end === AttemptEnd.ANSWERED && status < SERVER_ERROR_STATUS) return;
+    this.record(TimelineEventName.ATTEMPT_FAILED, {
+      ...(upstream !== undefined && {upstream}),
+      state: end,
+      status,
+    });
     const sentAtMs = placed?.sentAtMs ?? request.receivedAtMs;
     parts.log.warn('attempt_failed', {
       requestId: request.facts.id,
-      upstream: placed?.choice.upstream.id,
+      upstream,
       end,
       status,
       detail,
@@ -95,6 +114,7 @@
     const failure = typeof outcome === 'string' ? undefined : outcome;
     const name = failure?.kind ?? String(outcome);
     parts.metrics.requests.inc({service, outcome: name});
+    this.recordEnd(outcome);
     parts.log.info('request_over', {
       requestId: request.facts.id,
       route: match.route.name,
@@ -115,6 +135,31 @@
     });
   }
 
+  private recordEnd(outcome: SessionOutcome | Failure): void {
+    const durationMs = this.sinceReceived();
+    if (typeof outcome === 'string') {
+      const name =
+        outcome === SessionOutcome.CALLER_GONE
+          ? TimelineEventName.REQUEST_CANCELLED
+          : TimelineEventName.REQUEST_ANSWERED;
+      this.record(name, {durationMs});
+      return;
+    }
+    const {kind, ran, retryAfterMs} = outcome;
+    this.record(TimelineEventName.REQUEST_FAILED, {
+      errorKind: kind,
+      ran,
+      durationMs,
+      ...(retryAfterMs !== undefined && {
+        retryAfterMs: Math.round(retryAfterMs),
+      }),
+    });
+  }
+
+  private record(name: TimelineEventName, fields?: TimelineFields): void {
+    this.parts.timeline.record(name, this.request.facts.id, fields);
+  }
+
   private sinceReceived(): number {
     return Math.round(this.parts.clock.nowMs() - this.request.receivedAtMs);
   }
--- a/packages/daemon/src/gateway/upstream_attempt.test.ts
+++ b/packages/daemon/src/gateway/upstream_attempt.test.ts
@@ -53,7 +53,6 @@
         failureDomain: 'd',
         stage: UpstreamStage.READY,
         slots: 1,
-        startedAtMs: 0,
       };
       const request = {
         id,
--- a/packages/daemon/src/host/log_sink.ts
+++ b/packages/daemon/src/host/log_sink.ts
@@ -1,4 +1,6 @@
 import {write} from 'node:fs';
+import type {Clock} from './clock.js';
+import {SystemClock} from './system_clock.js';
 
 /** Most bytes of lines that wait for a slow reader. */
 const MAX_WAITING_BYTES = 1_048_576;
@@ -7,6 +9,14 @@
 const LINES_PER_SECOND = 400;
 const STDOUT = 1;
 const MS_PER_SECOND = 1_000;
+/** Pause before a full pipe is tried again, in milliseconds. */
+const FULL_PAUSE_MS = 1;
+
+/** Writes some of the bytes and tells how many. */
+type Write = (
+  bytes: Buffer,
+  done: (error: NodeJS.ErrnoException | null, written: number) => void,
+) => void;
 
 /**
  * Writes lines to standard output without blocking: lines beyond a rate, or that
@@ -17,9 +27,18 @@
   private waitingBytes = 0;
   private isWriting = false;
   private allowance = BURST_LINES;
-  private refilledAtMs = performance.now();
+  private refilledAtMs: number;
   private droppedLines = 0;
 
+  constructor(
+    private readonly writeSome: Write = (bytes, done) => {
+      write(STDOUT, bytes, done);
+    },
+    private readonly clock: Clock = new SystemClock(),
+  ) {
+    this.refilledAtMs = clock.nowMs();
+  }
+
   /** Lines dropped so far. */
   get dropped(): number {
     return this.droppedLines;
@@ -40,7 +59,7 @@
   }
 
   private takeAllowance(isUrgent: boolean): boolean {
-    const nowMs = performance.now();
+    const nowMs = this.clock.nowMs();
     const earned =
       ((nowMs - this.refilledAtMs) / MS_PER_SECOND) * LINES_PER_SECOND;
     this.refilledAtMs = nowMs;
@@ -59,11 +78,11 @@
   }
 
   private writeAll(bytes: Buffer): void {
-    write(STDOUT, bytes, (error, written) => {
+    this.writeSome(bytes, (error, written) => {
       if (error?.code === 'EAGAIN') {
         setTimeout(() => {
           this.writeAll(bytes);
-        }, 1);
+        }, FULL_PAUSE_MS);
         return;
       }
       // Without a reader there is nobody to tell.
--- /dev/null
+++ b/packages/daemon/src/host/read_timeline_query.ts
@@ -0,0 +1,29 @@
+import {ErrorKind, Failure} from '@parsleywood/errors';
+import type {TimelineQuery} from '@parsleywood/schema/timeline';
+
+const DEFAULT_EVENTS = 1_000;
+
+/**
+ * Reads what an operator asks of the time line.
+ *
+ * @throws Failure for a number that is not whole or below 0.
+ */
+export function readTimelineQuery(
+  query: Readonly<Record<string, string | undefined>>,
+): TimelineQuery {
+  return {
+    requestId: query.request ?? '',
+    afterMs: readCount(query.afterMs, 0),
+    maxEvents: readCount(query.limit, DEFAULT_EVENTS),
+  };
+}
+
+function readCount(text: string | undefined, absent: number): number {
+  if (text === undefined) return absent;
+  const count = Number(text);
+  if (Number.isInteger(count) && count >= 0) return count;
+  throw new Failure(
+    ErrorKind.INVALID_REQUEST,
+    `"${text}" is not a whole number of 0 or more`,
+  );
+}
--- a/packages/daemon/src/operators/operator_server.ts
+++ b/packages/daemon/src/operators/operator_server.ts
@@ -1,18 +1,17 @@
-import {ANSWERS, ErrorKind, Failure, formatFailure} from '@parsleywood/errors';
 import fastify, {type FastifyInstance} from 'fastify';
 import type {ConfigurationControl} from '../control/configuration_control.js';
 import type {Serving} from '../host/serving.js';
+import {readTimelineQuery} from '../host/read_timeline_query.js';
+import {answerFailures} from './answer_failures.js';
 import type {SiteReader} from './site_reader.js';
 import type {SocketMeter} from '../host/socket_meter.js';
 import {TrafficDirection} from '../host/traffic_direction.js';
 
-const DEFAULT_TIMELINE_EVENTS = 1_000;
 const MS_PER_SECOND = 1_000;
 
 /** The operators' HTTP interface. */
 export class OperatorServer {
   private readonly server: FastifyInstance = fastify();
-  private questions = 0;
 
   /**
    * @param isReady Whether callers may be sent here.
@@ -28,20 +27,7 @@
   ) {
     this.addProbes();
     this.addSiteRoutes();
-    this.server.setNotFoundHandler(request => {
-      const where = `${request.method} ${request.url}`;
-      throw new Failure(ErrorKind.NOT_FOUND, `no ${where} here`);
-    });
-    this.server.setErrorHandler((error, _request, reply) => {
-      const failure =
-        error instanceof Failure
-          ? error
-          : new Failure(ErrorKind.INVALID_REQUEST, (error as Error).message);
-      const id = `${serving.requestPrefix}-o${this.questions++}`;
-      return reply
-        .status(ANSWERS[failure.kind].status)
-        .send(formatFailure(failure, id));
-    });
+    answerFailures(this.server, serving.requestPrefix);
   }
 
   async listen(host: string, port: number): Promise<void> {
@@ -82,11 +68,7 @@
     server.get<{Querystring: Record<string, string | undefined>}>(
       '/v1/timeline',
       async ({query}) => ({
-        events: await site.readTimeline({
-          requestId: query.request ?? '',
-          afterMs: readCount(query.afterMs, 0),
-          maxEvents: readCount(query.limit, DEFAULT_TIMELINE_EVENTS),
-        }),
+        events: await site.readTimeline(readTimelineQuery(query)),
       }),
     );
     server.post<{Params: {name: string}}>(
@@ -126,13 +108,3 @@
     }
   }
 }
-
-function readCount(text: string | undefined, absent: number): number {
-  if (text === undefined) return absent;
-  const count = Number(text);
-  if (Number.isInteger(count) && count >= 0) return count;
-  throw new Failure(
-    ErrorKind.INVALID_REQUEST,
-    `"${text}" is not a whole number of 0 or more`,
-  );
-}
--- a/packages/daemon/src/operators/site_reader.ts
+++ b/packages/daemon/src/operators/site_reader.ts
@@ -1,12 +1,9 @@
 import type {HostStatus} from '@parsleywood/schema/host_status';
 import {ErrorKind, Failure} from '@parsleywood/errors';
 import type {TimelineQuery} from '@parsleywood/schema/timeline';
-import {
-  decodeEntry,
-  mergeTimelines,
-  type TimelineEntry,
-} from '@parsleywood/timeline';
+import type {TimelineEntry} from '@parsleywood/timeline';
 import type {HostStatusReader} from './host_status_reader.js';
+import {gatherTimeline} from '../peers/gather_timeline.js';
 import type {PeerTransport} from '../peers/peer_transport.js';
 import type {Serving} from '../host/serving.js';
 
@@ -33,16 +30,8 @@
 
   /** Events of every host that answers, in causal order. */
   async readTimeline(query: TimelineQuery): Promise<TimelineEntry[]> {
-    const pages = await Promise.all(
-      this.otherHosts().map(name => this.transport.readTimeline(name, query)),
-    );
-    const events = pages.map(page => (page.isOk ? page.value.events : []));
-    events.push(this.serving.timeline.read(query).events);
-    const merged = mergeTimelines(events.map(list => list.map(decodeEntry)));
-    if (query.maxEvents === 0) return merged;
-    return query.afterMs > 0
-      ? merged.slice(0, query.maxEvents)
-      : merged.slice(-query.maxEvents);
+    const own = this.serving.timeline.read(query);
+    return gatherTimeline(own, this.otherHosts(), this.transport, query);
   }
 
   /**
--- a/packages/dispatch/src/pick_service_upstream.test.ts
+++ b/packages/dispatch/src/pick_service_upstream.test.ts
@@ -10,7 +10,6 @@
     failureDomain,
     stage: UpstreamStage.READY,
     slots,
-    startedAtMs: 0,
   };
 }
 
--- a/packages/dispatch/src/testing/engine_profile.ts
+++ b/packages/dispatch/src/testing/engine_profile.ts
@@ -11,6 +11,5 @@
   readTokensPerMs: 154,
   readMsPerMillionPairs: 0.162,
   chunkTokens: 2_048,
-  reportLagMs: 200,
   meanAnswerTokens: 1_266,
 };
--- a/packages/dispatch/src/upstream_chooser.test.ts
+++ b/packages/dispatch/src/upstream_chooser.test.ts
@@ -11,8 +11,6 @@
 
 const SERVICE: Service = {
   name: 's',
-  healthPath: '/health',
-  maxConnections: 100,
   engine: ENGINE_PROFILE,
 };
 const DEMAND = {
@@ -30,7 +28,6 @@
     failureDomain: 'd',
     stage: UpstreamStage.READY,
     slots: 11,
-    startedAtMs: 0,
   };
 }
 
--- a/packages/forwarding/src/engine_profile.ts
+++ b/packages/forwarding/src/engine_profile.ts
@@ -18,8 +18,6 @@
   readonly readMsPerMillionPairs: number;
   /** Most prompt tokens read in one step. */
   readonly chunkTokens: number;
-  /** Age of an engine's report, in milliseconds. */
-  readonly reportLagMs: number;
   /** Mean number of tokens of an answer. */
   readonly meanAnswerTokens: number;
 }
--- a/packages/forwarding/src/site_ledger.test.ts
+++ b/packages/forwarding/src/site_ledger.test.ts
@@ -23,7 +23,6 @@
     failureDomain: 'd',
     stage,
     slots: 1,
-    startedAtMs: 0,
   };
 }
 
--- a/packages/forwarding/src/upstream_entry.ts
+++ b/packages/forwarding/src/upstream_entry.ts
@@ -11,6 +11,4 @@
   readonly stage: UpstreamStage;
   /** Requests that it runs at once. */
   readonly slots: number;
-  /** Start of the process, in milliseconds since the epoch; 0 when not told. */
-  readonly startedAtMs: number;
 }
