Serve by a configuration without limits instead of ending the process

Seen while reading for values that do not survive JSON: a configuration without Limits became infinite numbers. Node's connection check aborts on an infinite header timeout, so every host of such a site would have ended; a host that learned it from a peer got null and refused every body.

--- a/packages/daemon/src/gateway/find_time_limit.test.ts
+++ b/packages/daemon/src/gateway/find_time_limit.test.ts
@@ -37,7 +37,8 @@
 
   it('is finite where neither has one, as timers take no infinite time', () => {
     const facts = {...FACTS, timeLimitMs: undefined};
-    const route = {...ROUTE, timeoutMs: Infinity};
+    const route = {...ROUTE};
+    Reflect.deleteProperty(route, 'timeoutMs');
     expect(findTimeLimit(facts, route)).to.equal(600_000);
   });
 });
--- a/packages/daemon/src/gateway/find_time_limit.ts
+++ b/packages/daemon/src/gateway/find_time_limit.ts
@@ -7,7 +7,7 @@
 /** Time within which a request has its final answer, from its arrival. */
 export function findTimeLimit(
   {timeLimitMs = Infinity}: RequestFacts,
-  {timeoutMs}: Route,
+  {timeoutMs = Infinity}: Route,
 ): number {
   return Math.min(timeLimitMs, timeoutMs, MAX_TIME_LIMIT_MS);
 }
--- a/packages/daemon/src/gateway/gateway_server.ts
+++ b/packages/daemon/src/gateway/gateway_server.ts
@@ -2,6 +2,7 @@
 import type {Socket} from 'node:net';
 import {ErrorKind, Failure} from '@parsleywood/errors';
 import {
+  DEFAULT_CALLER_LIMITS,
   matchRequest,
   type CallerLimits,
   type RouteMatch,
@@ -17,13 +18,8 @@
 
 /** Bytes of headers that the parser takes; the configured limit is below. */
 const MAX_HEADER_BYTES = 262_144;
-/** Limits until a configuration is known. */
-const FIRST_LIMITS: CallerLimits = {
-  maxHeaderBytes: 16_384,
-  maxBodyBytes: 4_194_304,
-  headerTimeoutMs: 3_000,
-  idleTimeoutMs: 15_000,
-};
+/** Longest time that the runtime's timers take. */
+const MAX_TIMER_MS = 2_147_483_647;
 /** Time by which connections outlast the idle limit, for requests on their way. */
 const IDLE_MARGIN_MS = 2_000;
 /** How often the time limits of open connections are checked. */
@@ -36,7 +32,7 @@
   private readonly server: FastifyInstance;
   private readonly sessions = new Set<ForwardSession>();
   private readonly sockets = new Set<Socket>();
-  private limits = FIRST_LIMITS;
+  private limits: CallerLimits = DEFAULT_CALLER_LIMITS;
   private isLeaving = false;
   private isRefusing = false;
 
@@ -60,7 +56,7 @@
       this.sockets.add(socket);
       socket.on('close', () => this.sockets.delete(socket));
     });
-    this.applyLimits(FIRST_LIMITS);
+    this.applyLimits(DEFAULT_CALLER_LIMITS);
   }
 
   /** Requests without a final answer. */
@@ -75,8 +71,11 @@
   /** Puts the limits of a configuration in force, for open connections too. */
   applyLimits(limits: CallerLimits): void {
     const {server} = this.server;
-    server.headersTimeout = limits.headerTimeoutMs;
-    server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_MARGIN_MS;
+    server.headersTimeout = Math.min(limits.headerTimeoutMs, MAX_TIMER_MS);
+    server.keepAliveTimeout = Math.min(
+      limits.idleTimeoutMs + IDLE_MARGIN_MS,
+      MAX_TIMER_MS,
+    );
     if (limits.idleTimeoutMs > this.limits.idleTimeoutMs) {
       for (const socket of this.sockets) {
         // A socket without a timeout is carrying a request.
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -1,6 +1,7 @@
 /** Decides which route a request takes, and what follows each attempt. */
 export type {Account} from './account.js';
 export {AttemptEnd} from './attempt_end.js';
+export {DEFAULT_CALLER_LIMITS} from './default_caller_limits.js';
 export type {CallerLimits} from './caller_limits.js';
 export type {Configuration} from './configuration.js';
 export type {EngineProfile} from './engine_profile.js';
--- a/packages/forwarding/src/route.ts
+++ b/packages/forwarding/src/route.ts
@@ -14,8 +14,8 @@
   readonly targets: readonly RouteTarget[];
   /** Most upstreams to which one request may be sent. */
   readonly maxAttempts: number;
-  /** Longest time that a request is kept waiting, in milliseconds. */
-  readonly timeoutMs: number;
+  /** Longest time that a request is kept waiting, in milliseconds; absent for none. */
+  readonly timeoutMs?: number;
   /** Latency objective, in milliseconds: whole answer, or first event. */
   readonly latencyObjectiveMs: number;
   /** Longest pause between events that is in time; absent for plain calls. */
