--- a/packages/config/src/examples.test.ts
+++ b/packages/config/src/examples.test.ts
@@ -2,6 +2,8 @@
 import {readFileSync} from 'node:fs';
 import {fileURLToPath} from 'node:url';
 import {expect} from 'chai';
+import {GATEWAY_SETTINGS_SCHEMA} from '@parsleywood/schema/gateway_settings';
+import {PUBLISHED_SITE_SCHEMA} from '@parsleywood/schema/published_site';
 import type {Settings} from '@parsleywood/schema/settings';
 import {
   checkHostList,
@@ -11,11 +13,24 @@
   mergeSettings,
   readSettingsFile,
   readStartSettings,
+  SchemaCheck,
 } from './index.js';
 
 const EXAMPLES = new URL('../../../examples/', import.meta.url);
 const LONGEST_PROMPT_TOKENS = 1_000_000;
 
+describe('example gateway', () => {
+  it('passes the schemas of both files', () => {
+    for (const [file, schema] of [
+      ['gateway/host.json', GATEWAY_SETTINGS_SCHEMA],
+      ['gateway/site.json', PUBLISHED_SITE_SCHEMA],
+    ] as const) {
+      const result = new SchemaCheck(schema).run(read(file));
+      expect(result.isErr && result.error.map(formatProblem)).to.equal(false);
+    }
+  });
+});
+
 for (const site of ['almond-mill', 'magnolia-hinge']) {
   describe(`example ${site}`, () => {
     it('passes and has the sizes of its site', () => {
--- a/packages/config/src/index.ts
+++ b/packages/config/src/index.ts
@@ -19,6 +19,7 @@
 export {parseSettings} from './parse_settings.js';
 export {readSettingsFile} from './read_settings_file.js';
 export {readStartSettings} from './read_start_settings.js';
+export {SchemaCheck} from './schema_check.js';
 export type {SettingsChange} from './settings_change.js';
 export type {SettingsProblem} from './settings_problem.js';
 export type {StartSettingsFault} from './start_settings_fault.js';
--- /dev/null
+++ b/packages/daemon/src/gateway/default_dialect.ts
@@ -0,0 +1,12 @@
+import {DEFAULT_HEADER_NAMES} from './default_header_names.js';
+import type {GatewayDialect} from './gateway_dialect.js';
+
+/** Headers and paths of the product's own interface. */
+export const DEFAULT_DIALECT: GatewayDialect = {
+  headers: DEFAULT_HEADER_NAMES,
+  directory: {
+    path: '/v1/hosts',
+    encode: (hosts, ttlMs) => ({hosts, ttlMs}),
+  },
+  readinessPath: '/readyz',
+};
--- /dev/null
+++ b/packages/daemon/src/gateway_main.ts
@@ -0,0 +1,69 @@
+#!/usr/bin/env node
+/** parsleywood-gateway: the process of one host of a site published in a file. */
+import {
+  formatProblem,
+  readSettingsFile,
+  SchemaCheck,
+} from '@parsleywood/config';
+import {
+  GATEWAY_SETTINGS_SCHEMA,
+  type GatewaySettings,
+} from '@parsleywood/schema/gateway_settings';
+import {Result} from 'true-myth';
+import yargs from 'yargs';
+import {hideBin} from 'yargs/helpers';
+import {DEFAULT_DIALECT} from './gateway/default_dialect.js';
+import {EngineMemoryCalls} from './gateway/engine_memory_calls.js';
+import {GatewayHost} from './gateway/gateway_host.js';
+import {runGateway} from './gateway/run_gateway.js';
+import {SiteFile} from './gateway/site_file.js';
+
+const EXIT_WRONG_SETTINGS = 2;
+
+const flags = await yargs(hideBin(process.argv))
+  .scriptName('parsleywood-gateway')
+  .usage('$0 --settings FILE --site FILE')
+  .options({
+    settings: {
+      type: 'string',
+      demandOption: true,
+      describe: 'File of gateway settings (JSON); read anew on SIGHUP',
+    },
+    site: {
+      type: 'string',
+      demandOption: true,
+      describe: 'File of the published site (JSON); read when it changes',
+    },
+  })
+  .example('$0 --settings host.json --site site.json', 'Starts a gateway')
+  .strict()
+  .fail(message => {
+    process.stderr.write(`parsleywood-gateway: ${message}\n`);
+    process.exit(EXIT_WRONG_SETTINGS);
+  })
+  .parse();
+
+const check = new SchemaCheck<GatewaySettings>(GATEWAY_SETTINGS_SCHEMA);
+
+runGateway(
+  readSettings,
+  ({settings}, log) =>
+    new GatewayHost(
+      settings,
+      new SiteFile(flags.site),
+      new EngineMemoryCalls(settings.host, log),
+      DEFAULT_DIALECT,
+    ),
+);
+
+function readSettings(): Result<{settings: GatewaySettings}, string> {
+  const path = flags.settings;
+  return readSettingsFile(path)
+    .mapErr(({message}) => message)
+    .andThen(content =>
+      check.run(content).mapErr(([first]) => {
+        return first ? `${path}: ${formatProblem(first)}` : path;
+      }),
+    )
+    .map(settings => ({settings}));
+}
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,6 +1,7 @@
 /** The parts of a host's process that other packages start or speak to. */
 export {EventLog} from './host/event_log.js';
 export {GatewayHost} from './gateway/gateway_host.js';
+export {runGateway} from './gateway/run_gateway.js';
 export type {GatewayDialect} from './gateway/gateway_dialect.js';
 export type {DirectoryDialect} from './gateway/directory_dialect.js';
 export type {HeaderNames} from './gateway/header_names.js';
--- a/packages/schema/scripts/document.mjs
+++ b/packages/schema/scripts/document.mjs
@@ -12,6 +12,7 @@
   ['host-list', 'Host list'],
   ['upstream-list', 'Upstream list'],
   ['gateway-settings', 'Gateway settings'],
+  ['published-site', 'Published site'],
 ];
 const UNITS = [
   [/latencyMs\.|Ms$/, 'ms'],
