--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -1,19 +1,40 @@
 /** Runs one bench and prints its report. */
 import yargs from 'yargs';
 import {hideBin} from 'yargs/helpers';
+import {EMULATE_COMMAND} from './emulate_command.js';
 import {findBenches} from './find_benches.js';
 import {formatReport} from './format_report.js';
 
+/** Options of all commands. */
+interface Shared {
+  readonly seed: number;
+  readonly repeats: number;
+  readonly json: boolean;
+}
+
 const benches = await findBenches();
-const args = await yargs(hideBin(process.argv))
+await yargs(hideBin(process.argv))
   .scriptName('npm run bench --')
-  .command('$0 <name>', 'Runs one bench', builder =>
-    builder.positional('name', {
-      type: 'string',
-      choices: [...benches.keys()],
-      demandOption: true,
-    }),
+  .command(
+    '$0 <name>',
+    'Runs one bench',
+    builder =>
+      builder.positional('name', {
+        type: 'string',
+        choices: [...benches.keys()],
+        demandOption: true,
+      }),
+    async args => {
+      const bench = benches.get(String(args.name));
+      if (!bench) throw new Error(`no bench is named ${String(args.name)}`);
+      const {seed, repeats, json} = args as unknown as Shared;
+      const report = await bench({seed, repeats});
+      process.stdout.write(
+        json ? `${JSON.stringify(report)}\n` : formatReport(report),
+      );
+    },
   )
+  .command(EMULATE_COMMAND)
   .option('json', {
     type: 'boolean',
     default: false,
@@ -23,11 +44,3 @@
   .option('repeats', {type: 'number', default: 3})
   .strict()
   .parseAsync();
-
-const bench = benches.get(String(args['name']));
-if (!bench) throw new Error(`no bench is named ${String(args['name'])}`);
-const {seed, repeats, json} = args;
-const report = await bench({seed, repeats});
-process.stdout.write(
-  json ? `${JSON.stringify(report)}\n` : formatReport(report),
-);
--- /dev/null
+++ b/packages/emulator/src/compare_policies.test.ts
@@ -0,0 +1,53 @@
+import {readdirSync} from 'node:fs';
+import {join} from 'node:path';
+import {expect} from 'chai';
+import {comparePolicies} from './compare_policies.js';
+import type {Emulation} from './emulation.js';
+import {PolicyName} from './policy_name.js';
+import {readPattern} from './read_pattern.js';
+import {writeReport} from './write_report.js';
+
+const PATTERNS = join(import.meta.dirname, '../patterns');
+const SEEDS = [1, 2, 3];
+
+function play(name: string, policy: PolicyName): Emulation[] {
+  const pattern = readPattern(join(PATTERNS, `${name}.json`));
+  return SEEDS.flatMap(seed => comparePolicies(pattern, [policy], seed));
+}
+
+function mean(emulations: readonly Emulation[]): number {
+  const sum = emulations.reduce((total, {worth}) => total + worth, 0);
+  return sum / emulations.length;
+}
+
+describe('comparePolicies', () => {
+  it('gives the same for the same seed, and accounts for every request', () => {
+    const pattern = readPattern(join(PATTERNS, 'swinging-mix.json'));
+    const [first] = comparePolicies(pattern, [PolicyName.PLANNED], 7);
+    const [second] = comparePolicies(pattern, [PolicyName.PLANNED], 7);
+    expect(first).to.deep.equal(second);
+    for (const {asked, inTime, late, refused, failed} of first?.kinds ?? []) {
+      expect(inTime + late + refused + failed).to.equal(asked);
+    }
+  });
+
+  for (const file of readdirSync(PATTERNS)) {
+    const name = file.replace('.json', '');
+    it(`lets the policy in force earn more than the baselines: ${name}`, () => {
+      const planned = mean(play(name, PolicyName.PLANNED));
+      for (const baseline of [PolicyName.LEAST_BEHIND, PolicyName.FEWEST]) {
+        expect(planned).to.be.greaterThan(mean(play(name, baseline)));
+      }
+    });
+  }
+
+  it('writes a page that holds the library and the figures', () => {
+    const pattern = readPattern(join(PATTERNS, 'swinging-mix.json'));
+    const page = writeReport(
+      comparePolicies(pattern, Object.values(PolicyName), 1),
+    );
+    expect(page).to.contain('new Chart(');
+    expect(page).to.contain('least-behind: 0.');
+    expect(page).to.not.match(/<script[^>]+src=/);
+  });
+});
--- /dev/null
+++ b/packages/emulator/src/emulate.ts
@@ -0,0 +1,85 @@
+import {PassModel} from '@parsleywood/dispatch';
+import {
+  UpstreamStage,
+  type Service,
+  type UpstreamEntry,
+} from '@parsleywood/forwarding';
+import type {LoadPattern} from '@parsleywood/schema/load_pattern';
+import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {drawArrivals} from './draw_arrivals.js';
+import {EmulatedRequest} from './emulated_request.js';
+import {EngineModel} from './engine_model.js';
+import {HostModel} from './host_model.js';
+import type {PolicyName} from './policy_name.js';
+import type {RequestResult} from './request_result.js';
+import {Schedule} from './schedule.js';
+
+/** Plays a pattern under one policy; the same seed gives the same load. */
+export function emulate(
+  pattern: LoadPattern,
+  policy: PolicyName,
+  seed: number,
+): RequestResult[] {
+  const generator = xoroshiro128plus(seed);
+  const draw = (): number => uniformFloat64(generator);
+  const arrivals = drawArrivals(pattern, draw);
+  const schedule = new Schedule();
+  const service: Service = {name: 'engines', engine: pattern.engine};
+  const entries = listEngines(pattern);
+  const model = new PassModel(pattern.engine);
+  const engines = new Map(
+    entries.map(({id}) => [id, new EngineModel(model, schedule)]),
+  );
+  const results: RequestResult[] = [];
+  const world = {
+    schedule,
+    hosts: Array.from(
+      {length: pattern.hosts},
+      (_none, at) => new HostModel(`host-${at}`, policy),
+    ),
+    engines,
+    entries,
+    service,
+    newsDelayMs: pattern.newsDelayMs,
+    draw,
+    record: (result: RequestResult): void => {
+      results.push(result);
+    },
+  };
+  for (const [at, arrival] of arrivals.entries()) {
+    const kind = pattern.kinds[arrival.kind];
+    if (kind === undefined) continue;
+    // Recorded requests stand beside their callers' own returns.
+    const returns = pattern.arrivals === undefined;
+    schedule.after(arrival.atMs, () => {
+      const {promptTokens, answerTokens} = arrival;
+      new EmulatedRequest(
+        world,
+        `r${at}`,
+        kind,
+        promptTokens,
+        answerTokens,
+        returns,
+      ).start();
+    });
+  }
+  for (const {atMs, forMs, engines: count} of pattern.crashes ?? []) {
+    schedule.after(atMs, () => {
+      for (const {id} of entries.slice(0, count)) engines.get(id)?.crash(forMs);
+    });
+  }
+  schedule.run();
+  return results;
+}
+
+function listEngines({engines, engine}: LoadPattern): UpstreamEntry[] {
+  return Array.from({length: engines}, (_none, at) => ({
+    id: `engine-${at}`,
+    service: 'engines',
+    address: `192.0.2.1:${at + 1}`,
+    failureDomain: 'domain',
+    stage: UpstreamStage.READY,
+    slots: engine.slots,
+  }));
+}
--- /dev/null
+++ b/packages/emulator/src/emulated_request.ts
@@ -0,0 +1,262 @@
+import type {PlacementPart} from '@parsleywood/dispatch';
+import type {Service, UpstreamEntry} from '@parsleywood/forwarding';
+import type {LoadPattern} from '@parsleywood/schema/load_pattern';
+import type {EngineJob} from './engine_job.js';
+import type {EngineModel} from './engine_model.js';
+import type {HostModel} from './host_model.js';
+import {RequestOutcome} from './request_outcome.js';
+import type {RequestResult} from './request_result.js';
+import type {Schedule} from './schedule.js';
+
+type Kind = LoadPattern['kinds'][number];
+
+/** Callers leave after the longest of 2 s, 4 objectives and 8 pauses. */
+const MIN_PATIENCE_MS = 2_000;
+const PATIENCE_OBJECTIVES = 4;
+const PATIENCE_PAUSES = 8;
+/** Callers come back once, within a third of the time that they have left. */
+const RETURN_PART = 1 / 3;
+const MIN_RETURN_MS = 500;
+const MAX_RETURN_MS = 3_000;
+/** Attempts beyond the first one after engines refused or crashed. */
+const MAX_ATTEMPTS = 3;
+
+/** What all requests of a run share. */
+interface World {
+  readonly schedule: Schedule;
+  readonly hosts: readonly HostModel[];
+  readonly engines: ReadonlyMap<string, EngineModel>;
+  readonly entries: readonly UpstreamEntry[];
+  readonly service: Service;
+  readonly newsDelayMs: number;
+  readonly draw: () => number;
+  readonly record: (result: RequestResult) => void;
+}
+
+/** One request from its arrival to its end, with its return after a refusal. */
+export class EmulatedRequest {
+  private readonly arrivedAtMs: number;
+  private readonly tried = new Set<string>();
+  private host: HostModel;
+  private job: EngineJob | undefined;
+  private touched: EngineModel[] = [];
+  private attempts = 0;
+  private writtenTokens = 0;
+  private hasReturned: boolean;
+  private isOver = false;
+  /** The attempt whose first event was told. */
+  private writing = '';
+  private firstMs: number | undefined;
+  private lastEventMs = 0;
+  private longestPauseMs = 0;
+
+  /** @param returns Whether the caller comes back after a refusal. */
+  constructor(
+    private readonly world: World,
+    private readonly id: string,
+    private readonly kind: Kind,
+    private readonly promptTokens: number,
+    private readonly answerTokens: number,
+    returns: boolean,
+  ) {
+    this.arrivedAtMs = world.schedule.nowMs;
+    this.hasReturned = !returns;
+    this.host = this.drawHost();
+  }
+
+  start(): void {
+    const {schedule} = this.world;
+    schedule.after(this.kind.deadlineMs, () => {
+      this.end(RequestOutcome.FAILED);
+    });
+    schedule.after(this.patienceMs(), () => {
+      if (this.firstMs === undefined) this.end(RequestOutcome.FAILED);
+    });
+    this.place();
+  }
+
+  private place(): void {
+    const {schedule, entries, service} = this.world;
+    const nowMs = schedule.nowMs;
+    const waitedMs = nowMs - this.arrivedAtMs;
+    const candidates = this.host.chooser.candidates(entries, this.tried, nowMs);
+    const demand = {
+      promptTokens: this.promptTokens,
+      answerTokens: this.answerTokens,
+      objectiveMs: this.kind.objectiveMs - waitedMs,
+      patienceMs: Math.min(this.patienceMs(), this.kind.deadlineMs) - waitedMs,
+    };
+    const choice = this.host.policy.choose(candidates, service, demand, nowMs);
+    if ('plan' in choice && choice.plan) {
+      this.send(choice.upstream.id, choice.plan.parts);
+    } else if ('waitMs' in choice) {
+      this.refuse(choice.waitMs);
+    }
+  }
+
+  private send(upstream: string, parts: readonly PlacementPart[]): void {
+    const {schedule, engines} = this.world;
+    const name = `${this.id}/${this.attempts++}`;
+    const job: EngineJob = {
+      id: name,
+      promptTokens: this.promptTokens,
+      answerTokens: this.answerTokens,
+      writtenTokens: this.writtenTokens,
+      unreadParts: parts.length,
+      isOver: false,
+      onEvent: () => {
+        this.takeEvent(name, job);
+      },
+      onEnd: isWhole => {
+        this.endAttempt(name, job, isWhole);
+      },
+    };
+    this.job = job;
+    this.tried.add(upstream);
+    this.tell((host, isOwn) => {
+      const placement = {
+        id: name,
+        host: isOwn ? '' : 'other',
+        upstream,
+        promptTokens: this.promptTokens,
+        answerTokens: this.answerTokens,
+        objectiveMs: this.kind.objectiveMs,
+        pauseObjectiveMs: this.kind.pauseObjectiveMs,
+        parts,
+      };
+      host.book.add(placement, schedule.nowMs);
+    });
+    const first = engines.get(upstream);
+    const [own] = parts;
+    const kept = (own?.heldTokens ?? 0) + this.answerTokens;
+    if (first === undefined || !first.hasRoom(kept)) {
+      this.endAttempt(name, job, false);
+      return;
+    }
+    this.read(job, parts, first);
+  }
+
+  private read(
+    job: EngineJob,
+    parts: readonly PlacementPart[],
+    first: EngineModel,
+  ): void {
+    const {engines} = this.world;
+    const isAhead = parts.length > 1;
+    this.touched = parts.flatMap(part => engines.get(part.upstream) ?? []);
+    for (const [at, part] of parts.entries()) {
+      const {tokens, millionPairs, heldTokens} = part;
+      engines.get(part.upstream)?.read(
+        {
+          job,
+          isAhead,
+          tokens,
+          millionPairs,
+          heldTokens,
+          leftTokens: tokens,
+          onRead: () => {
+            if (isAhead && job.unreadParts === 0) first.startWriting(job);
+          },
+        },
+        at === 0,
+      );
+    }
+  }
+
+  private takeEvent(name: string, job: EngineJob): void {
+    if (this.isOver || this.job !== job) return;
+    const {nowMs} = this.world.schedule;
+    this.writtenTokens = job.writtenTokens;
+    if (this.firstMs === undefined) {
+      this.firstMs = nowMs - this.arrivedAtMs;
+    } else {
+      const pauseMs = nowMs - this.lastEventMs;
+      this.longestPauseMs = Math.max(this.longestPauseMs, pauseMs);
+    }
+    this.lastEventMs = nowMs;
+    if (this.writing === name) return;
+    this.writing = name;
+    this.tell(host => {
+      host.book.startWriting(name, this.world.schedule.nowMs);
+    });
+  }
+
+  private endAttempt(name: string, job: EngineJob, isWhole: boolean): void {
+    if (job.isOver) return;
+    job.isOver = true;
+    for (const engine of this.touched) engine.drop(job);
+    this.touched = [];
+    this.tell(host => {
+      host.book.end(name);
+    });
+    if (this.isOver || this.job !== job) return;
+    if (isWhole) this.end(this.judge());
+    else if (this.attempts < MAX_ATTEMPTS) this.place();
+    else this.refuse(0);
+  }
+
+  private refuse(waitMs: number): void {
+    const {schedule} = this.world;
+    const leftMs = this.arrivedAtMs + this.kind.deadlineMs - schedule.nowMs;
+    const returnMs = Math.min(Math.max(waitMs, MIN_RETURN_MS), MAX_RETURN_MS);
+    if (this.hasReturned || returnMs > leftMs * RETURN_PART) {
+      this.end(RequestOutcome.REFUSED);
+      return;
+    }
+    this.hasReturned = true;
+    schedule.after(returnMs, () => {
+      if (this.isOver) return;
+      this.host = this.drawHost();
+      this.tried.clear();
+      this.place();
+    });
+  }
+
+  private judge(): RequestOutcome {
+    const {objectiveMs, pauseObjectiveMs} = this.kind;
+    const isInTime =
+      (this.firstMs ?? Infinity) <= objectiveMs &&
+      this.longestPauseMs <= pauseObjectiveMs;
+    return isInTime ? RequestOutcome.IN_TIME : RequestOutcome.LATE;
+  }
+
+  private end(outcome: RequestOutcome): void {
+    if (this.isOver) return;
+    this.isOver = true;
+    this.world.record({
+      kind: this.kind.name,
+      arrivedAtMs: this.arrivedAtMs,
+      promptTokens: this.promptTokens,
+      answerTokens: this.answerTokens,
+      outcome,
+      ...(this.firstMs !== undefined && {firstMs: this.firstMs}),
+      longestPauseMs: this.longestPauseMs,
+    });
+    if (this.job && !this.job.isOver) this.job.onEnd(false);
+  }
+
+  private patienceMs(): number {
+    return Math.max(
+      MIN_PATIENCE_MS,
+      PATIENCE_OBJECTIVES * this.kind.objectiveMs,
+      PATIENCE_PAUSES * this.kind.pauseObjectiveMs,
+    );
+  }
+
+  /** Tells this host at once, and the others after the way of the news. */
+  private tell(act: (host: HostModel, isOwn: boolean) => void): void {
+    const {hosts, schedule, newsDelayMs} = this.world;
+    act(this.host, true);
+    const others = hosts.filter(host => host !== this.host);
+    schedule.after(newsDelayMs, () => {
+      for (const host of others) act(host, false);
+    });
+  }
+
+  private drawHost(): HostModel {
+    const {hosts, draw} = this.world;
+    const host = hosts[Math.floor(draw() * hosts.length)];
+    if (host === undefined) throw new RangeError('a pattern needs a host');
+    return host;
+  }
+}
--- /dev/null
+++ b/packages/emulator/src/engine_model.test.ts
@@ -0,0 +1,125 @@
+import {PassModel} from '@parsleywood/dispatch';
+import {expect} from 'chai';
+import type {EngineJob} from './engine_job.js';
+import {EngineModel} from './engine_model.js';
+import {Schedule} from './schedule.js';
+
+const PROFILE = {
+  slots: 2,
+  memoryTokens: 405_000,
+  stepsPerPass: 34,
+  stepMs: 1.31,
+  stepMsPerWriter: 0,
+  stepMsPerThousandTokens: 0,
+  readTokensPerMs: 154,
+  readMsPerMillionPairs: 0.162,
+  chunkTokens: 2_048,
+  meanAnswerTokens: 340,
+};
+/** A pass with writers that reads nothing. */
+const PASS_MS = 34 * 1.31;
+
+describe('EngineModel', () => {
+  let schedule: Schedule;
+  let engine: EngineModel;
+  let events: {id: string; atMs: number}[];
+
+  beforeEach(() => {
+    schedule = new Schedule();
+    engine = new EngineModel(new PassModel(PROFILE), schedule);
+    events = [];
+  });
+
+  function read(id: string, tokens: number, isAhead = false): EngineJob {
+    const job: EngineJob = {
+      id,
+      promptTokens: tokens,
+      answerTokens: 340,
+      writtenTokens: 0,
+      unreadParts: 1,
+      isOver: false,
+      onEvent: () => {
+        events.push({id, atMs: schedule.nowMs});
+      },
+      onEnd: () => {
+        job.isOver = true;
+        engine.drop(job);
+      },
+    };
+    engine.read(
+      {
+        job,
+        isAhead,
+        tokens,
+        millionPairs: PassModel.countPairs(tokens),
+        heldTokens: tokens,
+        leftTokens: tokens,
+        onRead: () => {
+          if (isAhead) engine.startWriting(job);
+        },
+      },
+      true,
+    );
+    return job;
+  }
+
+  function times(id: string): number[] {
+    return events.filter(one => one.id === id).map(({atMs}) => atMs);
+  }
+
+  it('reads on an idle engine at its speed, and writes an event a pass', () => {
+    read('a', 5_000);
+    schedule.run();
+    const [first = 0, second = 0] = times('a');
+    const readMs = 5_000 / 154 + PassModel.countPairs(5_000) * 0.162;
+    expect(first).to.be.closeTo(readMs, 0.01);
+    expect(second - first).to.be.closeTo(PASS_MS, 0.01);
+    expect(times('a')).to.have.length(10);
+  });
+
+  it('lets answers pause for as long as a pass reads beside them', () => {
+    read('a', 2_048);
+    schedule.after(100, () => {
+      read('b', 30_000);
+    });
+    schedule.run();
+    const all = times('a');
+    const pauses = all.slice(1).map((atMs, at) => atMs - (all[at] ?? 0));
+    const readMs = 30_000 / 154 + PassModel.countPairs(30_000) * 0.162;
+    expect(Math.max(...pauses)).to.be.closeTo(PASS_MS + readMs, 0.01);
+  });
+
+  it('reads parts of shared prompts first, the newest before the others', () => {
+    read('a', 200_000);
+    schedule.after(1, () => read('b', 2_048, true));
+    schedule.after(2, () => read('c', 2_048, true));
+    schedule.run();
+    const first = (id: string): number => times(id)[0] ?? Infinity;
+    expect(first('c')).to.be.lessThan(first('a'));
+    expect(first('c')).to.be.at.most(first('b'));
+  });
+
+  it('takes no more requests than slots, and no more than memory', () => {
+    expect(engine.hasRoom(405_001)).to.equal(false);
+    read('a', 2_048);
+    expect(engine.hasRoom(400_000)).to.equal(true);
+    expect(engine.hasRoom(404_000)).to.equal(false);
+    read('b', 2_048);
+    expect(engine.hasRoom(1)).to.equal(false);
+    schedule.run();
+    expect(engine.hasRoom(405_000)).to.equal(true);
+  });
+
+  it('loses what it holds in a crash, and takes work again later', () => {
+    read('a', 5_000);
+    schedule.after(60, () => {
+      engine.crash(1_000);
+    });
+    schedule.after(500, () => {
+      expect(engine.hasRoom(1)).to.equal(false);
+    });
+    schedule.run();
+    expect(times('a').length).to.be.lessThan(10);
+    expect(engine.hasRoom(405_000)).to.equal(true);
+  });
+});
--- /dev/null
+++ b/packages/emulator/src/engine_model.ts
@@ -0,0 +1,154 @@
+import {PassModel} from '@parsleywood/dispatch';
+import type {EngineJob} from './engine_job.js';
+import type {PromptPart} from './prompt_part.js';
+import type {Schedule} from './schedule.js';
+
+/**
+ * An engine that works in passes: a pass with writers runs all its token steps and
+ * reads up to a chunk for each; without writers it reads one chunk. Parts of prompts
+ * that several engines read go first, the newest before the others.
+ */
+export class EngineModel {
+  private readonly parts: PromptPart[] = [];
+  private readonly writers = new Set<EngineJob>();
+  /** Read jobs that begin to write with the next pass. */
+  private readonly ready = new Set<EngineJob>();
+  private readonly held = new Map<EngineJob, number>();
+  private readonly own = new Set<EngineJob>();
+  private isWorking = false;
+  private isDown = false;
+
+  constructor(
+    private readonly model: PassModel,
+    private readonly schedule: Schedule,
+  ) {}
+
+  /** Whether the engine would answer another request of this size. */
+  hasRoom(tokens: number): boolean {
+    const {slots, memoryTokens} = this.model.profile;
+    const taken = [...this.held.values()].reduce((sum, one) => sum + one, 0);
+    return (
+      !this.isDown && this.own.size < slots && taken + tokens <= memoryTokens
+    );
+  }
+
+  /**
+   * Takes a part to read.
+   *
+   * @param answers Whether this engine answers the request.
+   */
+  read(part: PromptPart, answers: boolean): void {
+    const {job, heldTokens} = part;
+    if (answers) this.own.add(job);
+    this.parts.push(part);
+    this.held.set(job, heldTokens + (answers ? job.answerTokens : 0));
+    this.work();
+  }
+
+  /** All parts of a job that this engine answers are read. */
+  startWriting(job: EngineJob): void {
+    this.ready.add(job);
+    this.work();
+  }
+
+  /** Lets go of a job that is over. */
+  drop(job: EngineJob): void {
+    this.own.delete(job);
+    this.writers.delete(job);
+    this.ready.delete(job);
+    this.held.delete(job);
+    const at = this.parts.findIndex(part => part.job === job);
+    if (at >= 0) this.parts.splice(at, 1);
+  }
+
+  /** Ends with all that it holds; back after a time. */
+  crash(forMs: number): void {
+    this.isDown = true;
+    const lost = new Set([
+      ...this.own,
+      ...this.held.keys(),
+      ...this.parts.map(({job}) => job),
+    ]);
+    for (const job of lost) if (!job.isOver) job.onEnd(false);
+    this.schedule.after(forMs, () => {
+      this.isDown = false;
+    });
+  }
+
+  private work(): void {
+    if (this.isWorking) return;
+    if (this.parts.length + this.writers.size + this.ready.size === 0) return;
+    this.isWorking = true;
+    this.schedule.after(0, () => {
+      this.startPass();
+    });
+  }
+
+  private startPass(): void {
+    for (const job of this.ready) this.writers.add(job);
+    this.ready.clear();
+    const writing = [...this.writers];
+    const {chunkTokens} = this.model.profile;
+    const most = writing.length > 0 ? this.model.tokensPerPass : chunkTokens;
+    const {readMs, read} = this.readSome(most);
+    const context = writing.reduce(
+      (sum, job) => sum + job.promptTokens + job.writtenTokens,
+      0,
+    );
+    const writeMs =
+      writing.length > 0 ? this.model.passMs(writing.length, context) : 0;
+    this.schedule.after(readMs + writeMs, () => {
+      this.endPass(writing, read);
+    });
+  }
+
+  /** Reads tokens of the parts in their order; tells which parts are read. */
+  private readSome(most: number): {readMs: number; read: PromptPart[]} {
+    let left = most;
+    let readMs = 0;
+    const read: PromptPart[] = [];
+    for (const part of this.order()) {
+      if (left <= 0) break;
+      const tokens = Math.min(left, part.leftTokens);
+      const pairs = (part.millionPairs * tokens) / part.tokens;
+      readMs += this.model.readMs(tokens, pairs);
+      left -= tokens;
+      part.leftTokens -= tokens;
+      if (part.leftTokens <= 0) read.push(part);
+    }
+    return {readMs, read};
+  }
+
+  private order(): PromptPart[] {
+    const ahead = this.parts.filter(({isAhead}) => isAhead).reverse();
+    return [...ahead, ...this.parts.filter(({isAhead}) => !isAhead)];
+  }
+
+  private endPass(
+    writing: readonly EngineJob[],
+    read: readonly PromptPart[],
+  ): void {
+    this.isWorking = false;
+    const {stepsPerPass} = this.model.profile;
+    for (const job of writing) if (!job.isOver) write(job, stepsPerPass);
+    for (const part of read) {
+      const at = this.parts.indexOf(part);
+      if (at >= 0) this.parts.splice(at, 1);
+      const {job} = part;
+      if (job.isOver) continue;
+      job.unreadParts--;
+      part.onRead();
+      if (part.isAhead) continue;
+      // What is read within a pass begins to write in that pass.
+      this.writers.add(job);
+      write(job, stepsPerPass);
+    }
+    this.work();
+  }
+}
+
+function write(job: EngineJob, tokens: number): void {
+  job.writtenTokens += tokens;
+  job.onEvent();
+  if (job.writtenTokens >= job.answerTokens) job.onEnd(true);
+}
--- /dev/null
+++ b/packages/emulator/src/host_model.ts
@@ -0,0 +1,21 @@
+import {
+  PlacementBook,
+  UpstreamChooser,
+  UpstreamHealth,
+} from '@parsleywood/dispatch';
+import {makePolicy} from './make_policy.js';
+import type {PlacementPolicy} from './placement_policy.js';
+import type {PolicyName} from './policy_name.js';
+
+/** One host: the real decision classes, and what it believes. */
+export class HostModel {
+  readonly book = new PlacementBook();
+  readonly policy: PlacementPolicy;
+  readonly chooser: UpstreamChooser;
+
+  constructor(name: string, policy: PolicyName) {
+    const health = new UpstreamHealth();
+    this.chooser = new UpstreamChooser(name, 'domain', this.book, health);
+    this.policy = makePolicy(policy, this.chooser);
+  }
+}
--- /dev/null
+++ b/packages/emulator/src/planned_reads.ts
@@ -0,0 +1,22 @@
+import type {
+  PromptDemand,
+  Shortage,
+  UpstreamChoice,
+  UpstreamChooser,
+} from '@parsleywood/dispatch';
+import type {Service, UpstreamEntry} from '@parsleywood/forwarding';
+import type {PlacementPolicy} from './placement_policy.js';
+
+/** The policy in force. */
+export class PlannedReads implements PlacementPolicy {
+  constructor(private readonly chooser: UpstreamChooser) {}
+
+  choose(
+    candidates: readonly UpstreamEntry[],
+    service: Service,
+    demand: PromptDemand,
+    nowMs: number,
+  ): UpstreamChoice | Shortage {
+    return this.chooser.chooseEngines(candidates, service, demand, nowMs);
+  }
+}
--- /dev/null
+++ b/packages/emulator/src/policy_name.ts
@@ -0,0 +1,9 @@
+/** Policies that can be compared. */
+export enum PolicyName {
+  /** The one in force: several engines read a prompt where all requests gain. */
+  PLANNED = 'planned',
+  /** Baseline: the engine that is least behind reads the whole prompt. */
+  LEAST_BEHIND = 'least-behind',
+  /** Baseline: the engine with the fewest requests. */
+  FEWEST = 'fewest',
+}
--- /dev/null
+++ b/packages/emulator/src/single_engine.ts
@@ -0,0 +1,51 @@
+import {
+  PassModel,
+  type EngineForecast,
+  type PromptDemand,
+  type Shortage,
+  type UpstreamChoice,
+  type UpstreamChooser,
+} from '@parsleywood/dispatch';
+import type {Service, UpstreamEntry} from '@parsleywood/forwarding';
+import type {PlacementPolicy} from './placement_policy.js';
+
+/** Baseline: one engine reads the whole prompt, the one with the lowest rating. */
+export class SingleEngine implements PlacementPolicy {
+  /** @param rate Rates an engine; the lowest is chosen. */
+  constructor(
+    private readonly chooser: UpstreamChooser,
+    private readonly rate: (engine: EngineForecast) => number,
+  ) {}
+
+  choose(
+    candidates: readonly UpstreamEntry[],
+    {engine}: Service,
+    {promptTokens, answerTokens}: PromptDemand,
+    nowMs: number,
+  ): UpstreamChoice | Shortage {
+    if (engine === undefined) return {waitMs: 0};
+    const model = new PassModel(engine);
+    const roomy = this.chooser
+      .forecast(candidates, model, nowMs)
+      .filter(
+        ({slotsTaken, memoryTaken}) =>
+          slotsTaken < engine.slots &&
+          memoryTaken + promptTokens + answerTokens <= engine.memoryTokens,
+      )
+      .sort((left, right) => this.rate(left) - this.rate(right));
+    const [best] = roomy;
+    const upstream = candidates.find(({id}) => id === best?.upstream);
+    if (best === undefined || upstream === undefined) return {waitMs: 0};
+    const millionPairs = PassModel.countPairs(promptTokens);
+    const part = {
+      upstream: best.upstream,
+      tokens: promptTokens,
+      millionPairs,
+      heldTokens: promptTokens,
+      passMs: best.passMs,
+    };
+    const expectedMs =
+      best.backlogMs + model.readMs(promptTokens, millionPairs);
+    return {upstream, helpers: [], plan: {parts: [part], expectedMs}};
+  }
+}
