--- /dev/null
+++ b/packages/bench/src/gateway_soak/check_calls.ts
@@ -0,0 +1,81 @@
+import {CheckedUpstream} from './checked_upstream.js';
+import type {GatewayStop} from './gateway_stop.js';
+import type {SoakCall} from './soak_call.js';
+
+/** Statuses that promise that a request did not run. */
+const NOT_RUN = new Set([408, 421, 429, 503]);
+const OK_STATUS = 200;
+/** Longest time of a request by path, as the site file sets it. */
+const TIME_LIMITS_MS: Readonly<Record<string, number>> = {
+  '/orders/': 2_000,
+  '/bins/': 2_000,
+  '/ask/': 6_000,
+};
+/** Time beyond the limit for an answer on a busy machine. */
+const SLACK_MS = 1_000;
+/** Part of the requests that must be served once faults have ended. */
+const RECOVERED_PART = 0.95;
+
+/** Finds what must not happen and did. */
+export function checkCalls(
+  calls: readonly SoakCall[],
+  runs: ReadonlyMap<string, number>,
+  stops: readonly GatewayStop[],
+  calmFromMs: number,
+): string[] {
+  const found = calls.flatMap(call => [
+    ...checkRuns(call, runs.get(call.id) ?? 0),
+    ...checkBody(call),
+    ...checkTime(call, stops),
+  ]);
+  const calm = calls.filter(({startedAtMs}) => startedAtMs > calmFromMs);
+  const served = calm.filter(({status}) => status === OK_STATUS);
+  if (served.length < RECOVERED_PART * calm.length || calm.length === 0) {
+    found.push(`${served.length} of ${calm.length} served after the faults`);
+  }
+  return found;
+}
+
+function checkRuns({id, path, status}: SoakCall, runs: number): string[] {
+  if (path === '/orders/' && runs > 1) return [`order ${id} ran ${runs} times`];
+  if (status === OK_STATUS && runs === 0) {
+    return [`${id} was answered and did not run`];
+  }
+  if (NOT_RUN.has(status) && runs > 0) {
+    return [`${id} was answered ${status}, though it ran`];
+  }
+  return [];
+}
+
+function checkBody({id, path, status, body, isCut}: SoakCall): string[] {
+  if (status !== OK_STATUS) return [];
+  if (path !== '/ask/') {
+    const isRight = isCut || body === `ran ${id}`;
+    return isRight ? [] : [`${id} got another answer: ${body.slice(0, 40)}`];
+  }
+  const events = body.split('\n\n').filter(text => text !== '');
+  const whole = isCut ? events.slice(0, -1) : events;
+  for (const [at, event] of whole.entries()) {
+    if (event !== `id: ${at + 1}\ndata: ${id} ${at + 1}`) {
+      return [`${id} got event ${at + 1} wrong: ${event.slice(0, 40)}`];
+    }
+  }
+  const isShort = !isCut && events.length !== CheckedUpstream.streamEvents;
+  return isShort ? [`${id} ended as whole after ${events.length} events`] : [];
+}
+
+function checkTime(
+  {id, path, gateway, status, startedAtMs, endedAtMs}: SoakCall,
+  stops: readonly GatewayStop[],
+): string[] {
+  const wasStopped = stops.some(
+    stop =>
+      stop.gateway === gateway &&
+      stop.fromMs < endedAtMs &&
+      stop.untilMs > startedAtMs,
+  );
+  const tookMs = Math.round(endedAtMs - startedAtMs);
+  const limitMs = TIME_LIMITS_MS[path] ?? 0;
+  if (wasStopped || tookMs <= limitMs + SLACK_MS) return [];
+  return [`${id} on ${path} of g${gateway}: ${status} after ${tookMs} ms`];
+}
--- /dev/null
+++ b/packages/bench/src/gateway_soak/checked_upstream.ts
@@ -0,0 +1,90 @@
+import {once} from 'node:events';
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {FaultProxy} from './fault_proxy.js';
+
+const LOCAL = '127.0.0.1';
+const STREAM_EVENTS = 12;
+const EVENT_MS = 40;
+const CALL_MS = 20;
+
+/** An upstream that notes which requests it ran, behind a proxy that fails. */
+export class CheckedUpstream {
+  private readonly server: Server;
+  private proxyBefore: FaultProxy | undefined;
+
+  /** @param runs How often each request id was run, over all upstreams. */
+  constructor(
+    readonly id: string,
+    readonly service: string,
+    private readonly runs: Map<string, number>,
+  ) {
+    this.server = createServer((request, response) => {
+      this.take(request, response);
+    });
+  }
+
+  /** Number of events in a whole answer. */
+  static get streamEvents(): number {
+    return STREAM_EVENTS;
+  }
+
+  get proxy(): FaultProxy {
+    if (this.proxyBefore === undefined) throw new Error('not started');
+    return this.proxyBefore;
+  }
+
+  async start(): Promise<void> {
+    this.server.listen(0, LOCAL);
+    await once(this.server, 'listening');
+    const {port} = this.server.address() as AddressInfo;
+    this.proxyBefore = new FaultProxy(port);
+    await this.proxyBefore.start();
+  }
+
+  stop(): void {
+    this.proxy.stop();
+    this.server.closeAllConnections();
+    this.server.close();
+  }
+
+  private take(request: IncomingMessage, response: ServerResponse): void {
+    const id = String(request.headers['request-id']);
+    response.setHeader('request-id', id);
+    const expected = request.headers['expected-upstream'];
+    if (expected !== undefined && expected !== this.id) {
+      response.writeHead(421, {'not-run': '1'}).end();
+      return;
+    }
+    request.resume();
+    request.on('end', () => {
+      this.runs.set(id, (this.runs.get(id) ?? 0) + 1);
+      if (this.service === 'engine') this.stream(id, request, response);
+      else setTimeout(() => response.end(`ran ${id}`), CALL_MS);
+    });
+  }
+
+  private stream(
+    id: string,
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): void {
+    response.writeHead(200, {'content-type': 'text/event-stream'});
+    let at = Number(request.headers['last-event-id'] ?? 0);
+    const timer = setInterval(() => {
+      at++;
+      response.write(`id: ${at}\ndata: ${id} ${at}\n\n`);
+      if (at < STREAM_EVENTS) return;
+      clearInterval(timer);
+      response.end();
+    }, EVENT_MS);
+    response.on('close', () => {
+      clearInterval(timer);
+    });
+  }
+}
--- /dev/null
+++ b/packages/bench/src/gateway_soak/gateway_soak_report.ts
@@ -0,0 +1,11 @@
+/** What a soak of gateways has found. */
+export interface GatewaySoakReport {
+  readonly seed: number;
+  readonly calls: number;
+  /** Calls by status; 0 where a connection ended without an answer. */
+  readonly statuses: Readonly<Record<string, number>>;
+  /** Faults by kind. */
+  readonly faults: Readonly<Record<string, number>>;
+  /** What must not happen and did. */
+  readonly violations: readonly string[];
+}
--- /dev/null
+++ b/packages/bench/src/gateway_soak/run_gateway_soak.ts
@@ -0,0 +1,64 @@
+import {setTimeout as pause} from 'node:timers/promises';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {checkCalls} from './check_calls.js';
+import {CheckedUpstream} from './checked_upstream.js';
+import {GatewayFaults} from './gateway_faults.js';
+import {GatewayFleet} from './gateway_fleet.js';
+import type {GatewaySoakReport} from './gateway_soak_report.js';
+import {SoakCallers} from './soak_callers.js';
+
+const UPSTREAMS = 3;
+/** Time in which upstreams that were avoided are tried again: at most 4 s. */
+const RECOVERY_MS = 5_000;
+const CALM_MS = 2_000;
+
+/**
+ * Runs gateways as processes under load and faults, and checks what callers and
+ * upstreams see.
+ *
+ * @param seconds Time in which faults come.
+ * @param logs Directory for the gateways' logs.
+ */
+export async function runGatewaySoak(
+  seed: number,
+  seconds: number,
+  gateways: number,
+  logs?: string,
+): Promise<GatewaySoakReport> {
+  const random = xoroshiro128plus(seed);
+  const runs = new Map<string, number>();
+  const upstreams = ['app', 'engine'].flatMap(service =>
+    Array.from(
+      {length: UPSTREAMS},
+      (_none, at) => new CheckedUpstream(`${service}-${at}`, service, runs),
+    ),
+  );
+  for (const upstream of upstreams) await upstream.start();
+  const fleet = new GatewayFleet(upstreams, logs);
+  try {
+    await fleet.start(gateways);
+    const callers = new SoakCallers(fleet.callers, xoroshiro128plus(seed + 1));
+    const faults = new GatewayFaults(fleet, gateways, upstreams, random);
+    callers.start();
+    await faults.run(performance.now() + seconds * 1_000);
+    await pause(RECOVERY_MS);
+    const calmFromMs = performance.now();
+    await pause(CALM_MS);
+    await callers.stop();
+    const {calls} = callers;
+    const statuses: Record<string, number> = {};
+    for (const {status} of calls) {
+      statuses[status] = (statuses[status] ?? 0) + 1;
+    }
+    return {
+      seed,
+      calls: calls.length,
+      statuses,
+      faults: faults.counts,
+      violations: checkCalls(calls, runs, faults.stops, calmFromMs),
+    };
+  } finally {
+    await fleet.stop();
+    for (const upstream of upstreams) upstream.stop();
+  }
+}
--- /dev/null
+++ b/packages/bench/src/gateway_soak/soak_callers.ts
@@ -0,0 +1,75 @@
+import {setTimeout as pause} from 'node:timers/promises';
+import {uniformInt} from 'pure-rand/distribution/uniformInt';
+import type {RandomGenerator} from 'pure-rand/types/RandomGenerator';
+import {Agent} from 'undici';
+import type {SoakCall} from './soak_call.js';
+
+const CALLERS = 16;
+const PAUSE_MS = 40;
+const PATHS = ['/orders/', '/bins/', '/ask/'];
+/** Callers give up after this time; the routes' limits are shorter. */
+const GIVE_UP_MS = 12_000;
+
+/** Callers that use open connections until the gateway is gone. */
+export class SoakCallers {
+  readonly calls: SoakCall[] = [];
+  private readonly agent = new Agent({connections: 8, pipelining: 1});
+  private loops: Promise<void>[] = [];
+  private isStopping = false;
+  private started = 0;
+
+  /** @param addresses IP:port of the gateways. */
+  constructor(
+    private readonly addresses: readonly string[],
+    private readonly random: RandomGenerator,
+  ) {}
+
+  start(): void {
+    this.loops = Array.from({length: CALLERS}, () => this.loop());
+  }
+
+  async stop(): Promise<void> {
+    this.isStopping = true;
+    await Promise.all(this.loops);
+    await this.agent.destroy();
+  }
+
+  private async loop(): Promise<void> {
+    while (!this.isStopping) {
+      const last = this.addresses.length - 1;
+      const gateway = uniformInt(this.random, 0, last);
+      const path = PATHS[uniformInt(this.random, 0, PATHS.length - 1)] ?? '';
+      this.calls.push(await this.call(gateway, path));
+      await pause(PAUSE_MS);
+    }
+  }
+
+  private async call(gateway: number, path: string): Promise<SoakCall> {
+    const id = `s${this.started++}`;
+    const startedAtMs = performance.now();
+    let status = 0;
+    let body = '';
+    let isCut = false;
+    try {
+      const answer = await this.agent.request({
+        origin: `http://${this.addresses[gateway] ?? ''}`,
+        path,
+        method: 'POST',
+        headers: {
+          host: 'soak.example',
+          'request-id': id,
+          'token-counts': '1000,400',
+        },
+        body: id,
+        signal: AbortSignal.timeout(GIVE_UP_MS),
+      });
+      status = answer.statusCode;
+      for await (const chunk of answer.body) body += String(chunk);
+    } catch {
+      // A connection that ends early is an outcome, which the checks judge.
+      isCut = true;
+    }
+    const endedAtMs = performance.now();
+    return {id, path, gateway, startedAtMs, endedAtMs, status, body, isCut};
+  }
+}
