--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -4,6 +4,7 @@
 import {EMULATE_COMMAND} from './emulate_command.js';
 import {findBenches} from './find_benches.js';
 import {formatReport} from './format_report.js';
+import {RECORD_COMMAND} from './record_command.js';
 
 /** Options of all commands. */
 interface Shared {
@@ -35,6 +36,7 @@
     },
   )
   .command(EMULATE_COMMAND)
+  .command(RECORD_COMMAND)
   .option('json', {
     type: 'boolean',
     default: false,
--- a/packages/emulator/src/index.ts
+++ b/packages/emulator/src/index.ts
@@ -5,6 +5,7 @@
 export type {KindSummary} from './kind_summary.js';
 export {PolicyName} from './policy_name.js';
 export {readPattern} from './read_pattern.js';
+export {recordPattern} from './record_pattern.js';
 export {RequestOutcome} from './request_outcome.js';
 export type {RequestResult} from './request_result.js';
 export {summarize} from './summarize.js';
