Let each caller of the soak have connections of its own

Callers shared eight connections a gateway and waited for a free one; the check counted that wait. Ruled out: a stalled gateway (it answered others meanwhile).

Change: a connection for each caller and gateway. The check and its bound are as they were.

--- a/packages/bench/src/gateway_soak/soak_callers.ts
+++ b/packages/bench/src/gateway_soak/soak_callers.ts
@@ -13,7 +13,6 @@
 /** Callers that use open connections until the gateway is gone. */
 export class SoakCallers {
   readonly calls: SoakCall[] = [];
-  private readonly agent = new Agent({connections: 8, pipelining: 1});
   private loops: Promise<void>[] = [];
   private isStopping = false;
   private started = 0;
@@ -31,27 +30,33 @@
   async stop(): Promise<void> {
     this.isStopping = true;
     await Promise.all(this.loops);
-    await this.agent.destroy();
   }
 
   private async loop(): Promise<void> {
+    // Shared connections would count the wait for a free one as the gateway's.
+    const agent = new Agent({connections: 1, pipelining: 1});
     while (!this.isStopping) {
       const last = this.addresses.length - 1;
       const gateway = uniformInt(this.random, 0, last);
       const path = PATHS[uniformInt(this.random, 0, PATHS.length - 1)] ?? '';
-      this.calls.push(await this.call(gateway, path));
+      this.calls.push(await this.call(agent, gateway, path));
       await pause(PAUSE_MS);
     }
+    await agent.destroy();
   }
 
-  private async call(gateway: number, path: string): Promise<SoakCall> {
+  private async call(
+    agent: Agent,
+    gateway: number,
+    path: string,
+  ): Promise<SoakCall> {
     const id = `s${this.started++}`;
     const startedAtMs = performance.now();
     let status = 0;
     let body = '';
     let isCut = false;
     try {
-      const answer = await this.agent.request({
+      const answer = await agent.request({
         origin: `http://${this.addresses[gateway] ?? ''}`,
         path,
         method: 'POST',
