--- a/packages/bench/src/gateway_soak/check_calls.ts
+++ b/packages/bench/src/gateway_soak/check_calls.ts
@@ -5,12 +5,6 @@
 /** Statuses that promise that a request did not run. */
 const NOT_RUN = new Set([408, 421, 429, 503]);
 const OK_STATUS = 200;
-/** Longest time of a request by path, as the site file sets it. */
-const TIME_LIMITS_MS: Readonly<Record<string, number>> = {
-  '/orders/': 2_000,
-  '/bins/': 2_000,
-  '/ask/': 6_000,
-};
 /** Time beyond the limit for an answer on a busy machine. */
 const SLACK_MS = 1_000;
 /** Part of the requests that must be served once faults have ended. */
@@ -36,8 +30,10 @@
   return found;
 }
 
-function checkRuns({id, path, status}: SoakCall, runs: number): string[] {
-  if (path === '/orders/' && runs > 1) return [`order ${id} ran ${runs} times`];
+function checkRuns({id, route, status}: SoakCall, runs: number): string[] {
+  if (route.kind === 'unsafe' && runs > 1) {
+    return [`order ${id} ran ${runs} times`];
+  }
   if (status === OK_STATUS && runs === 0) {
     return [`${id} was answered and did not run`];
   }
@@ -47,9 +43,9 @@
   return [];
 }
 
-function checkBody({id, path, status, body, isCut}: SoakCall): string[] {
+function checkBody({id, route, status, body, isCut}: SoakCall): string[] {
   if (status !== OK_STATUS) return [];
-  if (path !== '/ask/') {
+  if (route.kind !== 'stream') {
     const isRight = isCut || body === `ran ${id}`;
     return isRight ? [] : [`${id} got another answer: ${body.slice(0, 40)}`];
   }
@@ -65,7 +61,7 @@
 }
 
 function checkTime(
-  {id, path, gateway, status, startedAtMs, endedAtMs}: SoakCall,
+  {id, route, gateway, status, startedAtMs, endedAtMs}: SoakCall,
   stops: readonly GatewayStop[],
 ): string[] {
   const wasStopped = stops.some(
@@ -75,7 +71,8 @@
       stop.untilMs > startedAtMs,
   );
   const tookMs = Math.round(endedAtMs - startedAtMs);
-  const limitMs = TIME_LIMITS_MS[path] ?? 0;
-  if (wasStopped || tookMs <= limitMs + SLACK_MS) return [];
-  return [`${id} on ${path} of g${gateway}: ${status} after ${tookMs} ms`];
+  if (wasStopped || tookMs <= route.timeoutMs + SLACK_MS) return [];
+  return [
+    `${id} on ${route.path} of g${gateway}: ${status} after ${tookMs} ms`,
+  ];
 }
--- a/packages/bench/src/gateway_soak/describe_soak_site.ts
+++ b/packages/bench/src/gateway_soak/describe_soak_site.ts
@@ -1,4 +1,5 @@
 import type {CheckedUpstream} from './checked_upstream.js';
+import {SOAK_ROUTES} from './soak_routes.js';
 
 const ENGINE = {
   slots: 16,
@@ -19,41 +20,18 @@
   upstreams: readonly CheckedUpstream[],
   draining: ReadonlySet<string>,
 ): object {
-  const route = {host: 'soak.example', latencyObjectiveMs: 300};
-  const app = [{service: 'app', weight: 1}];
   return {
     version,
-    routes: [
-      {
-        ...route,
-        name: 'orders',
-        prefix: '/orders/',
-        kind: 'unsafe',
-        targets: app,
-        timeoutMs: 2_000,
-        maxAttempts: 2,
-      },
-      {
-        ...route,
-        name: 'bins',
-        prefix: '/bins/',
-        kind: 'safe',
-        targets: app,
-        timeoutMs: 2_000,
-        maxAttempts: 2,
-      },
-      {
-        ...route,
-        name: 'ask',
-        prefix: '/ask/',
-        kind: 'stream',
-        resumable: true,
-        targets: [{service: 'engine', weight: 1}],
-        timeoutMs: 6_000,
-        maxAttempts: 2,
-        pauseObjectiveMs: 250,
-      },
-    ],
+    routes: SOAK_ROUTES.map(({path, kind, service, ...route}) => ({
+      ...route,
+      host: 'soak.example',
+      prefix: path,
+      kind,
+      targets: [{service, weight: 1}],
+      maxAttempts: 2,
+      latencyObjectiveMs: 300,
+      ...(kind === 'stream' && {resumable: true, pauseObjectiveMs: 250}),
+    })),
     services: [{name: 'app'}, {name: 'engine', engine: ENGINE}],
     upstreams: upstreams.map(({id, service, proxy}) => ({
       id,
--- a/packages/bench/src/gateway_soak/gateway_fleet.ts
+++ b/packages/bench/src/gateway_soak/gateway_fleet.ts
@@ -2,10 +2,9 @@
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import {fileURLToPath} from 'node:url';
-import {setTimeout as pause} from 'node:timers/promises';
-import {request} from 'undici';
 import {Child} from '../child.js';
 import {findPorts} from '../find_ports.js';
+import {pollOk} from '../poll_ok.js';
 import type {CheckedUpstream} from './checked_upstream.js';
 import {describeSoakSite} from './describe_soak_site.js';
 
@@ -14,7 +13,6 @@
 );
 const LOCAL = '127.0.0.1';
 const PORTS_PER_GATEWAY = 5;
-const READY_TRY_MS = 100;
 const READY_LIMIT_MS = 15_000;
 const STOP_MS = 6_000;
 
@@ -109,16 +107,6 @@
   private async waitUntilReady(at: number): Promise<void> {
     const [, readiness = ''] = this.addresses[at] ?? [];
     const untilMs = performance.now() + READY_LIMIT_MS;
-    while (performance.now() < untilMs) {
-      const status = await request(`http://${readiness}/readyz`)
-        .then(async ({statusCode, body}) => {
-          await body.dump();
-          return statusCode;
-        })
-        .catch(() => 0);
-      if (status === 200) return;
-      await pause(READY_TRY_MS);
-    }
-    throw new Error(`gateway g${at} is not ready after ${READY_LIMIT_MS} ms`);
+    await pollOk(`http://${readiness}/readyz`, untilMs, () => undefined);
   }
 }
--- a/packages/bench/src/gateway_soak/run_gateway_soak.ts
+++ b/packages/bench/src/gateway_soak/run_gateway_soak.ts
@@ -11,6 +11,7 @@
 /** Time in which upstreams that were avoided are tried again: at most 4 s. */
 const RECOVERY_MS = 5_000;
 const CALM_MS = 2_000;
+const MS_PER_SECOND = 1_000;
 
 /**
  * Runs gateways as processes under load and faults, and checks what callers and
@@ -40,7 +41,7 @@
     const callers = new SoakCallers(fleet.callers, xoroshiro128plus(seed + 1));
     const faults = new GatewayFaults(fleet, gateways, upstreams, random);
     callers.start();
-    await faults.run(performance.now() + seconds * 1_000);
+    await faults.run(performance.now() + seconds * MS_PER_SECOND);
     await pause(RECOVERY_MS);
     const calmFromMs = performance.now();
     await pause(CALM_MS);
--- a/packages/bench/src/gateway_soak/soak_call.ts
+++ b/packages/bench/src/gateway_soak/soak_call.ts
@@ -1,7 +1,9 @@
+import type {SoakRoute} from './soak_route.js';
+
 /** One request of a caller, and what came of it. */
 export interface SoakCall {
   readonly id: string;
-  readonly path: string;
+  readonly route: SoakRoute;
   readonly gateway: number;
   readonly startedAtMs: number;
   readonly endedAtMs: number;
--- a/packages/bench/src/gateway_soak/soak_callers.ts
+++ b/packages/bench/src/gateway_soak/soak_callers.ts
@@ -3,10 +3,11 @@
 import type {RandomGenerator} from 'pure-rand/types/RandomGenerator';
 import {Agent} from 'undici';
 import type {SoakCall} from './soak_call.js';
+import type {SoakRoute} from './soak_route.js';
+import {SOAK_ROUTES} from './soak_routes.js';
 
 const CALLERS = 16;
 const PAUSE_MS = 40;
-const PATHS = ['/orders/', '/bins/', '/ask/'];
 /** Callers give up after this time; the routes' limits are shorter. */
 const GIVE_UP_MS = 12_000;
 
@@ -38,8 +39,9 @@
     while (!this.isStopping) {
       const last = this.addresses.length - 1;
       const gateway = uniformInt(this.random, 0, last);
-      const path = PATHS[uniformInt(this.random, 0, PATHS.length - 1)] ?? '';
-      this.calls.push(await this.call(agent, gateway, path));
+      const at = uniformInt(this.random, 0, SOAK_ROUTES.length - 1);
+      const route = SOAK_ROUTES[at];
+      if (route) this.calls.push(await this.call(agent, gateway, route));
       await pause(PAUSE_MS);
     }
     await agent.destroy();
@@ -48,7 +50,7 @@
   private async call(
     agent: Agent,
     gateway: number,
-    path: string,
+    route: SoakRoute,
   ): Promise<SoakCall> {
     const id = `s${this.started++}`;
     const startedAtMs = performance.now();
@@ -58,7 +60,7 @@
     try {
       const answer = await agent.request({
         origin: `http://${this.addresses[gateway] ?? ''}`,
-        path,
+        path: route.path,
         method: 'POST',
         headers: {
           host: 'soak.example',
@@ -75,6 +77,6 @@
       isCut = true;
     }
     const endedAtMs = performance.now();
-    return {id, path, gateway, startedAtMs, endedAtMs, status, body, isCut};
+    return {id, route, gateway, startedAtMs, endedAtMs, status, body, isCut};
   }
 }
--- a/packages/daemon/src/gateway/find_time_limit.test.ts
+++ b/packages/daemon/src/gateway/find_time_limit.test.ts
@@ -1,21 +1,9 @@
-import {RequestKind, type Route} from '@parsleywood/forwarding';
+import {describeRoute} from '@parsleywood/forwarding/testing';
 import {expect} from 'chai';
 import {findTimeLimit} from './find_time_limit.js';
 import type {RequestFacts} from './request_facts.js';
 
-const ROUTE: Route = {
-  name: 'r',
-  host: 'a.example',
-  prefix: '/',
-  kind: RequestKind.SAFE,
-  resumable: false,
-  targets: [],
-  maxAttempts: 1,
-  timeoutMs: 1_200,
-  latencyObjectiveMs: 100,
-  priority: 1,
-  allowsAnonymous: false,
-};
+const ROUTE = describeRoute({timeoutMs: 1_200});
 const FACTS: RequestFacts = {
   id: 'r1',
   method: 'GET',
--- a/packages/daemon/src/gateway/gateway_host.ts
+++ b/packages/daemon/src/gateway/gateway_host.ts
@@ -1,3 +1,4 @@
+import {setTimeout as pause} from 'node:timers/promises';
 import {
   PlacementBook,
   UpstreamChooser,
@@ -15,7 +16,6 @@
 import {HostTimeline} from '../host/host_timeline.js';
 import {nameIncarnation} from '../host/name_incarnation.js';
 import {parseAddress} from '../host/parse_address.js';
-import {pause} from '../host/pause.js';
 import {gatherTimeline} from '../peers/gather_timeline.js';
 import {PeerServer} from '../peers/peer_server.js';
 import {PeerTransport} from '../peers/peer_transport.js';
--- a/packages/daemon/src/gateway/news_relay.test.ts
+++ b/packages/daemon/src/gateway/news_relay.test.ts
@@ -1,3 +1,4 @@
+import {setTimeout as pause} from 'node:timers/promises';
 import type {FleetMessage} from '@parsleywood/schema/fleet';
 import type {PeerMessage} from '@parsleywood/schema/peer';
 import {expect} from 'chai';
@@ -31,7 +32,7 @@
 }
 
 async function collect(): Promise<void> {
-  await new Promise(resolve => setTimeout(resolve, 2 * COLLECT_MS));
+  await pause(2 * COLLECT_MS);
 }
 
 describe('NewsRelay', () => {
--- a/packages/daemon/src/gateway/prompt_reservations.test.ts
+++ b/packages/daemon/src/gateway/prompt_reservations.test.ts
@@ -1,23 +1,13 @@
 import type {UpstreamChoice} from '@parsleywood/dispatch';
-import {UpstreamStage, type UpstreamEntry} from '@parsleywood/forwarding';
+import type {UpstreamEntry} from '@parsleywood/forwarding';
+import {describeUpstream} from '@parsleywood/forwarding/testing';
 import {expect} from 'chai';
 import {EventLog} from '../host/event_log.js';
 import {PromptReservations} from './prompt_reservations.js';
 import type {ReservationCalls} from './reservation_calls.js';
 import {ReservationOutcome} from './reservation_outcome.js';
 
-function describeEngine(id: string): UpstreamEntry {
-  return {
-    id,
-    service: 'llm',
-    address: '127.0.0.1:1',
-    failureDomain: 'a',
-    stage: UpstreamStage.READY,
-    slots: 4,
-  };
-}
-
-const ENGINES = ['e0', 'e1', 'e2'].map(describeEngine);
+const ENGINES = ['e0', 'e1', 'e2'].map(id => describeUpstream(id));
 
 function choose(): UpstreamChoice {
   const [upstream, ...helpers] = ENGINES;
--- a/packages/daemon/src/gateway/site_file.ts
+++ b/packages/daemon/src/gateway/site_file.ts
@@ -1,4 +1,5 @@
 import {stat} from 'node:fs/promises';
+import {setTimeout as pause} from 'node:timers/promises';
 import {
   formatProblem,
   readSettingsFile,
@@ -13,7 +14,6 @@
 } from '@parsleywood/forwarding';
 import {PUBLISHED_SITE_SCHEMA} from '@parsleywood/schema/published_site';
 import {Result} from 'true-myth';
-import {pause} from '../host/pause.js';
 import type {SiteSource} from './site_source.js';
 import type {SourceFault} from './source_fault.js';
 import {SourceFaultKind} from './source_fault_kind.js';
--- a/packages/daemon/src/gateway/site_follower.ts
+++ b/packages/daemon/src/gateway/site_follower.ts
@@ -1,5 +1,5 @@
+import {setTimeout as pause} from 'node:timers/promises';
 import type {EventLog} from '../host/event_log.js';
-import {pause} from '../host/pause.js';
 import type {GatewayMetrics} from './gateway_metrics.js';
 import type {SiteKeeper} from './site_keeper.js';
 import type {SiteSource} from './site_source.js';
--- a/packages/daemon/src/gateway_main.test.ts
+++ b/packages/daemon/src/gateway_main.test.ts
@@ -7,9 +7,9 @@
 import {join} from 'node:path';
 import {setTimeout as pause} from 'node:timers/promises';
 import {fileURLToPath} from 'node:url';
+import {findFreePorts} from '@parsleywood/stand-ins';
 import {expect} from 'chai';
 import {request} from 'undici';
-import {findFreePorts} from './testing/find_free_ports.js';
 
 const MAIN = fileURLToPath(new URL('./gateway_main.js', import.meta.url));
 const LOCAL = '127.0.0.1';
--- a/packages/daemon/src/host_process.ts
+++ b/packages/daemon/src/host_process.ts
@@ -1,3 +1,4 @@
+import {setTimeout as pause} from 'node:timers/promises';
 import {UpstreamState} from '@parsleywood/membership';
 import {Orders} from '@parsleywood/orders';
 import type {StartSettings} from '@parsleywood/schema/start_settings';
@@ -24,7 +25,6 @@
 import {OperatorServer} from './operators/operator_server.js';
 import {OrderDesk} from './control/order_desk.js';
 import {parseAddress} from './host/parse_address.js';
-import {pause} from './host/pause.js';
 import {PeerCalls} from './peers/peer_calls.js';
 import {PeerReadiness} from './peers/peer_readiness.js';
 import {PeerServer} from './peers/peer_server.js';
--- a/packages/daemon/src/peers/peer_server.test.ts
+++ b/packages/daemon/src/peers/peer_server.test.ts
@@ -1,3 +1,4 @@
+import {findFreePorts} from '@parsleywood/stand-ins';
 import {expect} from 'chai';
 import {SystemClock} from '../host/system_clock.js';
 import {HostMetrics} from '../host/host_metrics.js';
@@ -5,7 +6,6 @@
 import type {PeerListener} from './peer_listener.js';
 import {PeerServer} from './peer_server.js';
 import {PeerTransport} from './peer_transport.js';
-import {findFreePorts} from '../testing/find_free_ports.js';
 
 const SELF = {host: 'host-2', id: '1-a'};
 const POLL_MS = 5;
--- a/packages/daemon/src/testing/test_site.ts
+++ b/packages/daemon/src/testing/test_site.ts
@@ -5,10 +5,10 @@
   startPlatform,
   startService,
   type StandIn,
+  findFreePorts,
 } from '@parsleywood/stand-ins';
 import type {StartSettings} from '@parsleywood/schema/start_settings';
 import {HostProcess} from '../host_process.js';
-import {findFreePorts} from './find_free_ports.js';
 import {startDaemon} from './start_daemon.js';
 import {TEST_SETTINGS} from './test_settings.js';
 
--- a/packages/dispatch/src/pick_service_upstream.test.ts
+++ b/packages/dispatch/src/pick_service_upstream.test.ts
@@ -1,16 +1,10 @@
-import {UpstreamStage, type UpstreamEntry} from '@parsleywood/forwarding';
+import type {UpstreamEntry} from '@parsleywood/forwarding';
+import {describeUpstream} from '@parsleywood/forwarding/testing';
 import {expect} from 'chai';
 import {pickServiceUpstream} from './pick_service_upstream.js';
 
 function entry(id: string, failureDomain: string, slots = 6): UpstreamEntry {
-  return {
-    id,
-    service: 's',
-    address: '10.0.0.1:80',
-    failureDomain,
-    stage: UpstreamStage.READY,
-    slots,
-  };
+  return describeUpstream(id, {failureDomain, slots});
 }
 
 describe('pickServiceUpstream', () => {
--- a/packages/dispatch/src/upstream_chooser.test.ts
+++ b/packages/dispatch/src/upstream_chooser.test.ts
@@ -1,8 +1,5 @@
-import {
-  UpstreamStage,
-  type Service,
-  type UpstreamEntry,
-} from '@parsleywood/forwarding';
+import type {Service} from '@parsleywood/forwarding';
+import {describeUpstream} from '@parsleywood/forwarding/testing';
 import {expect} from 'chai';
 import {PlacementBook} from './placement_book.js';
 import {ENGINE_PROFILE} from './testing/engine_profile.js';
@@ -20,18 +17,9 @@
   patienceMs: 2_000,
 };
 
-function entry(id: string): UpstreamEntry {
-  return {
-    id,
-    service: 's',
-    address: '10.0.0.1:80',
-    failureDomain: 'd',
-    stage: UpstreamStage.READY,
-    slots: 11,
-  };
-}
-
-const ENGINES = Array.from({length: 14}, (_, at) => entry(`engine-${at}`));
+const ENGINES = Array.from({length: 14}, (_, at) =>
+  describeUpstream(`engine-${at}`),
+);
 
 function makeChooser(
   host: string,
--- a/packages/forwarding/src/match_request.test.ts
+++ b/packages/forwarding/src/match_request.test.ts
@@ -1,23 +1,10 @@
 import {ErrorKind} from '@parsleywood/errors';
 import {expect} from 'chai';
 import {matchRequest} from './match_request.js';
-import {RequestKind} from './request_kind.js';
-import type {Route} from './route.js';
 import {SiteRules} from './site_rules.js';
+import {describeRoute} from './testing/describe_route.js';
 
-const ROUTE: Route = {
-  name: 'r',
-  host: 'a.example',
-  prefix: '/x/',
-  kind: RequestKind.SAFE,
-  resumable: false,
-  targets: [{service: 's', weight: 1}],
-  maxAttempts: 2,
-  timeoutMs: 1_000,
-  latencyObjectiveMs: 100,
-  priority: 1,
-  allowsAnonymous: false,
-};
+const ROUTE = describeRoute({prefix: '/x/'});
 const RULES = new SiteRules({
   version: 1,
   routes: [ROUTE, {...ROUTE, prefix: '/open/', allowsAnonymous: true}],
--- a/packages/forwarding/src/request_life.test.ts
+++ b/packages/forwarding/src/request_life.test.ts
@@ -6,6 +6,7 @@
 import {RequestKind} from './request_kind.js';
 import {RequestLife} from './request_life.js';
 import type {Route} from './route.js';
+import {describeRoute} from './testing/describe_route.js';
 
 const LEFT_MS = 1_000;
 
@@ -14,19 +15,7 @@
   maxAttempts: number,
   resumable = false,
 ): Route {
-  return {
-    name: 'r',
-    host: 'a.example',
-    prefix: '/',
-    kind,
-    resumable,
-    targets: [{service: 's', weight: 1}],
-    maxAttempts,
-    timeoutMs: 1_000,
-    latencyObjectiveMs: 100,
-    priority: 1,
-    allowsAnonymous: false,
-  };
+  return describeRoute({kind, maxAttempts, resumable});
 }
 
 const ENDS = fc.array(
--- a/packages/forwarding/src/route_table.test.ts
+++ b/packages/forwarding/src/route_table.test.ts
@@ -1,22 +1,10 @@
 import {expect} from 'chai';
-import {RequestKind} from './request_kind.js';
 import type {Route} from './route.js';
 import {RouteTable} from './route_table.js';
+import {describeRoute} from './testing/describe_route.js';
 
 function route(host: string, prefix: string): Route {
-  return {
-    name: `${host}${prefix}`,
-    host,
-    prefix,
-    kind: RequestKind.SAFE,
-    resumable: false,
-    targets: [{service: 's', weight: 1}],
-    maxAttempts: 2,
-    timeoutMs: 1_000,
-    latencyObjectiveMs: 100,
-    priority: 1,
-    allowsAnonymous: false,
-  };
+  return describeRoute({name: `${host}${prefix}`, host, prefix});
 }
 
 describe('RouteTable', () => {
--- /dev/null
+++ b/packages/forwarding/src/testing/describe_route.ts
@@ -0,0 +1,20 @@
+import {RequestKind} from '../request_kind.js';
+import type {Route} from '../route.js';
+
+/** Describes a route for tests, but for what is given. */
+export function describeRoute(changes: Partial<Route> = {}): Route {
+  return {
+    name: 'r',
+    host: 'a.example',
+    prefix: '/',
+    kind: RequestKind.SAFE,
+    resumable: false,
+    targets: [{service: 's', weight: 1}],
+    maxAttempts: 2,
+    timeoutMs: 1_000,
+    latencyObjectiveMs: 100,
+    priority: 1,
+    allowsAnonymous: false,
+    ...changes,
+  };
+}
--- /dev/null
+++ b/packages/forwarding/src/testing/describe_upstream.ts
@@ -0,0 +1,18 @@
+import type {UpstreamEntry} from '../upstream_entry.js';
+import {UpstreamStage} from '../upstream_stage.js';
+
+/** Describes an upstream for tests, but for what is given. */
+export function describeUpstream(
+  id: string,
+  changes: Partial<UpstreamEntry> = {},
+): UpstreamEntry {
+  return {
+    id,
+    service: 's',
+    address: '10.0.0.1:80',
+    failureDomain: 'd',
+    stage: UpstreamStage.READY,
+    slots: 11,
+    ...changes,
+  };
+}
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -24,6 +24,7 @@
 export type {EngineUsage} from './engine_usage.js';
 export type {Execution} from './execution.js';
 export {expectedAnswer} from './expected_answer.js';
+export {findFreePorts} from './find_free_ports.js';
 export {hashBlocks} from './hash_blocks.js';
 export type {KvExport} from './kv_export.js';
 export type {LoadReport} from './load_report.js';
