Let one piece of code serve what the change had written twice

Found in a read-through of the change: - StatusCalls makes the short calls of engines for both kinds of reservation; EngineMemoryCalls and the platform's OrderClient each had their own - attemptPatience and the choice of when to return are decisions and moved from the daemon's adapters to packages/forwarding; the emulator had repeated both - the emulator runs on VirtualTime, which the proofs of orders already had; it stands in types/testing now, and tinyqueue goes - the figures of engines stood in two schemas; both name json/parts/engine.json - ReadPlanner made its table of places for each number of readers; once a plan now - ForwardSession: SilenceWatch and PlainAnswer are classes of their own (405 to 367 lines) - LogSink: a branch that made an empty buffer to end; the emulator: an argument that nothing read, a list copied for each request

Generated code differs in the order of one key. Checked: types, linter, formatter, tests of all packages touched (254).

--- a/packages/daemon/src/gateway/forward_session.ts
+++ b/packages/daemon/src/gateway/forward_session.ts
@@ -1,6 +1,7 @@
 import {ErrorKind, Failure, Ran} from '@parsleywood/errors';
 import {
   AttemptEnd,
+  chooseReturn,
   EventCursor,
   NextStep,
   RequestKind,
@@ -11,7 +12,6 @@
 } from '@parsleywood/forwarding';
 import {refuseCondemned} from '../callers/refuse_condemned.js';
 import type {AnswerHead} from './answer_head.js';
-import {attemptPatience} from './attempt_patience.js';
 import type {AttemptWatcher} from './attempt_watcher.js';
 import type {CallerReply} from './caller_reply.js';
 import {CrashJudge} from './crash_judge.js';
@@ -19,22 +19,18 @@
 import {findTimeLimit} from './find_time_limit.js';
 import type {GatewayParts} from './gateway_parts.js';
 import type {PlacedAttempt} from './placed_attempt.js';
+import {PlainAnswer} from './plain_answer.js';
 import {PromptReservations} from './prompt_reservations.js';
 import type {ReceivedRequest} from './received_request.js';
 import {SessionLog} from './session_log.js';
 import {SessionOutcome} from './session_outcome.js';
+import {SilenceWatch} from './silence_watch.js';
 import {UpstreamAttempt} from './upstream_attempt.js';
 import {UpstreamDesk} from './upstream_desk.js';
 import {writeAttemptHeaders} from './write_attempt_headers.js';
 
-/** Least time to come back after a refusal for want of room. */
-const ROOM_RETRY_MS = 500;
-/** Longest time after which callers are asked to come back. */
-const MAX_RETRY_MS = 3_000;
 /** When to come back after upstreams could not be reached. */
 const UNAVAILABLE_RETRY_MS = 300;
-/** Longest plain answer, in bytes: it is checked whole before it is passed on. */
-const MAX_ANSWER_BYTES = 16_777_216;
 const LOWEST_RANK = 9;
 const SERVER_ERROR_STATUS = 500;
 const OK_STATUS = 200;
@@ -49,12 +45,11 @@
   private readonly crashes: CrashJudge;
   private readonly deadlineMs: number;
   private deadlineTimer: NodeJS.Timeout | undefined;
-  private silenceTimer: NodeJS.Timeout | undefined;
+  private readonly silence: SilenceWatch;
   private attempt: UpstreamAttempt | undefined;
   private reserved: PromptReservations | undefined;
   private head: AnswerHead | undefined;
-  private body: Buffer[] = [];
-  private bodyBytes = 0;
+  private plain = new PlainAnswer();
   private sentAttempts = 0;
   private isOver = false;
 
@@ -76,6 +71,16 @@
     this.deadlineMs = receivedAtMs + findTimeLimit(facts, route);
     const {deadlineMs} = this;
     this.desk = new UpstreamDesk(parts, match, request, service, deadlineMs);
+    this.silence = new SilenceWatch(
+      route,
+      this.life.isRepeatable,
+      () => {
+        this.endSilent();
+      },
+      () => {
+        void this.checkUpstreams();
+      },
+    );
     this.crashes = new CrashJudge(parts, route, request, this.desk, this.log);
   }
 
@@ -110,20 +115,21 @@
     this.head = head;
     this.log.noteHead();
     if (this.isStreaming()) {
-      this.armSilence(attemptPatience.forPause(this.route));
+      this.silence.expectEvent();
     }
     return true;
   }
 
   onData(chunk: Buffer): void {
     if (!this.isStreaming()) {
-      this.keep(chunk);
+      this.plain.take(chunk);
+      const {fault} = this.plain;
+      if (fault !== undefined) this.giveUp(AttemptEnd.BROKEN, fault);
       return;
     }
     const events = this.cursor.take(chunk);
     if (events === undefined) {
-      this.attempt?.cancel();
-      this.onEnd(AttemptEnd.BROKEN, 'answer is no stream of events');
+      this.giveUp(AttemptEnd.BROKEN, 'answer is no stream of events');
     } else if (events.length > 0) {
       this.relay(events);
     }
@@ -152,18 +158,6 @@
     else this.failAfterAttempts(detail || 'upstream refused');
   }
 
-  /** Keeps a part of a plain answer until the answer is whole. */
-  private keep(chunk: Buffer): void {
-    this.body.push(chunk);
-    this.bodyBytes += chunk.length;
-    if (this.bodyBytes <= MAX_ANSWER_BYTES) return;
-    this.attempt?.cancel();
-    this.onEnd(
-      AttemptEnd.BROKEN,
-      `answer longer than ${MAX_ANSWER_BYTES} bytes`,
-    );
-  }
-
   private sendAttempt(): void {
     const placed = this.desk.place(this.life.attempts);
     if (!('placement' in placed)) {
@@ -171,8 +165,7 @@
       return;
     }
     this.head = undefined;
-    this.body = [];
-    this.bodyBytes = 0;
+    this.plain = new PlainAnswer();
     this.cursor.dropPart();
     const {parts} = this;
     const reserved = new PromptReservations(
@@ -216,7 +209,7 @@
       this,
     );
     this.sentAttempts++;
-    this.armFirst(placed);
+    this.silence.expectAnswer(placed.choice.plan);
     this.log.attemptSent(this.life.attempts, placed, this.leftMs());
     this.attempt.start();
   }
@@ -246,45 +239,13 @@
   }
 
   private relay(events: Buffer): void {
-    this.armSilence(attemptPatience.forPause(this.route));
+    this.silence.expectEvent();
     this.desk.noteEvents();
     this.log.noteEvents();
     if (!this.reply.hasStarted && this.head) this.reply.start(this.head);
     this.reply.write(events);
   }
 
-  private armFirst({choice}: PlacedAttempt): void {
-    const {route} = this;
-    const {plan} = choice;
-    if (plan === undefined) {
-      this.armSilence(attemptPatience.forCall(route));
-      return;
-    }
-    const {expectedMs} = plan;
-    const limitMs = attemptPatience.forFirstEvent(route, expectedMs);
-    const checkMs = attemptPatience.untilCheck(expectedMs);
-    if (checkMs >= limitMs) {
-      this.armSilence(limitMs);
-      return;
-    }
-    this.arm(checkMs, () => {
-      this.armSilence(limitMs - checkMs);
-      void this.checkUpstreams();
-    });
-  }
-
-  private armSilence(afterMs: number): void {
-    this.arm(afterMs, () => {
-      this.endSilent();
-    });
-  }
-
-  private arm(afterMs: number, act: () => void): void {
-    clearTimeout(this.silenceTimer);
-    if (!this.life.isRepeatable) return;
-    this.silenceTimer = setTimeout(act, afterMs);
-  }
-
   /** Moves the request early when one of its engines cannot be reached. */
   private async checkUpstreams(): Promise<void> {
     const {attempt} = this;
@@ -299,8 +260,13 @@
   /** Moves a silent request once; one that cannot be moved waits on. */
   private endSilent(): void {
     if (this.isOver || !this.mayMove()) return;
+    this.giveUp(AttemptEnd.SILENT, 'upstream silent');
+  }
+
+  /** Ends the open attempt from this side. */
+  private giveUp(end: AttemptEnd, detail: string): void {
     this.attempt?.cancel();
-    this.onEnd(AttemptEnd.SILENT, 'upstream silent');
+    this.onEnd(end, detail);
   }
 
   private mayMove(): boolean {
@@ -321,7 +287,7 @@
   }
 
   private endAttempt(): void {
-    clearTimeout(this.silenceTimer);
+    this.silence.stop();
     this.attempt?.cancel();
     this.attempt = undefined;
     this.reserved?.release();
@@ -338,7 +304,7 @@
       // The status of the first upstream is sent; only a cut shows the failure.
       this.reply.abort();
     } else {
-      this.reply.send(head, Buffer.concat(this.body));
+      this.reply.send(head, this.plain.join());
     }
     this.finish(
       head.status < SERVER_ERROR_STATUS
@@ -362,11 +328,7 @@
     const [kind, message] = hasUpstreams
       ? [ErrorKind.OVERLOADED, `no room at ${service}`]
       : [ErrorKind.UPSTREAM_UNAVAILABLE, `no upstream of ${service}`];
-    const retryAfterMs = Math.min(
-      Math.max(waitMs, ROOM_RETRY_MS),
-      MAX_RETRY_MS,
-    );
-    this.fail(new Failure(kind, message, Ran.NO, retryAfterMs));
+    this.fail(new Failure(kind, message, Ran.NO, chooseReturn(waitMs)));
   }
 
   private failAfterAttempts(message: string): void {
@@ -382,7 +344,7 @@
   private finish(outcome: SessionOutcome | Failure): void {
     this.isOver = true;
     clearTimeout(this.deadlineTimer);
-    clearTimeout(this.silenceTimer);
+    this.silence.stop();
     const {sentAttempts, cursor, head} = this;
     this.log.over(outcome, head?.status, sentAttempts, cursor.count);
     this.onOver();
--- a/packages/daemon/src/gateway/upstream_desk.ts
+++ b/packages/daemon/src/gateway/upstream_desk.ts
@@ -7,11 +7,11 @@
 } from '@parsleywood/dispatch';
 import {
   AttemptEnd,
+  attemptPatience,
   type RouteMatch,
   type Service,
   type UpstreamEntry,
 } from '@parsleywood/forwarding';
-import {attemptPatience} from './attempt_patience.js';
 import {canConnect} from './can_connect.js';
 import type {GatewayParts} from './gateway_parts.js';
 import type {PlacedAttempt} from './placed_attempt.js';
--- a/packages/daemon/src/host/log_sink.ts
+++ b/packages/daemon/src/host/log_sink.ts
@@ -86,11 +86,8 @@
         return;
       }
       // Without a reader there is nobody to tell.
-      const rest = error
-        ? bytes.subarray(bytes.length)
-        : bytes.subarray(written);
-      if (rest.length > 0) {
-        this.writeAll(rest);
+      if (!error && written < bytes.length) {
+        this.writeAll(bytes.subarray(written));
         return;
       }
       this.isWriting = false;
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -7,4 +7,5 @@
 export type {SourceFault} from './gateway/source_fault.js';
 export {SourceFaultKind} from './gateway/source_fault_kind.js';
 export type {ReservationCalls} from './gateway/reservation_calls.js';
+export {StatusCalls} from './gateway/status_calls.js';
 export {ReservationOutcome} from './gateway/reservation_outcome.js';
--- a/packages/dispatch/src/read_planner.ts
+++ b/packages/dispatch/src/read_planner.ts
@@ -64,8 +64,9 @@
     if (roomy.length === 0) return {waitMs: 0};
     let best: {plan: ReadPlan; cost: number} | undefined;
     const most = this.countReaders(demand, engines);
+    const places = new Map(engines.map((engine, place) => [engine, place]));
     for (let count = 1; count <= most; count++) {
-      const option = this.planFor(demand, roomy, engines, count);
+      const option = this.planFor(demand, roomy, places, count);
       if (option === undefined) continue;
       if (best === undefined || option.cost < best.cost) best = option;
     }
@@ -97,10 +98,11 @@
     return Math.max(1, Math.min(MAX_READERS, useful, engines.length));
   }
 
+  /** @param places All engines, with their place in this host's own order. */
   private planFor(
     demand: PromptDemand,
     roomy: readonly EngineForecast[],
-    engines: readonly EngineForecast[],
+    places: ReadonlyMap<EngineForecast, number>,
     count: number,
   ): {plan: ReadPlan; cost: number} | undefined {
     const tokens = Math.ceil(demand.promptTokens / count);
@@ -111,7 +113,6 @@
       option.harm + loseAt(option.finishMs) + COST_PER_MS * option.finishMs;
     const isAhead = count > 1;
     const costPerPlace = isAhead ? COST_PER_PLACE_OF_PART : COST_PER_PLACE;
-    const places = new Map(engines.map((engine, place) => [engine, place]));
     const rateHere = (option: ReadOption): number =>
       rate(option) + costPerPlace * (places.get(option.engine) ?? 0);
     const first = least(
@@ -121,7 +122,7 @@
         costOfWriter(option.engine) +
         weight * this.missingRoom(demand, option.engine),
     );
-    const others = engines
+    const others = [...places.keys()]
       .filter(({upstream}) => upstream !== first.engine.upstream)
       .map(engine => this.describe(engine, tokens, pairs, isAhead))
       .sort((left, right) => rateHere(left) - rateHere(right))
--- a/packages/emulator/src/emulate.ts
+++ b/packages/emulator/src/emulate.ts
@@ -7,13 +7,13 @@
 import type {LoadPattern} from '@parsleywood/schema/load_pattern';
 import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {VirtualTime} from '@parsleywood/types/testing';
 import {drawArrivals} from './draw_arrivals.js';
 import {EmulatedRequest} from './emulated_request.js';
 import {EngineModel} from './engine_model.js';
 import {HostModel} from './host_model.js';
 import type {PolicyName} from './policy_name.js';
 import type {RequestResult} from './request_result.js';
-import {Schedule} from './schedule.js';
 
 /** Plays a pattern under one policy; the same seed gives the same load. */
 export function emulate(
@@ -24,16 +24,16 @@
   const generator = xoroshiro128plus(seed);
   const draw = (): number => uniformFloat64(generator);
   const arrivals = drawArrivals(pattern, draw);
-  const schedule = new Schedule();
+  const time = new VirtualTime();
   const service: Service = {name: 'engines', engine: pattern.engine};
   const entries = listEngines(pattern);
   const model = new PassModel(pattern.engine);
   const engines = new Map(
-    entries.map(({id}) => [id, new EngineModel(model, schedule)]),
+    entries.map(({id}) => [id, new EngineModel(model, time)]),
   );
   const results: RequestResult[] = [];
   const world = {
-    schedule,
+    time,
     hosts: Array.from(
       {length: pattern.hosts},
       (_none, at) => new HostModel(`host-${at}`, policy),
@@ -52,7 +52,7 @@
     if (kind === undefined) continue;
     // Recorded requests stand beside their callers' own returns.
     const returns = pattern.arrivals === undefined;
-    schedule.after(arrival.atMs, () => {
+    time.after(arrival.atMs, () => {
       const {promptTokens, answerTokens} = arrival;
       new EmulatedRequest(
         world,
@@ -65,11 +65,11 @@
     });
   }
   for (const {atMs, forMs, engines: count} of pattern.crashes ?? []) {
-    schedule.after(atMs, () => {
+    time.after(atMs, () => {
       for (const {id} of entries.slice(0, count)) engines.get(id)?.crash(forMs);
     });
   }
-  schedule.run();
+  time.runAll();
   return results;
 }
 
--- a/packages/emulator/src/emulated_request.ts
+++ b/packages/emulator/src/emulated_request.ts
@@ -1,29 +1,28 @@
 import type {PlacementPart} from '@parsleywood/dispatch';
-import type {Service, UpstreamEntry} from '@parsleywood/forwarding';
+import {
+  attemptPatience,
+  chooseReturn,
+  type Service,
+  type UpstreamEntry,
+} from '@parsleywood/forwarding';
 import type {LoadPattern} from '@parsleywood/schema/load_pattern';
+import type {VirtualTime} from '@parsleywood/types/testing';
 import type {EngineJob} from './engine_job.js';
 import type {EngineModel} from './engine_model.js';
 import type {HostModel} from './host_model.js';
 import {RequestOutcome} from './request_outcome.js';
 import type {RequestResult} from './request_result.js';
-import type {Schedule} from './schedule.js';
 
 type Kind = LoadPattern['kinds'][number];
 
-/** Callers leave after the longest of 2 s, 4 objectives and 8 pauses. */
-const MIN_PATIENCE_MS = 2_000;
-const PATIENCE_OBJECTIVES = 4;
-const PATIENCE_PAUSES = 8;
 /** Callers come back once, within a third of the time that they have left. */
 const RETURN_PART = 1 / 3;
-const MIN_RETURN_MS = 500;
-const MAX_RETURN_MS = 3_000;
 /** Attempts beyond the first one after engines refused or crashed. */
 const MAX_ATTEMPTS = 3;
 
 /** What all requests of a run share. */
 interface World {
-  readonly schedule: Schedule;
+  readonly time: VirtualTime;
   readonly hosts: readonly HostModel[];
   readonly engines: ReadonlyMap<string, EngineModel>;
   readonly entries: readonly UpstreamEntry[];
@@ -59,25 +58,25 @@
     private readonly answerTokens: number,
     returns: boolean,
   ) {
-    this.arrivedAtMs = world.schedule.nowMs;
+    this.arrivedAtMs = world.time.nowMs;
     this.hasReturned = !returns;
     this.host = this.drawHost();
   }
 
   start(): void {
-    const {schedule} = this.world;
-    schedule.after(this.kind.deadlineMs, () => {
+    const {time} = this.world;
+    time.after(this.kind.deadlineMs, () => {
       this.end(RequestOutcome.FAILED);
     });
-    schedule.after(this.patienceMs(), () => {
+    time.after(this.patienceMs(), () => {
       if (this.firstMs === undefined) this.end(RequestOutcome.FAILED);
     });
     this.place();
   }
 
   private place(): void {
-    const {schedule, entries, service} = this.world;
-    const nowMs = schedule.nowMs;
+    const {time, entries, service} = this.world;
+    const nowMs = time.nowMs;
     const waitedMs = nowMs - this.arrivedAtMs;
     const candidates = this.host.chooser.candidates(entries, this.tried, nowMs);
     const demand = {
@@ -95,7 +94,7 @@
   }
 
   private send(upstream: string, parts: readonly PlacementPart[]): void {
-    const {schedule, engines} = this.world;
+    const {time, engines} = this.world;
     const name = `${this.id}/${this.attempts++}`;
     const job: EngineJob = {
       id: name,
@@ -113,18 +112,18 @@
     };
     this.job = job;
     this.tried.add(upstream);
-    this.tell((host, isOwn) => {
-      const placement = {
-        id: name,
-        host: isOwn ? '' : 'other',
-        upstream,
-        promptTokens: this.promptTokens,
-        answerTokens: this.answerTokens,
-        objectiveMs: this.kind.objectiveMs,
-        pauseObjectiveMs: this.kind.pauseObjectiveMs,
-        parts,
-      };
-      host.book.add(placement, schedule.nowMs);
+    const placement = {
+      id: name,
+      host: '',
+      upstream,
+      promptTokens: this.promptTokens,
+      answerTokens: this.answerTokens,
+      objectiveMs: this.kind.objectiveMs,
+      pauseObjectiveMs: this.kind.pauseObjectiveMs,
+      parts,
+    };
+    this.tell(host => {
+      host.book.add(placement, time.nowMs);
     });
     const first = engines.get(upstream);
     const [own] = parts;
@@ -167,7 +166,7 @@
 
   private takeEvent(name: string, job: EngineJob): void {
     if (this.isOver || this.job !== job) return;
-    const {nowMs} = this.world.schedule;
+    const {nowMs} = this.world.time;
     this.writtenTokens = job.writtenTokens;
     if (this.firstMs === undefined) {
       this.firstMs = nowMs - this.arrivedAtMs;
@@ -179,7 +178,7 @@
     if (this.writing === name) return;
     this.writing = name;
     this.tell(host => {
-      host.book.startWriting(name, this.world.schedule.nowMs);
+      host.book.startWriting(name, this.world.time.nowMs);
     });
   }
 
@@ -198,15 +197,15 @@
   }
 
   private refuse(waitMs: number): void {
-    const {schedule} = this.world;
-    const leftMs = this.arrivedAtMs + this.kind.deadlineMs - schedule.nowMs;
-    const returnMs = Math.min(Math.max(waitMs, MIN_RETURN_MS), MAX_RETURN_MS);
+    const {time} = this.world;
+    const leftMs = this.arrivedAtMs + this.kind.deadlineMs - time.nowMs;
+    const returnMs = chooseReturn(waitMs);
     if (this.hasReturned || returnMs > leftMs * RETURN_PART) {
       this.end(RequestOutcome.REFUSED);
       return;
     }
     this.hasReturned = true;
-    schedule.after(returnMs, () => {
+    time.after(returnMs, () => {
       if (this.isOver) return;
       this.host = this.drawHost();
       this.tried.clear();
@@ -238,26 +237,24 @@
   }
 
   private patienceMs(): number {
-    return Math.max(
-      MIN_PATIENCE_MS,
-      PATIENCE_OBJECTIVES * this.kind.objectiveMs,
-      PATIENCE_PAUSES * this.kind.pauseObjectiveMs,
-    );
+    const {objectiveMs, pauseObjectiveMs} = this.kind;
+    const latencyObjectiveMs = objectiveMs;
+    return attemptPatience.ofCaller({latencyObjectiveMs, pauseObjectiveMs});
   }
 
   /** Tells this host at once, and the others after the way of the news. */
-  private tell(act: (host: HostModel, isOwn: boolean) => void): void {
-    const {hosts, schedule, newsDelayMs} = this.world;
-    act(this.host, true);
+  private tell(act: (host: HostModel) => void): void {
+    const {hosts, time, newsDelayMs} = this.world;
+    act(this.host);
     const others = hosts.filter(host => host !== this.host);
-    schedule.after(newsDelayMs, () => {
-      for (const host of others) act(host, false);
+    time.after(newsDelayMs, () => {
+      for (const host of others) act(host);
     });
   }
 
   private tellFailure(upstream: string): void {
     this.tell(host => {
-      const {nowMs} = this.world.schedule;
+      const {nowMs} = this.world.time;
       host.health.takeFailure(upstream, true, nowMs);
     });
   }
--- a/packages/emulator/src/engine_model.test.ts
+++ b/packages/emulator/src/engine_model.test.ts
@@ -1,8 +1,8 @@
 import {PassModel} from '@parsleywood/dispatch';
 import {expect} from 'chai';
+import {VirtualTime} from '@parsleywood/types/testing';
 import type {EngineJob} from './engine_job.js';
 import {EngineModel} from './engine_model.js';
-import {Schedule} from './schedule.js';
 
 const PROFILE = {
   slots: 2,
@@ -20,13 +20,13 @@
 const PASS_MS = 34 * 1.31;
 
 describe('EngineModel', () => {
-  let schedule: Schedule;
+  let time: VirtualTime;
   let engine: EngineModel;
   let events: {id: string; atMs: number}[];
 
   beforeEach(() => {
-    schedule = new Schedule();
-    engine = new EngineModel(new PassModel(PROFILE), schedule);
+    time = new VirtualTime();
+    engine = new EngineModel(new PassModel(PROFILE), time);
     events = [];
   });
 
@@ -39,7 +39,7 @@
       unreadParts: 1,
       isOver: false,
       onEvent: () => {
-        events.push({id, atMs: schedule.nowMs});
+        events.push({id, atMs: time.nowMs});
       },
       onEnd: () => {
         job.isOver = true;
@@ -69,7 +69,7 @@
 
   it('reads on an idle engine at its speed, and writes an event a pass', () => {
     read('a', 5_000);
-    schedule.run();
+    time.runAll();
     const [first = 0, second = 0] = times('a');
     const readMs = 5_000 / 154 + PassModel.countPairs(5_000) * 0.162;
     expect(first).to.be.closeTo(readMs, 0.01);
@@ -79,10 +79,10 @@
 
   it('lets answers pause for as long as a pass reads beside them', () => {
     read('a', 2_048);
-    schedule.after(100, () => {
+    time.after(100, () => {
       read('b', 30_000);
     });
-    schedule.run();
+    time.runAll();
     const all = times('a');
     const pauses = all.slice(1).map((atMs, at) => atMs - (all[at] ?? 0));
     const readMs = 30_000 / 154 + PassModel.countPairs(30_000) * 0.162;
@@ -91,9 +91,9 @@
 
   it('reads parts of shared prompts first, the newest before the others', () => {
     read('a', 200_000);
-    schedule.after(1, () => read('b', 2_048, true));
-    schedule.after(2, () => read('c', 2_048, true));
-    schedule.run();
+    time.after(1, () => read('b', 2_048, true));
+    time.after(2, () => read('c', 2_048, true));
+    time.runAll();
     const first = (id: string): number => times(id)[0] ?? Infinity;
     expect(first('c')).to.be.lessThan(first('a'));
     expect(first('c')).to.be.at.most(first('b'));
@@ -108,7 +108,7 @@
     expect(engine.hasRoom(1)).to.equal(true);
     read('f', 2_048);
     expect(engine.hasRoom(1)).to.equal(false);
-    schedule.run();
+    time.runAll();
     expect(times('c')[0]).to.be.greaterThan(times('a')[9] ?? Infinity);
     expect(times('f')).to.have.length(10);
     expect(engine.hasRoom(405_000)).to.equal(true);
@@ -116,13 +116,13 @@
 
   it('loses what it holds in a crash, and takes work again later', () => {
     read('a', 5_000);
-    schedule.after(60, () => {
+    time.after(60, () => {
       engine.crash(1_000);
     });
-    schedule.after(500, () => {
+    time.after(500, () => {
       expect(engine.hasRoom(1)).to.equal(false);
     });
-    schedule.run();
+    time.runAll();
     expect(times('a').length).to.be.lessThan(10);
     expect(engine.hasRoom(405_000)).to.equal(true);
   });
--- a/packages/emulator/src/engine_model.ts
+++ b/packages/emulator/src/engine_model.ts
@@ -1,7 +1,7 @@
 import {PassModel} from '@parsleywood/dispatch';
+import type {VirtualTime} from '@parsleywood/types/testing';
 import type {EngineJob} from './engine_job.js';
 import type {PromptPart} from './prompt_part.js';
-import type {Schedule} from './schedule.js';
 
 /** Requests that may wait for each slot of an engine. */
 const QUEUE_PER_SLOT = 2;
@@ -25,7 +25,7 @@
 
   constructor(
     private readonly model: PassModel,
-    private readonly schedule: Schedule,
+    private readonly time: VirtualTime,
   ) {}
 
   get isUp(): boolean {
@@ -91,7 +91,7 @@
       ...[...this.parts, ...this.queue].map(({job}) => job),
     ]);
     for (const job of lost) if (!job.isOver) job.onEnd(false);
-    this.schedule.after(forMs, () => {
+    this.time.after(forMs, () => {
       this.isDown = false;
     });
   }
@@ -100,7 +100,7 @@
     if (this.isWorking) return;
     if (this.parts.length + this.writers.size + this.ready.size === 0) return;
     this.isWorking = true;
-    this.schedule.after(0, () => {
+    this.time.after(0, () => {
       this.startPass();
     });
   }
@@ -118,7 +118,7 @@
     );
     const writeMs =
       writing.length > 0 ? this.model.passMs(writing.length, context) : 0;
-    this.schedule.after(readMs + writeMs, () => {
+    this.time.after(readMs + writeMs, () => {
       this.endPass(writing, read);
     });
   }
--- a/packages/emulator/src/record_pattern.ts
+++ b/packages/emulator/src/record_pattern.ts
@@ -67,7 +67,9 @@
 ): Map<string, number> {
   const byRoute = new Map<string, number[]>();
   for (const {route, promptTokens} of requests) {
-    byRoute.set(route, [...(byRoute.get(route) ?? []), promptTokens]);
+    const prompts = byRoute.get(route) ?? [];
+    prompts.push(promptTokens);
+    byRoute.set(route, prompts);
   }
   const found = new Map<string, number>();
   for (const [route, prompts] of byRoute) {
--- a/packages/daemon/src/gateway/attempt_patience.ts
+++ b/packages/forwarding/src/attempt_patience.ts
@@ -1,4 +1,4 @@
-import type {Route} from '@parsleywood/forwarding';
+import type {Route} from './route.js';
 
 /** Answers to wait for beyond the expected time, as a factor and a length. */
 const EXPECTED_FACTOR = 2;
@@ -23,7 +23,10 @@
 /** How long attempts are waited for before a request moves elsewhere. */
 export const attemptPatience = {
   /** Time for which callers wait for the first event, in milliseconds. */
-  ofCaller({latencyObjectiveMs, pauseObjectiveMs = 0}: Route): number {
+  ofCaller({
+    latencyObjectiveMs,
+    pauseObjectiveMs = 0,
+  }: Pick<Route, 'latencyObjectiveMs' | 'pauseObjectiveMs'>): number {
     return Math.max(
       CALLER_MIN_PATIENCE_MS,
       CALLER_OBJECTIVES * latencyObjectiveMs,
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -2,6 +2,8 @@
 export type {Account} from './account.js';
 export {AttemptEnd} from './attempt_end.js';
 export {DEFAULT_CALLER_LIMITS} from './default_caller_limits.js';
+export {attemptPatience} from './attempt_patience.js';
+export {chooseReturn} from './choose_return.js';
 export type {CallerLimits} from './caller_limits.js';
 export type {Configuration} from './configuration.js';
 export type {EngineProfile} from './engine_profile.js';
--- a/packages/orders/src/proof/network.ts
+++ b/packages/orders/src/proof/network.ts
@@ -1,5 +1,5 @@
 import type {NetworkOptions} from './network_options.js';
-import type {VirtualTime} from './virtual_time.js';
+import type {VirtualTime} from '@parsleywood/types/testing';
 
 const LATE_PERCENT = 10;
 const LATE_FACTOR = 10;
--- a/packages/orders/src/proof/simulation.ts
+++ b/packages/orders/src/proof/simulation.ts
@@ -11,7 +11,7 @@
 import type {PeerState} from '../peer_state.js';
 import {Network} from './network.js';
 import type {NetworkOptions} from './network_options.js';
-import {VirtualTime} from './virtual_time.js';
+import {VirtualTime} from '@parsleywood/types/testing';
 
 const START_WALL_MS = 1_700_000_000_000;
 const CLOCK_SKEW_MS = 4;
--- a/packages/schema/scripts/document.mjs
+++ b/packages/schema/scripts/document.mjs
@@ -1,8 +1,9 @@
 // Writes docs/SETTINGS.md, the reference of all settings, from json/.
-import {readFileSync, writeFileSync} from 'node:fs';
+import {writeFileSync} from 'node:fs';
 import {dirname, join} from 'node:path';
 import {fileURLToPath} from 'node:url';
 import {format, resolveConfig} from 'prettier';
+import {readSchema} from './read_schema.mjs';
 
 const PACKAGE = join(dirname(fileURLToPath(import.meta.url)), '..');
 const PAGE = join(PACKAGE, '../../docs/SETTINGS.md');
@@ -26,7 +27,7 @@
 
 const sections = PARTS.map(([file, title]) => {
   const path = join(PACKAGE, 'json', `${file}.schema.json`);
-  const schema = JSON.parse(readFileSync(path, 'utf8'));
+  const schema = readSchema(path);
   const rows = listRows(schema, schema, '', true);
   return `## ${title}
 
--- /dev/null
+++ b/packages/types/src/testing/index.ts
@@ -0,0 +1,2 @@
+/** Virtual time, for proofs and emulations. */
+export {VirtualTime} from './virtual_time.js';
--- a/packages/orders/src/proof/virtual_time.ts
+++ b/packages/types/src/testing/virtual_time.ts
@@ -14,6 +14,19 @@
     this.queue.splice(low, 0, {atMs, run});
   }
 
+  /** Plans a task for a time from now. */
+  after(delayMs: number, run: () => void): void {
+    this.at(this.nowMs + Math.max(0, delayMs), run);
+  }
+
+  /** Runs all tasks, and those that they plan. */
+  runAll(): void {
+    for (let next = this.queue.shift(); next; next = this.queue.shift()) {
+      this.nowMs = next.atMs;
+      next.run();
+    }
+  }
+
   advance(ms: number): void {
     const endMs = this.nowMs + ms;
     for (;;) {
