Name the trackers of crashing requests by what they do

SuspectDesk becomes SuspectTracker with findStatus, recordCrash, recordSuccess and applyUpdate; SoloDesk becomes IsolationLeases; refuseCondemned becomes createCrashFailure.

--- a/packages/daemon/src/callers/completion_handler.ts
+++ b/packages/daemon/src/callers/completion_handler.ts
@@ -8,7 +8,7 @@
 import {CompletionSession} from './completion_session.js';
 import {parseTimeLimit} from './parse_time_limit.js';
 import {parseCompletionRequest} from './parse_completion_request.js';
-import {refuseCondemned} from './refuse_condemned.js';
+import {createCrashFailure} from './create_crash_failure.js';
 import type {Serving} from '../host/serving.js';
 import {StreamingResponseWriter} from './streaming_response_writer.js';
 import {throwFailure} from '../host/throw_failure.js';
@@ -38,8 +38,8 @@
       caller.account,
       this.serving.clock.wallMs(),
     ).unwrapOrElse(throwFailure);
-    if (this.serving.suspects.judge(request) === CrashStatus.BLOCKED) {
-      throw refuseCondemned();
+    if (this.serving.suspects.findStatus(request) === CrashStatus.BLOCKED) {
+      throw createCrashFailure();
     }
     const promptTokens = this.checkPromptLength(request, settings);
     const lengthClass = findLengthClass(settings, promptTokens);
--- a/packages/daemon/src/callers/completion_session.ts
+++ b/packages/daemon/src/callers/completion_session.ts
@@ -159,7 +159,7 @@
     detail: string,
   ): Promise<void> {
     const hasCrashed = await this.serving.hasCrashed(upstream);
-    if (hasCrashed) this.serving.suspects.noteCrash(this.request, isIsolated);
+    if (hasCrashed) this.serving.suspects.recordCrash(this.request, isIsolated);
     this.failAttempt(attempt, AttemptFault.BROKEN, detail);
   }
 
@@ -203,7 +203,7 @@
   private pickUpstream(excluded: readonly string[]): void {
     this.pickId = `${this.routedRequest.id}.${this.lifecycle.countAttempts() + 1}`;
     const request = {...this.routedRequest, excludedUpstreams: excluded};
-    const verdict = this.serving.suspects.judge(this.request);
+    const verdict = this.serving.suspects.findStatus(this.request);
     this.serving.picker.pick(this.pickId, request, verdict, this);
   }
 
@@ -319,7 +319,7 @@
       bytes: this.request.promptBytes,
       tokens: usage.promptTokens,
     });
-    if (this.pick?.isIsolated) serving.suspects.noteSuccess(this.request);
+    if (this.pick?.isIsolated) serving.suspects.recordSuccess(this.request);
     const tokens = usage.promptTokens + usage.completionTokens;
     serving.admission.noteFinished(routedRequest.id, true, tokens);
     serving.retries.recordSuccess();
--- a/packages/daemon/src/callers/refuse_condemned.ts
+++ b/packages/daemon/src/callers/create_crash_failure.ts
@@ -1,7 +1,7 @@
 import {ErrorKind, Failure} from '@parsleywood/errors';
 
 /** Creates the failure for a request that crashed two upstreams. */
-export function refuseCondemned(): Failure {
+export function createCrashFailure(): Failure {
   return new Failure(
     ErrorKind.REQUEST_CRASHES_UPSTREAM,
     'this request crashed two upstreams and will not be run again',
--- a/packages/daemon/src/control/control_plane.ts
+++ b/packages/daemon/src/control/control_plane.ts
@@ -160,7 +160,7 @@
           break;
         case 'suspect': {
           const {fingerprint, bodyBytes, verdict} = body.value;
-          this.serving.suspects.takeNews(fingerprint, bodyBytes, verdict);
+          this.serving.suspects.applyUpdate(fingerprint, bodyBytes, verdict);
           break;
         }
         case 'limit':
--- a/packages/daemon/src/gateway/crash_detector.ts
+++ b/packages/daemon/src/gateway/crash_detector.ts
@@ -27,19 +27,19 @@
     const unreachable = await this.placer.findUnreachable();
     if (unreachable.length === 0) return;
     const isSecond = this.getCrashStatus() === CrashStatus.SUSPECT;
-    this.context.suspects.noteCrash(this.describeSubject(), isSecond);
+    this.context.suspects.recordCrash(this.describeSubject(), isSecond);
     this.log.logCrash(unreachable.map(({id}) => id).join(' '), isSecond);
   }
 
   /** Clears the suspicion after a complete response. */
   recordSuccess(): void {
     if (this.getCrashStatus() !== CrashStatus.SUSPECT) return;
-    this.context.suspects.noteSuccess(this.describeSubject());
+    this.context.suspects.recordSuccess(this.describeSubject());
   }
 
   private getCrashStatus(): CrashStatus {
     if (!this.isIdentifiable()) return CrashStatus.CLEAR;
-    return this.context.suspects.judge(this.describeSubject());
+    return this.context.suspects.findStatus(this.describeSubject());
   }
 
   /** Whether the request can be told from others by its body. */
--- a/packages/daemon/src/gateway/forward_session.ts
+++ b/packages/daemon/src/gateway/forward_session.ts
@@ -10,7 +10,7 @@
   type Route,
   type UpstreamEntry,
 } from '@parsleywood/forwarding';
-import {refuseCondemned} from '../callers/refuse_condemned.js';
+import {createCrashFailure} from '../callers/create_crash_failure.js';
 import type {ResponseHead} from './response_head.js';
 import type {ResponseListener} from './response_listener.js';
 import type {ResponseWriter} from './response_writer.js';
@@ -104,7 +104,7 @@
     this.deadlineTimer = setTimeout(() => {
       this.endAtDeadline();
     }, this.getLeftMs());
-    if (this.crashDetector.shouldRefuse()) this.fail(refuseCondemned());
+    if (this.crashDetector.shouldRefuse()) this.fail(createCrashFailure());
     else this.sendAttempt();
   }
 
--- a/packages/daemon/src/gateway/gateway_context.ts
+++ b/packages/daemon/src/gateway/gateway_context.ts
@@ -7,7 +7,7 @@
 import type {Clock} from '../host/clock.js';
 import type {EventLog} from '../host/event_log.js';
 import type {HostTimeline} from '../host/host_timeline.js';
-import type {SuspectDesk} from '../upstreams/suspect_desk.js';
+import type {SuspectTracker} from '../upstreams/suspect_tracker.js';
 import type {UpdatePublisher} from './update_publisher.js';
 import type {GatewayMetrics} from './gateway_metrics.js';
 import type {HeaderNames} from './header_names.js';
@@ -30,7 +30,7 @@
   readonly connectionPool: UpstreamConnectionPool;
   readonly publisher: UpdatePublisher;
   readonly reservationClient: EngineReservations;
-  readonly suspects: SuspectDesk;
+  readonly suspects: SuspectTracker;
   /** Returns a uniform random number in [0, 1). */
   readonly draw: () => number;
 }
--- a/packages/daemon/src/gateway/gateway_host.ts
+++ b/packages/daemon/src/gateway/gateway_host.ts
@@ -19,7 +19,7 @@
 import {gatherTimeline} from '../peers/gather_timeline.js';
 import {PeerServer} from '../peers/peer_server.js';
 import {PeerTransport} from '../peers/peer_transport.js';
-import {SuspectDesk} from '../upstreams/suspect_desk.js';
+import {SuspectTracker} from '../upstreams/suspect_tracker.js';
 import {SystemClock} from '../host/system_clock.js';
 import {DirectoryServer} from './directory_server.js';
 import {PeerCallHandler} from './peer_call_handler.js';
@@ -116,7 +116,7 @@
     const relay = new UpdateRelay(peersAddress, this.transport);
     const placements = new PlacementRegistry();
     const health = new UpstreamHealth();
-    const suspects = new SuspectDesk(clock, update => {
+    const suspects = new SuspectTracker(clock, update => {
       relay.publishSuspect(update);
     });
     this.upstreamProber = new UpstreamProber(health, replica, clock);
--- a/packages/daemon/src/gateway/update_applier.ts
+++ b/packages/daemon/src/gateway/update_applier.ts
@@ -1,13 +1,13 @@
 import type {PlacementRegistry, UpstreamHealth} from '@parsleywood/dispatch';
 import type {FleetMessage} from '@parsleywood/schema/fleet';
-import type {SuspectDesk} from '../upstreams/suspect_desk.js';
+import type {SuspectTracker} from '../upstreams/suspect_tracker.js';
 
 /** Applies updates of other hosts on placements, upstreams and suspects. */
 export class UpdateApplier {
   constructor(
     private readonly placements: PlacementRegistry,
     private readonly health: UpstreamHealth,
-    private readonly suspects: SuspectDesk,
+    private readonly suspects: SuspectTracker,
   ) {}
 
   /**
@@ -34,7 +34,7 @@
       }
       case 'suspect': {
         const {fingerprint, bodyBytes, verdict} = body.value;
-        this.suspects.takeNews(fingerprint, bodyBytes, verdict);
+        this.suspects.applyUpdate(fingerprint, bodyBytes, verdict);
         return true;
       }
       default:
--- a/packages/daemon/src/host/serving.ts
+++ b/packages/daemon/src/host/serving.ts
@@ -18,7 +18,7 @@
 import type {ServiceCall} from '../callers/service_call.js';
 import {ServiceClient} from '../upstreams/service_client.js';
 import type {SiteView} from './site_view.js';
-import type {SuspectDesk} from '../upstreams/suspect_desk.js';
+import type {SuspectTracker} from '../upstreams/suspect_tracker.js';
 import type {UpstreamControl} from '../upstreams/upstream_control.js';
 import type {UpstreamPools} from '../upstreams/upstream_pools.js';
 
@@ -50,7 +50,7 @@
     readonly pools: UpstreamPools,
     readonly traffic: EngineTraffic,
     readonly picker: EnginePicker,
-    readonly suspects: SuspectDesk,
+    readonly suspects: SuspectTracker,
     readonly admission: AdmissionDesk,
     readonly metrics: HostMetrics,
     readonly timeline: HostTimeline,
--- a/packages/daemon/src/host_process.ts
+++ b/packages/daemon/src/host_process.ts
@@ -39,9 +39,9 @@
 import {SiteReader} from './operators/site_reader.js';
 import {SiteView} from './host/site_view.js';
 import {SocketMeter} from './host/socket_meter.js';
-import {SoloDesk} from './upstreams/solo_desk.js';
+import {IsolationLeases} from './upstreams/isolation_leases.js';
 import {SpreadDesk} from './upstreams/spread_desk.js';
-import {SuspectDesk} from './upstreams/suspect_desk.js';
+import {SuspectTracker} from './upstreams/suspect_tracker.js';
 import {SystemClock} from './host/system_clock.js';
 import {UpstreamControl} from './upstreams/upstream_control.js';
 import {UpstreamPools} from './upstreams/upstream_pools.js';
@@ -129,7 +129,7 @@
     const owner = `${incarnation.host}/${incarnation.id}`;
     const reservations = new ReservationClient(owner, site, this.pools);
     this.spread = new SpreadDesk(host, drawSeed(), clock, reservations);
-    const solo = new SoloDesk(traffic, reservations);
+    const solo = new IsolationLeases(traffic, reservations);
     this.serving = new Serving(
       incarnation,
       clock,
@@ -137,7 +137,7 @@
       this.pools,
       traffic,
       new EnginePicker(traffic, this.spread, solo),
-      new SuspectDesk(clock, suspect => {
+      new SuspectTracker(clock, suspect => {
         this.transport.sendToAll(
           site.hosts().hosts.map(({name}) => name),
           {body: {$case: 'suspect', value: suspect}},
--- a/packages/daemon/src/upstreams/engine_picker.ts
+++ b/packages/daemon/src/upstreams/engine_picker.ts
@@ -7,8 +7,8 @@
 import {CrashStatus} from '@parsleywood/requests';
 import type {EngineTraffic} from './engine_traffic.js';
 import type {PickListener} from './pick_listener.js';
-import {refuseCondemned} from '../callers/refuse_condemned.js';
-import type {SoloDesk} from './solo_desk.js';
+import {createCrashFailure} from '../callers/create_crash_failure.js';
+import type {IsolationLeases} from './isolation_leases.js';
 import type {SpreadDesk} from './spread_desk.js';
 
 const RETRY_AFTER_MS = 500;
@@ -24,7 +24,7 @@
   constructor(
     private readonly traffic: EngineTraffic,
     private readonly spread: SpreadDesk,
-    private readonly isolation: SoloDesk,
+    private readonly isolation: IsolationLeases,
   ) {}
 
   /**
@@ -40,7 +40,7 @@
     listener: PickListener,
   ): void {
     if (verdict === CrashStatus.BLOCKED) {
-      listener.onPickFailed(refuseCondemned());
+      listener.onPickFailed(createCrashFailure());
       return;
     }
     const choice = this.choose(request);
--- a/packages/daemon/src/upstreams/solo_desk.ts
+++ b/packages/daemon/src/upstreams/isolation_leases.ts
@@ -22,7 +22,7 @@
  * only suspect on its engine. A lease at the engine enforces this across all
  * hosts.
  */
-export class SoloDesk {
+export class IsolationLeases {
   private readonly runs = new Map<string, IsolatedRun>();
 
   constructor(
--- a/packages/daemon/src/upstreams/suspect_desk.ts
+++ b/packages/daemon/src/upstreams/suspect_tracker.ts
@@ -13,7 +13,7 @@
  * Tracks which requests crashed upstreams, on this host and on its peers.
  * Requests are identified by a fingerprint of model and body.
  */
-export class SuspectDesk {
+export class SuspectTracker {
   private readonly suspects = new CrashSuspects();
 
   /** @param broadcast Sends an update to every peer. */
@@ -22,7 +22,7 @@
     private readonly broadcast: (news: SuspectUpdate) => void,
   ) {}
 
-  judge({model, body}: SuspectSubject): CrashStatus {
+  findStatus({model, body}: SuspectSubject): CrashStatus {
     return this.suspects.findStatus(
       body.length,
       () => computeFingerprint(model, body),
@@ -35,7 +35,7 @@
    *
    * @param wasIsolated Whether the request was the only suspect there.
    */
-  noteCrash({model, body}: SuspectSubject, wasIsolated: boolean): void {
+  recordCrash({model, body}: SuspectSubject, wasIsolated: boolean): void {
     const update = this.suspects.recordCrash(
       computeFingerprint(model, body),
       body.length,
@@ -46,7 +46,7 @@
   }
 
   /** Records that a request completed as the only suspect on its upstream. */
-  noteSuccess({model, body}: SuspectSubject): void {
+  recordSuccess({model, body}: SuspectSubject): void {
     const update = this.suspects.recordSuccess(
       computeFingerprint(model, body),
       body.length,
@@ -55,7 +55,7 @@
   }
 
   /** Applies an update from a peer; one with an unknown verdict is ignored. */
-  takeNews(name: string, bodyBytes: number, verdict: string): void {
+  applyUpdate(name: string, bodyBytes: number, verdict: string): void {
     if (!VERDICTS.has(verdict)) return;
     this.suspects.applyUpdate(
       {fingerprint: name, bodyBytes, verdict: verdict as CrashStatus},
