Log and count each change of a request's crash status

A line upstream_crashed named the caller's attempt only, and a host that learned of a suspect from a peer logged nothing, so logs could not tell whether an update was lost, came late or met another fingerprint. suspect_updated has the fingerprint, which is the same at all hosts, and where the change came from; parsleywood_suspect_updates_total counts them.

--- a/packages/daemon/src/gateway/gateway_host.ts
+++ b/packages/daemon/src/gateway/gateway_host.ts
@@ -19,6 +19,7 @@
 import {gatherTimeline} from '../peers/gather_timeline.js';
 import {PeerServer} from '../peers/peer_server.js';
 import {PeerTransport} from '../peers/peer_transport.js';
+import {SuspectLog} from '../upstreams/suspect_log.js';
 import {SuspectTracker} from '../upstreams/suspect_tracker.js';
 import {SystemClock} from '../host/system_clock.js';
 import {DirectoryServer} from './directory_server.js';
@@ -116,9 +117,13 @@
     const relay = new UpdateRelay(peersAddress, this.transport);
     const placements = new PlacementRegistry();
     const health = new UpstreamHealth();
-    const suspects = new SuspectTracker(clock, update => {
-      relay.publishSuspect(update);
-    });
+    const suspects = new SuspectTracker(
+      clock,
+      update => {
+        relay.publishSuspect(update);
+      },
+      new SuspectLog(log, metrics.host),
+    );
     this.upstreamProber = new UpstreamProber(health, replica, clock);
     this.fleet = new FleetMembership(
       settings,
--- a/packages/daemon/src/host/host_metrics.ts
+++ b/packages/daemon/src/host/host_metrics.ts
@@ -36,6 +36,13 @@
     registers: [this.registry],
   });
 
+  readonly suspectUpdates = new Counter({
+    name: 'parsleywood_suspect_updates_total',
+    help: 'Changes of the crash status of requests, by status and source.',
+    labelNames: ['status', 'source'],
+    registers: [this.registry],
+  });
+
   readonly droppedEvents = new Counter({
     name: 'parsleywood_dropped_answer_events_total',
     help: 'Late, crossed or repeated answer events that were dropped.',
--- a/packages/daemon/src/host_process.ts
+++ b/packages/daemon/src/host_process.ts
@@ -41,6 +41,7 @@
 import {SocketMeter} from './host/socket_meter.js';
 import {IsolationLeases} from './upstreams/isolation_leases.js';
 import {SpreadDesk} from './upstreams/spread_desk.js';
+import {SuspectLog} from './upstreams/suspect_log.js';
 import {SuspectTracker} from './upstreams/suspect_tracker.js';
 import {SystemClock} from './host/system_clock.js';
 import {UpstreamControl} from './upstreams/upstream_control.js';
@@ -137,12 +138,16 @@
       this.pools,
       traffic,
       new EnginePicker(traffic, this.spread, solo),
-      new SuspectTracker(clock, suspect => {
-        this.transport.sendToAll(
-          site.hosts().hosts.map(({name}) => name),
-          {body: {$case: 'suspect', value: suspect}},
-        );
-      }),
+      new SuspectTracker(
+        clock,
+        suspect => {
+          this.transport.sendToAll(
+            site.hosts().hosts.map(({name}) => name),
+            {body: {$case: 'suspect', value: suspect}},
+          );
+        },
+        new SuspectLog(log, this.metrics),
+      ),
       admission,
       this.metrics,
       timeline,
--- /dev/null
+++ b/packages/daemon/src/upstreams/suspect_log.ts
@@ -0,0 +1,24 @@
+import type {SuspectUpdate} from '@parsleywood/requests';
+import type {EventLog} from '../host/event_log.js';
+import type {HostMetrics} from '../host/host_metrics.js';
+import type {SuspectSource} from './suspect_source.js';
+
+/** Digits of a fingerprint that log lines show. */
+const LOGGED_DIGITS = 12;
+
+/** Logs and counts the changes of crash statuses that a host learns of. */
+export class SuspectLog {
+  constructor(
+    private readonly log: EventLog,
+    private readonly metrics: HostMetrics,
+  ) {}
+
+  record({fingerprint, verdict}: SuspectUpdate, source: SuspectSource): void {
+    this.metrics.suspectUpdates.inc({status: verdict, source});
+    this.log.info('suspect_updated', {
+      fingerprint: fingerprint.slice(0, LOGGED_DIGITS),
+      status: verdict,
+      source,
+    });
+  }
+}
--- a/packages/daemon/src/upstreams/suspect_tracker.ts
+++ b/packages/daemon/src/upstreams/suspect_tracker.ts
@@ -5,6 +5,8 @@
   type SuspectUpdate,
 } from '@parsleywood/requests';
 import type {Clock} from '../host/clock.js';
+import type {SuspectLog} from './suspect_log.js';
+import {SuspectSource} from './suspect_source.js';
 import type {SuspectSubject} from './suspect_subject.js';
 
 const VERDICTS = new Set<string>(Object.values(CrashStatus));
@@ -19,7 +21,8 @@
   /** @param broadcast Sends an update to every peer. */
   constructor(
     private readonly clock: Clock,
-    private readonly broadcast: (news: SuspectUpdate) => void,
+    private readonly broadcast: (update: SuspectUpdate) => void,
+    private readonly log: SuspectLog,
   ) {}
 
   findStatus({model, body}: SuspectSubject): CrashStatus {
@@ -42,7 +45,7 @@
       wasIsolated,
       this.clock.nowMs(),
     );
-    this.broadcast(update);
+    this.publish(update);
   }
 
   /** Records that a request completed as the only suspect on its upstream. */
@@ -51,16 +54,24 @@
       computeFingerprint(model, body),
       body.length,
     );
-    if (update !== undefined) this.broadcast(update);
+    if (update !== undefined) this.publish(update);
   }
 
   /** Applies an update from a peer; one with an unknown verdict is ignored. */
   applyUpdate(name: string, bodyBytes: number, verdict: string): void {
     if (!VERDICTS.has(verdict)) return;
-    this.suspects.applyUpdate(
-      {fingerprint: name, bodyBytes, verdict: verdict as CrashStatus},
-      this.clock.nowMs(),
-    );
+    const update = {
+      fingerprint: name,
+      bodyBytes,
+      verdict: verdict as CrashStatus,
+    };
+    this.suspects.applyUpdate(update, this.clock.nowMs());
+    this.log.record(update, SuspectSource.PEER);
+  }
+
+  private publish(update: SuspectUpdate): void {
+    this.log.record(update, SuspectSource.OWN);
+    this.broadcast(update);
   }
 }
 
