Stop requests of every route that crash servers

Callers of plain routes, and of routes whose requests have no body, could crash one server after the other: only streams with a body were tracked, so nothing ever refused such a request.

Every request is now tracked, by method, path and body. A complete answer clears a suspect on every route, not on streams alone.

--- a/packages/daemon/src/callers/completion_handler.ts
+++ b/packages/daemon/src/callers/completion_handler.ts
@@ -38,7 +38,8 @@
       caller.account,
       this.serving.clock.wallMs(),
     ).unwrapOrElse(throwFailure);
-    if (this.serving.suspects.findStatus(request) === CrashStatus.BLOCKED) {
+    const subject = {name: request.model, body: request.body};
+    if (this.serving.suspects.findStatus(subject) === CrashStatus.BLOCKED) {
       throw createCrashFailure();
     }
     const promptTokens = this.checkPromptLength(request, settings);
--- a/packages/daemon/src/callers/completion_session.ts
+++ b/packages/daemon/src/callers/completion_session.ts
@@ -21,6 +21,7 @@
 import type {PickListener} from '../upstreams/pick_listener.js';
 import {PriorityUpdater} from '../upstreams/priority_updater.js';
 import type {Serving} from '../host/serving.js';
+import type {SuspectSubject} from '../upstreams/suspect_subject.js';
 
 /** Time without an engine event after which another engine is tried. */
 const ENGINE_IDLE_TIMEOUT_MS = 5_000;
@@ -41,6 +42,7 @@
   private pickId = '';
   /** Attempt that is running at an engine; empty if there is none. */
   private activeAttempt = '';
+  private readonly subject: SuspectSubject;
   private readonly priorityUpdater: PriorityUpdater;
   private hasFirstToken = false;
 
@@ -55,6 +57,7 @@
       serving.traffic,
       serving.engines,
     );
+    this.subject = {name: request.model, body: request.body};
     this.lifecycle = new RequestLifecycle({
       requestId: request.id,
       deadlineMs: routedRequest.deadlineMs,
@@ -159,7 +162,7 @@
     detail: string,
   ): Promise<void> {
     const hasCrashed = await this.serving.hasCrashed(upstream);
-    if (hasCrashed) this.serving.suspects.recordCrash(this.request, isIsolated);
+    if (hasCrashed) this.serving.suspects.recordCrash(this.subject, isIsolated);
     this.failAttempt(attempt, AttemptFault.BROKEN, detail);
   }
 
@@ -203,7 +206,7 @@
   private pickUpstream(excluded: readonly string[]): void {
     this.pickId = `${this.routedRequest.id}.${this.lifecycle.countAttempts() + 1}`;
     const request = {...this.routedRequest, excludedUpstreams: excluded};
-    const verdict = this.serving.suspects.findStatus(this.request);
+    const verdict = this.serving.suspects.findStatus(this.subject);
     this.serving.picker.pick(this.pickId, request, verdict, this);
   }
 
@@ -319,7 +322,7 @@
       bytes: this.request.promptBytes,
       tokens: usage.promptTokens,
     });
-    if (this.pick?.isIsolated) serving.suspects.recordSuccess(this.request);
+    if (this.pick?.isIsolated) serving.suspects.recordSuccess(this.subject);
     const tokens = usage.promptTokens + usage.completionTokens;
     serving.admission.noteFinished(routedRequest.id, true, tokens);
     serving.retries.recordSuccess();
--- a/packages/daemon/src/gateway/crash_detector.ts
+++ b/packages/daemon/src/gateway/crash_detector.ts
@@ -1,4 +1,3 @@
-import {RequestKind, type Route} from '@parsleywood/forwarding';
 import {CrashStatus} from '@parsleywood/requests';
 import type {SuspectSubject} from '../upstreams/suspect_subject.js';
 import type {GatewayContext} from './gateway_context.js';
@@ -10,7 +9,6 @@
 export class CrashDetector {
   constructor(
     private readonly context: GatewayContext,
-    private readonly route: Route,
     private readonly request: ReceivedRequest,
     private readonly placer: AttemptPlacer,
     private readonly log: SessionLog,
@@ -23,7 +21,6 @@
 
   /** Treats an engine that accepts no connections after a break as crashed. */
   async checkCrash(): Promise<void> {
-    if (!this.isIdentifiable()) return;
     const unreachable = await this.placer.findUnreachable();
     if (unreachable.length === 0) return;
     const isSecond = this.getCrashStatus() === CrashStatus.SUSPECT;
@@ -38,18 +35,14 @@
   }
 
   private getCrashStatus(): CrashStatus {
-    if (!this.isIdentifiable()) return CrashStatus.CLEAR;
     return this.context.suspects.findStatus(this.describeSubject());
   }
 
-  /** Whether the request can be told from others by its body. */
-  private isIdentifiable(): boolean {
-    const {kind} = this.route;
-    return kind === RequestKind.STREAM && this.request.body.length > 0;
-  }
-
   private describeSubject(): SuspectSubject {
-    const {target, accountKey = ''} = this.request.metadata;
-    return {model: `${target} ${accountKey}`, body: this.request.body};
+    const {method, target, accountKey = ''} = this.request.metadata;
+    return {
+      name: `${method} ${target} ${accountKey}`,
+      body: this.request.body,
+    };
   }
 }
--- a/packages/daemon/src/gateway/forward_session.ts
+++ b/packages/daemon/src/gateway/forward_session.ts
@@ -92,7 +92,6 @@
     );
     this.crashDetector = new CrashDetector(
       context,
-      route,
       request,
       this.placer,
       this.log,
@@ -334,10 +333,10 @@
   }
 
   private endResponse(head: ResponseHead): void {
+    this.crashDetector.recordSuccess();
     if (this.isStreaming()) {
       if (!this.writer.hasStarted) this.writer.start(head);
       this.writer.end();
-      this.crashDetector.recordSuccess();
     } else if (this.writer.hasStarted) {
       // The status of an earlier attempt is already sent. Only closing the
       // connection can signal the failure.
--- a/packages/daemon/src/upstreams/suspect_subject.ts
+++ b/packages/daemon/src/upstreams/suspect_subject.ts
@@ -1,6 +1,6 @@
 /** The parts of a request that its crash fingerprint is computed from. */
 export interface SuspectSubject {
-  /** Model, or another name that distinguishes requests with equal bodies. */
-  readonly model: string;
+  /** Distinguishes requests with equal bodies. */
+  readonly name: string;
   readonly body: Buffer;
 }
--- a/packages/daemon/src/upstreams/suspect_tracker.ts
+++ b/packages/daemon/src/upstreams/suspect_tracker.ts
@@ -13,7 +13,7 @@
 
 /**
  * Tracks which requests crashed upstreams, on this host and on its peers.
- * Requests are identified by a fingerprint of model and body.
+ * Requests are identified by a fingerprint of name and body.
  */
 export class SuspectTracker {
   private readonly suspects = new CrashSuspects();
@@ -25,10 +25,10 @@
     private readonly log: SuspectLog,
   ) {}
 
-  findStatus({model, body}: SuspectSubject): CrashStatus {
+  findStatus({name, body}: SuspectSubject): CrashStatus {
     return this.suspects.findStatus(
       body.length,
-      () => computeFingerprint(model, body),
+      () => computeFingerprint(name, body),
       this.clock.nowMs(),
     );
   }
@@ -38,9 +38,9 @@
    *
    * @param wasIsolated Whether the request was the only suspect there.
    */
-  recordCrash({model, body}: SuspectSubject, wasIsolated: boolean): void {
+  recordCrash({name, body}: SuspectSubject, wasIsolated: boolean): void {
     const update = this.suspects.recordCrash(
-      computeFingerprint(model, body),
+      computeFingerprint(name, body),
       body.length,
       wasIsolated,
       this.clock.nowMs(),
@@ -49,9 +49,9 @@
   }
 
   /** Records that a request completed as the only suspect on its upstream. */
-  recordSuccess({model, body}: SuspectSubject): void {
+  recordSuccess({name, body}: SuspectSubject): void {
     const update = this.suspects.recordSuccess(
-      computeFingerprint(model, body),
+      computeFingerprint(name, body),
       body.length,
     );
     if (update !== undefined) this.publish(update);
@@ -75,6 +75,6 @@
   }
 }
 
-function computeFingerprint(model: string, body: Buffer): string {
-  return createHash('sha256').update(`${model}\n`).update(body).digest('hex');
+function computeFingerprint(name: string, body: Buffer): string {
+  return createHash('sha256').update(`${name}\n`).update(body).digest('hex');
 }
