Recognise a crashing request under every key of its account

A caller whose account has two keys crashed 4 servers by taking turns between them: the fingerprint held the key, so that the same request began anew with each key, and after each replacement of a key. It holds the account now.

--- a/packages/daemon/src/gateway/crash_detector.ts
+++ b/packages/daemon/src/gateway/crash_detector.ts
@@ -1,3 +1,4 @@
+import type {RouteMatch} from '@parsleywood/forwarding';
 import {CrashStatus} from '@parsleywood/requests';
 import type {SuspectSubject} from '../upstreams/suspect_subject.js';
 import type {GatewayContext} from './gateway_context.js';
@@ -9,6 +10,7 @@
 export class CrashDetector {
   constructor(
     private readonly context: GatewayContext,
+    private readonly match: RouteMatch,
     private readonly request: ReceivedRequest,
     private readonly placer: AttemptPlacer,
     private readonly log: SessionLog,
@@ -39,9 +41,11 @@
   }
 
   private describeSubject(): SuspectSubject {
-    const {method, target, accountKey = ''} = this.request.metadata;
+    const {method, target} = this.request.metadata;
+    // An account has several keys, which are replaced from time to time.
+    const account = this.match.account?.name ?? '';
     return {
-      name: `${method} ${target} ${accountKey}`,
+      name: `${method} ${target} ${account}`,
       body: this.request.body,
     };
   }
--- a/packages/daemon/src/gateway/forward_session.ts
+++ b/packages/daemon/src/gateway/forward_session.ts
@@ -92,6 +92,7 @@
     );
     this.crashDetector = new CrashDetector(
       context,
+      match,
       request,
       this.placer,
       this.log,
