Do not take one outage for a request that crashes servers

Callers of sound requests got 422 for an hour. On stand-ins, eight sessions that had one request in flight when all engines went down at once blocked it, as each counted its own report as the next crash. And the second attempt was sent before the first crash was established, beside whatever other suspects ran.

A crash counts on top of those that were known when its attempt started, so that attempts in flight together tell of one outage. Placements tell all hosts which attempts are suspects; a suspect gets upstreams without other suspects while there are some. The second crash blocks only a request that ran alone and whose answer had not begun; any other is blocked by the third in a row. A complete answer starts a new generation, so that hosts agree in whatever order they learn of it.

The test of the outage failed before (422 at all four hosts) and passes now.

prompt_reservations.test.ts checks the same reservation through formatHelper, which replaces find; crash_suspects.test.ts passes what was known at the start of an attempt and keeps its expectations.

--- a/packages/daemon/src/callers/completion_session.ts
+++ b/packages/daemon/src/callers/completion_session.ts
@@ -8,6 +8,7 @@
   type FinishReason,
   type RequestAction,
   type RequestEvent,
+  type SuspectState,
   type Usage,
 } from '@parsleywood/requests';
 import {RouterEventKind, type RoutedRequest} from '@parsleywood/routing';
@@ -43,6 +44,8 @@
   /** Attempt that is running at an engine; empty if there is none. */
   private activeAttempt = '';
   private readonly subject: SuspectSubject;
+  /** What was known of crashes when the engine of the attempt was selected. */
+  private stateBefore: SuspectState;
   private readonly priorityUpdater: PriorityUpdater;
   private hasFirstToken = false;
 
@@ -58,6 +61,7 @@
       serving.engines,
     );
     this.subject = {name: request.model, body: request.body};
+    this.stateBefore = serving.suspects.findState(this.subject);
     this.lifecycle = new RequestLifecycle({
       requestId: request.id,
       deadlineMs: routedRequest.deadlineMs,
@@ -162,7 +166,13 @@
     detail: string,
   ): Promise<void> {
     const hasCrashed = await this.serving.hasCrashed(upstream);
-    if (hasCrashed) this.serving.suspects.recordCrash(this.subject, isIsolated);
+    if (hasCrashed) {
+      this.serving.suspects.recordCrash(
+        this.subject,
+        this.stateBefore,
+        isIsolated,
+      );
+    }
     this.failAttempt(attempt, AttemptFault.BROKEN, detail);
   }
 
@@ -206,8 +216,9 @@
   private pickUpstream(excluded: readonly string[]): void {
     this.pickId = `${this.routedRequest.id}.${this.lifecycle.countAttempts() + 1}`;
     const request = {...this.routedRequest, excludedUpstreams: excluded};
-    const verdict = this.serving.suspects.findStatus(this.subject);
-    this.serving.picker.pick(this.pickId, request, verdict, this);
+    this.stateBefore = this.serving.suspects.findState(this.subject);
+    const {status} = this.stateBefore;
+    this.serving.picker.pick(this.pickId, request, status, this);
   }
 
   private startAttempt(
@@ -322,7 +333,7 @@
       bytes: this.request.promptBytes,
       tokens: usage.promptTokens,
     });
-    if (this.pick?.isIsolated) serving.suspects.recordSuccess(this.subject);
+    serving.suspects.recordSuccess(this.subject);
     const tokens = usage.promptTokens + usage.completionTokens;
     serving.admission.noteFinished(routedRequest.id, true, tokens);
     serving.retries.recordSuccess();
--- a/packages/daemon/src/control/control_plane.ts
+++ b/packages/daemon/src/control/control_plane.ts
@@ -158,11 +158,9 @@
         case 'configuration':
           this.configuration?.handleMessage(from.host, body.value);
           break;
-        case 'suspect': {
-          const {fingerprint, bodyBytes, verdict} = body.value;
-          this.serving.suspects.applyUpdate(fingerprint, bodyBytes, verdict);
+        case 'suspect':
+          this.serving.suspects.applyUpdate(body.value);
           break;
-        }
         case 'limit':
           this.handleLimitMessage(from.host, body.value);
           break;
--- a/packages/daemon/src/gateway/attempt_placer.ts
+++ b/packages/daemon/src/gateway/attempt_placer.ts
@@ -75,7 +75,18 @@
     const nowMs = this.context.clock.nowMs();
     const service = this.match.rules.findService(this.service);
     const demand = this.describeDemand(service, nowMs);
-    return 'upstream' in this.chooseUpstream(service, demand, nowMs);
+    return 'upstream' in this.chooseUpstream(service, demand, nowMs, '');
+  }
+
+  /** Whether no other suspect has met the attempt in progress on an upstream. */
+  get isIsolated(): boolean {
+    const id = this.placed?.placement.id ?? '';
+    return this.context.placements.isIsolated(id);
+  }
+
+  /** Whether events of the attempt in progress have arrived. */
+  get hasReceivedEvents(): boolean {
+    return this.isDecoding;
   }
 
   /** The attempt in progress. */
@@ -86,13 +97,16 @@
   /**
    * Chooses upstreams for an attempt and records its placement, or reports when
    * capacity is expected.
+   *
+   * @param suspect Fingerprint of a request suspected of crashing upstreams;
+   *     empty if it is not.
    */
-  place(attempt: number): PlacedAttempt | CapacityShortage {
+  place(attempt: number, suspect: string): PlacedAttempt | CapacityShortage {
     const {context, request} = this;
     const nowMs = context.clock.nowMs();
     const service = this.match.rules.findService(this.service);
     const demand = this.describeDemand(service, nowMs);
-    const choice = this.chooseUpstream(service, demand, nowMs);
+    const choice = this.chooseUpstream(service, demand, nowMs, suspect);
     if (!('upstream' in choice)) return choice;
     const {upstream, plan} = choice;
     const {pauseObjectiveMs} = this.match.route;
@@ -104,6 +118,7 @@
       answerTokens: demand.answerTokens,
       objectiveMs: demand.objectiveMs,
       pauseObjectiveMs: pauseObjectiveMs ?? Infinity,
+      suspect,
       parts: plan?.parts ?? [
         {
           upstream: upstream.id,
@@ -220,13 +235,34 @@
     service: Service | undefined,
     demand: PromptDemand,
     nowMs: number,
+    suspect: string,
   ): UpstreamChoice | CapacityShortage {
-    const {chooser, draw} = this.context;
-    const candidates = chooser.listCandidates(
+    const candidates = this.context.chooser.listCandidates(
       this.listUsable(),
       this.triedUpstreams,
       nowMs,
     );
+    if (suspect !== '') {
+      const isolated = this.chooseAmong(
+        candidates.filter(
+          ({id}) => !this.context.placements.hasSuspect(id, suspect, nowMs),
+        ),
+        service,
+        demand,
+        nowMs,
+      );
+      if ('upstream' in isolated) return isolated;
+    }
+    return this.chooseAmong(candidates, service, demand, nowMs);
+  }
+
+  private chooseAmong(
+    candidates: readonly UpstreamEntry[],
+    service: Service | undefined,
+    demand: PromptDemand,
+    nowMs: number,
+  ): UpstreamChoice | CapacityShortage {
+    const {chooser, draw} = this.context;
     if (service?.engine === undefined) {
       return chooser.chooseServiceUpstream(candidates, draw(), nowMs);
     }
--- a/packages/daemon/src/gateway/crash_detector.ts
+++ b/packages/daemon/src/gateway/crash_detector.ts
@@ -1,43 +1,81 @@
-import type {RouteMatch} from '@parsleywood/forwarding';
-import {CrashStatus} from '@parsleywood/requests';
+import {AttemptOutcome, type RouteMatch} from '@parsleywood/forwarding';
+import {CrashStatus, type SuspectState} from '@parsleywood/requests';
 import type {SuspectSubject} from '../upstreams/suspect_subject.js';
+import type {AttemptPlacer} from './attempt_placer.js';
 import type {GatewayContext} from './gateway_context.js';
 import type {ReceivedRequest} from './received_request.js';
 import type {SessionLog} from './session_log.js';
-import type {AttemptPlacer} from './attempt_placer.js';
 
-/** Detects whether a request crashes the engines that execute it. */
+/** Detects whether a request crashes the upstreams that execute it. */
 export class CrashDetector {
+  /** What was known of the request when the current attempt started. */
+  private stateBefore: SuspectState;
+
   constructor(
     private readonly context: GatewayContext,
     private readonly match: RouteMatch,
     private readonly request: ReceivedRequest,
     private readonly placer: AttemptPlacer,
     private readonly log: SessionLog,
-  ) {}
+  ) {
+    this.stateBefore = this.findState();
+  }
 
-  /** Whether the request has crashed two engines at any host. */
+  /** Whether the request is known to crash upstreams, at any host. */
   shouldRefuse(): boolean {
-    return this.getCrashStatus() === CrashStatus.BLOCKED;
+    return this.findState().status === CrashStatus.BLOCKED;
+  }
+
+  /**
+   * Starts an attempt.
+   *
+   * @return Fingerprint by which the other hosts recognise a suspect; empty if
+   *     the request is none.
+   */
+  startAttempt(): string {
+    this.stateBefore = this.findState();
+    return this.stateBefore.status === CrashStatus.CLEAR
+      ? ''
+      : this.context.suspects.computeFingerprint(this.describeSubject());
+  }
+
+  /** Whether an attempt that ended so may have crashed one of its upstreams. */
+  mayHaveCrashed(outcome: AttemptOutcome): boolean {
+    return outcome === AttemptOutcome.BROKEN;
   }
 
-  /** Treats an engine that accepts no connections after a break as crashed. */
+  /**
+   * Treats an upstream of the current attempt that accepts no connections as
+   * crashed.
+   */
   async checkCrash(): Promise<void> {
-    const unreachable = await this.placer.findUnreachable();
+    const {stateBefore, placer, context} = this;
+    const isSuspect = stateBefore.status === CrashStatus.SUSPECT;
+    // An attempt whose answer had begun was not broken by its start.
+    const wasIsolated =
+      isSuspect && placer.isIsolated && !placer.hasReceivedEvents;
+    const unreachable = await placer.findUnreachable();
     if (unreachable.length === 0) return;
-    const isSecond = this.getCrashStatus() === CrashStatus.SUSPECT;
-    this.context.suspects.recordCrash(this.describeSubject(), isSecond);
-    this.log.logCrash(unreachable.map(({id}) => id).join(' '), isSecond);
+    const status = context.suspects.recordCrash(
+      this.describeSubject(),
+      stateBefore,
+      wasIsolated,
+    );
+    this.log.logCrash(
+      unreachable.map(({id}) => id).join(' '),
+      stateBefore.crashes + 1,
+      wasIsolated,
+      status === CrashStatus.BLOCKED,
+    );
   }
 
   /** Clears the suspicion after a complete response. */
   recordSuccess(): void {
-    if (this.getCrashStatus() !== CrashStatus.SUSPECT) return;
     this.context.suspects.recordSuccess(this.describeSubject());
   }
 
-  private getCrashStatus(): CrashStatus {
-    return this.context.suspects.findStatus(this.describeSubject());
+  private findState(): SuspectState {
+    return this.context.suspects.findState(this.describeSubject());
   }
 
   private describeSubject(): SuspectSubject {
--- a/packages/daemon/src/gateway/forward_session.ts
+++ b/packages/daemon/src/gateway/forward_session.ts
@@ -1,19 +1,18 @@
 import {ErrorKind, ExecutionStatus, Failure} from '@parsleywood/errors';
 import {
   AttemptOutcome,
-  chooseRetryAfterMs,
   EventCursor,
   NextStep,
   RequestKind,
   RetryController,
   type RouteMatch,
   type Route,
-  type UpstreamEntry,
 } from '@parsleywood/forwarding';
 import {createCrashFailure} from '../callers/create_crash_failure.js';
 import type {ResponseHead} from './response_head.js';
 import type {ResponseListener} from './response_listener.js';
 import type {ResponseWriter} from './response_writer.js';
+import {createCapacityFailure} from './create_capacity_failure.js';
 import {CrashDetector} from './crash_detector.js';
 import {drawService} from './draw_service.js';
 import {computeTimeLimit} from './compute_time_limit.js';
@@ -54,6 +53,7 @@
   private head: ResponseHead | undefined;
   private responseBuffer = new ResponseBuffer();
   private sentAttempts = 0;
+  private isCheckingCrash = false;
   private hasEnded = false;
 
   /** @param onEnded Called once when the request has ended. */
@@ -165,18 +165,43 @@
     const status =
       outcome === AttemptOutcome.ANSWERED ? (head?.status ?? 0) : 0;
     this.log.logAttemptEnd(outcome, status, detail, this.placer.currentAttempt);
-    if (outcome === AttemptOutcome.BROKEN) void this.crashDetector.checkCrash();
-    this.placer.recordOutcome(
-      outcome,
-      head?.status ?? 0,
-      head?.faultyAddress ?? '',
-    );
+    const faultyAddress = head?.faultyAddress ?? '';
+    this.placer.recordOutcome(outcome, head?.status ?? 0, faultyAddress);
+    if (this.crashDetector.mayHaveCrashed(outcome)) {
+      void this.concludeAfterCheck(outcome, status, detail);
+    } else {
+      this.concludeAttempt(outcome, status, detail);
+    }
+  }
+
+  /**
+   * Concludes an attempt once it is known whether an upstream crashed, on which
+   * the next attempt depends.
+   */
+  private async concludeAfterCheck(
+    outcome: AttemptOutcome,
+    status: number,
+    detail: string,
+  ): Promise<void> {
+    this.isCheckingCrash = true;
+    this.inactivityTimer.stop();
+    await this.crashDetector.checkCrash();
+    this.isCheckingCrash = false;
+    if (!this.hasEnded) this.concludeAttempt(outcome, status, detail);
+  }
+
+  private concludeAttempt(
+    outcome: AttemptOutcome,
+    status: number,
+    detail: string,
+  ): void {
+    const {head} = this;
     this.endAttempt();
     const step = this.retryController.endAttempt(
       outcome,
       status,
       this.getLeftMs(),
-      this.placer.hasUntriedUpstream,
+      this.placer.hasUntriedUpstream && !this.crashDetector.shouldRefuse(),
       () => this.context.retryBudgets.tryRetry(this.placer.service),
     );
     if (step === NextStep.RETRY) this.sendAttempt();
@@ -185,7 +210,10 @@
   }
 
   private sendAttempt(): void {
-    const placed = this.placer.place(this.retryController.attempts);
+    const placed = this.placer.place(
+      this.retryController.attempts,
+      this.crashDetector.startAttempt(),
+    );
     if (!('placement' in placed)) {
       this.refuse(placed.waitMs);
       return;
@@ -258,18 +286,14 @@
         leftMs: this.getLeftMs(),
         lastEventId: this.cursor.lastId,
         rank: choice.plan && Math.min(MAX_RANK, rank),
-        helpers: choice.helpers.map(helper => this.formatHelper(helper)),
+        helpers: choice.helpers.map(
+          helper => this.reservations?.formatHelper(helper) ?? helper.address,
+        ),
       },
       this.context.headerNames,
     );
   }
 
-  private formatHelper(helper: UpstreamEntry): string {
-    const reservation = this.reservations?.find(helper);
-    const {address} = helper;
-    return reservation === undefined ? address : `${address}/${reservation}`;
-  }
-
   private relay(events: Buffer): void {
     this.inactivityTimer.awaitEvent();
     this.placer.recordEvents();
@@ -282,7 +306,8 @@
   private async checkReachability(): Promise<void> {
     const {attempt} = this;
     const unreachable = await this.placer.findUnreachable();
-    if (this.hasEnded || this.attempt !== attempt || this.head) return;
+    if (this.hasEnded || this.isCheckingCrash) return;
+    if (this.attempt !== attempt || this.head) return;
     for (const engine of unreachable) {
       this.placer.penalize(engine, true, AttemptOutcome.TIMED_OUT, 0);
     }
@@ -354,31 +379,11 @@
 
   /** @param waitMs Time until capacity is expected; 0 or below when unknown. */
   private refuse(waitMs: number): void {
-    if (this.placer.isPromptTooLong) {
-      const message =
-        'prompt exceeds the memory of every possible set of engines';
-      this.fail(new Failure(ErrorKind.PROMPT_TOO_LONG, message));
-      return;
-    }
-    if (this.retryController.attempts > 0) {
+    if (this.retryController.attempts > 0 && !this.placer.isPromptTooLong) {
       this.failAfterAttempts('no other upstream available');
-      return;
+    } else {
+      this.fail(createCapacityFailure(this.placer, waitMs));
     }
-    const {service, hasUpstreams} = this.placer;
-    const [kind, message] = hasUpstreams
-      ? [ErrorKind.OVERLOADED, `no capacity at service ${service}`]
-      : [
-          ErrorKind.UPSTREAM_UNAVAILABLE,
-          `no upstream available for service ${service}`,
-        ];
-    this.fail(
-      new Failure(
-        kind,
-        message,
-        ExecutionStatus.NO,
-        chooseRetryAfterMs(waitMs),
-      ),
-    );
   }
 
   private failAfterAttempts(message: string): void {
--- a/packages/daemon/src/gateway/prompt_reservations.test.ts
+++ b/packages/daemon/src/gateway/prompt_reservations.test.ts
@@ -74,7 +74,9 @@
       'reserve e2 r1-0-1 200',
     ]);
     const [, second] = ENGINES;
-    expect(second && reservations.find(second)).to.equal('r1-0-0');
+    expect(second && reservations.formatHelper(second)).to.equal(
+      `${second?.address ?? ''}/r1-0-0`,
+    );
     reservations.release();
     await flushPromises();
     expect(engines.held.size).to.equal(0);
--- a/packages/daemon/src/gateway/prompt_reservations.ts
+++ b/packages/daemon/src/gateway/prompt_reservations.ts
@@ -53,10 +53,10 @@
     return this.isAllHeld;
   }
 
-  /** Returns the id of the reservation at an engine, if there is one. */
-  find(engine: UpstreamEntry): string | undefined {
-    return this.reservations.find(one => one.engine.id === engine.id)
-      ?.reservation;
+  /** Names a helper for the engine that answers: address and reservation. */
+  formatHelper({id, address}: UpstreamEntry): string {
+    const held = this.reservations.find(one => one.engine.id === id);
+    return held === undefined ? address : `${address}/${held.reservation}`;
   }
 
   /**
--- a/packages/daemon/src/gateway/session_log.ts
+++ b/packages/daemon/src/gateway/session_log.ts
@@ -97,11 +97,18 @@
   }
 
   /** Logs that upstreams crashed while executing the request. */
-  logCrash(upstreams: string, isCondemned: boolean): void {
+  logCrash(
+    upstreams: string,
+    crashes: number,
+    isIsolated: boolean,
+    isCondemned: boolean,
+  ): void {
     const requestId = this.request.metadata.id;
     this.context.log.warn('upstream_crashed', {
       requestId,
       upstreams,
+      crashes,
+      isIsolated,
       isCondemned,
     });
   }
--- a/packages/daemon/src/gateway/update_applier.ts
+++ b/packages/daemon/src/gateway/update_applier.ts
@@ -32,11 +32,9 @@
         this.health.recordFailure(upstream, silent, nowMs);
         return true;
       }
-      case 'suspect': {
-        const {fingerprint, bodyBytes, verdict} = body.value;
-        this.suspects.applyUpdate(fingerprint, bodyBytes, verdict);
+      case 'suspect':
+        this.suspects.applyUpdate(body.value);
         return true;
-      }
       default:
         return false;
     }
--- a/packages/daemon/src/gateway/update_relay.ts
+++ b/packages/daemon/src/gateway/update_relay.ts
@@ -56,7 +56,12 @@
     this.publish({
       body: {
         $case: 'placementStart',
-        value: {...placement, answerTokens, parts},
+        value: {
+          ...placement,
+          answerTokens,
+          parts,
+          suspect: placement.suspect ?? '',
+        },
       },
     });
   }
--- a/packages/daemon/src/upstreams/suspect_tracker.ts
+++ b/packages/daemon/src/upstreams/suspect_tracker.ts
@@ -1,9 +1,11 @@
 import {createHash} from 'node:crypto';
 import {
-  CrashSuspects,
   CrashStatus,
+  CrashSuspects,
+  type SuspectState,
   type SuspectUpdate,
 } from '@parsleywood/requests';
+import type {SuspectMessage} from '@parsleywood/schema/suspects';
 import type {Clock} from '../host/clock.js';
 import type {SuspectLog} from './suspect_log.js';
 import {SuspectSource} from './suspect_source.js';
@@ -25,47 +27,65 @@
     private readonly log: SuspectLog,
   ) {}
 
-  findStatus({name, body}: SuspectSubject): CrashStatus {
-    return this.suspects.findStatus(
-      body.length,
-      () => computeFingerprint(name, body),
+  findStatus(subject: SuspectSubject): CrashStatus {
+    return this.findState(subject).status;
+  }
+
+  /** Returns what is known of a request; needed when an attempt starts. */
+  findState(subject: SuspectSubject): SuspectState {
+    return this.suspects.findState(
+      subject.body.length,
+      () => this.computeFingerprint(subject),
       this.clock.nowMs(),
     );
   }
 
+  /** Returns the SHA-256 that identifies a request, in hexadecimal. */
+  computeFingerprint({name, body}: SuspectSubject): string {
+    return createHash('sha256').update(`${name}\n`).update(body).digest('hex');
+  }
+
   /**
-   * Records the crash of an upstream while a request ran on it.
+   * Records the crash of an upstream while an attempt of a request ran on it.
    *
-   * @param wasIsolated Whether the request was the only suspect there.
+   * @param stateBefore What was known when the attempt started.
+   * @param wasIsolated Whether the attempt ran as the only suspect there.
+   * @return Status of the request from now on.
    */
-  recordCrash({name, body}: SuspectSubject, wasIsolated: boolean): void {
+  recordCrash(
+    subject: SuspectSubject,
+    stateBefore: SuspectState,
+    wasIsolated: boolean,
+  ): CrashStatus {
     const update = this.suspects.recordCrash(
-      computeFingerprint(name, body),
-      body.length,
-      wasIsolated,
+      {
+        fingerprint: this.computeFingerprint(subject),
+        bodyBytes: subject.body.length,
+        stateBefore,
+        wasIsolated,
+      },
       this.clock.nowMs(),
     );
     this.publish(update);
+    return update.verdict;
   }
 
-  /** Records that a request completed as the only suspect on its upstream. */
-  recordSuccess({name, body}: SuspectSubject): void {
+  /** Records that a request completed. */
+  recordSuccess(subject: SuspectSubject): void {
+    if (this.findStatus(subject) !== CrashStatus.SUSPECT) return;
     const update = this.suspects.recordSuccess(
-      computeFingerprint(name, body),
-      body.length,
+      this.computeFingerprint(subject),
+      subject.body.length,
+      this.clock.nowMs(),
     );
     if (update !== undefined) this.publish(update);
   }
 
   /** Applies an update from a peer; one with an unknown verdict is ignored. */
-  applyUpdate(name: string, bodyBytes: number, verdict: string): void {
-    if (!VERDICTS.has(verdict)) return;
-    const update = {
-      fingerprint: name,
-      bodyBytes,
-      verdict: verdict as CrashStatus,
-    };
-    this.suspects.applyUpdate(update, this.clock.nowMs());
+  applyUpdate(message: SuspectMessage): void {
+    const update = decodeUpdate(message);
+    if (update === undefined) return;
+    if (!this.suspects.applyUpdate(update, this.clock.nowMs())) return;
     this.log.record(update, SuspectSource.PEER);
   }
 
@@ -75,6 +95,11 @@
   }
 }
 
-function computeFingerprint(name: string, body: Buffer): string {
-  return createHash('sha256').update(`${name}\n`).update(body).digest('hex');
+function decodeUpdate(message: SuspectMessage): SuspectUpdate | undefined {
+  if (!VERDICTS.has(message.verdict)) return undefined;
+  const verdict = message.verdict as CrashStatus;
+  // Hosts of earlier versions do not count crashes.
+  const crashes =
+    verdict === CrashStatus.CLEAR ? 0 : Math.max(message.crashes, 1);
+  return {...message, verdict, crashes};
 }
--- a/packages/dispatch/src/placement.ts
+++ b/packages/dispatch/src/placement.ts
@@ -17,4 +17,9 @@
   readonly pauseObjectiveMs: number;
   /** Prefill work per engine, the answering one first; one part for a plain call. */
   readonly parts: readonly PlacementPart[];
+  /**
+   * Fingerprint of the request if it is suspected of crashing upstreams; empty
+   * or absent if it is not.
+   */
+  readonly suspect?: string;
 }
--- a/packages/dispatch/src/placement_record.ts
+++ b/packages/dispatch/src/placement_record.ts
@@ -11,4 +11,6 @@
    * pauses then cost nothing.
    */
   hasMissedPauseObjective: boolean;
+  /** Whether a suspect has met another one on an upstream. */
+  hasMetSuspect: boolean;
 }
--- a/packages/dispatch/src/placement_registry.test.ts
+++ b/packages/dispatch/src/placement_registry.test.ts
@@ -122,4 +122,23 @@
     registry.end('1');
     expect(registry.size).to.equal(0);
   });
+
+  it('isolates a suspect until another one is placed on one of its engines', () => {
+    const suspect = (id: string, upstream: string): void => {
+      const parts = [describePart(upstream, 5_000)];
+      registry.add(createPlacement(id, {upstream, parts, suspect: id}), 0);
+    };
+    registry.add(createPlacement('sound'), 0);
+    suspect('one', 'a');
+    suspect('two', 'b');
+    expect(registry.hasSuspect('a', 'one', 0)).to.equal(false);
+    expect(registry.hasSuspect('a', 'two', 0)).to.equal(true);
+    expect(registry.isIsolated('one')).to.equal(true);
+    suspect('three', 'a');
+    registry.end('three');
+    expect(['one', 'two'].map(id => registry.isIsolated(id))).to.eql([
+      false,
+      true,
+    ]);
+  });
 });
--- a/packages/dispatch/src/placement_registry.ts
+++ b/packages/dispatch/src/placement_registry.ts
@@ -26,10 +26,12 @@
       placedAtMs: nowMs,
       phase: PlacementPhase.PREFILL,
       hasMissedPauseObjective: false,
+      hasMetSuspect: false,
     };
     this.records.set(placement.id, record);
     for (const {upstream, passMs} of placement.parts) {
       this.markMissedPauses(upstream, passMs);
+      this.markMetSuspects(upstream, record);
       const records =
         this.byUpstream.get(upstream) ?? new Set<PlacementRecord>();
       records.add(record);
@@ -80,6 +82,21 @@
     };
   }
 
+  /**
+   * Whether an upstream runs a suspect.
+   *
+   * @param fingerprint Suspect that does not count.
+   */
+  hasSuspect(upstream: string, fingerprint: string, nowMs: number): boolean {
+    const {records} = this.getUpstreamPlacements(upstream, nowMs);
+    return records.some(({placement}) => isOther(placement, fingerprint));
+  }
+
+  /** Whether no other suspect has met this placement on any upstream. */
+  isIsolated(id: string): boolean {
+    return this.records.get(id)?.hasMetSuspect === false;
+  }
+
   /** Drops the prefill times of upstreams that are no longer listed. */
   retain(upstreams: ReadonlySet<string>): void {
     for (const id of this.lastPrefillEndsMs.keys()) {
@@ -87,6 +104,16 @@
     }
   }
 
+  private markMetSuspects(upstream: string, added: PlacementRecord): void {
+    const {suspect = ''} = added.placement;
+    if (suspect === '') return;
+    for (const record of this.byUpstream.get(upstream) ?? []) {
+      if (!isOther(record.placement, suspect)) continue;
+      record.hasMetSuspect = true;
+      added.hasMetSuspect = true;
+    }
+  }
+
   private markMissedPauses(upstream: string, passMs: number): void {
     for (const record of this.byUpstream.get(upstream) ?? []) {
       const isDecoding = record.phase === PlacementPhase.DECODE;
@@ -96,3 +123,8 @@
     }
   }
 }
+
+/** Whether a placement is of a suspect with another fingerprint. */
+function isOther({suspect = ''}: Placement, fingerprint: string): boolean {
+  return suspect !== '' && suspect !== fingerprint;
+}
--- a/packages/requests/src/crash_suspects.test.ts
+++ b/packages/requests/src/crash_suspects.test.ts
@@ -9,30 +9,38 @@
   it('marks a request suspect after one crash and blocked after a second one in isolation', () => {
     const suspects = new CrashSuspects();
     expect(findStatus(suspects, 'a')).to.equal(CrashStatus.CLEAR);
-    suspects.recordCrash('a', 1, false, 0);
+    recordCrash(suspects, 'a', false);
     expect(findStatus(suspects, 'a')).to.equal(CrashStatus.SUSPECT);
     expect(findStatus(suspects, 'b')).to.equal(CrashStatus.CLEAR);
-    suspects.recordCrash('a', 1, true, 0);
+    recordCrash(suspects, 'a', true);
     expect(findStatus(suspects, 'a')).to.equal(CrashStatus.BLOCKED);
   });
 
   it('clears a suspect that succeeds in isolation and never clears a blocked request', () => {
     const suspects = new CrashSuspects();
-    suspects.recordCrash('a', 1, false, 0);
-    expect(suspects.recordSuccess('a', 1)?.verdict).to.equal(CrashStatus.CLEAR);
+    recordCrash(suspects, 'a', false);
+    expect(suspects.recordSuccess('a', 1, 0)?.verdict).to.equal(
+      CrashStatus.CLEAR,
+    );
     expect(findStatus(suspects, 'a')).to.equal(CrashStatus.CLEAR);
-    suspects.recordCrash('a', 1, true, 0);
+    recordCrash(suspects, 'a', true);
     suspects.applyUpdate(
-      {fingerprint: 'a', bodyBytes: 1, verdict: CrashStatus.CLEAR},
+      {
+        fingerprint: 'a',
+        bodyBytes: 1,
+        verdict: CrashStatus.CLEAR,
+        generation: 9,
+        crashes: 0,
+      },
       0,
     );
-    expect(suspects.recordSuccess('a', 1)).to.equal(undefined);
+    expect(suspects.recordSuccess('a', 1, 0)).to.equal(undefined);
     expect(findStatus(suspects, 'a')).to.equal(CrashStatus.BLOCKED);
   });
 
   it('hashes only bodies of a recorded length and lets records expire', () => {
     const suspects = new CrashSuspects();
-    suspects.recordCrash('a', 1, true, 0);
+    recordCrash(suspects, 'a', true);
     const fail = (): string =>
       expect.fail(
         'computed the fingerprint of a body whose length has no record',
@@ -44,6 +52,35 @@
     expect(suspects.findStatus(1, fail, HOUR_MS)).to.equal(CrashStatus.CLEAR);
   });
 
+  it('counts attempts that were in flight together as one crash', () => {
+    const suspects = new CrashSuspects();
+    const stateBefore = suspects.findState(1, () => 'a', 0);
+    const report = {fingerprint: 'a', bodyBytes: 1, stateBefore};
+    for (let attempt = 0; attempt < 9; attempt++) {
+      suspects.recordCrash({...report, wasIsolated: false}, 0);
+    }
+    expect(findStatus(suspects, 'a')).to.equal(CrashStatus.SUSPECT);
+  });
+
+  it('blocks at the third crash in a row a request that never ran alone', () => {
+    const suspects = new CrashSuspects();
+    recordCrash(suspects, 'a', false);
+    recordCrash(suspects, 'a', false);
+    expect(findStatus(suspects, 'a')).to.equal(CrashStatus.SUSPECT);
+    recordCrash(suspects, 'a', false);
+    expect(findStatus(suspects, 'a')).to.equal(CrashStatus.BLOCKED);
+  });
+
+  it('does not count a crash of an attempt that was sent before the request was cleared', () => {
+    const suspects = new CrashSuspects();
+    recordCrash(suspects, 'a', false);
+    const stateBefore = suspects.findState(1, () => 'a', 0);
+    suspects.recordSuccess('a', 1, 0);
+    const report = {fingerprint: 'a', bodyBytes: 1, stateBefore};
+    suspects.recordCrash({...report, wasIsolated: true}, 0);
+    expect(findStatus(suspects, 'a')).to.equal(CrashStatus.SUSPECT);
+  });
+
   it('limits a request to two crashes and blocks no request that ran beside it', () => {
     const schedule = fc.array(fc.array(fc.nat({max: 9}), {maxLength: 6}));
     fc.assert(
@@ -55,15 +92,15 @@
           if (status === CrashStatus.BLOCKED) break;
           crashes++;
           const wasIsolated = status === CrashStatus.SUSPECT;
-          suspects.recordCrash('bad', 1, wasIsolated, 0);
+          recordCrash(suspects, 'bad', wasIsolated);
           for (const name of coRunning) {
             const coRunningRequest = `n${name}`;
             if (
               findStatus(suspects, coRunningRequest) === CrashStatus.SUSPECT
             ) {
-              suspects.recordSuccess(coRunningRequest, 1);
+              suspects.recordSuccess(coRunningRequest, 1, 0);
             } else {
-              suspects.recordCrash(coRunningRequest, 1, false, 0);
+              recordCrash(suspects, coRunningRequest, false);
             }
             expect(findStatus(suspects, coRunningRequest)).not.to.equal(
               CrashStatus.BLOCKED,
@@ -80,3 +117,14 @@
 function findStatus(suspects: CrashSuspects, fingerprint: string): CrashStatus {
   return suspects.findStatus(1, () => fingerprint, 0);
 }
+
+/** Records the crash of an attempt that started with all that is known now. */
+function recordCrash(
+  suspects: CrashSuspects,
+  fingerprint: string,
+  wasIsolated: boolean,
+): void {
+  const stateBefore = suspects.findState(1, () => fingerprint, 0);
+  const report = {fingerprint, bodyBytes: 1, stateBefore, wasIsolated};
+  suspects.recordCrash(report, 0);
+}
--- a/packages/requests/src/crash_suspects.ts
+++ b/packages/requests/src/crash_suspects.ts
@@ -1,19 +1,32 @@
+import type {CrashReport} from './crash_report.js';
 import {CrashStatus} from './crash_status.js';
 import type {SuspectRecord} from './suspect_record.js';
+import type {SuspectState} from './suspect_state.js';
 import type {SuspectUpdate} from './suspect_update.js';
 
 const RECORD_TTL_MS = 3_600_000;
 const MAX_RECORDS = 4_096;
+/** Successive crashes that block a request which could not be isolated. */
+const MAX_CRASHES = 3;
+const NOT_RECORDED: SuspectState = {
+  status: CrashStatus.CLEAR,
+  generation: 0,
+  crashes: 0,
+};
 
 /**
- * Records which requests crashed upstreams, so that one request crashes at most
- * two. A crash makes every request that ran there a suspect. Suspects run on an
- * upstream without other suspects, so a second crash identifies the cause,
- * which is then rejected.
+ * Records which requests crashed upstreams, so that one request crashes two, or
+ * three where it never ran alone. A crash makes every request that ran there a
+ * suspect. Suspects run on an upstream without other suspects, so a second crash
+ * identifies the cause, which is then rejected.
+ *
+ * Only crashes of attempts that were started after the crash before count
+ * together. Attempts that were in flight at the same time tell of one outage, as
+ * often as they were sent.
  */
 export class CrashSuspects {
   private readonly records = new Map<string, SuspectRecord>();
-  /** Number of records for each body length. */
+  /** Number of records that are not cleared, for each body length. */
   private readonly countByBodyBytes = new Map<number, number>();
 
   /** Number of records, including expired ones that are not yet deleted. */
@@ -32,74 +45,110 @@
     computeFingerprint: () => string,
     nowMs: number,
   ): CrashStatus {
-    if (!this.countByBodyBytes.has(bodyBytes)) return CrashStatus.CLEAR;
-    const record = this.records.get(computeFingerprint());
-    if (record === undefined) return CrashStatus.CLEAR;
-    if (record.expiresAtMs > nowMs) return record.verdict;
-    this.deleteRecord(record.fingerprint);
-    return CrashStatus.CLEAR;
+    return this.findState(bodyBytes, computeFingerprint, nowMs).status;
+  }
+
+  /** Returns what is known of a request; the arguments are as for `findStatus`. */
+  findState(
+    bodyBytes: number,
+    computeFingerprint: () => string,
+    nowMs: number,
+  ): SuspectState {
+    if (!this.countByBodyBytes.has(bodyBytes)) return NOT_RECORDED;
+    const record = this.findRecord(computeFingerprint(), nowMs);
+    if (record === undefined) return NOT_RECORDED;
+    const {generation, crashes} = record;
+    return {status: getStatus(record), generation, crashes};
   }
 
   /**
    * Records the crash of an upstream that was running a request.
    *
-   * @param wasIsolated Whether the request was the only suspect on it.
    * @return Update to send to the peers.
    */
-  recordCrash(
-    fingerprint: string,
-    bodyBytes: number,
-    wasIsolated: boolean,
-    nowMs: number,
-  ): SuspectUpdate {
-    const before = this.records.get(fingerprint)?.verdict;
-    const verdict =
-      wasIsolated || before === CrashStatus.BLOCKED
-        ? CrashStatus.BLOCKED
-        : CrashStatus.SUSPECT;
-    return this.store({fingerprint, bodyBytes, verdict}, nowMs);
+  recordCrash(report: CrashReport, nowMs: number): SuspectUpdate {
+    const {fingerprint, bodyBytes, stateBefore, wasIsolated} = report;
+    const before = this.findRecord(fingerprint, nowMs);
+    const generation = Math.max(
+      before?.generation ?? 0,
+      stateBefore.generation,
+    );
+    // A request that was cleared meanwhile is not the one that was suspected.
+    const isCurrent =
+      stateBefore.status === CrashStatus.CLEAR ||
+      stateBefore.generation === generation;
+    const crashes = Math.max(
+      before?.crashes ?? 0,
+      (isCurrent ? stateBefore.crashes : 0) + 1,
+    );
+    const isBlocked =
+      before?.isBlocked === true ||
+      (wasIsolated && isCurrent) ||
+      crashes >= MAX_CRASHES;
+    return this.store(
+      {fingerprint, bodyBytes, generation, crashes, isBlocked},
+      nowMs,
+    );
   }
 
   /**
-   * Clears a suspect that ran without other suspects and completed its answer.
+   * Clears a suspect that completed its answer. A blocked request stays blocked.
+   *
+   * @return Update to send to the peers; undefined if nothing changes.
    */
   recordSuccess(
     fingerprint: string,
     bodyBytes: number,
+    nowMs: number,
   ): SuspectUpdate | undefined {
-    if (this.records.get(fingerprint)?.verdict !== CrashStatus.SUSPECT) {
+    const before = this.findRecord(fingerprint, nowMs);
+    if (before === undefined || getStatus(before) !== CrashStatus.SUSPECT) {
       return undefined;
     }
-    this.deleteRecord(fingerprint);
-    return {fingerprint, bodyBytes, verdict: CrashStatus.CLEAR};
+    const generation = before.generation + 1;
+    return this.store(
+      {fingerprint, bodyBytes, generation, crashes: 0, isBlocked: false},
+      nowMs,
+    );
   }
 
   /**
    * Applies an update from a peer. A blocked request stays blocked until
    * its record expires.
+   *
+   * @return Whether the update changed what is known.
    */
-  applyUpdate(update: SuspectUpdate, nowMs: number): void {
-    const {fingerprint, verdict} = update;
-    const before = this.records.get(fingerprint)?.verdict;
-    if (before === CrashStatus.BLOCKED) return;
-    if (verdict === CrashStatus.CLEAR) this.deleteRecord(fingerprint);
-    else this.store({...update, verdict}, nowMs);
+  applyUpdate(update: SuspectUpdate, nowMs: number): boolean {
+    const {fingerprint, bodyBytes, verdict, generation, crashes} = update;
+    const before = this.findRecord(fingerprint, nowMs);
+    const isBlocked = verdict === CrashStatus.BLOCKED;
+    if (before !== undefined && !isNewer(update, before)) return false;
+    this.store({fingerprint, bodyBytes, generation, crashes, isBlocked}, nowMs);
+    return true;
+  }
+
+  private findRecord(
+    fingerprint: string,
+    nowMs: number,
+  ): SuspectRecord | undefined {
+    const record = this.records.get(fingerprint);
+    if (record === undefined || record.expiresAtMs > nowMs) return record;
+    this.deleteRecord(fingerprint);
+    return undefined;
   }
 
   private store(
     suspect: Omit<SuspectRecord, 'expiresAtMs'>,
     nowMs: number,
   ): SuspectUpdate {
-    this.deleteRecord(suspect.fingerprint);
+    const {fingerprint, bodyBytes, generation, crashes} = suspect;
+    this.deleteRecord(fingerprint);
     if (this.records.size >= MAX_RECORDS) this.evictOldest();
     const record = {...suspect, expiresAtMs: nowMs + RECORD_TTL_MS};
-    this.records.set(suspect.fingerprint, record);
-    const {bodyBytes} = suspect;
-    this.countByBodyBytes.set(
-      bodyBytes,
-      (this.countByBodyBytes.get(bodyBytes) ?? 0) + 1,
-    );
-    return suspect;
+    this.records.set(fingerprint, record);
+    if (crashes > 0) this.count(bodyBytes, 1);
+    const verdict = getStatus(record);
+    return {fingerprint, bodyBytes, verdict, generation, crashes};
   }
 
   private evictOldest(): void {
@@ -113,8 +162,27 @@
     const record = this.records.get(fingerprint);
     if (record === undefined) return;
     this.records.delete(fingerprint);
-    const count = (this.countByBodyBytes.get(record.bodyBytes) ?? 1) - 1;
-    if (count > 0) this.countByBodyBytes.set(record.bodyBytes, count);
-    else this.countByBodyBytes.delete(record.bodyBytes);
+    if (record.crashes > 0) this.count(record.bodyBytes, -1);
+  }
+
+  private count(bodyBytes: number, change: 1 | -1): void {
+    const count = (this.countByBodyBytes.get(bodyBytes) ?? 0) + change;
+    if (count > 0) this.countByBodyBytes.set(bodyBytes, count);
+    else this.countByBodyBytes.delete(bodyBytes);
+  }
+}
+
+function getStatus({isBlocked, crashes}: SuspectRecord): CrashStatus {
+  if (isBlocked) return CrashStatus.BLOCKED;
+  return crashes > 0 ? CrashStatus.SUSPECT : CrashStatus.CLEAR;
+}
+
+/** Orders what hosts know, so that all of them come to the same record. */
+function isNewer(update: SuspectUpdate, record: SuspectRecord): boolean {
+  const isBlocked = update.verdict === CrashStatus.BLOCKED;
+  if (isBlocked !== record.isBlocked) return isBlocked;
+  if (update.generation !== record.generation) {
+    return update.generation > record.generation;
   }
+  return update.crashes > record.crashes;
 }
--- a/packages/requests/src/index.ts
+++ b/packages/requests/src/index.ts
@@ -3,6 +3,7 @@
  * of requests that crash upstreams.
  */
 export {AttemptFault} from './attempt_fault.js';
+export type {CrashReport} from './crash_report.js';
 export {CrashStatus} from './crash_status.js';
 export {CrashSuspects} from './crash_suspects.js';
 export {FinishReason} from './finish_reason.js';
@@ -12,5 +13,6 @@
 export {RequestEventKind} from './request_event_kind.js';
 export {RequestLifecycle} from './request_lifecycle.js';
 export type {RequestLifecycleOptions} from './request_lifecycle_options.js';
+export type {SuspectState} from './suspect_state.js';
 export type {SuspectUpdate} from './suspect_update.js';
 export type {Usage} from './usage.js';
--- a/packages/requests/src/suspect_record.ts
+++ b/packages/requests/src/suspect_record.ts
@@ -1,14 +1,16 @@
-import type {CrashStatus} from './crash_status.js';
-
 /** What is recorded about the requests with one fingerprint. */
 export interface SuspectRecord {
-  /** SHA-256 of model and body, in hexadecimal. */
+  /** SHA-256 that identifies the requests, in hexadecimal. */
   readonly fingerprint: string;
   /**
    * Length of the body, in bytes; bodies of other lengths need not be hashed.
    */
   readonly bodyBytes: number;
-  readonly verdict: CrashStatus.SUSPECT | CrashStatus.BLOCKED;
+  /** Number of times that the suspicion was cleared. */
+  readonly generation: number;
+  /** Successive crashes since then; 0 once it is cleared. */
+  readonly crashes: number;
+  readonly isBlocked: boolean;
   /** Monotonic time at which the record expires, in milliseconds. */
   readonly expiresAtMs: number;
 }
--- a/packages/requests/src/suspect_update.ts
+++ b/packages/requests/src/suspect_update.ts
@@ -2,9 +2,13 @@
 
 /** Message to the peers about a request that crashed an upstream. */
 export interface SuspectUpdate {
-  /** SHA-256 of model and body, in hexadecimal. */
+  /** SHA-256 that identifies the request, in hexadecimal. */
   readonly fingerprint: string;
   /** Length of the body, in bytes. */
   readonly bodyBytes: number;
   readonly verdict: CrashStatus;
+  /** Number of times that the suspicion was cleared. */
+  readonly generation: number;
+  /** Successive crashes since then. */
+  readonly crashes: number;
 }
