--- a/packages/daemon/src/gateway/crash_detector.ts
+++ b/packages/daemon/src/gateway/crash_detector.ts
@@ -39,9 +39,14 @@
       : this.context.suspects.computeFingerprint(this.describeSubject());
   }
 
-  /** Whether an attempt that ended so may have crashed one of its upstreams. */
-  mayHaveCrashed(outcome: AttemptOutcome): boolean {
-    return outcome === AttemptOutcome.BROKEN;
+  /**
+   * Whether an attempt that ended so may have crashed one of its upstreams.
+   *
+   * @param faultyAddress Upstream that the response names as the cause: a helper
+   *     whose crash leaves the answering engine running.
+   */
+  mayHaveCrashed(outcome: AttemptOutcome, faultyAddress: string): boolean {
+    return outcome === AttemptOutcome.BROKEN || faultyAddress !== '';
   }
 
   /**
--- a/packages/daemon/src/gateway/forward_session.ts
+++ b/packages/daemon/src/gateway/forward_session.ts
@@ -167,7 +167,7 @@
     this.log.logAttemptEnd(outcome, status, detail, this.placer.currentAttempt);
     const faultyAddress = head?.faultyAddress ?? '';
     this.placer.recordOutcome(outcome, head?.status ?? 0, faultyAddress);
-    if (this.crashDetector.mayHaveCrashed(outcome)) {
+    if (this.crashDetector.mayHaveCrashed(outcome, faultyAddress)) {
       void this.concludeAfterCheck(outcome, status, detail);
     } else {
       this.concludeAttempt(outcome, status, detail);
