Compare suspects between hosts, so that no update is lost for good

After a restart of all hosts, half at a time, no host knew which request had crashed two servers, and the request was sent to servers again: an update was told once, to the hosts of that moment. A host that was cut off, paused, restarted or added never learned of it, and each such host cost further crashes. The class is state told once and never compared.

Records merge in one order (blocked, then generation, then crashes), so that hosts agree whatever was lost; a property over random losses shows it. What remains of a record's hour is sent along, so that comparisons do not prolong it. Both kinds of hosts use the same parts.

--- a/packages/daemon/src/control/control_plane.ts
+++ b/packages/daemon/src/control/control_plane.ts
@@ -21,6 +21,7 @@
 import type {PeerReadiness} from '../peers/peer_readiness.js';
 import type {PlacementControl} from './placement_control.js';
 import type {Serving} from '../host/serving.js';
+import type {SuspectSynchronizer} from '../upstreams/suspect_synchronizer.js';
 import type {SpreadDesk} from '../upstreams/spread_desk.js';
 import type {UpstreamListener} from '../upstreams/upstream_listener.js';
 
@@ -52,6 +53,7 @@
     private readonly orders: OrderDesk,
     private readonly readiness: PeerReadiness,
     private readonly placement: PlacementControl,
+    private readonly suspects: SuspectSynchronizer,
     private readonly exitProcess: () => void,
   ) {}
 
@@ -161,6 +163,12 @@
         case 'suspect':
           this.serving.suspects.applyUpdate(body.value);
           break;
+        case 'suspectSummary':
+          this.suspects.handleSummary(from.host, body.value);
+          break;
+        case 'suspectRecords':
+          this.suspects.handleRecords(body.value);
+          break;
         case 'limit':
           this.handleLimitMessage(from.host, body.value);
           break;
--- a/packages/daemon/src/control/membership_control.ts
+++ b/packages/daemon/src/control/membership_control.ts
@@ -57,6 +57,13 @@
     return this.membership.members();
   }
 
+  /** Lists the names of the other hosts that are alive. */
+  listAlive(): string[] {
+    return this.listMembers()
+      .filter(({state}) => state === MemberState.ALIVE)
+      .map(({host}) => host);
+  }
+
   /** Returns the peer address (IP:port) that membership knows for a host. */
   addressOf(host: string): string | undefined {
     return this.listMembers().find(member => member.host === host)?.address;
--- a/packages/daemon/src/gateway/fleet_membership.ts
+++ b/packages/daemon/src/gateway/fleet_membership.ts
@@ -20,6 +20,7 @@
 import type {EventLog} from '../host/event_log.js';
 import type {HostTimeline} from '../host/host_timeline.js';
 import type {PeerTransport} from '../peers/peer_transport.js';
+import type {SuspectSynchronizer} from '../upstreams/suspect_synchronizer.js';
 import type {UpdateRelay} from './update_relay.js';
 import type {UpdateApplier} from './update_applier.js';
 import type {SiteUpdater} from './site_updater.js';
@@ -71,6 +72,7 @@
     private readonly transport: PeerTransport,
     private readonly relay: UpdateRelay,
     private readonly applier: UpdateApplier,
+    private readonly suspects: SuspectSynchronizer,
     private readonly siteUpdater: SiteUpdater,
     private readonly readSnapshot: () => SiteSnapshot,
     private readonly clock: Clock,
@@ -88,10 +90,12 @@
       this.sendHeartbeats();
     }, HEARTBEAT_INTERVAL_MS);
     this.sendHeartbeats();
+    this.suspects.start();
   }
 
   stop(): void {
     clearInterval(this.timer);
+    this.suspects.stop();
     this.relay.stop();
   }
 
@@ -209,6 +213,12 @@
           if (news !== undefined) this.applier.apply(origin, news, nowMs);
         }
         break;
+      case 'suspectSummary':
+        this.suspects.handleSummary(host, body.value);
+        break;
+      case 'suspectRecords':
+        this.suspects.handleRecords(body.value);
+        break;
       case 'siteQuery':
         this.answerQuery(host, body.value.revision);
         break;
@@ -281,7 +291,7 @@
       this.livePeers,
     );
     this.roster.setRelayed(this.relayChoice !== undefined);
-    this.relay.setRecipients(this.relayChoice?.relays ?? this.listPeers());
+    this.setRecipients(this.relayChoice?.relays ?? this.listPeers());
     if (this.relayChoice?.subscribedRelay === source) return;
     this.log.info('relay_chosen', {
       relay: this.relayChoice?.subscribedRelay,
@@ -291,6 +301,15 @@
     });
   }
 
+  /** Sets where updates go. A new recipient may know suspects, or none. */
+  private setRecipients(addresses: readonly string[]): void {
+    const before = new Set(this.relay.listPeers());
+    this.relay.setRecipients(addresses);
+    for (const address of addresses) {
+      if (!before.has(address)) this.suspects.compareWith(address);
+    }
+  }
+
   private logPeer(peer: string, isHeard: boolean): void {
     if (isHeard) this.log.info('peer_heard', {peer});
     else this.log.warn('peer_lost', {peer});
--- a/packages/daemon/src/gateway/gateway_host.ts
+++ b/packages/daemon/src/gateway/gateway_host.ts
@@ -20,6 +20,7 @@
 import {PeerServer} from '../peers/peer_server.js';
 import {PeerTransport} from '../peers/peer_transport.js';
 import {SuspectLog} from '../upstreams/suspect_log.js';
+import {SuspectSynchronizer} from '../upstreams/suspect_synchronizer.js';
 import {SuspectTracker} from '../upstreams/suspect_tracker.js';
 import {SystemClock} from '../host/system_clock.js';
 import {DirectoryServer} from './directory_server.js';
@@ -130,6 +131,7 @@
       this.transport,
       relay,
       new UpdateApplier(placements, health, suspects),
+      new SuspectSynchronizer(suspects, relay, draw),
       this.siteUpdater,
       () => replica.createSnapshot(),
       clock,
--- a/packages/daemon/src/gateway/update_relay.ts
+++ b/packages/daemon/src/gateway/update_relay.ts
@@ -1,7 +1,12 @@
 import type {Placement} from '@parsleywood/dispatch';
 import type {FleetMessage, HostNews} from '@parsleywood/schema/fleet';
-import type {SuspectUpdate} from '@parsleywood/requests';
+import type {
+  SuspectMessage,
+  SuspectRecords,
+  SuspectSummary,
+} from '@parsleywood/schema/suspects';
 import type {MessageSender} from '../peers/message_sender.js';
+import type {SuspectMessenger} from '../upstreams/suspect_messenger.js';
 import type {UpdatePublisher} from './update_publisher.js';
 
 /**
@@ -18,7 +23,7 @@
  * Publishes this host's updates, and forwards the updates of others to
  * subscribers.
  */
-export class UpdateRelay implements UpdatePublisher {
+export class UpdateRelay implements UpdatePublisher, SuspectMessenger {
   private recipients: readonly string[] = [];
   /** Monotonic time at which each subscriber last renewed its subscription. */
   private readonly subscribedAtMs = new Map<string, number>();
@@ -78,10 +83,23 @@
     this.publish({body: {$case: 'upstreamFailure', value: {upstream, silent}}});
   }
 
-  publishSuspect(update: SuspectUpdate): void {
+  publishSuspect(update: SuspectMessage): void {
     this.publish({body: {$case: 'suspect', value: update}});
   }
 
+  /** Lists the hosts that receive this host's own updates directly. */
+  listPeers(): readonly string[] {
+    return this.recipients;
+  }
+
+  sendSummary(address: string, summary: SuspectSummary): void {
+    this.send(address, {body: {$case: 'suspectSummary', value: summary}});
+  }
+
+  sendRecords(address: string, records: SuspectRecords): void {
+    this.send(address, {body: {$case: 'suspectRecords', value: records}});
+  }
+
   /** Queues a host's update for all subscribers but that host. */
   forward(host: string, message: FleetMessage): void {
     if (this.subscribedAtMs.size === 0) return;
--- a/packages/daemon/src/host_process.ts
+++ b/packages/daemon/src/host_process.ts
@@ -1,3 +1,5 @@
+import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {setTimeout as pause} from 'node:timers/promises';
 import {UpstreamState} from '@parsleywood/membership';
 import {Orders} from '@parsleywood/orders';
@@ -42,6 +44,8 @@
 import {IsolationLeases} from './upstreams/isolation_leases.js';
 import {SpreadDesk} from './upstreams/spread_desk.js';
 import {SuspectLog} from './upstreams/suspect_log.js';
+import {PeerSuspects} from './peers/peer_suspects.js';
+import {SuspectSynchronizer} from './upstreams/suspect_synchronizer.js';
 import {SuspectTracker} from './upstreams/suspect_tracker.js';
 import {SystemClock} from './host/system_clock.js';
 import {UpstreamControl} from './upstreams/upstream_control.js';
@@ -79,6 +83,7 @@
   private readonly orders: OrderDesk;
   private readonly readiness: PeerReadiness;
   private readonly placement: PlacementControl;
+  private readonly suspects: SuspectSynchronizer;
   private readonly control: ControlPlane;
   private readonly configuration: ConfigurationControl;
   private readonly membership: MembershipControl;
@@ -131,6 +136,16 @@
     const reservations = new ReservationClient(owner, site, this.pools);
     this.spread = new SpreadDesk(host, drawSeed(), clock, reservations);
     const solo = new IsolationLeases(traffic, reservations);
+    const suspects = new SuspectTracker(
+      clock,
+      suspect => {
+        this.transport.sendToAll(
+          site.hosts().hosts.map(({name}) => name),
+          {body: {$case: 'suspect', value: suspect}},
+        );
+      },
+      new SuspectLog(log, this.metrics),
+    );
     this.serving = new Serving(
       incarnation,
       clock,
@@ -138,16 +153,7 @@
       this.pools,
       traffic,
       new EnginePicker(traffic, this.spread, solo),
-      new SuspectTracker(
-        clock,
-        suspect => {
-          this.transport.sendToAll(
-            site.hosts().hosts.map(({name}) => name),
-            {body: {$case: 'suspect', value: suspect}},
-          );
-        },
-        new SuspectLog(log, this.metrics),
-      ),
+      suspects,
       admission,
       this.metrics,
       timeline,
@@ -167,6 +173,12 @@
       new PlacementClient(site, this.pools),
       log,
     );
+    const generator = xoroshiro128plus(drawSeed());
+    this.suspects = new SuspectSynchronizer(
+      suspects,
+      new PeerSuspects(this.transport, () => this.membership.listAlive()),
+      () => uniformFloat64(generator),
+    );
     this.control = new ControlPlane(
       this.serving,
       this.naming,
@@ -174,6 +186,7 @@
       this.orders,
       this.readiness,
       this.placement,
+      this.suspects,
       () => {
         this.end(1);
       },
@@ -252,6 +265,7 @@
     this.orders.start();
     this.serving.admission.start();
     this.membership.start();
+    this.suspects.start();
     this.configuration.start();
     this.seeds.start();
     this.loads.start();
@@ -297,6 +311,7 @@
     this.loads.stop();
     this.spread.stop();
     this.upstreams.stop();
+    this.suspects.stop();
     this.membership.stop();
     this.readiness.stop();
     this.orders.stop();
--- a/packages/daemon/src/upstreams/suspect_source.ts
+++ b/packages/daemon/src/upstreams/suspect_source.ts
@@ -4,4 +4,6 @@
   OWN = 'own',
   /** An update that another host sent when it learned of the change. */
   PEER = 'peer',
+  /** A comparison with another host. */
+  COMPARISON = 'comparison',
 }
--- a/packages/daemon/src/upstreams/suspect_tracker.ts
+++ b/packages/daemon/src/upstreams/suspect_tracker.ts
@@ -5,12 +5,18 @@
   type SuspectState,
   type SuspectUpdate,
 } from '@parsleywood/requests';
-import type {SuspectMessage} from '@parsleywood/schema/suspects';
+import type {
+  SuspectMessage,
+  SuspectRecords,
+  SuspectSummary,
+} from '@parsleywood/schema/suspects';
 import type {Clock} from '../host/clock.js';
 import type {SuspectLog} from './suspect_log.js';
 import {SuspectSource} from './suspect_source.js';
 import type {SuspectSubject} from './suspect_subject.js';
 
+/** Time after which hosts of earlier versions forget a request. */
+const DEFAULT_REMAINING_MS = 3_600_000;
 const VERDICTS = new Set<string>(Object.values(CrashStatus));
 
 /**
@@ -23,7 +29,7 @@
   /** @param broadcast Sends an update to every peer. */
   constructor(
     private readonly clock: Clock,
-    private readonly broadcast: (update: SuspectUpdate) => void,
+    private readonly broadcast: (update: SuspectMessage) => void,
     private readonly log: SuspectLog,
   ) {}
 
@@ -81,25 +87,46 @@
     if (update !== undefined) this.publish(update);
   }
 
-  /** Applies an update from a peer; one with an unknown verdict is ignored. */
-  applyUpdate(message: SuspectMessage): void {
+  /**
+   * Applies an update from a peer; one with an unknown verdict is ignored.
+   *
+   * @param source Whether the peer sent it as news or in a comparison.
+   */
+  applyUpdate(message: SuspectMessage, source = SuspectSource.PEER): void {
     const update = decodeUpdate(message);
     if (update === undefined) return;
     if (!this.suspects.applyUpdate(update, this.clock.nowMs())) return;
-    this.log.record(update, SuspectSource.PEER);
+    this.log.record(update, source);
+  }
+
+  /** Summarizes all that this host knows, for a comparison with a peer. */
+  summarize(isReply: boolean): SuspectSummary {
+    const hashes = this.suspects.summarize(this.clock.nowMs());
+    return {hashes: hashes.some(hash => hash !== 0) ? hashes : [], isReply};
+  }
+
+  /** Lists what a peer with this summary does not know, or knows otherwise. */
+  listDifferences({hashes}: SuspectSummary): SuspectRecords {
+    const updates = this.suspects.listDifferences(hashes, this.clock.nowMs());
+    return {suspects: updates.map(encodeUpdate)};
   }
 
   private publish(update: SuspectUpdate): void {
     this.log.record(update, SuspectSource.OWN);
-    this.broadcast(update);
+    this.broadcast(encodeUpdate(update));
   }
 }
 
+function encodeUpdate(update: SuspectUpdate): SuspectMessage {
+  return {...update, remainingMs: Math.ceil(update.remainingMs)};
+}
+
 function decodeUpdate(message: SuspectMessage): SuspectUpdate | undefined {
   if (!VERDICTS.has(message.verdict)) return undefined;
   const verdict = message.verdict as CrashStatus;
   // Hosts of earlier versions do not count crashes.
   const crashes =
     verdict === CrashStatus.CLEAR ? 0 : Math.max(message.crashes, 1);
-  return {...message, verdict, crashes};
+  const remainingMs = message.remainingMs || DEFAULT_REMAINING_MS;
+  return {...message, verdict, crashes, remainingMs};
 }
--- a/packages/requests/src/crash_suspects.test.ts
+++ b/packages/requests/src/crash_suspects.test.ts
@@ -1,6 +1,6 @@
 import {expect} from 'chai';
 import fc from 'fast-check';
-import {CrashSuspects, CrashStatus} from './index.js';
+import {CrashSuspects, CrashStatus, type SuspectUpdate} from './index.js';
 
 const HOUR_MS = 3_600_000;
 const SEED = 1;
@@ -31,6 +31,7 @@
         verdict: CrashStatus.CLEAR,
         generation: 9,
         crashes: 0,
+        remainingMs: HOUR_MS,
       },
       0,
     );
@@ -81,6 +82,49 @@
     expect(findStatus(suspects, 'a')).to.equal(CrashStatus.SUSPECT);
   });
 
+  it('converges after lost updates by comparisons', () => {
+    const crash = fc.record({
+      host: fc.nat({max: 3}),
+      request: fc.nat({max: 4}),
+      isSuccess: fc.boolean(),
+      wasIsolated: fc.boolean(),
+      hearers: fc.array(fc.nat({max: 3})),
+    });
+    fc.assert(
+      fc.property(fc.array(crash, {maxLength: 30}), crashes => {
+        const hosts = Array.from({length: 4}, () => new CrashSuspects());
+        const getHost = (at: number): CrashSuspects => {
+          const host = hosts[at];
+          if (host === undefined) throw new Error(`no host ${at}`);
+          return host;
+        };
+        for (const {
+          host,
+          request,
+          isSuccess,
+          wasIsolated,
+          hearers,
+        } of crashes) {
+          const suspects = getHost(host);
+          const fingerprint = `${request}a`;
+          const stateBefore = suspects.findState(1, () => fingerprint, 0);
+          const report = {fingerprint, bodyBytes: 1, stateBefore, wasIsolated};
+          const update = isSuccess
+            ? suspects.recordSuccess(fingerprint, 1, 0)
+            : suspects.recordCrash(report, 0);
+          if (update === undefined) continue;
+          for (const at of hearers) getHost(at).applyUpdate(update, 0);
+        }
+        for (const one of [1, 2, 3, 0, 1, 2, 3]) {
+          compare(getHost(0), getHost(one));
+        }
+        const all = hosts.map(host => host.listDifferences([], 0).sort(byName));
+        expect(all).to.eql(all.map(() => all[0]));
+      }),
+      {seed: SEED, numRuns: 300},
+    );
+  });
+
   it('limits a request to two crashes and blocks no request that ran beside it', () => {
     const schedule = fc.array(fc.array(fc.nat({max: 9}), {maxLength: 6}));
     fc.assert(
@@ -128,3 +172,19 @@
   const report = {fingerprint, bodyBytes: 1, stateBefore, wasIsolated};
   suspects.recordCrash(report, 0);
 }
+
+/** Exchanges the records in which two hosts differ. */
+function compare(one: CrashSuspects, other: CrashSuspects): void {
+  const [left, right] = [one.summarize(0), other.summarize(0)];
+  const [toRight, toLeft] = [
+    one.listDifferences(right, 0),
+    other.listDifferences(left, 0),
+  ];
+  for (const update of toRight) other.applyUpdate(update, 0);
+  for (const update of toLeft) one.applyUpdate(update, 0);
+  expect(one.summarize(0)).to.eql(other.summarize(0));
+}
+
+function byName(left: SuspectUpdate, right: SuspectUpdate): number {
+  return left.fingerprint < right.fingerprint ? -1 : 1;
+}
--- a/packages/requests/src/crash_suspects.ts
+++ b/packages/requests/src/crash_suspects.ts
@@ -1,3 +1,4 @@
+import {computeRecordHash} from './compute_record_hash.js';
 import type {CrashReport} from './crash_report.js';
 import {CrashStatus} from './crash_status.js';
 import type {SuspectRecord} from './suspect_record.js';
@@ -8,6 +9,10 @@
 const MAX_RECORDS = 4_096;
 /** Successive crashes that block a request which could not be isolated. */
 const MAX_CRASHES = 3;
+/** Parts of the range of fingerprints that hosts compare one by one. */
+const BUCKETS = 64;
+/** Keeps a message below 16 KB. */
+const MAX_LISTED_UPDATES = 128;
 const NOT_RECORDED: SuspectState = {
   status: CrashStatus.CLEAR,
   generation: 0,
@@ -28,6 +33,8 @@
   private readonly records = new Map<string, SuspectRecord>();
   /** Number of records that are not cleared, for each body length. */
   private readonly countByBodyBytes = new Map<number, number>();
+  /** Combined hash of the records in each bucket. */
+  private readonly bucketHashes = new Uint32Array(BUCKETS);
 
   /** Number of records, including expired ones that are not yet deleted. */
   get size(): number {
@@ -87,6 +94,7 @@
       crashes >= MAX_CRASHES;
     return this.store(
       {fingerprint, bodyBytes, generation, crashes, isBlocked},
+      RECORD_TTL_MS,
       nowMs,
     );
   }
@@ -108,6 +116,7 @@
     const generation = before.generation + 1;
     return this.store(
       {fingerprint, bodyBytes, generation, crashes: 0, isBlocked: false},
+      RECORD_TTL_MS,
       nowMs,
     );
   }
@@ -123,10 +132,39 @@
     const before = this.findRecord(fingerprint, nowMs);
     const isBlocked = verdict === CrashStatus.BLOCKED;
     if (before !== undefined && !isNewer(update, before)) return false;
-    this.store({fingerprint, bodyBytes, generation, crashes, isBlocked}, nowMs);
+    this.store(
+      {fingerprint, bodyBytes, generation, crashes, isBlocked},
+      Math.min(update.remainingMs, RECORD_TTL_MS),
+      nowMs,
+    );
     return true;
   }
 
+  /** Summarizes all records: one hash for each part of the fingerprints' range. */
+  summarize(nowMs: number): number[] {
+    for (const {fingerprint, expiresAtMs} of [...this.records.values()]) {
+      if (expiresAtMs <= nowMs) this.deleteRecord(fingerprint);
+    }
+    return [...this.bucketHashes];
+  }
+
+  /**
+   * Lists the records in the parts that differ from a summary of a peer, blocked
+   * requests first.
+   */
+  listDifferences(summary: readonly number[], nowMs: number): SuspectUpdate[] {
+    const own = this.summarize(nowMs);
+    const differing = [...this.records.values()].filter(({fingerprint}) => {
+      const bucket = getBucket(fingerprint);
+      return own[bucket] !== (summary[bucket] ?? 0);
+    });
+    const rank = ({isBlocked}: SuspectRecord): number => (isBlocked ? 0 : 1);
+    return differing
+      .sort((left, right) => rank(left) - rank(right))
+      .slice(0, MAX_LISTED_UPDATES)
+      .map(record => describeRecord(record, nowMs));
+  }
+
   private findRecord(
     fingerprint: string,
     nowMs: number,
@@ -138,17 +176,19 @@
   }
 
   private store(
-    suspect: Omit<SuspectRecord, 'expiresAtMs'>,
+    suspect: Omit<SuspectRecord, 'expiresAtMs' | 'hash'>,
+    ttlMs: number,
     nowMs: number,
   ): SuspectUpdate {
-    const {fingerprint, bodyBytes, generation, crashes} = suspect;
+    const {fingerprint, bodyBytes, crashes} = suspect;
     this.deleteRecord(fingerprint);
     if (this.records.size >= MAX_RECORDS) this.evictOldest();
-    const record = {...suspect, expiresAtMs: nowMs + RECORD_TTL_MS};
+    const hash = computeRecordHash(suspect);
+    const record = {...suspect, expiresAtMs: nowMs + ttlMs, hash};
     this.records.set(fingerprint, record);
+    this.toggleHash(record);
     if (crashes > 0) this.count(bodyBytes, 1);
-    const verdict = getStatus(record);
-    return {fingerprint, bodyBytes, verdict, generation, crashes};
+    return describeRecord(record, nowMs);
   }
 
   private evictOldest(): void {
@@ -162,9 +202,17 @@
     const record = this.records.get(fingerprint);
     if (record === undefined) return;
     this.records.delete(fingerprint);
+    this.toggleHash(record);
     if (record.crashes > 0) this.count(record.bodyBytes, -1);
   }
 
+  /** Adds a record to the hash of its bucket, or removes it. */
+  private toggleHash({fingerprint, hash}: SuspectRecord): void {
+    const bucket = getBucket(fingerprint);
+    const before = this.bucketHashes[bucket] ?? 0;
+    this.bucketHashes[bucket] = before ^ hash;
+  }
+
   private count(bodyBytes: number, change: 1 | -1): void {
     const count = (this.countByBodyBytes.get(bodyBytes) ?? 0) + change;
     if (count > 0) this.countByBodyBytes.set(bodyBytes, count);
@@ -177,6 +225,17 @@
   return crashes > 0 ? CrashStatus.SUSPECT : CrashStatus.CLEAR;
 }
 
+function describeRecord(record: SuspectRecord, nowMs: number): SuspectUpdate {
+  const {fingerprint, bodyBytes, generation, crashes, expiresAtMs} = record;
+  const verdict = getStatus(record);
+  const remainingMs = expiresAtMs - nowMs;
+  return {fingerprint, bodyBytes, verdict, generation, crashes, remainingMs};
+}
+
+function getBucket(fingerprint: string): number {
+  return Number.parseInt(fingerprint.slice(0, 2), 16) % BUCKETS || 0;
+}
+
 /** Orders what hosts know, so that all of them come to the same record. */
 function isNewer(update: SuspectUpdate, record: SuspectRecord): boolean {
   const isBlocked = update.verdict === CrashStatus.BLOCKED;
--- a/packages/requests/src/suspect_record.ts
+++ b/packages/requests/src/suspect_record.ts
@@ -13,4 +13,6 @@
   readonly isBlocked: boolean;
   /** Monotonic time at which the record expires, in milliseconds. */
   readonly expiresAtMs: number;
+  /** Hash of all fields but the time at which it expires. */
+  readonly hash: number;
 }
--- a/packages/requests/src/suspect_update.ts
+++ b/packages/requests/src/suspect_update.ts
@@ -11,4 +11,6 @@
   readonly generation: number;
   /** Successive crashes since then. */
   readonly crashes: number;
+  /** Time until the record expires, in milliseconds. */
+  readonly remainingMs: number;
 }
