Compare suspects with a member at once when it is alive

Three hosts were replaced one after the other, each as soon as the one before was ready: no comparison fell between, and the request crashed two more engines (4 instead of 2 in the new test). A host now compares with each member that becomes alive, as gateways do with each new recipient.

Two further tests show that calls of plain services are not tracked at all on this path: six calls crashed the service six times, as a repeatable call and as an order. The service's stand-in can crash by a marker, as the engine's does.

--- a/packages/daemon/src/control/control_plane.ts
+++ b/packages/daemon/src/control/control_plane.ts
@@ -122,6 +122,8 @@
       state,
     });
     this.readiness.handleMemberChange(member, state);
+    // A member that is new or back may know suspects, or none.
+    if (state === MemberState.ALIVE) this.suspects.compareWith(member.host);
     this.orders.setPeer(member, PEER_STATES[state]);
     this.updateMembers();
   }
--- a/packages/daemon/src/sessions/crashing_request.test.ts
+++ b/packages/daemon/src/sessions/crashing_request.test.ts
@@ -1,3 +1,4 @@
+import {setTimeout as pause} from 'node:timers/promises';
 import {expect} from 'chai';
 import {TestSite} from '../testing/test_site.js';
 
@@ -6,6 +7,10 @@
 const CONCURRENT_REQUESTS = 12;
 const ANSWER_TOKENS = 400;
 const MAX_CRASHES = 2;
+const MAX_SERVICE_CRASHES = 3;
+const SERVICE_CALLS = 6;
+/** Time for the service to come back and to be found usable by all hosts. */
+const SERVICE_DOWN_MS = 1_500;
 
 describe('request that crashes engines', () => {
   let site: TestSite;
@@ -38,6 +43,69 @@
     expect(await send(2, 'harmless')).to.equal(`200 ${ANSWER_TOKENS}`);
   });
 
+  it('is refused by hosts that were all replaced since', async () => {
+    for (const host of [0, 1, 2]) await site.replaceHost(host);
+    const answers = [];
+    for (const host of [0, 1, 2]) answers.push(await send(host, 'CRASHING'));
+    expect(answers).to.eql(answers.map(() => '422 request_crashes_upstream'));
+    expect(await countCrashes()).to.be.within(1, MAX_CRASHES);
+  });
+
+  for (const [name, call] of [
+    ['a repeatable service call', {path: '/levels?of=CRASHING'}],
+    ['an order', {path: '/orders', body: '{"text": "CRASHING"}'}],
+  ] as const) {
+    it(`as ${name} crashes the service three times at most`, async () => {
+      await setServiceFaults({crashOnMarker: 'CRASHING'});
+      const before = await countServiceCrashes();
+      const answers = [];
+      for (let at = 0; at < SERVICE_CALLS; at++) {
+        answers.push(await callService(at, call));
+        await pause(SERVICE_DOWN_MS);
+      }
+      expect((await countServiceCrashes()) - before).to.be.within(
+        1,
+        MAX_SERVICE_CRASHES,
+      );
+      expect(answers.at(-1)).to.equal(422);
+      expect(await callService(0, {path: '/levels'})).to.equal(200);
+    });
+  }
+
+  async function setServiceFaults(faults: object): Promise<void> {
+    const answer = await fetch(`${site.service.url}/faults`, {
+      method: 'POST',
+      headers: {'content-type': 'application/json'},
+      body: JSON.stringify(faults),
+    });
+    await answer.arrayBuffer();
+  }
+
+  /** Calls the service through a host; returns the status. */
+  async function callService(
+    at: number,
+    {path, body}: {path: string; body?: string},
+  ): Promise<number> {
+    const url = `${site.urls[at % HOSTS] ?? ''}/v1/services/test-app${path}`;
+    const answer = await fetch(url, {
+      method: body === undefined ? 'GET' : 'POST',
+      headers: {
+        authorization: 'Bearer test-key-one',
+        'content-type': 'application/json',
+        // An order that failed is sent anew with a key of its own.
+        'idempotency-key': `key-${at}`,
+      },
+      ...(body !== undefined && {body}),
+    });
+    await answer.arrayBuffer();
+    return answer.status;
+  }
+
+  async function countServiceCrashes(): Promise<number> {
+    const answer = await fetch(`${site.service.url}/crashes`);
+    return ((await answer.json()) as {crashes: number}).crashes;
+  }
+
   /** Sends a request to a host; returns the status and the error kind or number of tokens. */
   async function send(host: number, content: string): Promise<string> {
     const answer = await fetch(`${site.urls[host] ?? ''}/v1/chat/completions`, {
--- a/packages/stand-ins/src/service_faults.ts
+++ b/packages/stand-ins/src/service_faults.ts
@@ -8,4 +8,6 @@
   readonly failBeforeExecution?: boolean;
   /** Time added to each call, in milliseconds. */
   readonly slowMs?: number;
+  /** Any call whose path or body holds this text crashes the service. */
+  readonly crashOnMarker?: string;
 }
--- a/packages/stand-ins/src/start_engine.ts
+++ b/packages/stand-ins/src/start_engine.ts
@@ -6,6 +6,7 @@
 import {ENGINE_DEFAULTS} from './engine_defaults.js';
 import type {EngineFaults} from './engine_faults.js';
 import type {EngineOptions} from './engine_options.js';
+import {crashServer} from './crash_server.js';
 import {EngineCommands} from './engine_commands.js';
 import {EngineRunner} from './engine_runner.js';
 import type {EngineStart} from './engine_start.js';
@@ -81,18 +82,10 @@
       this.start.onCrash();
       return;
     }
-    const {server} = this.server;
-    const address = server.address();
     this.runner.reset();
     this.incarnation = randomUUID();
     this.commands = this.makeCommands();
-    server.close();
-    server.closeAllConnections();
-    if (address === null || typeof address === 'string') return;
-    const {address: host, port} = address;
-    this.restart = setTimeout(() => {
-      server.listen({host, port});
-    }, this.start.restartAfterMs ?? 0);
+    this.restart = crashServer(this.server, this.start.restartAfterMs ?? 0);
   }
 
   /** Ends the timers. */
--- a/packages/stand-ins/src/start_service.ts
+++ b/packages/stand-ins/src/start_service.ts
@@ -1,4 +1,5 @@
 import fastify, {type FastifyRequest} from 'fastify';
+import {crashServer} from './crash_server.js';
 import {cutOff} from './cut_off.js';
 import {ExecutionLedger} from './execution_ledger.js';
 import {listen} from './listen.js';
@@ -8,6 +9,8 @@
 import type {StandIn} from './stand_in.js';
 
 const DEFAULT_ORDER_MS = 2;
+/** Time for which a crashed service is down. */
+const RESTART_MS = 100;
 const LEVELS = {bins: {'bin-1': 0.42, 'bin-2': 0.77}};
 
 /** Starts a plain service whose orders do not recognise a repeated key. */
@@ -21,6 +24,7 @@
   let faults: ServiceFaults = {};
   let frozenUntilMs = 0;
   let highestFencing = 0;
+  let crashes = 0;
 
   server.addHook('preHandler', async request => {
     if (request.url === '/faults') return;
@@ -28,6 +32,18 @@
     await pause(Math.max(0, frozenMs) + (faults.slowMs ?? 0));
   });
 
+  server.addHook('preHandler', async (request, reply) => {
+    const {crashOnMarker = ''} = faults;
+    if (request.url === '/faults' || crashOnMarker === '') return;
+    const text = `${request.url} ${JSON.stringify(request.body ?? '')}`;
+    if (!text.includes(crashOnMarker)) return;
+    crashes++;
+    reply.hijack();
+    crashServer(server, RESTART_MS);
+  });
+
+  server.get('/crashes', async () => ({crashes}));
+
   server.post('/orders', async (request, reply) => {
     const fencing = Number(request.headers['parsleywood-fencing'] ?? 0);
     if (checksFencing && fencing < highestFencing) {
