Stop service calls that crash the service

A call is identified by account, service, method, path and body; a break after which the service takes no connection counts, and the third in a row blocks it, at the host that sends it as for callers' retries. An order that is refused so did not run.

--- a/packages/daemon/src/callers/create_crash_failure.ts
+++ b/packages/daemon/src/callers/create_crash_failure.ts
@@ -1,9 +1,9 @@
 import {ErrorKind, Failure} from '@parsleywood/errors';
 
-/** Creates the failure for a request that crashed two upstreams. */
+/** Creates the failure for a request that crashed several upstreams. */
 export function createCrashFailure(): Failure {
   return new Failure(
     ErrorKind.REQUEST_CRASHES_UPSTREAM,
-    'this request crashed two upstreams and will not be run again',
+    'this request crashed several upstreams and will not be run again',
   );
 }
--- a/packages/daemon/src/callers/service_session.ts
+++ b/packages/daemon/src/callers/service_session.ts
@@ -57,6 +57,7 @@
 
   private mayRetry(failure: Failure): boolean {
     if (failure.kind === ErrorKind.TIME_LIMIT) return false;
+    if (failure.kind === ErrorKind.REQUEST_CRASHES_UPSTREAM) return false;
     if (!this.hasUntriedUpstream) return false;
     return this.serving.retries.tryRetry();
   }
--- a/packages/daemon/src/control/order_desk.ts
+++ b/packages/daemon/src/control/order_desk.ts
@@ -240,8 +240,11 @@
         fencing,
       );
       // Another upstream may be tried only if this one certainly did not run
-      // the order.
+      // the order, for a reason of its own.
       if (result.isOk || result.error.ran !== ExecutionStatus.NO) return result;
+      if (result.error.kind === ErrorKind.REQUEST_CRASHES_UPSTREAM) {
+        return result;
+      }
     }
   }
 
--- a/packages/daemon/src/host/serving.ts
+++ b/packages/daemon/src/host/serving.ts
@@ -1,5 +1,6 @@
 import {RetryBudget} from '@parsleywood/admission';
-import {ErrorKind, Failure} from '@parsleywood/errors';
+import {ErrorKind, ExecutionStatus, Failure} from '@parsleywood/errors';
+import {CrashStatus} from '@parsleywood/requests';
 import type {Settings} from '@parsleywood/schema/settings';
 import type {ListedUpstream} from '@parsleywood/schema/upstream_list';
 import type {Incarnation} from '@parsleywood/types';
@@ -15,6 +16,8 @@
 import type {LoadFeed} from '../upstreams/load_feed.js';
 import type {ReplyHead} from '../callers/reply_head.js';
 import type {ServiceAnswer} from '../upstreams/service_answer.js';
+import type {SuspectSubject} from '../upstreams/suspect_subject.js';
+import {createCrashFailure} from '../callers/create_crash_failure.js';
 import type {ServiceCall} from '../callers/service_call.js';
 import {ServiceClient} from '../upstreams/service_client.js';
 import type {SiteView} from './site_view.js';
@@ -121,7 +124,10 @@
     return usable[this.nextServiceIndex++ % Math.max(usable.length, 1)];
   }
 
-  /** Sends one call to a service upstream, without retry, and records its success or failure. */
+  /**
+   * Sends one call to a service upstream, without retry, and records its success
+   * or failure. A call that is known to crash services is refused.
+   */
   async sendToService(
     call: ServiceCall,
     upstream: ListedUpstream,
@@ -129,11 +135,24 @@
     fencing?: number,
   ): Promise<Result<ServiceAnswer, Failure>> {
     const {name, address} = upstream;
+    const subject = describeSubject(call);
+    const stateBefore = this.suspects.findState(subject);
+    if (stateBefore.status === CrashStatus.BLOCKED) {
+      return Result.err(createCrashFailure());
+    }
     this.countCall(name, 1);
     const result = await this.services.send(call, address, limitMs, fencing);
     this.countCall(name, -1);
-    if (result.isOk) this.upstreams.noteSuccess(name);
-    else this.upstreams.noteFailure(name);
+    if (result.isOk) {
+      this.upstreams.noteSuccess(name);
+      this.suspects.recordSuccess(subject);
+      return result;
+    }
+    this.upstreams.noteFailure(name);
+    const mayHaveRun = result.error.ran !== ExecutionStatus.NO;
+    if (mayHaveRun && (await this.upstreams.isDown(name))) {
+      this.suspects.recordCrash(subject, stateBefore, false);
+    }
     return result;
   }
 
@@ -186,3 +205,8 @@
     }
   }
 }
+
+function describeSubject(call: ServiceCall): SuspectSubject {
+  const {account, service, method, target, body} = call;
+  return {name: `${account} ${service} ${method} ${target}`, body};
+}
