Try a suspect at one host at a time

Placements carry the fingerprint of a suspect, so a host sees that another one is trying the same request and waits, for half of its time at most, until the attempt has begun its answer or ended. Where another host has told of the suspect, hosts may place it at the same moment: they wait 80 ms, in which placements reach all, and the one with the lowest id goes on. A suspect that only this host knows is not delayed.

--- a/packages/daemon/src/gateway/attempt_placer.ts
+++ b/packages/daemon/src/gateway/attempt_placer.ts
@@ -157,6 +157,13 @@
     context.health.recordPassTimeRatio(choice.upstream.id, ratio);
   }
 
+  /** Ends an attempt that was not sent; its upstream counts as untried. */
+  withdraw(): void {
+    const id = this.placed?.choice.upstream.id ?? '';
+    this.triedUpstreams.delete(id);
+    this.endAttempt();
+  }
+
   /** Ends the attempt in progress and frees its capacity. */
   endAttempt(): void {
     const {placed, context} = this;
--- a/packages/daemon/src/gateway/crash_detector.ts
+++ b/packages/daemon/src/gateway/crash_detector.ts
@@ -26,6 +26,11 @@
     return this.findState().status === CrashStatus.BLOCKED;
   }
 
+  /** Whether another host has told of the request, so that it may run there. */
+  get isKnownToPeers(): boolean {
+    return this.stateBefore.isKnownToPeers;
+  }
+
   /**
    * Starts an attempt.
    *
--- a/packages/daemon/src/gateway/forward_session.ts
+++ b/packages/daemon/src/gateway/forward_session.ts
@@ -1,3 +1,4 @@
+import type {CapacityShortage} from '@parsleywood/dispatch';
 import {ErrorKind, ExecutionStatus, Failure} from '@parsleywood/errors';
 import {
   AttemptOutcome,
@@ -22,15 +23,15 @@
 import {PromptReservations} from './prompt_reservations.js';
 import type {ReceivedRequest} from './received_request.js';
 import {SessionLog} from './session_log.js';
+import {SuspectTrial} from './suspect_trial.js';
 import {SessionOutcome} from './session_outcome.js';
 import {InactivityTimer} from './inactivity_timer.js';
 import {UpstreamAttempt} from './upstream_attempt.js';
 import {AttemptPlacer} from './attempt_placer.js';
-import {buildAttemptHeaders} from './build_attempt_headers.js';
+import {buildUpstreamRequest} from './build_upstream_request.js';
 
 /** Retry-After of a response when no upstream could be reached. */
 const UNAVAILABLE_RETRY_MS = 300;
-const MAX_RANK = 9;
 const SERVER_ERROR_STATUS = 500;
 const OK_STATUS = 200;
 
@@ -45,6 +46,7 @@
   private readonly placer: AttemptPlacer;
   private readonly log: SessionLog;
   private readonly crashDetector: CrashDetector;
+  private readonly trial: SuspectTrial;
   private readonly deadlineMs: number;
   private deadlineTimer: NodeJS.Timeout | undefined;
   private readonly inactivityTimer: InactivityTimer;
@@ -97,6 +99,12 @@
       this.placer,
       this.log,
     );
+    this.trial = new SuspectTrial(
+      context,
+      this.placer,
+      this.crashDetector,
+      () => this.hasEnded,
+    );
   }
 
   start(): void {
@@ -105,7 +113,7 @@
       this.endAtDeadline();
     }, this.getLeftMs());
     if (this.crashDetector.shouldRefuse()) this.fail(createCrashFailure());
-    else this.sendAttempt();
+    else void this.sendAttempt();
   }
 
   /** Cancels the request after the caller has closed the connection. */
@@ -204,20 +212,20 @@
       this.placer.hasUntriedUpstream && !this.crashDetector.shouldRefuse(),
       () => this.context.retryBudgets.tryRetry(this.placer.service),
     );
-    if (step === NextStep.RETRY) this.sendAttempt();
+    if (step === NextStep.RETRY) void this.sendAttempt();
     else if (step === NextStep.FORWARD_ANSWER && head) this.endResponse(head);
     else this.failAfterAttempts(detail || 'upstream refused the request');
   }
 
-  private sendAttempt(): void {
-    const placed = this.placer.place(
-      this.retryController.attempts,
-      this.crashDetector.startAttempt(),
-    );
-    if (!('placement' in placed)) {
-      this.refuse(placed.waitMs);
-      return;
-    }
+  private async sendAttempt(): Promise<void> {
+    const {attempts} = this.retryController;
+    const placed = await this.trial.place(attempts, this.getLeftMs());
+    if (this.hasEnded) this.placer.endAttempt();
+    else if ('placement' in placed) this.prepare(placed);
+    else this.refuse(placed);
+  }
+
+  private prepare(placed: PlacedAttempt): void {
     this.head = undefined;
     this.responseBuffer = new ResponseBuffer();
     this.cursor.discardPartialEvent();
@@ -249,17 +257,18 @@
   }
 
   private send(placed: PlacedAttempt): void {
-    const {context, request} = this;
-    const {method, target, id} = request.metadata;
+    const {context} = this;
+    const request = buildUpstreamRequest(
+      this.request,
+      this.match,
+      placed,
+      this.reservations,
+      this.getLeftMs(),
+      this.cursor.lastId,
+      context.headerNames,
+    );
     this.attempt = new UpstreamAttempt(
-      {
-        id,
-        upstream: placed.choice.upstream,
-        method,
-        target,
-        headers: this.buildHeaders(placed),
-        body: request.body,
-      },
+      request,
       context.connectionPool,
       context.headerNames,
       this,
@@ -274,26 +283,6 @@
     this.attempt.start();
   }
 
-  private buildHeaders({choice}: PlacedAttempt): string[] {
-    const {request, match, route} = this;
-    const rank = match.account?.priority ?? route.priority;
-    return buildAttemptHeaders(
-      request.headers,
-      request.body.length,
-      {
-        upstreamId: choice.upstream.id,
-        account: match.account?.name,
-        leftMs: this.getLeftMs(),
-        lastEventId: this.cursor.lastId,
-        rank: choice.plan && Math.min(MAX_RANK, rank),
-        helpers: choice.helpers.map(
-          helper => this.reservations?.formatHelper(helper) ?? helper.address,
-        ),
-      },
-      this.context.headerNames,
-    );
-  }
-
   private relay(events: Buffer): void {
     this.inactivityTimer.awaitEvent();
     this.placer.recordEvents();
@@ -377,12 +366,16 @@
     );
   }
 
-  /** @param waitMs Time until capacity is expected; 0 or below when unknown. */
-  private refuse(waitMs: number): void {
-    if (this.retryController.attempts > 0 && !this.placer.isPromptTooLong) {
-      this.failAfterAttempts('no other upstream available');
+  /** Ends the request when no attempt can be placed. */
+  private refuse(reason: CapacityShortage | Failure): void {
+    const failure =
+      reason instanceof Failure
+        ? reason
+        : createCapacityFailure(this.placer, reason.waitMs);
+    if (this.retryController.attempts === 0 || this.placer.isPromptTooLong) {
+      this.fail(failure);
     } else {
-      this.fail(createCapacityFailure(this.placer, waitMs));
+      this.failAfterAttempts(failure.message);
     }
   }
 
--- a/packages/daemon/src/upstreams/suspect_tracker.ts
+++ b/packages/daemon/src/upstreams/suspect_tracker.ts
@@ -81,7 +81,6 @@
     if (this.findStatus(subject) !== CrashStatus.SUSPECT) return;
     const update = this.suspects.recordSuccess(
       this.computeFingerprint(subject),
-      subject.body.length,
       this.clock.nowMs(),
     );
     if (update !== undefined) this.publish(update);
--- a/packages/dispatch/src/placement_registry.ts
+++ b/packages/dispatch/src/placement_registry.ts
@@ -14,6 +14,8 @@
   private readonly records = new Map<string, PlacementRecord>();
   private readonly byUpstream = new Map<string, Set<PlacementRecord>>();
   private readonly lastPrefillEndsMs = new Map<string, number>();
+  /** Ids of the placements of each suspect, by its fingerprint. */
+  private readonly suspectIds = new Map<string, Set<string>>();
 
   get size(): number {
     return this.records.size;
@@ -29,6 +31,7 @@
       hasMetSuspect: false,
     };
     this.records.set(placement.id, record);
+    this.addSuspect(placement);
     for (const {upstream, passMs} of placement.parts) {
       this.markMissedPauses(upstream, passMs);
       this.markMetSuspects(upstream, record);
@@ -56,6 +59,7 @@
     const record = this.records.get(id);
     if (record === undefined) return;
     this.records.delete(id);
+    this.removeSuspect(record.placement);
     for (const {upstream} of record.placement.parts) {
       const records = this.byUpstream.get(upstream);
       records?.delete(record);
@@ -92,6 +96,19 @@
     return records.some(({placement}) => isOther(placement, fingerprint));
   }
 
+  /** Whether a suspect runs that has not begun its answer. */
+  isBeingTried(suspect: string): boolean {
+    return this.listTrials(suspect).length > 0;
+  }
+
+  /**
+   * Whether a suspect runs in another placement that goes before this one. All
+   * hosts that know both placements agree on which goes first.
+   */
+  hasTrialBefore(suspect: string, id: string): boolean {
+    return this.listTrials(suspect).some(({placement}) => placement.id < id);
+  }
+
   /** Whether no other suspect has met this placement on any upstream. */
   isIsolated(id: string): boolean {
     return this.records.get(id)?.hasMetSuspect === false;
@@ -104,6 +121,25 @@
     }
   }
 
+  private addSuspect({id, suspect = ''}: Placement): void {
+    if (suspect === '') return;
+    const ids = this.suspectIds.get(suspect) ?? new Set<string>();
+    this.suspectIds.set(suspect, ids.add(id));
+  }
+
+  private removeSuspect({id, suspect = ''}: Placement): void {
+    const ids = this.suspectIds.get(suspect);
+    ids?.delete(id);
+    if (ids?.size === 0) this.suspectIds.delete(suspect);
+  }
+
+  private listTrials(suspect: string): PlacementRecord[] {
+    const ids = this.suspectIds.get(suspect) ?? [];
+    return [...ids]
+      .flatMap(id => this.records.get(id) ?? [])
+      .filter(({phase}) => phase === PlacementPhase.PREFILL);
+  }
+
   private markMetSuspects(upstream: string, added: PlacementRecord): void {
     const {suspect = ''} = added.placement;
     if (suspect === '') return;
--- a/packages/requests/src/crash_suspects.test.ts
+++ b/packages/requests/src/crash_suspects.test.ts
@@ -19,9 +19,7 @@
   it('clears a suspect that succeeds in isolation and never clears a blocked request', () => {
     const suspects = new CrashSuspects();
     recordCrash(suspects, 'a', false);
-    expect(suspects.recordSuccess('a', 1, 0)?.verdict).to.equal(
-      CrashStatus.CLEAR,
-    );
+    expect(suspects.recordSuccess('a', 0)?.verdict).to.equal(CrashStatus.CLEAR);
     expect(findStatus(suspects, 'a')).to.equal(CrashStatus.CLEAR);
     recordCrash(suspects, 'a', true);
     suspects.applyUpdate(
@@ -35,7 +33,7 @@
       },
       0,
     );
-    expect(suspects.recordSuccess('a', 1, 0)).to.equal(undefined);
+    expect(suspects.recordSuccess('a', 0)).to.equal(undefined);
     expect(findStatus(suspects, 'a')).to.equal(CrashStatus.BLOCKED);
   });
 
@@ -76,7 +74,7 @@
     const suspects = new CrashSuspects();
     recordCrash(suspects, 'a', false);
     const stateBefore = suspects.findState(1, () => 'a', 0);
-    suspects.recordSuccess('a', 1, 0);
+    suspects.recordSuccess('a', 0);
     const report = {fingerprint: 'a', bodyBytes: 1, stateBefore};
     suspects.recordCrash({...report, wasIsolated: true}, 0);
     expect(findStatus(suspects, 'a')).to.equal(CrashStatus.SUSPECT);
@@ -110,7 +108,7 @@
           const stateBefore = suspects.findState(1, () => fingerprint, 0);
           const report = {fingerprint, bodyBytes: 1, stateBefore, wasIsolated};
           const update = isSuccess
-            ? suspects.recordSuccess(fingerprint, 1, 0)
+            ? suspects.recordSuccess(fingerprint, 0)
             : suspects.recordCrash(report, 0);
           if (update === undefined) continue;
           for (const at of hearers) getHost(at).applyUpdate(update, 0);
@@ -142,7 +140,7 @@
             if (
               findStatus(suspects, coRunningRequest) === CrashStatus.SUSPECT
             ) {
-              suspects.recordSuccess(coRunningRequest, 1, 0);
+              suspects.recordSuccess(coRunningRequest, 0);
             } else {
               recordCrash(suspects, coRunningRequest, false);
             }
--- a/packages/requests/src/crash_suspects.ts
+++ b/packages/requests/src/crash_suspects.ts
@@ -17,6 +17,7 @@
   status: CrashStatus.CLEAR,
   generation: 0,
   crashes: 0,
+  isKnownToPeers: false,
 };
 
 /**
@@ -64,8 +65,8 @@
     if (!this.countByBodyBytes.has(bodyBytes)) return NOT_RECORDED;
     const record = this.findRecord(computeFingerprint(), nowMs);
     if (record === undefined) return NOT_RECORDED;
-    const {generation, crashes} = record;
-    return {status: getStatus(record), generation, crashes};
+    const {generation, crashes, isKnownToPeers} = record;
+    return {status: getStatus(record), generation, crashes, isKnownToPeers};
   }
 
   /**
@@ -92,8 +93,9 @@
       before?.isBlocked === true ||
       (wasIsolated && isCurrent) ||
       crashes >= MAX_CRASHES;
+    const isKnownToPeers = before?.isKnownToPeers ?? false;
     return this.store(
-      {fingerprint, bodyBytes, generation, crashes, isBlocked},
+      {fingerprint, bodyBytes, generation, crashes, isBlocked, isKnownToPeers},
       RECORD_TTL_MS,
       nowMs,
     );
@@ -104,18 +106,14 @@
    *
    * @return Update to send to the peers; undefined if nothing changes.
    */
-  recordSuccess(
-    fingerprint: string,
-    bodyBytes: number,
-    nowMs: number,
-  ): SuspectUpdate | undefined {
+  recordSuccess(fingerprint: string, nowMs: number): SuspectUpdate | undefined {
     const before = this.findRecord(fingerprint, nowMs);
     if (before === undefined || getStatus(before) !== CrashStatus.SUSPECT) {
       return undefined;
     }
     const generation = before.generation + 1;
     return this.store(
-      {fingerprint, bodyBytes, generation, crashes: 0, isBlocked: false},
+      {...before, generation, crashes: 0},
       RECORD_TTL_MS,
       nowMs,
     );
@@ -131,9 +129,13 @@
     const {fingerprint, bodyBytes, verdict, generation, crashes} = update;
     const before = this.findRecord(fingerprint, nowMs);
     const isBlocked = verdict === CrashStatus.BLOCKED;
-    if (before !== undefined && !isNewer(update, before)) return false;
+    const isKnownToPeers = true;
+    if (before !== undefined && !isNewer(update, before)) {
+      this.records.set(fingerprint, {...before, isKnownToPeers});
+      return false;
+    }
     this.store(
-      {fingerprint, bodyBytes, generation, crashes, isBlocked},
+      {fingerprint, bodyBytes, generation, crashes, isBlocked, isKnownToPeers},
       Math.min(update.remainingMs, RECORD_TTL_MS),
       nowMs,
     );
--- a/packages/requests/src/suspect_record.ts
+++ b/packages/requests/src/suspect_record.ts
@@ -11,8 +11,10 @@
   /** Successive crashes since then; 0 once it is cleared. */
   readonly crashes: number;
   readonly isBlocked: boolean;
+  /** Whether another host has told of the request. */
+  readonly isKnownToPeers: boolean;
   /** Monotonic time at which the record expires, in milliseconds. */
   readonly expiresAtMs: number;
-  /** Hash of all fields but the time at which it expires. */
+  /** Hash of what hosts have to agree on. */
   readonly hash: number;
 }
--- a/packages/requests/src/suspect_state.ts
+++ b/packages/requests/src/suspect_state.ts
@@ -10,4 +10,6 @@
    * the one before it was known.
    */
   readonly crashes: number;
+  /** Whether another host has told of the request, so that it may run there. */
+  readonly isKnownToPeers: boolean;
 }
