Keep blocked requests while suspects fill the table

One crash of a full engine records dozens of suspects, and the table of 4,096 evicted the oldest record of any kind: a blocked request was forgotten before its hour and could crash servers again. The oldest that is not blocked goes now. The new test failed before (clear instead of blocked) and passes.

--- a/packages/requests/src/crash_suspects.test.ts
+++ b/packages/requests/src/crash_suspects.test.ts
@@ -4,6 +4,7 @@
 
 const HOUR_MS = 3_600_000;
 const SEED = 1;
+const TABLE_SIZE = 4_096;
 
 describe('CrashSuspects', () => {
   it('marks a request suspect after one crash and blocked after a second one in isolation', () => {
@@ -80,6 +81,16 @@
     expect(findStatus(suspects, 'a')).to.equal(CrashStatus.SUSPECT);
   });
 
+  it('keeps a blocked request while suspects fill the table', () => {
+    const suspects = new CrashSuspects();
+    recordCrash(suspects, 'a', true);
+    for (let at = 0; at < TABLE_SIZE; at++) {
+      recordCrash(suspects, `bystander ${at}`, false);
+    }
+    expect(findStatus(suspects, 'a')).to.equal(CrashStatus.BLOCKED);
+    expect(suspects.size).to.equal(TABLE_SIZE);
+  });
+
   it('converges after lost updates by comparisons', () => {
     const crash = fc.record({
       host: fc.nat({max: 3}),
--- a/packages/requests/src/crash_suspects.ts
+++ b/packages/requests/src/crash_suspects.ts
@@ -184,7 +184,7 @@
   ): SuspectUpdate {
     const {fingerprint, bodyBytes, crashes} = suspect;
     this.deleteRecord(fingerprint);
-    if (this.records.size >= MAX_RECORDS) this.evictOldest();
+    if (this.records.size >= MAX_RECORDS) this.evictOne();
     const hash = computeRecordHash(suspect);
     const record = {...suspect, expiresAtMs: nowMs + ttlMs, hash};
     this.records.set(fingerprint, record);
@@ -193,11 +193,11 @@
     return describeRecord(record, nowMs);
   }
 
-  private evictOldest(): void {
-    for (const fingerprint of this.records.keys()) {
-      this.deleteRecord(fingerprint);
-      return;
-    }
+  /** Deletes the oldest record, of a blocked request only if all are. */
+  private evictOne(): void {
+    const records = [...this.records.values()];
+    const evicted = records.find(({isBlocked}) => !isBlocked) ?? records[0];
+    if (evicted !== undefined) this.deleteRecord(evicted.fingerprint);
   }
 
   private deleteRecord(fingerprint: string): void {
