--- a/packages/daemon/src/gateway/crash_detector.ts
+++ b/packages/daemon/src/gateway/crash_detector.ts
@@ -6,6 +6,12 @@
 import type {ReceivedRequest} from './received_request.js';
 import type {SessionLog} from './session_log.js';
 
+/**
+ * Time within which an engine refuses a prompt because a helper was down before
+ * it was sent. An engine whose helper crashes later stalls first.
+ */
+const MIN_HELPER_MS = 100;
+
 /** Detects whether a request crashes the upstreams that execute it. */
 export class CrashDetector {
   /** What was known of the request when the current attempt started. */
@@ -51,19 +57,26 @@
    *     whose crash leaves the answering engine running.
    */
   mayHaveCrashed(outcome: AttemptOutcome, faultyAddress: string): boolean {
-    return outcome === AttemptOutcome.BROKEN || faultyAddress !== '';
+    if (outcome === AttemptOutcome.BROKEN) return true;
+    const {placedAtMs = Infinity} = this.placer.currentAttempt ?? {};
+    const lastedMs = this.context.clock.nowMs() - placedAtMs;
+    return faultyAddress !== '' && lastedMs >= MIN_HELPER_MS;
   }
 
   /**
    * Treats an upstream of the current attempt that accepts no connections as
    * crashed.
    */
-  async checkCrash(): Promise<void> {
+  async checkCrash(outcome: AttemptOutcome): Promise<void> {
     const {stateBefore, placer, context} = this;
     const isSuspect = stateBefore.status === CrashStatus.SUSPECT;
-    // An attempt whose answer had begun was not broken by its start.
+    // A request that crashes what runs it does so before its answer begins, and
+    // a helper may have been down already.
     const wasIsolated =
-      isSuspect && placer.isIsolated && !placer.hasReceivedEvents;
+      isSuspect &&
+      placer.isIsolated &&
+      !placer.hasReceivedEvents &&
+      outcome === AttemptOutcome.BROKEN;
     const unreachable = await placer.findUnreachable();
     if (unreachable.length === 0) return;
     const status = context.suspects.recordCrash(
--- a/packages/daemon/src/gateway/forward_session.ts
+++ b/packages/daemon/src/gateway/forward_session.ts
@@ -193,7 +193,7 @@
   ): Promise<void> {
     this.isCheckingCrash = true;
     this.inactivityTimer.stop();
-    await this.crashDetector.checkCrash();
+    await this.crashDetector.checkCrash(outcome);
     this.isCheckingCrash = false;
     if (!this.hasEnded) this.concludeAttempt(outcome, status, detail);
   }
