Bound what is read of an answer without end

The caller's limit may be minutes, and reports and refusals of engines were read whole as well.

An answer to an attempt or a call ends as broken after 16 MiB, an event after 1 Mi characters without an end, an error body after 64 KiB, a report or refusal after 1 MiB. Heads were bounded already (16 KB, by undici).

--- a/packages/daemon/src/gateway/response_buffer.ts
+++ b/packages/daemon/src/gateway/response_buffer.ts
@@ -1,5 +1,4 @@
-/** Size limit of a buffered response. */
-const MAX_RESPONSE_BYTES = 16_777_216;
+import {MAX_RESPONSE_BYTES} from '../upstreams/max_response_bytes.js';
 
 /** Buffers a response that is not streamed until it is complete. */
 export class ResponseBuffer {
--- a/packages/daemon/src/upstreams/attempt_reader.ts
+++ b/packages/daemon/src/upstreams/attempt_reader.ts
@@ -3,6 +3,7 @@
 import {createParser} from 'eventsource-parser';
 import type {Dispatcher} from 'undici';
 import type {AttemptListener} from './attempt_listener.js';
+import {MAX_RESPONSE_BYTES} from './max_response_bytes.js';
 import type {EngineEvent} from './engine_event.js';
 
 /** Errors raised before a connection exists, so that nothing was sent. */
@@ -14,8 +15,10 @@
 ]);
 /** Error kind of an engine that is shutting down and accepts no new work. */
 const LEAVING_KIND = 'leaving';
-/** Limit on how much of an engine's error body is kept. */
-const MAX_ERROR_BYTES = 2_048;
+/** Size limit of an engine's error body, in bytes. */
+const MAX_ERROR_BYTES = 65_536;
+/** Length limit of an event that is not complete, in characters. */
+const MAX_EVENT_LENGTH = 1_048_576;
 
 /**
  * Parses the response to one attempt: a stream of server-sent events with JSON
@@ -25,9 +28,14 @@
   private controller: Dispatcher.DispatchController | undefined;
   private status = 0;
   private isOver = false;
+  private bytes = 0;
   private errorText = '';
   private readonly decoder = new StringDecoder('utf8');
   private readonly parser = createParser({
+    maxBufferSize: MAX_EVENT_LENGTH,
+    onError: ({type, message}) => {
+      if (type === 'max-buffer-size-exceeded') this.breakOff(message);
+    },
     onEvent: event => {
       this.handleEvent(event.data);
     },
@@ -66,10 +74,16 @@
     chunk: Buffer,
   ): void {
     if (this.isOver) return;
-    if (this.status === 200) {
-      this.parser.feed(this.decoder.write(chunk));
-    } else if (this.errorText.length < MAX_ERROR_BYTES) {
+    this.bytes += chunk.length;
+    if (this.status !== 200) {
       this.errorText += chunk.toString('utf8', 0, MAX_ERROR_BYTES);
+      if (this.bytes < MAX_ERROR_BYTES) return;
+      this.reportRefusal();
+      this.controller?.abort(new Error('the error body is too long'));
+    } else if (this.bytes > MAX_RESPONSE_BYTES) {
+      this.breakOff(`the response exceeds ${MAX_RESPONSE_BYTES} bytes`);
+    } else {
+      this.parser.feed(this.decoder.write(chunk));
     }
   }
 
@@ -80,11 +94,7 @@
         'the response ended before its last event',
       );
     } else {
-      const refusalKind = parseRefusalKind(this.errorText);
-      this.reportFault(
-        this.classifyRefusal(refusalKind),
-        `${this.status} ${refusalKind}`,
-      );
+      this.reportRefusal();
     }
   }
 
@@ -99,6 +109,20 @@
     this.reportFault(fault, code === '' ? error.name : code);
   }
 
+  private reportRefusal(): void {
+    const refusalKind = parseRefusalKind(this.errorText);
+    this.reportFault(
+      this.classifyRefusal(refusalKind),
+      `${this.status} ${refusalKind}`,
+    );
+  }
+
+  /** Ends an attempt whose response cannot be used. */
+  private breakOff(detail: string): void {
+    this.reportFault(AttemptFault.BROKEN, detail);
+    this.controller?.abort(new Error(detail));
+  }
+
   private classifyRefusal(refusalKind: string): AttemptFault {
     if (refusalKind === LEAVING_KIND) return AttemptFault.SHUTTING_DOWN;
     return this.status === 400 ? AttemptFault.INVALID : AttemptFault.REFUSED;
@@ -110,8 +134,7 @@
     try {
       event = JSON.parse(data) as EngineEvent;
     } catch {
-      this.reportFault(AttemptFault.BROKEN, 'the event data is not valid JSON');
-      this.controller?.abort(new Error('the event data is not valid JSON'));
+      this.breakOff('the event data is not valid JSON');
       return;
     }
     if (event.error !== undefined) {
--- a/packages/daemon/src/upstreams/load_feed.ts
+++ b/packages/daemon/src/upstreams/load_feed.ts
@@ -5,6 +5,7 @@
 import type {EngineTraffic} from './engine_traffic.js';
 import type {HostMetrics} from '../host/host_metrics.js';
 import type {SiteView} from '../host/site_view.js';
+import {readLimitedJson} from './read_limited_json.js';
 import type {UpstreamPools} from './upstream_pools.js';
 
 const POLL_INTERVAL_MS = 500;
@@ -89,7 +90,7 @@
       if (answer.statusCode === 200) {
         this.handleReport(
           name,
-          (await answer.body.json()) as EngineReport,
+          (await readLimitedJson(answer.body)) as EngineReport,
           sentMs,
         );
         this.metrics.loadPolls.inc({outcome: 'ok'});
--- a/packages/daemon/src/upstreams/placement_client.ts
+++ b/packages/daemon/src/upstreams/placement_client.ts
@@ -1,6 +1,7 @@
 import type {EngineState, EngineCommand} from '@parsleywood/placement';
 import type {Dispatcher} from 'undici';
 import type {SiteView} from '../host/site_view.js';
+import {readLimitedJson} from './read_limited_json.js';
 import type {UpstreamPools} from './upstream_pools.js';
 
 const ORDERS_PATH = '/v1/orders';
@@ -27,7 +28,7 @@
       await answer?.body.dump();
       return undefined;
     }
-    const content: unknown = await answer.body.json();
+    const content = await readLimitedJson(answer.body);
     return isEngineContent(content) ? content : undefined;
   }
 
@@ -49,7 +50,7 @@
       body: JSON.stringify(order),
     });
     if (answer?.statusCode === HTTP_CONFLICT) {
-      const refusal = (await answer.body.json()) as {
+      const refusal = (await readLimitedJson(answer.body)) as {
         error?: {fencing?: unknown};
       };
       const fencing = refusal.error?.fencing;
--- a/packages/daemon/src/upstreams/service_client.ts
+++ b/packages/daemon/src/upstreams/service_client.ts
@@ -1,5 +1,7 @@
 import {ErrorKind, Failure, ExecutionStatus} from '@parsleywood/errors';
 import {Result} from 'true-myth';
+import {MAX_RESPONSE_BYTES} from './max_response_bytes.js';
+import {readLimitedBody} from './read_limited_body.js';
 import type {ServiceAnswer} from './service_answer.js';
 import type {ServiceCall} from '../callers/service_call.js';
 import type {UpstreamPools} from './upstream_pools.js';
@@ -41,7 +43,7 @@
       return Result.ok({
         status: answer.statusCode,
         contentType: String(answer.headers['content-type'] ?? ''),
-        body: Buffer.from(await answer.body.arrayBuffer()),
+        body: await readLimitedBody(answer.body, MAX_RESPONSE_BYTES),
       });
     } catch (error) {
       return Result.err(
@@ -79,7 +81,7 @@
         RETRY_AFTER_MS,
       );
     }
-    const code = error.code ?? error.name;
+    const code = error.code ?? error.message;
     const mayHaveBeenSent = !CONNECT_ERROR_CODES.has(code);
     return new Failure(
       mayHaveBeenSent
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -40,4 +40,5 @@
 export {startEngine} from './start_engine.js';
 export {startPlatform} from './start_platform.js';
 export {startService} from './start_service.js';
+export {writeEndlessly} from './write_endlessly.js';
 export type {ValueEntry} from './value_entry.js';
