Let requests crash upstreams in the soak of gateways

The soak had upstreams that fail from outside, and no request that brings one down, so lost knowledge cost nothing there. One call in 30 now crashes the upstream that runs it, beside gateways that are killed, stopped, paused and restarted; the checks are that no request reaches upstreams more than three times later than 3 s after its third crash, and that no sound request is refused as one that crashes them.

--- a/packages/bench/src/gateway_soak/check_calls.ts
+++ b/packages/bench/src/gateway_soak/check_calls.ts
@@ -22,7 +22,9 @@
     ...checkBody(call),
     ...checkTime(call, stops),
   ]);
-  const calm = calls.filter(({startedAtMs}) => startedAtMs > calmFromMs);
+  const calm = calls.filter(
+    ({startedAtMs, isCrashing}) => startedAtMs > calmFromMs && !isCrashing,
+  );
   const served = calm.filter(({status}) => status === OK_STATUS);
   if (served.length < RECOVERED_PART * calm.length || calm.length === 0) {
     found.push(`${served.length} of ${calm.length} served after the faults`);
--- /dev/null
+++ b/packages/bench/src/gateway_soak/check_crashes.ts
@@ -0,0 +1,31 @@
+import type {CrashLedger} from './crash_ledger.js';
+import type {SoakCall} from './soak_call.js';
+
+/** Crashes after which a request may reach upstreams only a few times more. */
+const CRASHES = 3;
+const MAX_LATE_ARRIVALS = 3;
+/** Time for the knowledge of the last of these crashes to spread. */
+const SPREAD_MS = 3_000;
+const BLOCKED_STATUS = 422;
+
+/** Finds requests that crash on and on, and sound ones that are refused for it. */
+export function checkCrashes(
+  calls: readonly SoakCall[],
+  ledger: CrashLedger,
+): string[] {
+  const found: string[] = [];
+  for (const body of ledger.bodies) {
+    const late = ledger.countReachedAfter(body, CRASHES, SPREAD_MS);
+    if (late > MAX_LATE_ARRIVALS) {
+      found.push(
+        `${body} reached upstreams ${late} times after ${CRASHES} crashes`,
+      );
+    }
+  }
+  for (const {id, isCrashing, status} of calls) {
+    if (!isCrashing && status === BLOCKED_STATUS) {
+      found.push(`${id} was refused as one that crashes upstreams`);
+    }
+  }
+  return found;
+}
--- a/packages/bench/src/gateway_soak/checked_upstream.ts
+++ b/packages/bench/src/gateway_soak/checked_upstream.ts
@@ -6,12 +6,16 @@
   type ServerResponse,
 } from 'node:http';
 import type {AddressInfo} from 'node:net';
+import type {CrashLedger} from './crash_ledger.js';
 import {FaultProxy} from './fault_proxy.js';
 
 const LOCAL = '127.0.0.1';
 const STREAM_EVENTS = 12;
 const EVENT_MS = 40;
 const CALL_MS = 20;
+const CRASH_MARKER = 'crash';
+/** Time for which a crashed upstream is down. */
+const DOWN_MS = 800;
 
 /** An upstream that notes which requests it ran, behind a proxy that fails. */
 export class CheckedUpstream {
@@ -23,12 +27,18 @@
     readonly id: string,
     readonly service: string,
     private readonly runs: Map<string, number>,
+    private readonly ledger: CrashLedger,
   ) {
     this.server = createServer((request, response) => {
       this.take(request, response);
     });
   }
 
+  /** Text in the body of a request that crashes the upstream that runs it. */
+  static get crashMarker(): string {
+    return CRASH_MARKER;
+  }
+
   /** Number of events in a whole answer. */
   static get streamEvents(): number {
     return STREAM_EVENTS;
@@ -61,14 +71,31 @@
       response.writeHead(421, {'not-run': '1'}).end();
       return;
     }
-    request.resume();
+    const chunks: Buffer[] = [];
+    request.on('data', (chunk: Buffer) => chunks.push(chunk));
     request.on('end', () => {
       this.runs.set(id, (this.runs.get(id) ?? 0) + 1);
+      const body = Buffer.concat(chunks).toString();
+      if (body.startsWith(CRASH_MARKER)) {
+        this.crash(`${request.url ?? ''} ${body}`);
+        return;
+      }
       if (this.service === 'engine') this.stream(id, request, response);
       else setTimeout(() => response.end(`ran ${id}`), CALL_MS);
     });
   }
 
+  /** Lets a request crash the upstream once it has run for a moment. */
+  private crash(name: string): void {
+    this.ledger.noteReached(name, performance.now());
+    setTimeout(() => {
+      if (this.proxy.isDown) return;
+      this.ledger.noteCrash(name, performance.now());
+      this.server.closeAllConnections();
+      this.proxy.crash(DOWN_MS);
+    }, CALL_MS);
+  }
+
   private stream(
     id: string,
     request: IncomingMessage,
--- a/packages/bench/src/gateway_soak/fault_proxy.ts
+++ b/packages/bench/src/gateway_soak/fault_proxy.ts
@@ -11,6 +11,8 @@
   private readonly server: Server;
   private readonly sockets = new Set<Socket>();
   private current = ProxyFault.NONE;
+  private lastAddress = '';
+  private restart: NodeJS.Timeout | undefined;
 
   /** @param target Port of the upstream. */
   constructor(private readonly target: number) {
@@ -21,15 +23,31 @@
 
   /** IP:port at which the upstream seems to be. */
   get address(): string {
-    return `${LOCAL}:${(this.server.address() as AddressInfo).port}`;
+    return this.lastAddress;
   }
 
   async start(): Promise<void> {
     this.server.listen(0, LOCAL);
     await once(this.server, 'listening');
+    const {port} = this.server.address() as AddressInfo;
+    this.lastAddress = `${LOCAL}:${port}`;
+  }
+
+  /** Whether it takes no connections, as its upstream has crashed. */
+  get isDown(): boolean {
+    return !this.server.listening;
+  }
+
+  /** Resets all connections and takes none for a while. */
+  crash(downMs: number): void {
+    const {port} = this.server.address() as AddressInfo;
+    this.server.close();
+    for (const socket of this.sockets) socket.resetAndDestroy();
+    this.restart = setTimeout(() => this.server.listen(port, LOCAL), downMs);
   }
 
   stop(): void {
+    clearTimeout(this.restart);
     this.server.close();
     for (const socket of this.sockets) socket.destroy();
   }
--- a/packages/bench/src/gateway_soak/gateway_soak_report.ts
+++ b/packages/bench/src/gateway_soak/gateway_soak_report.ts
@@ -6,6 +6,8 @@
   readonly statuses: Readonly<Record<string, number>>;
   /** Faults by kind. */
   readonly faults: Readonly<Record<string, number>>;
+  /** Crashes of upstreams by a request. */
+  readonly crashes: number;
   /** What must not happen and did. */
   readonly violations: readonly string[];
 }
--- a/packages/bench/src/gateway_soak/run_gateway_soak.ts
+++ b/packages/bench/src/gateway_soak/run_gateway_soak.ts
@@ -1,6 +1,8 @@
 import {setTimeout as pause} from 'node:timers/promises';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {checkCalls} from './check_calls.js';
+import {checkCrashes} from './check_crashes.js';
+import {CrashLedger} from './crash_ledger.js';
 import {CheckedUpstream} from './checked_upstream.js';
 import {GatewayFaults} from './gateway_faults.js';
 import {GatewayFleet} from './gateway_fleet.js';
@@ -28,10 +30,12 @@
 ): Promise<GatewaySoakReport> {
   const random = xoroshiro128plus(seed);
   const runs = new Map<string, number>();
+  const ledger = new CrashLedger();
   const upstreams = ['app', 'engine'].flatMap(service =>
     Array.from(
       {length: UPSTREAMS},
-      (_none, at) => new CheckedUpstream(`${service}-${at}`, service, runs),
+      (_none, at) =>
+        new CheckedUpstream(`${service}-${at}`, service, runs, ledger),
     ),
   );
   for (const upstream of upstreams) await upstream.start();
@@ -42,6 +46,7 @@
     const faults = new GatewayFaults(fleet, gateways, upstreams, random);
     callers.start();
     await faults.run(performance.now() + seconds * MS_PER_SECOND);
+    callers.allowsCrashes = false;
     await pause(RECOVERY_MS);
     const calmFromMs = performance.now();
     await pause(CALM_MS);
@@ -56,7 +61,11 @@
       calls: calls.length,
       statuses,
       faults: faults.counts,
-      violations: checkCalls(calls, runs, faults.stops, calmFromMs),
+      crashes: ledger.count,
+      violations: [
+        ...checkCalls(calls, runs, faults.stops, calmFromMs),
+        ...checkCrashes(calls, ledger),
+      ],
     };
   } finally {
     await fleet.stop();
--- a/packages/bench/src/gateway_soak/soak_call.ts
+++ b/packages/bench/src/gateway_soak/soak_call.ts
@@ -10,6 +10,8 @@
   /** Status of the answer; 0 when the connection ended without one. */
   readonly status: number;
   readonly body: string;
+  /** Whether the request crashes the upstreams that run it. */
+  readonly isCrashing: boolean;
   /** Whether the answer was cut off. */
   readonly isCut: boolean;
 }
--- a/packages/bench/src/gateway_soak/soak_callers.ts
+++ b/packages/bench/src/gateway_soak/soak_callers.ts
@@ -2,12 +2,17 @@
 import {uniformInt} from 'pure-rand/distribution/uniformInt';
 import type {RandomGenerator} from 'pure-rand/types/RandomGenerator';
 import {Agent} from 'undici';
+import {CheckedUpstream} from './checked_upstream.js';
 import type {SoakCall} from './soak_call.js';
 import type {SoakRoute} from './soak_route.js';
 import {SOAK_ROUTES} from './soak_routes.js';
 
 const CALLERS = 16;
 const PAUSE_MS = 40;
+/** One request of so many crashes upstreams. */
+const CRASH_INTERVAL = 30;
+/** Number of different requests on each route that crash upstreams. */
+const CRASHING_REQUESTS = 3;
 /** Callers give up after this time; the routes' limits are shorter. */
 const GIVE_UP_MS = 12_000;
 
@@ -15,6 +20,8 @@
 export class SoakCallers {
   readonly calls: SoakCall[] = [];
   private loops: Promise<void>[] = [];
+  /** Whether callers send requests that crash upstreams. */
+  allowsCrashes = true;
   private isStopping = false;
   private started = 0;
 
@@ -41,18 +48,34 @@
       const gateway = uniformInt(this.random, 0, last);
       const at = uniformInt(this.random, 0, SOAK_ROUTES.length - 1);
       const route = SOAK_ROUTES[at];
-      if (route) this.calls.push(await this.call(agent, gateway, route));
+      if (route) this.calls.push(await this.callOrCrash(agent, gateway, route));
       await pause(PAUSE_MS);
     }
     await agent.destroy();
   }
 
-  private async call(
+  /** Sends a request of its own, or now and then one that crashes upstreams. */
+  private async callOrCrash(
     agent: Agent,
     gateway: number,
     route: SoakRoute,
   ): Promise<SoakCall> {
     const id = `s${this.started++}`;
+    const isCrashing =
+      this.allowsCrashes && uniformInt(this.random, 1, CRASH_INTERVAL) === 1;
+    const one = uniformInt(this.random, 1, CRASHING_REQUESTS);
+    const body = isCrashing ? `${CheckedUpstream.crashMarker} ${one}` : id;
+    const call = await this.call(agent, gateway, route, id, body);
+    return {...call, isCrashing};
+  }
+
+  private async call(
+    agent: Agent,
+    gateway: number,
+    route: SoakRoute,
+    id: string,
+    sentBody: string,
+  ): Promise<Omit<SoakCall, 'isCrashing'>> {
     const startedAtMs = performance.now();
     let status = 0;
     let body = '';
@@ -67,7 +90,7 @@
           'request-id': id,
           'token-counts': '1000,400',
         },
-        body: id,
+        body: sentBody,
         signal: AbortSignal.timeout(GIVE_UP_MS),
       });
       status = answer.statusCode;
