Send a suspect over a new connection

A suspect gets a new connection, which shows that its upstream is up when the attempt starts; one that is down refuses it, and nothing was sent. The new test gets broken over the idle connection and not_sent over a new one.

--- a/packages/daemon/src/gateway/build_upstream_request.ts
+++ b/packages/daemon/src/gateway/build_upstream_request.ts
@@ -16,7 +16,7 @@
 export function buildUpstreamRequest(
   {metadata, headers, body}: ReceivedRequest,
   {route, account}: RouteMatch,
-  {choice}: PlacedAttempt,
+  {choice, placement}: PlacedAttempt,
   reservations: PromptReservations | undefined,
   leftMs: number,
   lastEventId: number | undefined,
@@ -41,5 +41,14 @@
     values,
     names,
   );
-  return {id, upstream, method, target, headers: attemptHeaders, body};
+  return {
+    id,
+    upstream,
+    method,
+    target,
+    headers: attemptHeaders,
+    body,
+    // A crash counts against a suspect only if the upstream was up before it.
+    needsNewConnection: Boolean(placement.suspect),
+  };
 }
--- a/packages/daemon/src/gateway/upstream_attempt.test.ts
+++ b/packages/daemon/src/gateway/upstream_attempt.test.ts
@@ -42,7 +42,11 @@
   }
 
   /** Sends a request and returns how the attempt ended. */
-  async function send(address: string, id = 'r1'): Promise<AttemptResult> {
+  async function send(
+    address: string,
+    id = 'r1',
+    needsNewConnection = false,
+  ): Promise<AttemptResult> {
     return new Promise(resolve => {
       let head: ResponseHead | undefined;
       let body = '';
@@ -61,6 +65,7 @@
         target: '/a/b?c=%20',
         headers: ['X-Own', 'kept'],
         body: Buffer.alloc(0),
+        needsNewConnection,
       };
       new UpstreamAttempt(request, connections, DEFAULT_HEADER_NAMES, {
         onHead: one => {
@@ -176,6 +181,22 @@
     expect(outcome).to.equal(AttemptOutcome.NOT_SENT);
   });
 
+  it('does not take an upstream that was down for one that a suspect broke', async () => {
+    let isDown = false;
+    const address = await listen(socket => {
+      if (isDown) socket.resetAndDestroy();
+      else socket.write('HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok');
+    });
+    await send(address);
+    await new Promise(resolve => setTimeout(resolve, 10));
+    isDown = true;
+    // The idle connection stays open until it is used.
+    servers[0]?.close();
+    const {outcome} = await send(address, 'r2', true);
+    expect(outcome).to.equal(AttemptOutcome.NOT_SENT);
+    expect((await send(address, 'r3')).outcome).to.equal(AttemptOutcome.BROKEN);
+  });
+
   async function countConnections(): Promise<number> {
     return new Promise((resolve, reject) => {
       servers[0]?.getConnections((error, count) => {
--- a/packages/daemon/src/gateway/upstream_attempt.ts
+++ b/packages/daemon/src/gateway/upstream_attempt.ts
@@ -3,7 +3,7 @@
 import type {ResponseListener} from './response_listener.js';
 import type {HeaderNames} from './header_names.js';
 import {listEndToEndHeaders} from './list_end_to_end_headers.js';
-import type {UpstreamConnection} from './upstream_connection.js';
+import {UpstreamConnection} from './upstream_connection.js';
 import type {UpstreamConnectionPool} from './upstream_connection_pool.js';
 import type {UpstreamRequest} from './upstream_request.js';
 
@@ -24,8 +24,10 @@
     private readonly headerNames: HeaderNames,
     private readonly listener: ResponseListener,
   ) {
-    const {upstream} = request;
-    this.connection = connectionPool.acquire(upstream.id, upstream.address);
+    const {upstream, needsNewConnection} = request;
+    this.connection = needsNewConnection
+      ? new UpstreamConnection(upstream.address)
+      : connectionPool.acquire(upstream.id, upstream.address);
   }
 
   /** Sends the request. The listener is called until the attempt ends. */
--- a/packages/daemon/src/gateway/upstream_request.ts
+++ b/packages/daemon/src/gateway/upstream_request.ts
@@ -11,4 +11,9 @@
   /** Names and values alternating. */
   readonly headers: readonly string[];
   readonly body: Buffer;
+  /**
+   * Whether a new connection is used, which shows that the upstream is up when
+   * the attempt starts.
+   */
+  readonly needsNewConnection: boolean;
 }
