Carry a hash of the suspects in heartbeats

A comparison every 600 ms is a message to each host even when nothing differs.

Gateways put one hash of all suspects into their heartbeats and compare, at most every 600 ms with a peer, only when it differs; so a peer that is new, back or missed an update is found by its first heartbeat. Hosts with a published host list have other heartbeats and keep the regular comparison. Expired records are purged once a second.

--- a/packages/daemon/src/gateway/fleet_membership.ts
+++ b/packages/daemon/src/gateway/fleet_membership.ts
@@ -90,12 +90,10 @@
       this.sendHeartbeats();
     }, HEARTBEAT_INTERVAL_MS);
     this.sendHeartbeats();
-    this.suspects.start();
   }
 
   stop(): void {
     clearInterval(this.timer);
-    this.suspects.stop();
     this.relay.stop();
   }
 
@@ -243,6 +241,7 @@
     );
     if (replaced !== undefined) this.applier.dropHost(peersAddress);
     this.relay.subscribe(peersAddress, subscribes, nowMs);
+    this.suspects.handleHash(peersAddress, beat.suspectsHash, nowMs);
     if (!hearsReceiver) this.announceTo(peersAddress, nowMs);
     const isKnown = this.livePeers.some(
       one => one.peersAddress === peersAddress,
@@ -291,7 +290,7 @@
       this.livePeers,
     );
     this.roster.setRelayed(this.relayChoice !== undefined);
-    this.setRecipients(this.relayChoice?.relays ?? this.listPeers());
+    this.relay.setRecipients(this.relayChoice?.relays ?? this.listPeers());
     if (this.relayChoice?.subscribedRelay === source) return;
     this.log.info('relay_chosen', {
       relay: this.relayChoice?.subscribedRelay,
@@ -301,15 +300,6 @@
     });
   }
 
-  /** Sets where updates go. A new recipient may know suspects, or none. */
-  private setRecipients(addresses: readonly string[]): void {
-    const before = new Set(this.relay.listPeers());
-    this.relay.setRecipients(addresses);
-    for (const address of addresses) {
-      if (!before.has(address)) this.suspects.compareWith(address);
-    }
-  }
-
   private logPeer(peer: string, isHeard: boolean): void {
     if (isHeard) this.log.info('peer_heard', {peer});
     else this.log.warn('peer_lost', {peer});
@@ -371,6 +361,7 @@
       processorShare: this.settings.processorShare ?? 1,
       subscribes: false,
       relays: this.relay.listSubscribers(nowMs).length > 0,
+      suspectsHash: this.suspects.computeHash(),
       ...changes,
     };
   }
@@ -381,7 +372,12 @@
       sightings: sightings.map(({beat, heardAtMs}): HostSighting => {
         const {incarnation, stage, ...fields} = beat;
         return {
-          beat: {...fields, stage: STAGES[stage], knownAddresses: []},
+          beat: {
+            ...fields,
+            stage: STAGES[stage],
+            knownAddresses: [],
+            suspectsHash: 0,
+          },
           incarnation,
           silentMs: Math.round(nowMs - heardAtMs),
         };
--- a/packages/daemon/src/gateway/gateway_host.ts
+++ b/packages/daemon/src/gateway/gateway_host.ts
@@ -131,7 +131,7 @@
       this.transport,
       relay,
       new UpdateApplier(placements, health, suspects),
-      new SuspectSynchronizer(suspects, relay, draw),
+      new SuspectSynchronizer(suspects, relay),
       this.siteUpdater,
       () => replica.createSnapshot(),
       clock,
--- a/packages/daemon/src/gateway/update_relay.ts
+++ b/packages/daemon/src/gateway/update_relay.ts
@@ -87,11 +87,6 @@
     this.publish({body: {$case: 'suspect', value: update}});
   }
 
-  /** Lists the hosts that receive this host's own updates directly. */
-  listPeers(): readonly string[] {
-    return this.recipients;
-  }
-
   sendSummary(address: string, summary: SuspectSummary): void {
     this.send(address, {body: {$case: 'suspectSummary', value: summary}});
   }
--- a/packages/daemon/src/host_process.ts
+++ b/packages/daemon/src/host_process.ts
@@ -173,11 +173,9 @@
       new PlacementClient(site, this.pools),
       log,
     );
-    const generator = xoroshiro128plus(drawSeed());
     this.suspects = new SuspectSynchronizer(
       suspects,
-      new PeerSuspects(this.transport, () => this.membership.listAlive()),
-      () => uniformFloat64(generator),
+      new PeerSuspects(this.transport),
     );
     this.control = new ControlPlane(
       this.serving,
@@ -265,7 +263,11 @@
     this.orders.start();
     this.serving.admission.start();
     this.membership.start();
-    this.suspects.start();
+    const generator = xoroshiro128plus(drawSeed());
+    this.suspects.start(
+      () => this.membership.listAlive(),
+      () => uniformFloat64(generator),
+    );
     this.configuration.start();
     this.seeds.start();
     this.loads.start();
--- a/packages/daemon/src/peers/peer_suspects.ts
+++ b/packages/daemon/src/peers/peer_suspects.ts
@@ -7,15 +7,7 @@
 
 /** Sends comparisons of suspects to the peers of a published host list. */
 export class PeerSuspects implements SuspectMessenger {
-  /** @param listAlive Lists the other hosts that are alive. */
-  constructor(
-    private readonly sender: MessageSender,
-    private readonly listAlive: () => readonly string[],
-  ) {}
-
-  listPeers(): readonly string[] {
-    return this.listAlive();
-  }
+  constructor(private readonly sender: MessageSender) {}
 
   sendSummary(host: string, summary: SuspectSummary): void {
     this.sender.send(host, {body: {$case: 'suspectSummary', value: summary}});
--- a/packages/daemon/src/upstreams/suspect_messenger.ts
+++ b/packages/daemon/src/upstreams/suspect_messenger.ts
@@ -5,8 +5,6 @@
 
 /** Sends what hosts need to compare their suspects. */
 export interface SuspectMessenger {
-  /** Lists the hosts to compare with. */
-  listPeers(): readonly string[];
   sendSummary(host: string, summary: SuspectSummary): void;
   sendRecords(host: string, records: SuspectRecords): void;
 }
--- a/packages/daemon/src/upstreams/suspect_synchronizer.ts
+++ b/packages/daemon/src/upstreams/suspect_synchronizer.ts
@@ -15,18 +15,23 @@
  */
 export class SuspectSynchronizer {
   private timer: NodeJS.Timeout | undefined;
+  /** Monotonic time of the last comparison that a peer's hash started. */
+  private readonly comparedAtMs = new Map<string, number>();
 
-  /** @param draw Returns a random number in [0, 1). */
   constructor(
     private readonly tracker: SuspectTracker,
     private readonly messenger: SuspectMessenger,
-    private readonly draw: () => number,
   ) {}
 
-  start(): void {
+  /**
+   * Starts regular comparisons, which are needed where heartbeats carry no hash.
+   *
+   * @param draw Returns a random number in [0, 1).
+   */
+  start(listPeers: () => readonly string[], draw: () => number): void {
     this.timer = setInterval(() => {
-      const peers = this.messenger.listPeers();
-      const peer = peers[Math.floor(this.draw() * peers.length)];
+      const peers = listPeers();
+      const peer = peers[Math.floor(draw() * peers.length)];
       if (peer !== undefined) this.compareWith(peer);
     }, COMPARISON_INTERVAL_MS);
   }
@@ -35,6 +40,20 @@
     clearInterval(this.timer);
   }
 
+  /** Hash of all suspects, which heartbeats carry. */
+  computeHash(): number {
+    return this.tracker.computeHash();
+  }
+
+  /** Starts a comparison with a peer that reports another hash than this host. */
+  handleHash(peer: string, hash: number, nowMs: number): void {
+    if (hash === this.tracker.computeHash()) return;
+    const lastMs = this.comparedAtMs.get(peer) ?? -Infinity;
+    if (nowMs - lastMs < COMPARISON_INTERVAL_MS) return;
+    this.comparedAtMs.set(peer, nowMs);
+    this.compareWith(peer);
+  }
+
   /** Starts a comparison with a peer. */
   compareWith(peer: string): void {
     this.messenger.sendSummary(peer, this.tracker.summarize(false));
--- a/packages/daemon/src/upstreams/suspect_tracker.ts
+++ b/packages/daemon/src/upstreams/suspect_tracker.ts
@@ -17,6 +17,7 @@
 
 /** Time after which hosts of earlier versions forget a request. */
 const DEFAULT_REMAINING_MS = 3_600_000;
+const HASH_FACTOR = 31;
 const VERDICTS = new Set<string>(Object.values(CrashStatus));
 
 /**
@@ -104,6 +105,14 @@
     return {hashes: hashes.some(hash => hash !== 0) ? hashes : [], isReply};
   }
 
+  /** Returns one hash of all that this host knows; 0 if that is nothing. */
+  computeHash(): number {
+    const hashes = this.suspects.summarize(this.clock.nowMs());
+    return (
+      hashes.reduce((all, hash) => Math.imul(all, HASH_FACTOR) + hash, 0) >>> 0
+    );
+  }
+
   /** Lists what a peer with this summary does not know, or knows otherwise. */
   listDifferences({hashes}: SuspectSummary): SuspectRecords {
     const updates = this.suspects.listDifferences(hashes, this.clock.nowMs());
--- a/packages/requests/src/crash_suspects.ts
+++ b/packages/requests/src/crash_suspects.ts
@@ -7,6 +7,7 @@
 
 const RECORD_TTL_MS = 3_600_000;
 const MAX_RECORDS = 4_096;
+const PURGE_INTERVAL_MS = 1_000;
 /** Successive crashes that block a request which could not be isolated. */
 const MAX_CRASHES = 3;
 /** Parts of the range of fingerprints that hosts compare one by one. */
@@ -36,6 +37,7 @@
   private readonly countByBodyBytes = new Map<number, number>();
   /** Combined hash of the records in each bucket. */
   private readonly bucketHashes = new Uint32Array(BUCKETS);
+  private purgeAtMs = 0;
 
   /** Number of records, including expired ones that are not yet deleted. */
   get size(): number {
@@ -144,9 +146,7 @@
 
   /** Summarizes all records: one hash for each part of the fingerprints' range. */
   summarize(nowMs: number): number[] {
-    for (const {fingerprint, expiresAtMs} of [...this.records.values()]) {
-      if (expiresAtMs <= nowMs) this.deleteRecord(fingerprint);
-    }
+    if (nowMs >= this.purgeAtMs) this.purge(nowMs);
     return [...this.bucketHashes];
   }
 
@@ -193,6 +193,13 @@
     return describeRecord(record, nowMs);
   }
 
+  private purge(nowMs: number): void {
+    this.purgeAtMs = nowMs + PURGE_INTERVAL_MS;
+    for (const {fingerprint, expiresAtMs} of [...this.records.values()]) {
+      if (expiresAtMs <= nowMs) this.deleteRecord(fingerprint);
+    }
+  }
+
   /** Deletes the oldest record, of a blocked request only if all are. */
   private evictOne(): void {
     const records = [...this.records.values()];
