Give tests ports that outgoing connections do not take

The ports came from the range of outgoing connections, of which hosts and other tests open many between the search and the use.

--- a/packages/bench/src/gateway_soak/gateway_fleet.ts
+++ b/packages/bench/src/gateway_soak/gateway_fleet.ts
@@ -3,7 +3,7 @@
 import {join} from 'node:path';
 import {fileURLToPath} from 'node:url';
 import {Child} from '../child.js';
-import {findPorts} from '../find_ports.js';
+import {findFreePorts} from '@parsleywood/stand-ins';
 import {pollOk} from '../poll_ok.js';
 import type {CheckedUpstream} from './checked_upstream.js';
 import {describeSoakSite} from './describe_soak_site.js';
@@ -34,7 +34,7 @@
   }
 
   async start(count: number): Promise<void> {
-    const ports = await findPorts(count * PORTS_PER_GATEWAY);
+    const ports = await findFreePorts(count * PORTS_PER_GATEWAY);
     this.addresses = Array.from({length: count}, (_none, at) =>
       ports
         .slice(at * PORTS_PER_GATEWAY, (at + 1) * PORTS_PER_GATEWAY)
--- a/packages/bench/src/plan_hosts.ts
+++ b/packages/bench/src/plan_hosts.ts
@@ -2,7 +2,7 @@
 import {writeFile} from 'node:fs/promises';
 import {join} from 'node:path';
 import {chooseFailureDomain} from './choose_failure_domain.js';
-import {findPorts} from './find_ports.js';
+import {findFreePorts} from '@parsleywood/stand-ins';
 import type {HostPlan} from './host_plan.js';
 import {SiteNames} from './site_names.js';
 
@@ -18,7 +18,7 @@
   const peerKeyFile = join(directory, 'peer-key');
   const peerKey = randomBytes(PEER_KEY_BYTES).toString('hex');
   await writeFile(peerKeyFile, peerKey, {mode: 0o600});
-  const ports = await findPorts(count * PORTS_PER_HOST);
+  const ports = await findFreePorts(count * PORTS_PER_HOST);
   const addresses = ports.map(port => `127.0.0.1:${port}`);
   const plans: HostPlan[] = [];
   for (let index = 0; index < count; index++) {
