--- a/packages/requests/src/crash_status.ts
+++ b/packages/requests/src/crash_status.ts
@@ -8,8 +8,8 @@
    */
   SUSPECT = 'suspect',
   /**
-   * An upstream crashed while it was the only suspect there; it is rejected
-   * from now on.
+   * An upstream crashed while it was the only suspect there, or several did in
+   * a row; it is rejected until its record expires.
    */
   BLOCKED = 'condemned',
 }
