Block the part of prompts that crashes engines, whatever else a prompt holds

Callers got 502 and 503 while engines crashed one after the other under prompts of which no two were alike: one part of each crashed every engine that began to answer it.

Cause: a request was recognised as a whole, by path, account and body, so that each new prompt was unknown. Five of six records were of requests that only ran beside it. The same holds for both request paths.

CrashEvidence (no I/O) now weighs what all hosts tell of each crash: the parts of every prompt that ran there explain it, unless a prompt with the part that was started as late got its whole answer. The part that explains most crashes against its answers of the last seconds goes first, and its crashes count for no other. Three crashes, one of them by an attempt that was started after another, block it where all other parts in one of them are known to be sound, five where they are not; until then such prompts run one at a time at all hosts. A whole answer clears a block. Blocks are records of the suspects, so hosts that start or return learn of them in comparisons. Logs and the error name the part. Hosts with an interface of their own take the messages before the last one as parts.

--- a/packages/daemon/src/callers/completion_handler.ts
+++ b/packages/daemon/src/callers/completion_handler.ts
@@ -38,9 +38,11 @@
       caller.account,
       this.serving.clock.wallMs(),
     ).unwrapOrElse(throwFailure);
-    const subject = {name: request.model, body: request.body};
-    if (this.serving.suspects.findStatus(subject) === CrashStatus.BLOCKED) {
-      throw createCrashFailure();
+    const {model, parts} = request;
+    const subject = {name: model, body: request.body, parts};
+    const {suspects} = this.serving;
+    if (suspects.findStatus(subject) === CrashStatus.BLOCKED) {
+      throw createCrashFailure(suspects.findBlockedParts(subject));
     }
     const promptTokens = this.checkPromptLength(request, settings);
     const lengthClass = findLengthClass(settings, promptTokens);
--- a/packages/daemon/src/callers/completion_session.ts
+++ b/packages/daemon/src/callers/completion_session.ts
@@ -2,6 +2,7 @@
 import {ErrorKind, type Failure} from '@parsleywood/errors';
 import {
   AttemptFault,
+  CrashStatus,
   RequestLifecycle,
   RequestActionKind,
   RequestEventKind,
@@ -16,6 +17,7 @@
 import type {AdmissionListener} from '../control/admission_listener.js';
 import type {AttemptListener} from '../upstreams/attempt_listener.js';
 import type {CompletionRequest} from './completion_request.js';
+import {createCrashFailure} from './create_crash_failure.js';
 import {DecisionRunner} from '../host/decision_runner.js';
 import type {ResponseWriter} from './response_writer.js';
 import type {EnginePick} from '../upstreams/engine_pick.js';
@@ -46,6 +48,8 @@
   private readonly subject: SuspectSubject;
   /** What was known of crashes when the engine of the attempt was selected. */
   private stateBefore: SuspectState;
+  /** Monotonic time at which the engine of the attempt was selected. */
+  private startedAtMs = 0;
   private readonly priorityUpdater: PriorityUpdater;
   private hasFirstToken = false;
 
@@ -60,7 +64,8 @@
       serving.traffic,
       serving.engines,
     );
-    this.subject = {name: request.model, body: request.body};
+    const {model, body, parts} = request;
+    this.subject = {name: model, body, parts};
     this.stateBefore = serving.suspects.findState(this.subject);
     this.lifecycle = new RequestLifecycle({
       requestId: request.id,
@@ -167,11 +172,13 @@
   ): Promise<void> {
     const hasCrashed = await this.serving.hasCrashed(upstream);
     if (hasCrashed) {
-      this.serving.suspects.recordCrash(
-        this.subject,
-        this.stateBefore,
-        isIsolated,
-      );
+      this.serving.suspects.recordCrash(this.subject, {
+        upstreams: [upstream],
+        stateBefore: this.stateBefore,
+        wasIsolated:
+          isIsolated && this.stateBefore.status === CrashStatus.SUSPECT,
+        startedAtMs: this.startedAtMs,
+      });
     }
     this.failAttempt(attempt, AttemptFault.BROKEN, detail);
   }
@@ -216,9 +223,20 @@
   private pickUpstream(excluded: readonly string[]): void {
     this.pickId = `${this.routedRequest.id}.${this.lifecycle.countAttempts() + 1}`;
     const request = {...this.routedRequest, excludedUpstreams: excluded};
-    this.stateBefore = this.serving.suspects.findState(this.subject);
+    const {suspects, clock, picker} = this.serving;
+    this.startedAtMs = clock.nowMs();
+    this.stateBefore = suspects.findState(this.subject);
+    const blocked = suspects.findBlockedParts(this.subject);
+    if (blocked.length > 0) {
+      this.onPickFailed(createCrashFailure(blocked));
+      return;
+    }
     const {status} = this.stateBefore;
-    this.serving.picker.pick(this.pickId, request, status, this);
+    const isQuarantined =
+      status === CrashStatus.CLEAR &&
+      suspects.findQuarantine(this.subject) !== '';
+    const trialStatus = isQuarantined ? CrashStatus.SUSPECT : status;
+    picker.pick(this.pickId, request, trialStatus, this);
   }
 
   private startAttempt(
@@ -333,7 +351,7 @@
       bytes: this.request.promptBytes,
       tokens: usage.promptTokens,
     });
-    serving.suspects.recordSuccess(this.subject);
+    serving.suspects.recordSuccess(this.subject, this.startedAtMs);
     const tokens = usage.promptTokens + usage.completionTokens;
     serving.admission.noteFinished(routedRequest.id, true, tokens);
     serving.retries.recordSuccess();
--- a/packages/daemon/src/callers/parse_completion_request.ts
+++ b/packages/daemon/src/callers/parse_completion_request.ts
@@ -5,6 +5,7 @@
 import {BodyValidator} from './body_validator.js';
 import {ChatFormatter} from './chat_formatter.js';
 import type {CompletionRequest} from './completion_request.js';
+import {hashPromptParts} from './hash_prompt_parts.js';
 import {CompletionPath} from './completion_path.js';
 import {TextFormatter} from './text_formatter.js';
 
@@ -31,6 +32,7 @@
       ...readCommonFields(chat),
       ...{id, account, path, body},
       promptBytes: countChatBytes(chat),
+      parts: hashPromptParts(chat),
       maxTokens:
         chat.max_completion_tokens ?? chat.max_tokens ?? DEFAULT_MAX_TOKENS,
       formatter: new ChatFormatter(id, chat.model, created),
@@ -40,6 +42,7 @@
     ...readCommonFields(text),
     ...{id, account, path, body},
     promptBytes: countTextBytes(text),
+    parts: [],
     maxTokens: text.max_tokens ?? DEFAULT_MAX_TOKENS,
     formatter: new TextFormatter(id, text.model, created),
   }));
--- a/packages/daemon/src/control/control_plane.ts
+++ b/packages/daemon/src/control/control_plane.ts
@@ -165,6 +165,12 @@
         case 'suspect':
           this.serving.suspects.applyUpdate(body.value);
           break;
+        case 'partCrash':
+          this.serving.suspects.applyPartCrash(body.value);
+          break;
+        case 'partAnswer':
+          this.serving.suspects.applyPartAnswer(body.value);
+          break;
         case 'suspectSummary':
           this.suspects.handleSummary(from.host, body.value);
           break;
--- a/packages/daemon/src/gateway/compute_time_limit.test.ts
+++ b/packages/daemon/src/gateway/compute_time_limit.test.ts
@@ -14,6 +14,7 @@
   promptTokens: 0,
   maxAnswerTokens: 0,
   estimatedAnswerTokens: 0,
+  promptParts: [],
   lastEventId: undefined,
 };
 
--- a/packages/daemon/src/gateway/crash_detector.ts
+++ b/packages/daemon/src/gateway/crash_detector.ts
@@ -1,5 +1,7 @@
 import {AttemptOutcome, type RouteMatch} from '@parsleywood/forwarding';
 import {CrashStatus, type SuspectState} from '@parsleywood/requests';
+import type {Failure} from '@parsleywood/errors';
+import {createCrashFailure} from '../callers/create_crash_failure.js';
 import type {SuspectSubject} from '../upstreams/suspect_subject.js';
 import type {AttemptPlacer} from './attempt_placer.js';
 import type {GatewayContext} from './gateway_context.js';
@@ -16,6 +18,10 @@
 export class CrashDetector {
   /** What was known of the request when the current attempt started. */
   private stateBefore: SuspectState;
+  /** Name of the quarantine of the current attempt; empty if it is in none. */
+  private quarantine = '';
+  /** Monotonic time at which the current attempt started. */
+  private startedAtMs = 0;
 
   constructor(
     private readonly context: GatewayContext,
@@ -29,22 +35,42 @@
 
   /** Whether the request is known to crash upstreams, at any host. */
   shouldRefuse(): boolean {
-    return this.findState().status === CrashStatus.BLOCKED;
+    const {suspects} = this.context;
+    return suspects.findStatus(this.describeSubject()) === CrashStatus.BLOCKED;
   }
 
-  /** Whether another host has told of the request, so that it may run there. */
+  /** Creates the failure for a request that is refused. */
+  createFailure(): Failure {
+    const parts = this.context.suspects.findBlockedParts(
+      this.describeSubject(),
+    );
+    return createCrashFailure(parts);
+  }
+
+  /** Whether another host may try the request, or one with the same parts. */
   get isKnownToPeers(): boolean {
-    return this.stateBefore.isKnownToPeers;
+    return this.quarantine !== '' || this.stateBefore.isKnownToPeers;
+  }
+
+  /** Whether requests of the same quarantine are running at any host. */
+  get isQuarantineBusy(): boolean {
+    const {placements} = this.context;
+    return this.quarantine !== '' && placements.isRunning(this.quarantine);
   }
 
   /**
    * Starts an attempt.
    *
-   * @return Fingerprint by which the other hosts recognise a suspect; empty if
-   *     the request is none.
+   * @return Name by which the other hosts recognise a suspect; empty if the
+   *     request is none.
    */
   startAttempt(): string {
     this.stateBefore = this.findState();
+    this.startedAtMs = this.context.clock.nowMs();
+    this.quarantine = this.context.suspects.findQuarantine(
+      this.describeSubject(),
+    );
+    if (this.quarantine !== '') return this.quarantine;
     return this.stateBefore.status === CrashStatus.CLEAR
       ? ''
       : this.context.suspects.computeFingerprint(this.describeSubject());
@@ -79,22 +105,31 @@
       outcome === AttemptOutcome.BROKEN;
     const unreachable = await placer.findUnreachable();
     if (unreachable.length === 0) return;
-    const status = context.suspects.recordCrash(
-      this.describeSubject(),
+    const upstreams = unreachable.map(({id}) => id);
+    const status = context.suspects.recordCrash(this.describeSubject(), {
+      upstreams,
       stateBefore,
       wasIsolated,
-    );
+      startedAtMs: this.startedAtMs,
+    });
     this.log.logCrash(
-      unreachable.map(({id}) => id).join(' '),
+      upstreams.join(' '),
       stateBefore.crashes + 1,
       wasIsolated,
       status === CrashStatus.BLOCKED,
     );
   }
 
-  /** Clears the suspicion after a complete response. */
-  recordSuccess(): void {
-    this.context.suspects.recordSuccess(this.describeSubject());
+  /**
+   * Clears the suspicion after a complete response.
+   *
+   * @param hasAnswered Whether it is an answer rather than an error, and so tells
+   *     that the parts of the prompt are sound.
+   */
+  recordSuccess(hasAnswered: boolean): void {
+    const subject = this.describeSubject();
+    const parts = hasAnswered ? subject.parts : [];
+    this.context.suspects.recordSuccess({...subject, parts}, this.startedAtMs);
   }
 
   private findState(): SuspectState {
@@ -102,12 +137,13 @@
   }
 
   private describeSubject(): SuspectSubject {
-    const {method, target} = this.request.metadata;
+    const {method, target, promptParts} = this.request.metadata;
     // An account has several keys, which are replaced from time to time.
     const account = this.match.account?.name ?? '';
     return {
       name: `${method} ${target} ${account}`,
       body: this.request.body,
+      parts: promptParts,
     };
   }
 }
--- a/packages/daemon/src/gateway/default_header_names.ts
+++ b/packages/daemon/src/gateway/default_header_names.ts
@@ -8,6 +8,7 @@
   account: 'client-account',
   tokenCounts: 'token-counts',
   answerEstimate: 'answer-tokens-estimate',
+  promptParts: 'prompt-parts',
   lastEventId: 'last-event-id',
   expectedUpstream: 'expected-upstream',
   rank: 'request-rank',
--- a/packages/daemon/src/gateway/forward_session.ts
+++ b/packages/daemon/src/gateway/forward_session.ts
@@ -9,7 +9,6 @@
   type RouteMatch,
   type Route,
 } from '@parsleywood/forwarding';
-import {createCrashFailure} from '../callers/create_crash_failure.js';
 import type {ResponseHead} from './response_head.js';
 import type {ResponseListener} from './response_listener.js';
 import type {ResponseWriter} from './response_writer.js';
@@ -112,8 +111,11 @@
     this.deadlineTimer = setTimeout(() => {
       this.endAtDeadline();
     }, this.getLeftMs());
-    if (this.crashDetector.shouldRefuse()) this.fail(createCrashFailure());
-    else void this.sendAttempt();
+    if (this.crashDetector.shouldRefuse()) {
+      this.fail(this.crashDetector.createFailure());
+    } else {
+      void this.sendAttempt();
+    }
   }
 
   /** Cancels the request after the caller has closed the connection. */
@@ -348,7 +350,7 @@
   }
 
   private endResponse(head: ResponseHead): void {
-    this.crashDetector.recordSuccess();
+    this.crashDetector.recordSuccess(head.status === OK_STATUS);
     if (this.isStreaming()) {
       if (!this.writer.hasStarted) this.writer.start(head);
       this.writer.end();
--- a/packages/daemon/src/gateway/gateway_host.ts
+++ b/packages/daemon/src/gateway/gateway_host.ts
@@ -120,10 +120,9 @@
     const health = new UpstreamHealth();
     const suspects = new SuspectTracker(
       clock,
-      update => {
-        relay.publishSuspect(update);
-      },
+      relay,
       new SuspectLog(log, metrics.host),
+      () => this.fleet.countHosts(),
     );
     this.upstreamProber = new UpstreamProber(health, replica, clock);
     this.fleet = new FleetMembership(
--- a/packages/daemon/src/gateway/header_names.ts
+++ b/packages/daemon/src/gateway/header_names.ts
@@ -12,6 +12,8 @@
   readonly tokenCounts: string;
   /** Caller's estimate of the number of tokens of the answer. */
   readonly answerEstimate: string;
+  /** Parts of the prompt in order, separated by commas: ID:TOKENS. */
+  readonly promptParts: string;
   /** Id of the last event that the caller has received. */
   readonly lastEventId: string;
   /** Id of the only upstream that may execute the request. */
--- a/packages/daemon/src/gateway/read_request_metadata.ts
+++ b/packages/daemon/src/gateway/read_request_metadata.ts
@@ -2,6 +2,10 @@
 import type {HeaderNames} from './header_names.js';
 import type {RequestMetadata} from './request_metadata.js';
 
+/** Parts after the first ones are not told apart. */
+const MAX_PARTS = 32;
+const MAX_PART_ID_LENGTH = 64;
+
 /**
  * Decodes a request's headers. Numbers that are invalid or negative count as
  * absent.
@@ -28,10 +32,21 @@
     promptTokens: readNumber(counts[0]) ?? 0,
     maxAnswerTokens: readNumber(counts[1]) ?? 0,
     estimatedAnswerTokens: readNumber(read(names.answerEstimate)) ?? 0,
+    promptParts: readSharedParts(read(names.promptParts) ?? ''),
     lastEventId: readNumber(read(names.lastEventId)),
   };
 }
 
+/** Reads the ids of all parts but the last, which is the request's own. */
+function readSharedParts(text: string): string[] {
+  const ids = text
+    .split(',', MAX_PARTS + 1)
+    .map(entry => (entry.split(':', 1)[0] ?? '').trim().toLowerCase())
+    .filter(id => id !== '')
+    .map(id => id.slice(0, MAX_PART_ID_LENGTH));
+  return [...new Set(ids.slice(0, -1))];
+}
+
 function readNumber(text: string | undefined): number | undefined {
   if (text === undefined || text.trim() === '') return undefined;
   const value = Number(text);
--- a/packages/daemon/src/gateway/request_metadata.ts
+++ b/packages/daemon/src/gateway/request_metadata.ts
@@ -13,5 +13,7 @@
   readonly maxAnswerTokens: number;
   /** Caller's estimate of the answer's tokens; 0 when not stated. */
   readonly estimatedAnswerTokens: number;
+  /** Ids of the parts of the prompt that other prompts may share. */
+  readonly promptParts: readonly string[];
   readonly lastEventId: number | undefined;
 }
--- a/packages/daemon/src/gateway/suspect_trial.ts
+++ b/packages/daemon/src/gateway/suspect_trial.ts
@@ -1,7 +1,6 @@
 import {setTimeout as pause} from 'node:timers/promises';
 import type {CapacityShortage} from '@parsleywood/dispatch';
 import {ErrorKind, ExecutionStatus, Failure} from '@parsleywood/errors';
-import {createCrashFailure} from '../callers/create_crash_failure.js';
 import type {AttemptPlacer} from './attempt_placer.js';
 import type {CrashDetector} from './crash_detector.js';
 import type {GatewayContext} from './gateway_context.js';
@@ -43,9 +42,11 @@
     const {clock, placements} = this.context;
     const untilMs = clock.nowMs() + MAX_WAIT_RATIO * leftMs;
     do {
-      if (this.detector.shouldRefuse()) return createCrashFailure();
+      if (this.detector.shouldRefuse()) return this.detector.createFailure();
       const suspect = this.detector.startAttempt();
-      if (!placements.isBeingTried(suspect)) {
+      const isBusy =
+        this.detector.isQuarantineBusy || placements.isBeingTried(suspect);
+      if (!isBusy) {
         const placed = this.placer.place(attempt, suspect);
         if (!('placement' in placed)) return placed;
         if (await this.isFirst(placed, suspect)) return placed;
--- a/packages/daemon/src/gateway/update_applier.ts
+++ b/packages/daemon/src/gateway/update_applier.ts
@@ -35,6 +35,12 @@
       case 'suspect':
         this.suspects.applyUpdate(body.value);
         return true;
+      case 'partCrash':
+        this.suspects.applyPartCrash(body.value);
+        return true;
+      case 'partAnswer':
+        this.suspects.applyPartAnswer(body.value);
+        return true;
       default:
         return false;
     }
--- a/packages/daemon/src/gateway/update_relay.ts
+++ b/packages/daemon/src/gateway/update_relay.ts
@@ -1,12 +1,15 @@
 import type {Placement} from '@parsleywood/dispatch';
 import type {FleetMessage, HostNews} from '@parsleywood/schema/fleet';
 import type {
+  PartAnswerMessage,
+  PartCrashMessage,
   SuspectMessage,
   SuspectRecords,
   SuspectSummary,
 } from '@parsleywood/schema/suspects';
 import type {MessageSender} from '../peers/message_sender.js';
 import type {SuspectMessenger} from '../upstreams/suspect_messenger.js';
+import type {SuspectPublisher} from '../upstreams/suspect_publisher.js';
 import type {UpdatePublisher} from './update_publisher.js';
 
 /**
@@ -23,7 +26,9 @@
  * Publishes this host's updates, and forwards the updates of others to
  * subscribers.
  */
-export class UpdateRelay implements UpdatePublisher, SuspectMessenger {
+export class UpdateRelay
+  implements UpdatePublisher, SuspectPublisher, SuspectMessenger
+{
   private recipients: readonly string[] = [];
   /** Monotonic time at which each subscriber last renewed its subscription. */
   private readonly subscribedAtMs = new Map<string, number>();
@@ -87,6 +92,14 @@
     this.publish({body: {$case: 'suspect', value: update}});
   }
 
+  publishPartCrash(crash: PartCrashMessage): void {
+    this.publish({body: {$case: 'partCrash', value: crash}});
+  }
+
+  publishPartAnswer(answer: PartAnswerMessage): void {
+    this.publish({body: {$case: 'partAnswer', value: answer}});
+  }
+
   sendSummary(address: string, summary: SuspectSummary): void {
     this.send(address, {body: {$case: 'suspectSummary', value: summary}});
   }
--- a/packages/daemon/src/host/serving.ts
+++ b/packages/daemon/src/host/serving.ts
@@ -141,17 +141,23 @@
       return Result.err(createCrashFailure());
     }
     this.countCall(name, 1);
+    const startedAtMs = this.clock.nowMs();
     const result = await this.services.send(call, address, limitMs, fencing);
     this.countCall(name, -1);
     if (result.isOk) {
       this.upstreams.noteSuccess(name);
-      this.suspects.recordSuccess(subject);
+      this.suspects.recordSuccess(subject, startedAtMs);
       return result;
     }
     this.upstreams.noteFailure(name);
     const mayHaveRun = result.error.ran !== ExecutionStatus.NO;
     if (mayHaveRun && (await this.upstreams.isDown(name))) {
-      this.suspects.recordCrash(subject, stateBefore, false);
+      this.suspects.recordCrash(subject, {
+        upstreams: [name],
+        stateBefore,
+        wasIsolated: false,
+        startedAtMs,
+      });
     }
     return result;
   }
@@ -208,5 +214,6 @@
 
 function describeSubject(call: ServiceCall): SuspectSubject {
   const {account, service, method, target, body} = call;
-  return {name: `${account} ${service} ${method} ${target}`, body};
+  const subject = `${account} ${service} ${method} ${target}`;
+  return {name: subject, body, parts: []};
 }
--- a/packages/daemon/src/host_process.ts
+++ b/packages/daemon/src/host_process.ts
@@ -44,6 +44,7 @@
 import {IsolationLeases} from './upstreams/isolation_leases.js';
 import {SpreadDesk} from './upstreams/spread_desk.js';
 import {SuspectLog} from './upstreams/suspect_log.js';
+import {PeerSuspectPublisher} from './peers/peer_suspect_publisher.js';
 import {PeerSuspects} from './peers/peer_suspects.js';
 import {SuspectSynchronizer} from './upstreams/suspect_synchronizer.js';
 import {SuspectTracker} from './upstreams/suspect_tracker.js';
@@ -138,13 +139,11 @@
     const solo = new IsolationLeases(traffic, reservations);
     const suspects = new SuspectTracker(
       clock,
-      suspect => {
-        this.transport.sendToAll(
-          site.hosts().hosts.map(({name}) => name),
-          {body: {$case: 'suspect', value: suspect}},
-        );
-      },
+      new PeerSuspectPublisher(this.transport, () =>
+        site.hosts().hosts.map(({name}) => name),
+      ),
       new SuspectLog(log, this.metrics),
+      () => site.hosts().hosts.length,
     );
     this.serving = new Serving(
       incarnation,
--- a/packages/daemon/src/sessions/crashing_request.test.ts
+++ b/packages/daemon/src/sessions/crashing_request.test.ts
@@ -8,6 +8,9 @@
 const ANSWER_TOKENS = 400;
 const MAX_CRASHES = 2;
 const MAX_SERVICE_CRASHES = 3;
+const PROMPTS = 8;
+const MAX_PART_CRASHES = 5;
+const ENGINE_DOWN_MS = 700;
 const SERVICE_CALLS = 6;
 /** Time for the service to come back and to be found usable by all hosts. */
 const SERVICE_DOWN_MS = 1_500;
@@ -51,6 +54,21 @@
     expect(await countCrashes()).to.be.within(1, MAX_CRASHES);
   });
 
+  it('crashes five engines at most when only one message of its prompt stays the same', async () => {
+    const before = await countCrashes();
+    const answers = [];
+    for (let at = 0; at < PROMPTS; at++) {
+      const [calm, own] = ['calm', `own ${at}`];
+      expect(await send(at % HOSTS, own, [calm])).to.equal(
+        `200 ${ANSWER_TOKENS}`,
+      );
+      answers.push(await send(at % HOSTS, own, [calm, 'CRASHING']));
+      await pause(ENGINE_DOWN_MS);
+    }
+    expect(await countCrashes()).to.be.at.most(before + MAX_PART_CRASHES);
+    expect(answers.at(-1)).to.equal('422 request_crashes_upstream');
+  });
+
   for (const [name, call] of [
     ['a repeatable service call', {path: '/levels?of=CRASHING'}],
     ['an order', {path: '/orders', body: '{"text": "CRASHING"}'}],
@@ -107,7 +125,11 @@
   }
 
   /** Sends a request to a host; returns the status and the error kind or number of tokens. */
-  async function send(host: number, content: string): Promise<string> {
+  async function send(
+    host: number,
+    content: string,
+    shared: readonly string[] = [],
+  ): Promise<string> {
     const answer = await fetch(`${site.urls[host] ?? ''}/v1/chat/completions`, {
       method: 'POST',
       headers: {
@@ -116,7 +138,10 @@
       },
       body: JSON.stringify({
         model: 'test-llm',
-        messages: [{role: 'user', content}],
+        messages: [
+          ...shared.map(text => ({role: 'system', content: text})),
+          {role: 'user', content},
+        ],
         max_tokens: ANSWER_TOKENS,
       }),
     });
--- a/packages/daemon/src/upstreams/suspect_log.ts
+++ b/packages/daemon/src/upstreams/suspect_log.ts
@@ -13,10 +13,15 @@
     private readonly metrics: HostMetrics,
   ) {}
 
-  record({fingerprint, verdict}: SuspectUpdate, source: SuspectSource): void {
+  record(
+    {fingerprint, parts, crashes, verdict}: SuspectUpdate,
+    source: SuspectSource,
+  ): void {
     this.metrics.suspectUpdates.inc({status: verdict, source});
     this.log.info('suspect_updated', {
       fingerprint: fingerprint.slice(0, LOGGED_DIGITS),
+      ...(parts.length > 0 && {parts: parts.join(' ')}),
+      crashes,
       status: verdict,
       source,
     });
--- a/packages/daemon/src/upstreams/suspect_tracker.ts
+++ b/packages/daemon/src/upstreams/suspect_tracker.ts
@@ -6,12 +6,17 @@
   type SuspectUpdate,
 } from '@parsleywood/requests';
 import type {
+  PartAnswerMessage,
+  PartCrashMessage,
   SuspectMessage,
   SuspectRecords,
   SuspectSummary,
 } from '@parsleywood/schema/suspects';
 import type {Clock} from '../host/clock.js';
+import type {ObservedCrash} from './observed_crash.js';
+import {PartTracker} from './part_tracker.js';
 import type {SuspectLog} from './suspect_log.js';
+import type {SuspectPublisher} from './suspect_publisher.js';
 import {SuspectSource} from './suspect_source.js';
 import type {SuspectSubject} from './suspect_subject.js';
 
@@ -22,23 +27,51 @@
 
 /**
  * Tracks which requests crashed upstreams, on this host and on its peers.
- * Requests are identified by a fingerprint of name and body.
+ * Requests are identified by a fingerprint of name and body, or by parts of their
+ * prompts.
  */
 export class SuspectTracker {
   private readonly suspects = new CrashSuspects();
+  private readonly parts: PartTracker;
 
-  /** @param broadcast Sends an update to every peer. */
+  /** @param countHosts Returns the number of live hosts. */
   constructor(
     private readonly clock: Clock,
-    private readonly broadcast: (update: SuspectMessage) => void,
+    private readonly publisher: SuspectPublisher,
     private readonly log: SuspectLog,
-  ) {}
+    countHosts: () => number,
+  ) {
+    this.parts = new PartTracker(
+      this.suspects,
+      clock,
+      publisher,
+      countHosts,
+      update => {
+        this.publish(update);
+      },
+    );
+  }
 
+  /** Returns the crash status of a request, by itself and by its parts. */
   findStatus(subject: SuspectSubject): CrashStatus {
+    if (this.findBlockedParts(subject).length > 0) return CrashStatus.BLOCKED;
     return this.findState(subject).status;
   }
 
-  /** Returns what is known of a request; needed when an attempt starts. */
+  /** Returns the parts for which a request is refused; empty if there are none. */
+  findBlockedParts({parts}: SuspectSubject): readonly string[] {
+    return this.parts.findBlocked(parts);
+  }
+
+  /**
+   * Returns the name under which requests run one at a time, as they have a part
+   * that may crash upstreams; empty if this one has none.
+   */
+  findQuarantine({parts}: SuspectSubject): string {
+    return this.parts.findQuarantine(parts);
+  }
+
+  /** Returns what is known of a request itself; needed when an attempt starts. */
   findState(subject: SuspectSubject): SuspectState {
     return this.suspects.findState(
       subject.body.length,
@@ -53,17 +86,13 @@
   }
 
   /**
-   * Records the crash of an upstream while an attempt of a request ran on it.
+   * Records the crash of upstreams while an attempt of a request ran on them.
    *
-   * @param stateBefore What was known when the attempt started.
-   * @param wasIsolated Whether the attempt ran as the only suspect there.
    * @return Status of the request from now on.
    */
-  recordCrash(
-    subject: SuspectSubject,
-    stateBefore: SuspectState,
-    wasIsolated: boolean,
-  ): CrashStatus {
+  recordCrash(subject: SuspectSubject, crash: ObservedCrash): CrashStatus {
+    this.parts.recordCrash(subject.parts, crash);
+    const {stateBefore, wasIsolated} = crash;
     const update = this.suspects.recordCrash(
       {
         fingerprint: this.computeFingerprint(subject),
@@ -74,12 +103,17 @@
       this.clock.nowMs(),
     );
     this.publish(update);
-    return update.verdict;
+    return this.findStatus(subject);
   }
 
-  /** Records that a request completed. */
-  recordSuccess(subject: SuspectSubject): void {
-    if (this.findStatus(subject) !== CrashStatus.SUSPECT) return;
+  /**
+   * Records that a request completed.
+   *
+   * @param startedAtMs Monotonic time at which its last attempt started.
+   */
+  recordSuccess(subject: SuspectSubject, startedAtMs: number): void {
+    this.parts.recordAnswer(subject.parts, startedAtMs);
+    if (this.findState(subject).status !== CrashStatus.SUSPECT) return;
     const update = this.suspects.recordSuccess(
       this.computeFingerprint(subject),
       this.clock.nowMs(),
@@ -87,6 +121,16 @@
     if (update !== undefined) this.publish(update);
   }
 
+  /** Applies what a peer saw of a crash. */
+  applyPartCrash(message: PartCrashMessage): void {
+    this.parts.applyCrash(message);
+  }
+
+  /** Applies a complete answer of a peer. */
+  applyPartAnswer(message: PartAnswerMessage): void {
+    this.parts.applyAnswer(message);
+  }
+
   /**
    * Applies an update from a peer; one with an unknown verdict is ignored.
    *
@@ -121,12 +165,13 @@
 
   private publish(update: SuspectUpdate): void {
     this.log.record(update, SuspectSource.OWN);
-    this.broadcast(encodeUpdate(update));
+    this.publisher.publishSuspect(encodeUpdate(update));
   }
 }
 
 function encodeUpdate(update: SuspectUpdate): SuspectMessage {
-  return {...update, remainingMs: Math.ceil(update.remainingMs)};
+  const remainingMs = Math.ceil(update.remainingMs);
+  return {...update, parts: [...update.parts], remainingMs};
 }
 
 function decodeUpdate(message: SuspectMessage): SuspectUpdate | undefined {
--- a/packages/dispatch/src/placement_registry.ts
+++ b/packages/dispatch/src/placement_registry.ts
@@ -101,6 +101,11 @@
     return this.listTrials(suspect).length > 0;
   }
 
+  /** Whether a suspect runs, also if it has begun its answer. */
+  isRunning(suspect: string): boolean {
+    return this.suspectIds.has(suspect);
+  }
+
   /**
    * Whether a suspect runs in another placement that goes before this one. All
    * hosts that know both placements agree on which goes first.
--- /dev/null
+++ b/packages/requests/src/crash_evidence.test.ts
@@ -0,0 +1,138 @@
+import {expect} from 'chai';
+import fc from 'fast-check';
+import {CrashEvidence} from './crash_evidence.js';
+
+const SEED = 1;
+const STEP_MS = 100;
+const ANSWER_MS = 300;
+const HOSTS = 9;
+/** Time at which early crashes were reported by all hosts. */
+const SETTLED_MS = 100;
+const NONE: ReadonlySet<string> = new Set();
+/** Three prompts with a part may reach upstreams after its fifth crash. */
+const MAX_CRASHES = 8;
+
+describe('CrashEvidence', () => {
+  it('suspects a part after three crashes that no other part explains', () => {
+    const evidence = new CrashEvidence();
+    evidence.recordAnswer(['first'], 0, HOSTS, 0);
+    for (const at of [1, 2]) crash(evidence, `u${at}`, ['first', 'bad'], at);
+    expect(evidence.assess(NONE, SETTLED_MS)).to.deep.equal([]);
+    crash(evidence, 'u3', ['first', 'bad'], 3);
+    expect(evidence.assess(NONE, SETTLED_MS)).to.deep.equal([
+      {parts: ['bad'], crashes: 3, isConfirmed: true, isProven: true},
+    ]);
+  });
+
+  it('does not take one outage for a part that crashes upstreams again', () => {
+    const evidence = new CrashEvidence();
+    for (let at = 0; at < 9; at++) {
+      const upstream = `u${at}`;
+      const report = {upstream, parts: ['batch'], crashedAtMs: 200 + at};
+      evidence.recordCrash({...report, startedAtMs: at}, 200 + at);
+    }
+    const [suspicion] = evidence.assess(NONE, 300);
+    expect(suspicion).to.include({crashes: 9, isConfirmed: false});
+    evidence.recordAnswer(['batch'], 4, 0, 400);
+    expect(evidence.assess(NONE, 400)).to.deep.equal([]);
+  });
+
+  it('counts the reports of all hosts on one upstream as one crash', () => {
+    const evidence = new CrashEvidence();
+    for (let at = 0; at < 9; at++) crash(evidence, 'u', ['bystander'], at);
+    expect(evidence.assess(NONE, SETTLED_MS)).to.deep.equal([]);
+  });
+
+  it('suspects parts together that occurred only together', () => {
+    const evidence = new CrashEvidence();
+    for (const at of [1, 2, 3]) crash(evidence, `u${at}`, ['topic', 'bad'], at);
+    const [both] = evidence.assess(NONE, SETTLED_MS);
+    expect(both?.parts).to.deep.equal(['bad', 'topic']);
+    crash(evidence, 'u4', ['other', 'bad'], 4);
+    const [one, ...others] = evidence.assess(NONE, SETTLED_MS);
+    expect(one?.parts).to.deep.equal(['bad']);
+    expect(others).to.deep.equal([]);
+  });
+
+  it('tells a part that was sound before from those that stay sound', () => {
+    const evidence = new CrashEvidence();
+    for (let at = 0; at < 40; at++) {
+      const parts = at % 2 === 0 ? ['first'] : ['first', 'turned'];
+      evidence.recordAnswer(parts, at * STEP_MS, 1, at * STEP_MS);
+    }
+    let nowMs = 40 * STEP_MS;
+    let crashes = 0;
+    while (evidence.assess(NONE, nowMs).length === 0) {
+      nowMs += STEP_MS;
+      crash(evidence, `u${crashes++}`, ['first', 'turned'], nowMs);
+      evidence.recordAnswer(['first'], nowMs - ANSWER_MS, 1, nowMs);
+    }
+    expect(evidence.assess(NONE, nowMs)[0]?.parts).to.deep.equal(['turned']);
+  });
+
+  it('blocks the crashing part in any traffic, and no request without it', () => {
+    const sharedParts = fc.uniqueArray(fc.nat({max: 5}), {maxLength: 3});
+    const step = fc.record({
+      crashing: sharedParts,
+      bystanders: fc.array(sharedParts, {maxLength: 3}),
+      sound: fc.array(sharedParts, {minLength: 1, maxLength: 4}),
+    });
+    fc.assert(
+      fc.property(fc.array(step, {minLength: 30, maxLength: 60}), steps => {
+        const evidence = new CrashEvidence();
+        const blocked: string[][] = [];
+        const isBlocked = (parts: readonly string[]): boolean =>
+          blocked.some(group => group.every(part => parts.includes(part)));
+        let quarantined: string[] = [];
+        let crashes = 0;
+        for (const [at, {crashing, bystanders, sound}] of steps.entries()) {
+          const nowMs = at * STEP_MS;
+          for (const parts of sound.map(nameParts)) {
+            expect(isBlocked(parts), String(blocked)).to.equal(false);
+            const startedAtMs = nowMs - ANSWER_MS;
+            evidence.recordAnswer(parts, startedAtMs, HOSTS, nowMs);
+          }
+          const parts = [...nameParts(crashing), 'bad'];
+          if (isBlocked(parts)) continue;
+          const upstream = `u${crashes++}`;
+          crash(evidence, upstream, parts, nowMs);
+          for (const beside of bystanders.map(nameParts)) {
+            // What is in quarantine runs on upstreams of its own.
+            if (beside.some(part => quarantined.includes(part))) continue;
+            crash(evidence, upstream, beside, nowMs);
+          }
+          const single = new Set(
+            blocked.filter(({length}) => length === 1).flat(),
+          );
+          const found = evidence.assess(single, nowMs + STEP_MS - 1);
+          for (const {parts, isConfirmed} of found) {
+            if (isConfirmed) blocked.push([...parts]);
+          }
+          quarantined = found
+            .filter(({isConfirmed}) => !isConfirmed)
+            .flatMap(({parts}) => parts);
+        }
+        expect(crashes).to.be.at.most(MAX_CRASHES);
+      }),
+      {seed: SEED, numRuns: 300},
+    );
+  });
+});
+
+/** Records the crash of an attempt that had just started. */
+function crash(
+  evidence: CrashEvidence,
+  upstream: string,
+  parts: readonly string[],
+  nowMs: number,
+): void {
+  const startedAtMs = nowMs - 0.5;
+  evidence.recordCrash(
+    {upstream, parts, startedAtMs, crashedAtMs: nowMs},
+    nowMs,
+  );
+}
+
+function nameParts(numbers: readonly number[]): string[] {
+  return numbers.map(number => `s${number}`);
+}
--- a/packages/requests/src/crash_suspects.ts
+++ b/packages/requests/src/crash_suspects.ts
@@ -1,6 +1,7 @@
 import {computeRecordHash} from './compute_record_hash.js';
 import type {CrashReport} from './crash_report.js';
 import {CrashStatus} from './crash_status.js';
+import {PartGroups} from './part_groups.js';
 import type {SuspectRecord} from './suspect_record.js';
 import type {SuspectState} from './suspect_state.js';
 import type {SuspectUpdate} from './suspect_update.js';
@@ -37,6 +38,8 @@
   private readonly countByBodyBytes = new Map<number, number>();
   /** Combined hash of the records in each bucket. */
   private readonly bucketHashes = new Uint32Array(BUCKETS);
+  /** Parts of prompts that are blocked. */
+  private readonly blockedGroups = new PartGroups();
   private purgeAtMs = 0;
 
   /** Number of records, including expired ones that are not yet deleted. */
@@ -97,12 +100,82 @@
       crashes >= MAX_CRASHES;
     const isKnownToPeers = before?.isKnownToPeers ?? false;
     return this.store(
-      {fingerprint, bodyBytes, generation, crashes, isBlocked, isKnownToPeers},
+      {
+        fingerprint,
+        bodyBytes,
+        parts: [],
+        generation,
+        crashes,
+        isBlocked,
+        isKnownToPeers,
+      },
       RECORD_TTL_MS,
       nowMs,
     );
   }
 
+  /**
+   * Blocks the prompts that have all parts of a group.
+   *
+   * @param parts Sorted.
+   * @return Update to send to the peers.
+   */
+  blockParts(
+    fingerprint: string,
+    parts: readonly string[],
+    crashes: number,
+    ttlMs: number,
+    nowMs: number,
+  ): SuspectUpdate {
+    const before = this.findRecord(fingerprint, nowMs);
+    return this.store(
+      {
+        fingerprint,
+        bodyBytes: 0,
+        parts,
+        generation: before?.generation ?? 0,
+        crashes,
+        isBlocked: true,
+        isKnownToPeers: before?.isKnownToPeers ?? false,
+      },
+      ttlMs,
+      nowMs,
+    );
+  }
+
+  /**
+   * Clears the blocked groups that a prompt with a complete answer had.
+   *
+   * @return Updates to send to the peers.
+   */
+  clearParts(parts: readonly string[], nowMs: number): SuspectUpdate[] {
+    const cleared = this.listBlockedParts(parts, nowMs);
+    return cleared.map(record =>
+      this.store(
+        {
+          ...record,
+          generation: record.generation + 1,
+          crashes: 0,
+          isBlocked: false,
+        },
+        RECORD_TTL_MS,
+        nowMs,
+      ),
+    );
+  }
+
+  /** Lists the blocked groups of parts that a prompt has. */
+  listBlockedParts(parts: readonly string[], nowMs: number): SuspectRecord[] {
+    return this.blockedGroups
+      .listIn(parts)
+      .flatMap(fingerprint => this.findRecord(fingerprint, nowMs) ?? []);
+  }
+
+  /** Lists all blocked groups of parts. */
+  listBlockedGroups(): (readonly string[])[] {
+    return this.blockedGroups.list();
+  }
+
   /**
    * Clears a suspect that completed its answer. A blocked request stays blocked.
    *
@@ -128,7 +201,8 @@
    * @return Whether the update changed what is known.
    */
   applyUpdate(update: SuspectUpdate, nowMs: number): boolean {
-    const {fingerprint, bodyBytes, verdict, generation, crashes} = update;
+    const {fingerprint, bodyBytes, parts, verdict, generation, crashes} =
+      update;
     const before = this.findRecord(fingerprint, nowMs);
     const isBlocked = verdict === CrashStatus.BLOCKED;
     const isKnownToPeers = true;
@@ -137,7 +211,15 @@
       return false;
     }
     this.store(
-      {fingerprint, bodyBytes, generation, crashes, isBlocked, isKnownToPeers},
+      {
+        fingerprint,
+        bodyBytes,
+        parts,
+        generation,
+        crashes,
+        isBlocked,
+        isKnownToPeers,
+      },
       Math.min(update.remainingMs, RECORD_TTL_MS),
       nowMs,
     );
@@ -189,7 +271,11 @@
     const record = {...suspect, expiresAtMs: nowMs + ttlMs, hash};
     this.records.set(fingerprint, record);
     this.toggleHash(record);
-    if (crashes > 0) this.count(bodyBytes, 1);
+    if (record.parts.length > 0) {
+      if (record.isBlocked) this.blockedGroups.add(fingerprint, record.parts);
+    } else if (crashes > 0) {
+      this.count(bodyBytes, 1);
+    }
     return describeRecord(record, nowMs);
   }
 
@@ -212,7 +298,11 @@
     if (record === undefined) return;
     this.records.delete(fingerprint);
     this.toggleHash(record);
-    if (record.crashes > 0) this.count(record.bodyBytes, -1);
+    if (record.parts.length > 0) {
+      this.blockedGroups.remove(fingerprint, record.parts);
+    } else if (record.crashes > 0) {
+      this.count(record.bodyBytes, -1);
+    }
   }
 
   /** Adds a record to the hash of its bucket, or removes it. */
@@ -235,10 +325,17 @@
 }
 
 function describeRecord(record: SuspectRecord, nowMs: number): SuspectUpdate {
-  const {fingerprint, bodyBytes, generation, crashes, expiresAtMs} = record;
-  const verdict = getStatus(record);
-  const remainingMs = expiresAtMs - nowMs;
-  return {fingerprint, bodyBytes, verdict, generation, crashes, remainingMs};
+  const {fingerprint, bodyBytes, parts, generation, crashes, expiresAtMs} =
+    record;
+  return {
+    fingerprint,
+    bodyBytes,
+    parts,
+    verdict: getStatus(record),
+    generation,
+    crashes,
+    remainingMs: expiresAtMs - nowMs,
+  };
 }
 
 function getBucket(fingerprint: string): number {
@@ -248,7 +345,8 @@
 /** Orders what hosts know, so that all of them come to the same record. */
 function isNewer(update: SuspectUpdate, record: SuspectRecord): boolean {
   const isBlocked = update.verdict === CrashStatus.BLOCKED;
-  if (isBlocked !== record.isBlocked) return isBlocked;
+  const hasParts = update.parts.length > 0;
+  if (!hasParts && isBlocked !== record.isBlocked) return isBlocked;
   if (update.generation !== record.generation) {
     return update.generation > record.generation;
   }
--- a/packages/requests/src/index.ts
+++ b/packages/requests/src/index.ts
@@ -3,10 +3,13 @@
  * of requests that crash upstreams.
  */
 export {AttemptFault} from './attempt_fault.js';
+export {CrashEvidence} from './crash_evidence.js';
 export type {CrashReport} from './crash_report.js';
 export {CrashStatus} from './crash_status.js';
 export {CrashSuspects} from './crash_suspects.js';
 export {FinishReason} from './finish_reason.js';
+export type {PartCrash} from './part_crash.js';
+export type {PartSuspicion} from './part_suspicion.js';
 export type {RequestAction} from './request_action.js';
 export {RequestActionKind} from './request_action_kind.js';
 export type {RequestEvent} from './request_event.js';
