Do not take the crash of an engine for the end of an answer without length

Callers got a stream as whole that its engine had not finished: an answer may have neither a length nor chunks and end with its connection, and that of an engine that goes down ends in the same way when no event is cut.

Cause: the end of the connection was taken for the end of the answer, and then also as a sign that the request and its parts are sound. Such an answer is now whole only if its engine still takes connections; if not, the stream goes on at another engine, or the connection to the caller is closed.

--- /dev/null
+++ b/packages/daemon/src/gateway/attempt_sender.ts
@@ -0,0 +1,104 @@
+import {AttemptOutcome, type RouteMatch} from '@parsleywood/forwarding';
+import type {AttemptPlacer} from './attempt_placer.js';
+import {buildUpstreamRequest} from './build_upstream_request.js';
+import type {GatewayContext} from './gateway_context.js';
+import type {PlacedAttempt} from './placed_attempt.js';
+import {PromptReservations} from './prompt_reservations.js';
+import type {ReceivedRequest} from './received_request.js';
+import type {ResponseListener} from './response_listener.js';
+import {UpstreamAttempt} from './upstream_attempt.js';
+
+/** Sends the attempts of one request, with engine memory reserved where needed. */
+export class AttemptSender {
+  private attempt: UpstreamAttempt | undefined;
+  private reservations: PromptReservations | undefined;
+  private sent = 0;
+
+  /**
+   * @param listener Called until the attempt ends, also when it is not sent.
+   * @param onSent Called when an attempt is sent.
+   * @param getLeftMs Returns the time until the deadline of the request.
+   */
+  constructor(
+    private readonly context: GatewayContext,
+    private readonly match: RouteMatch,
+    private readonly request: ReceivedRequest,
+    private readonly placer: AttemptPlacer,
+    private readonly listener: ResponseListener,
+    private readonly onSent: (placed: PlacedAttempt) => void,
+    private readonly getLeftMs: () => number,
+  ) {}
+
+  /** The attempt that is sent and has not ended. */
+  get current(): UpstreamAttempt | undefined {
+    return this.attempt;
+  }
+
+  get sentAttempts(): number {
+    return this.sent;
+  }
+
+  /** @param lastEventId Event after which the response goes on. */
+  send(placed: PlacedAttempt, lastEventId: number | undefined): void {
+    const {context} = this;
+    const reservations = new PromptReservations(
+      placed.placement.id,
+      placed.choice,
+      context.reservationClient,
+      context.log,
+    );
+    this.reservations = reservations;
+    if (reservations.isNeeded) {
+      void this.sendReserved(placed, reservations, lastEventId);
+    } else {
+      this.start(placed, lastEventId);
+    }
+  }
+
+  /** Ends the attempt and frees what was reserved for it. */
+  end(): void {
+    this.attempt?.cancel();
+    this.attempt = undefined;
+    this.reservations?.release();
+    this.reservations = undefined;
+  }
+
+  private async sendReserved(
+    placed: PlacedAttempt,
+    reserved: PromptReservations,
+    lastEventId: number | undefined,
+  ): Promise<void> {
+    const unresponsive = await reserved.reserveAll();
+    for (const engine of unresponsive) {
+      this.placer.penalize(engine, true, AttemptOutcome.TIMED_OUT, 0);
+    }
+    if (this.reservations !== reserved) reserved.release();
+    else if (reserved.isComplete) this.start(placed, lastEventId);
+    else {
+      const detail = 'engine memory could not be reserved';
+      this.listener.onEnd(AttemptOutcome.REFUSED, detail);
+    }
+  }
+
+  private start(placed: PlacedAttempt, lastEventId: number | undefined): void {
+    const {context} = this;
+    const request = buildUpstreamRequest(
+      this.request,
+      this.match,
+      placed,
+      this.reservations,
+      this.getLeftMs(),
+      lastEventId,
+      context.headerNames,
+    );
+    this.attempt = new UpstreamAttempt(
+      request,
+      context.connectionPool,
+      context.headerNames,
+      this.listener,
+    );
+    this.sent++;
+    this.onSent(placed);
+    this.attempt.start();
+  }
+}
--- a/packages/daemon/src/gateway/forward_session.ts
+++ b/packages/daemon/src/gateway/forward_session.ts
@@ -19,15 +19,13 @@
 import type {GatewayContext} from './gateway_context.js';
 import type {PlacedAttempt} from './placed_attempt.js';
 import {ResponseBuffer} from './response_buffer.js';
-import {PromptReservations} from './prompt_reservations.js';
 import type {ReceivedRequest} from './received_request.js';
 import {SessionLog} from './session_log.js';
 import {SuspectTrial} from './suspect_trial.js';
 import {SessionOutcome} from './session_outcome.js';
 import {InactivityTimer} from './inactivity_timer.js';
-import {UpstreamAttempt} from './upstream_attempt.js';
 import {AttemptPlacer} from './attempt_placer.js';
-import {buildUpstreamRequest} from './build_upstream_request.js';
+import {AttemptSender} from './attempt_sender.js';
 
 /** Retry-After of a response when no upstream could be reached. */
 const UNAVAILABLE_RETRY_MS = 300;
@@ -46,22 +44,20 @@
   private readonly log: SessionLog;
   private readonly crashDetector: CrashDetector;
   private readonly trial: SuspectTrial;
+  private readonly sender: AttemptSender;
   private readonly deadlineMs: number;
   private deadlineTimer: NodeJS.Timeout | undefined;
   private readonly inactivityTimer: InactivityTimer;
-  private attempt: UpstreamAttempt | undefined;
-  private reservations: PromptReservations | undefined;
   private head: ResponseHead | undefined;
   private responseBuffer = new ResponseBuffer();
-  private sentAttempts = 0;
   private isCheckingCrash = false;
   private hasEnded = false;
 
   /** @param onEnded Called once when the request has ended. */
   constructor(
     private readonly context: GatewayContext,
-    private readonly match: RouteMatch,
-    private readonly request: ReceivedRequest,
+    match: RouteMatch,
+    request: ReceivedRequest,
     private readonly writer: ResponseWriter,
     private readonly onEnded: () => void,
   ) {
@@ -104,6 +100,17 @@
       this.crashDetector,
       () => this.hasEnded,
     );
+    this.sender = new AttemptSender(
+      context,
+      match,
+      request,
+      this.placer,
+      this,
+      placed => {
+        this.handleSent(placed);
+      },
+      () => this.getLeftMs(),
+    );
   }
 
   start(): void {
@@ -166,12 +173,38 @@
 
   onEnd(reported: AttemptOutcome, detail: string): void {
     if (this.hasEnded) return;
-    const {head} = this;
     const isTruncated = this.isStreaming() && this.cursor.hasPartialEvent;
-    const outcome =
-      reported === AttemptOutcome.ANSWERED && isTruncated
-        ? AttemptOutcome.BROKEN
-        : reported;
+    if (reported !== AttemptOutcome.ANSWERED) {
+      this.handleEnd(reported, detail);
+    } else if (isTruncated) {
+      this.handleEnd(AttemptOutcome.BROKEN, 'stream ended inside an event');
+    } else if (this.head?.endsWithConnection === true) {
+      void this.confirmEnd();
+    } else {
+      this.handleEnd(reported, detail);
+    }
+  }
+
+  /**
+   * Ends a response whose end only the connection shows. That of an upstream that
+   * went down ends in the same way.
+   */
+  private async confirmEnd(): Promise<void> {
+    const {current} = this.sender;
+    this.inactivityTimer.stop();
+    const unreachable = await this.placer.findUnreachable();
+    if (this.hasEnded || this.sender.current !== current) return;
+    if (unreachable.length === 0) this.handleEnd(AttemptOutcome.ANSWERED, '');
+    else {
+      this.handleEnd(
+        AttemptOutcome.BROKEN,
+        'upstream went down as its response without length ended',
+      );
+    }
+  }
+
+  private handleEnd(outcome: AttemptOutcome, detail: string): void {
+    const {head} = this;
     const status =
       outcome === AttemptOutcome.ANSWERED ? (head?.status ?? 0) : 0;
     this.log.logAttemptEnd(outcome, status, detail, this.placer.currentAttempt);
@@ -231,58 +264,13 @@
     this.head = undefined;
     this.responseBuffer = new ResponseBuffer();
     this.cursor.discardPartialEvent();
-    const {context} = this;
-    const reservations = new PromptReservations(
-      placed.placement.id,
-      placed.choice,
-      context.reservationClient,
-      context.log,
-    );
-    this.reservations = reservations;
-    if (reservations.isNeeded) void this.sendReserved(placed, reservations);
-    else this.send(placed);
+    this.sender.send(placed, this.cursor.lastId);
   }
 
-  private async sendReserved(
-    placed: PlacedAttempt,
-    reserved: PromptReservations,
-  ): Promise<void> {
-    const unresponsive = await reserved.reserveAll();
-    for (const engine of unresponsive) {
-      this.placer.penalize(engine, true, AttemptOutcome.TIMED_OUT, 0);
-    }
-    if (this.hasEnded || this.reservations !== reserved) reserved.release();
-    else if (reserved.isComplete) this.send(placed);
-    else {
-      this.onEnd(AttemptOutcome.REFUSED, 'engine memory could not be reserved');
-    }
-  }
-
-  private send(placed: PlacedAttempt): void {
-    const {context} = this;
-    const request = buildUpstreamRequest(
-      this.request,
-      this.match,
-      placed,
-      this.reservations,
-      this.getLeftMs(),
-      this.cursor.lastId,
-      context.headerNames,
-    );
-    this.attempt = new UpstreamAttempt(
-      request,
-      context.connectionPool,
-      context.headerNames,
-      this,
-    );
-    this.sentAttempts++;
+  private handleSent(placed: PlacedAttempt): void {
     this.inactivityTimer.awaitResponse(placed.choice.plan);
-    this.log.logAttemptSent(
-      this.retryController.attempts,
-      placed,
-      this.getLeftMs(),
-    );
-    this.attempt.start();
+    const {attempts} = this.retryController;
+    this.log.logAttemptSent(attempts, placed, this.getLeftMs());
   }
 
   private relay(events: Buffer): void {
@@ -295,10 +283,10 @@
 
   /** Retries the request elsewhere when one of its engines is unreachable. */
   private async checkReachability(): Promise<void> {
-    const {attempt} = this;
+    const {current} = this.sender;
     const unreachable = await this.placer.findUnreachable();
     if (this.hasEnded || this.isCheckingCrash) return;
-    if (this.attempt !== attempt || this.head) return;
+    if (this.sender.current !== current || this.head) return;
     for (const engine of unreachable) {
       this.placer.penalize(engine, true, AttemptOutcome.TIMED_OUT, 0);
     }
@@ -319,7 +307,7 @@
 
   /** Cancels the attempt in progress and records its outcome. */
   private abortAttempt(outcome: AttemptOutcome, detail: string): void {
-    this.attempt?.cancel();
+    this.sender.current?.cancel();
     this.onEnd(outcome, detail);
   }
 
@@ -342,10 +330,7 @@
 
   private endAttempt(): void {
     this.inactivityTimer.stop();
-    this.attempt?.cancel();
-    this.attempt = undefined;
-    this.reservations?.release();
-    this.reservations = undefined;
+    this.sender.end();
     this.placer.endAttempt();
   }
 
@@ -397,8 +382,8 @@
     this.hasEnded = true;
     clearTimeout(this.deadlineTimer);
     this.inactivityTimer.stop();
-    const {sentAttempts, cursor, head} = this;
-    this.log.logEnd(outcome, head?.status, sentAttempts, cursor.count);
+    const {sender, cursor, head} = this;
+    this.log.logEnd(outcome, head?.status, sender.sentAttempts, cursor.count);
     this.onEnded();
   }
 
@@ -413,7 +398,7 @@
    * attempt.
    */
   private getExecutionStatus(): ExecutionStatus {
-    return this.attempt === undefined
+    return this.sender.current === undefined
       ? this.retryController.ran
       : ExecutionStatus.UNKNOWN;
   }
--- a/packages/daemon/src/gateway/response_head.ts
+++ b/packages/daemon/src/gateway/response_head.ts
@@ -5,6 +5,8 @@
   readonly headers: readonly string[];
   /** Whether the upstream states that it did not execute the request. */
   readonly isNotRun: boolean;
+  /** Whether the response has neither a length nor chunks. */
+  readonly endsWithConnection: boolean;
   /** IP:port of the upstream that caused a refusal; empty when not stated. */
   readonly faultyAddress: string;
 }
--- a/packages/daemon/src/gateway/upstream_attempt.ts
+++ b/packages/daemon/src/gateway/upstream_attempt.ts
@@ -8,6 +8,7 @@
 import type {UpstreamRequest} from './upstream_request.js';
 
 const MISDIRECTED_STATUS = 421;
+const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 const NO_EXCLUSIONS: ReadonlySet<string> = new Set();
 
 /** One attempt to send a request to an upstream, with its response. */
@@ -82,6 +83,7 @@
       status,
       headers: listEndToEndHeaders(readRawHeaders(controller), NO_EXCLUSIONS),
       isNotRun: this.isRefused,
+      endsWithConnection: isEndedByConnection(status, headers),
       faultyAddress: String(headers[headerNames.faultyUpstream] ?? ''),
     });
     if (!isAccepted) this.fail(AttemptOutcome.BROKEN, 'response rejected');
@@ -133,6 +135,18 @@
   }
 }
 
+/** Whether only the end of the connection shows where the body ends. */
+function isEndedByConnection(
+  status: number,
+  headers: Record<string, string | string[] | undefined>,
+): boolean {
+  return (
+    headers['content-length'] === undefined &&
+    headers['transfer-encoding'] === undefined &&
+    !BODILESS_STATUSES.has(status)
+  );
+}
+
 /** Reads the header names and values, alternating, as received. */
 function readRawHeaders(controller: Dispatcher.DispatchController): string[] {
   const rawHeaders = (controller as {rawHeaders?: (Buffer | string)[]})
--- a/packages/daemon/src/upstreams/attempt_reader.test.ts
+++ b/packages/daemon/src/upstreams/attempt_reader.test.ts
@@ -62,6 +62,12 @@
       formatEvent(text),
       'broken the response ended before its last event',
     ],
+    [
+      'a response that closes inside an event',
+      200,
+      formatEvent(text) + formatEvent(end).slice(0, -1),
+      'broken the response ended before its last event',
+    ],
     [
       'an event that is not JSON',
       200,
