Keep the requests of all hosts within the limit that a server names

An upstream in need that named a limit of one request a second in its answers got 21 in four seconds, for 11 allowed.

Cause: no code read the limit. It was passed on to callers as any other header, and attempts were placed by expected time alone, which makes a server with few requests the best choice of every host.

UpstreamLimits (no I/O) holds a token bucket for each upstream that names a limit. Every host takes a token for each placement of any host, which hosts tell each other anyway, so that what one does not use is left to the others. A bucket goes below zero when several hosts send before they hear of each other, and each host waits for a token threshold that it draws. Where every upstream has used up its limit, a request is refused at once with the time of a free token. Hosts tell each other each answer with a limit; the newest attempt tells whether it still holds.

--- a/packages/daemon/src/gateway/attempt_placer.ts
+++ b/packages/daemon/src/gateway/attempt_placer.ts
@@ -107,7 +107,7 @@
     const service = this.match.rules.findService(this.service);
     const demand = this.describeDemand(service, nowMs);
     const choice = this.chooseUpstream(service, demand, nowMs, suspect);
-    if (!('upstream' in choice)) return choice;
+    if (!('upstream' in choice)) return this.planReturn(choice, nowMs);
     const {upstream, plan} = choice;
     const {pauseObjectiveMs} = this.match.route;
     const placement = {
@@ -130,6 +130,7 @@
       ],
     };
     context.placements.add(placement, nowMs);
+    context.limits.recordPlacement(placement, nowMs);
     context.publisher.publishStart(placement);
     this.triedUpstreams.add(upstream.id);
     this.isDecoding = false;
@@ -225,6 +226,21 @@
     return engines.filter((_engine, index) => !isReachable[index]);
   }
 
+  /** Applies the limit that a response to the current attempt names, or that it names none. */
+  recordLimit(perSecond: number | undefined): void {
+    const {placed, context} = this;
+    if (placed === undefined) return;
+    const {limits, clock, publisher, log} = context;
+    const {choice, placedAtMs} = placed;
+    const {id} = choice.upstream;
+    const nowMs = clock.nowMs();
+    const hasChanged = limits.update(id, perSecond, placedAtMs, nowMs);
+    if (hasChanged) log.info('upstream_limit', {upstream: id, perSecond});
+    // Hosts that have started since learn of the limit as well.
+    if (!hasChanged && perSecond === undefined) return;
+    publisher.publishLimit(id, perSecond, nowMs - placedAtMs);
+  }
+
   /** Records a failure of an upstream, here and at the other hosts. */
   penalize(
     {id}: UpstreamEntry,
@@ -238,17 +254,28 @@
     log.warn('upstream_avoided', {upstream: id, end: outcome, status});
   }
 
+  /** Asks the caller to come again when an upstream's limit allows it. */
+  private planReturn(
+    shortage: CapacityShortage,
+    nowMs: number,
+  ): CapacityShortage {
+    const {limits, countHosts} = this.context;
+    const ids = this.listUntried(nowMs).map(({id}) => id);
+    const areLimited =
+      ids.length > 0 && !ids.some(id => limits.mayTake(id, nowMs));
+    if (!areLimited) return shortage;
+    return {waitMs: limits.planReturnMs(ids, countHosts(), nowMs)};
+  }
+
   private chooseUpstream(
     service: Service | undefined,
     demand: PromptDemand,
     nowMs: number,
     suspect: string,
   ): UpstreamChoice | CapacityShortage {
-    const candidates = this.context.chooser.listCandidates(
-      this.listUsable(),
-      this.triedUpstreams,
-      nowMs,
-    );
+    const untried = this.listUntried(nowMs);
+    const {limits} = this.context;
+    const candidates = untried.filter(({id}) => limits.mayTake(id, nowMs));
     if (suspect !== '') {
       const isolated = this.chooseAmong(
         candidates.filter(
@@ -276,6 +303,14 @@
     return chooser.chooseEngines(candidates, service, demand, nowMs);
   }
 
+  private listUntried(nowMs: number): UpstreamEntry[] {
+    return this.context.chooser.listCandidates(
+      this.listUsable(),
+      this.triedUpstreams,
+      nowMs,
+    );
+  }
+
   private describeDemand(
     service: Service | undefined,
     nowMs: number,
--- a/packages/daemon/src/gateway/default_header_names.ts
+++ b/packages/daemon/src/gateway/default_header_names.ts
@@ -15,4 +15,5 @@
   helpers: 'prompt-helpers',
   notRun: 'not-run',
   faultyUpstream: 'faulty-upstream',
+  rateLimit: 'upstream-rate-limit',
 };
--- a/packages/daemon/src/gateway/forward_session.ts
+++ b/packages/daemon/src/gateway/forward_session.ts
@@ -31,6 +31,7 @@
 const UNAVAILABLE_RETRY_MS = 300;
 const SERVER_ERROR_STATUS = 500;
 const OK_STATUS = 200;
+const MISDIRECTED_STATUS = 421;
 
 /**
  * Forwards one request: sends attempts, relays the response, enforces the
@@ -147,6 +148,9 @@
   onHead(head: ResponseHead): boolean {
     this.head = head;
     this.log.recordHead();
+    if (head.status !== MISDIRECTED_STATUS) {
+      this.placer.recordLimit(head.rateLimit);
+    }
     if (this.isStreaming()) {
       this.inactivityTimer.awaitEvent();
     }
--- a/packages/daemon/src/gateway/gateway_context.ts
+++ b/packages/daemon/src/gateway/gateway_context.ts
@@ -2,6 +2,7 @@
   PlacementRegistry,
   UpstreamChooser,
   UpstreamHealth,
+  UpstreamLimits,
 } from '@parsleywood/dispatch';
 import type {SiteReplica} from '@parsleywood/forwarding';
 import type {Clock} from '../host/clock.js';
@@ -25,12 +26,15 @@
   readonly replica: SiteReplica;
   readonly placements: PlacementRegistry;
   readonly health: UpstreamHealth;
+  readonly limits: UpstreamLimits;
   readonly chooser: UpstreamChooser;
   readonly retryBudgets: RetryBudgets;
   readonly connectionPool: UpstreamConnectionPool;
   readonly publisher: UpdatePublisher;
   readonly reservationClient: EngineReservations;
   readonly suspects: SuspectTracker;
+  /** Returns the number of live hosts, including this one. */
+  readonly countHosts: () => number;
   /** Returns a uniform random number in [0, 1). */
   readonly draw: () => number;
 }
--- a/packages/daemon/src/gateway/gateway_host.ts
+++ b/packages/daemon/src/gateway/gateway_host.ts
@@ -3,6 +3,7 @@
   PlacementRegistry,
   UpstreamChooser,
   UpstreamHealth,
+  UpstreamLimits,
 } from '@parsleywood/dispatch';
 import {SiteReplica} from '@parsleywood/forwarding';
 import {PeerStage} from '@parsleywood/membership';
@@ -118,6 +119,7 @@
     const relay = new UpdateRelay(peersAddress, this.transport);
     const placements = new PlacementRegistry();
     const health = new UpstreamHealth();
+    const limits = new UpstreamLimits(draw);
     const suspects = new SuspectTracker(
       clock,
       relay,
@@ -129,7 +131,7 @@
       settings,
       this.transport,
       relay,
-      new UpdateApplier(placements, health, suspects),
+      new UpdateApplier(placements, health, limits, suspects),
       new SuspectSynchronizer(suspects, relay),
       this.siteUpdater,
       () => replica.createSnapshot(),
@@ -148,6 +150,7 @@
       replica,
       placements,
       health,
+      limits,
       chooser: new UpstreamChooser(
         settings.host,
         failureDomain,
@@ -161,6 +164,7 @@
       publisher: relay,
       reservationClient: reservations,
       suspects,
+      countHosts: () => this.fleet.countHosts(),
       draw,
     };
     this.server = new GatewayServer(this.context);
@@ -266,6 +270,7 @@
     const ids = new Set(replica.upstreams.list().map(({id}) => id));
     context.connectionPool.retain(ids);
     context.health.retain(ids);
+    context.limits.retain(ids);
     context.placements.retain(ids);
     const configuration = replica.rules?.configuration;
     if (configuration === undefined || configuration.version === this.version) {
--- a/packages/daemon/src/gateway/header_names.ts
+++ b/packages/daemon/src/gateway/header_names.ts
@@ -26,4 +26,6 @@
   readonly notRun: string;
   /** IP:port of the upstream that caused a refusal. */
   readonly faultyUpstream: string;
+  /** Requests a second that the upstream takes from all hosts together. */
+  readonly rateLimit: string;
 }
--- a/packages/daemon/src/gateway/response_head.ts
+++ b/packages/daemon/src/gateway/response_head.ts
@@ -9,4 +9,9 @@
   readonly endsWithConnection: boolean;
   /** IP:port of the upstream that caused a refusal; empty when not stated. */
   readonly faultyAddress: string;
+  /**
+   * Requests a second that the upstream takes from all hosts; undefined when it
+   * names no limit.
+   */
+  readonly rateLimit: number | undefined;
 }
--- a/packages/daemon/src/gateway/update_applier.ts
+++ b/packages/daemon/src/gateway/update_applier.ts
@@ -1,4 +1,8 @@
-import type {PlacementRegistry, UpstreamHealth} from '@parsleywood/dispatch';
+import type {
+  PlacementRegistry,
+  UpstreamHealth,
+  UpstreamLimits,
+} from '@parsleywood/dispatch';
 import type {FleetMessage} from '@parsleywood/schema/fleet';
 import type {SuspectTracker} from '../upstreams/suspect_tracker.js';
 
@@ -7,6 +11,7 @@
   constructor(
     private readonly placements: PlacementRegistry,
     private readonly health: UpstreamHealth,
+    private readonly limits: UpstreamLimits,
     private readonly suspects: SuspectTracker,
   ) {}
 
@@ -18,9 +23,12 @@
    */
   apply(host: string, {body}: FleetMessage, nowMs: number): boolean {
     switch (body?.$case) {
-      case 'placementStart':
-        this.placements.add({...body.value, host}, nowMs);
+      case 'placementStart': {
+        const placement = {...body.value, host};
+        this.placements.add(placement, nowMs);
+        this.limits.recordPlacement(placement, nowMs);
         return true;
+      }
       case 'placementWriting':
         this.placements.startDecode(body.value, nowMs);
         return true;
@@ -35,6 +43,16 @@
       case 'suspect':
         this.suspects.applyUpdate(body.value);
         return true;
+      case 'upstreamLimit': {
+        const {upstream, perSecond, startedAgoMs} = body.value;
+        this.limits.update(
+          upstream,
+          perSecond > 0 ? perSecond : undefined,
+          nowMs - startedAgoMs,
+          nowMs,
+        );
+        return true;
+      }
       case 'partCrash':
         this.suspects.applyPartCrash(body.value);
         return true;
--- a/packages/daemon/src/gateway/update_publisher.ts
+++ b/packages/daemon/src/gateway/update_publisher.ts
@@ -1,10 +1,19 @@
 import type {Placement} from '@parsleywood/dispatch';
 
-/** Publishes this host's placements and upstream failures to the other hosts. */
+/** Publishes to the other hosts what this host places and learns of upstreams. */
 export interface UpdatePublisher {
   publishStart(placement: Placement): void;
   publishDecodeStart(id: string): void;
   publishEnd(id: string): void;
   /** @param isSilent Whether the upstream did not answer at all. */
   publishFailure(upstream: string, isSilent: boolean): void;
+  /**
+   * @param perSecond Requests a second; undefined if the upstream named no limit.
+   * @param startedAgoMs Time since the attempt started that it answered.
+   */
+  publishLimit(
+    upstream: string,
+    perSecond: number | undefined,
+    startedAgoMs: number,
+  ): void;
 }
--- a/packages/daemon/src/gateway/update_relay.ts
+++ b/packages/daemon/src/gateway/update_relay.ts
@@ -88,6 +88,19 @@
     this.publish({body: {$case: 'upstreamFailure', value: {upstream, silent}}});
   }
 
+  publishLimit(
+    upstream: string,
+    perSecond: number | undefined,
+    startedAgoMs: number,
+  ): void {
+    const value = {
+      upstream,
+      perSecond: perSecond ?? 0,
+      startedAgoMs: Math.max(0, Math.round(startedAgoMs)),
+    };
+    this.publish({body: {$case: 'upstreamLimit', value}});
+  }
+
   publishSuspect(update: SuspectMessage): void {
     this.publish({body: {$case: 'suspect', value: update}});
   }
--- a/packages/daemon/src/gateway/upstream_attempt.ts
+++ b/packages/daemon/src/gateway/upstream_attempt.ts
@@ -85,6 +85,7 @@
       isNotRun: this.isRefused,
       endsWithConnection: isEndedByConnection(status, headers),
       faultyAddress: String(headers[headerNames.faultyUpstream] ?? ''),
+      rateLimit: readRateLimit(headers[headerNames.rateLimit]),
     });
     if (!isAccepted) this.fail(AttemptOutcome.BROKEN, 'response rejected');
   }
@@ -135,6 +136,14 @@
   }
 }
 
+/** Reads a positive decimal number; anything else names no limit. */
+function readRateLimit(
+  text: string | string[] | undefined,
+): number | undefined {
+  const value = typeof text === 'string' ? Number(text) : NaN;
+  return Number.isFinite(value) && value > 0 ? value : undefined;
+}
+
 /** Whether only the end of the connection shows where the body ends. */
 function isEndedByConnection(
   status: number,
