Call a replaced host ready once a peer has told its suspects

A request that is blocked ran again and crashed engines after all hosts of a published list had been replaced one right after the other: 4 crashes for 2.

Cause: a host said that it was ready when it had its configuration, and the next one was replaced then, before the first had compared its suspects with a peer. The last host that knew could go before any other knew. A host is now ready only after a comparison, or 5 s after its start. Equal summaries are answered as well, as the host that asked learns nothing otherwise.

Hosts that all start at once have nothing to compare and take what an empty peer says.

--- a/packages/daemon/src/host_process.ts
+++ b/packages/daemon/src/host_process.ts
@@ -59,7 +59,8 @@
 };
 /**
  * After this time a host that has its configuration becomes ready, even
- * if it may not vote on orders yet or upstreams are still being probed.
+ * if it may not vote on orders yet, upstreams are still being probed or no peer has
+ * told its suspects.
  */
 const MAX_READY_DELAY_MS = 5_000;
 const READY_POLL_INTERVAL_MS = 20;
@@ -343,7 +344,14 @@
     if (!this.control.hasConfiguration()) return false;
     const upMs = this.clock.nowMs() - this.startedMs;
     if (upMs > MAX_READY_DELAY_MS) return true;
-    return this.orders.mayVote() && this.hasProbedUpstreams();
+    return (
+      this.orders.mayVote() && this.hasProbedUpstreams() && this.knowsSuspects()
+    );
+  }
+
+  /** Whether the peers' suspects are known, so that none is run anew here. */
+  private knowsSuspects(): boolean {
+    return this.suspects.hasCompared || this.site.hosts().hosts.length <= 1;
   }
 
   private hasProbedUpstreams(): boolean {
--- a/packages/daemon/src/upstreams/suspect_synchronizer.ts
+++ b/packages/daemon/src/upstreams/suspect_synchronizer.ts
@@ -15,6 +15,7 @@
  */
 export class SuspectSynchronizer {
   private timer: NodeJS.Timeout | undefined;
+  private hasComparedOnce = false;
   /** Monotonic time of the last comparison that a peer's hash started. */
   private readonly comparedAtMs = new Map<string, number>();
 
@@ -40,6 +41,11 @@
     clearInterval(this.timer);
   }
 
+  /** Whether this host knew at some time all that a peer knew. */
+  get hasCompared(): boolean {
+    return this.hasComparedOnce;
+  }
+
   /** Hash of all suspects, which heartbeats carry. */
   computeHash(): number {
     return this.tracker.computeHash();
@@ -64,15 +70,15 @@
     const own = this.tracker.summarize(true);
     const records = this.tracker.listDifferences(summary);
     if (records.suspects.length > 0) this.messenger.sendRecords(peer, records);
-    if (!summary.isReply && !isEqual(own, summary)) {
-      this.messenger.sendSummary(peer, own);
-    }
+    if (isEqual(own, summary)) this.hasComparedOnce = true;
+    if (!summary.isReply) this.messenger.sendSummary(peer, own);
   }
 
   handleRecords({suspects}: SuspectRecords): void {
     for (const suspect of suspects) {
       this.tracker.applyUpdate(suspect, SuspectSource.COMPARISON);
     }
+    this.hasComparedOnce = true;
   }
 }
 
