Tell hosts that start which servers limit their requests

Peers now tell a host that does not hear them, or that has a new incarnation, the limits that they know, with the age of the attempt that told them.

--- a/packages/daemon/src/gateway/fleet_membership.ts
+++ b/packages/daemon/src/gateway/fleet_membership.ts
@@ -5,6 +5,7 @@
   type PeerHeartbeat,
   type RelayChoice,
 } from '@parsleywood/membership';
+import type {UpstreamLimits} from '@parsleywood/dispatch';
 import type {SiteSnapshot} from '@parsleywood/forwarding';
 import {
   HostStage,
@@ -73,6 +74,7 @@
     private readonly relay: UpdateRelay,
     private readonly applier: UpdateApplier,
     private readonly suspects: SuspectSynchronizer,
+    private readonly limits: UpstreamLimits,
     private readonly siteUpdater: SiteUpdater,
     private readonly readSnapshot: () => SiteSnapshot,
     private readonly clock: Clock,
@@ -243,6 +245,9 @@
     this.relay.subscribe(peersAddress, subscribes, nowMs);
     this.suspects.handleHash(peersAddress, beat.suspectsHash, nowMs);
     if (!hearsReceiver) this.announceTo(peersAddress, nowMs);
+    if (!hearsReceiver || replaced !== undefined) {
+      this.sendLimits(peersAddress, nowMs);
+    }
     const isKnown = this.livePeers.some(
       one => one.peersAddress === peersAddress,
     );
@@ -261,6 +266,19 @@
     this.relay.send(address, {body: {$case: 'digest', value}});
   }
 
+  /** Tells a host that may be new which upstreams limit their requests. */
+  private sendLimits(address: string, nowMs: number): void {
+    for (const {upstream, perSecond, toldAtMs} of this.limits.list()) {
+      const startedAgoMs = Math.round(nowMs - toldAtMs);
+      this.relay.send(address, {
+        body: {
+          $case: 'upstreamLimit',
+          value: {upstream, perSecond, startedAgoMs},
+        },
+      });
+    }
+  }
+
   private handleDigest({sightings}: HostDigest, nowMs: number): void {
     for (const {beat, incarnation, silentMs} of sightings) {
       if (beat === undefined) continue;
--- a/packages/daemon/src/gateway/gateway_host.ts
+++ b/packages/daemon/src/gateway/gateway_host.ts
@@ -133,6 +133,7 @@
       relay,
       new UpdateApplier(placements, health, limits, suspects),
       new SuspectSynchronizer(suspects, relay),
+      limits,
       this.siteUpdater,
       () => replica.createSnapshot(),
       clock,
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -22,6 +22,7 @@
 export type {UpstreamChoice} from './upstream_choice.js';
 export {UpstreamChooser} from './upstream_chooser.js';
 export {UpstreamHealth} from './upstream_health.js';
+export type {UpstreamLimit} from './upstream_limit.js';
 export {UpstreamLimits} from './upstream_limits.js';
 export type {UpstreamPlacements} from './upstream_placements.js';
 export {weighRequest} from './weigh_request.js';
--- a/packages/dispatch/src/upstream_limits.ts
+++ b/packages/dispatch/src/upstream_limits.ts
@@ -1,4 +1,5 @@
 import type {Placement} from './placement.js';
+import type {UpstreamLimit} from './upstream_limit.js';
 
 const MS_PER_SECOND = 1_000;
 /** Time without requests after which a limited upstream takes a burst. */
@@ -66,6 +67,15 @@
     return true;
   }
 
+  /** Lists the limits that hold, each with the start of the attempt that told it. */
+  list(): UpstreamLimit[] {
+    return [...this.byUpstream].map(([upstream, {perSecond}]) => ({
+      upstream,
+      perSecond,
+      toldAtMs: this.toldAtMs.get(upstream) ?? 0,
+    }));
+  }
+
   /** Counts an attempt of any host at all its upstreams. */
   recordPlacement({parts}: Placement, nowMs: number): void {
     for (const upstream of new Set(parts.map(part => part.upstream))) {
