--- a/packages/bench/src/gateway_soak/check_crashes.ts
+++ b/packages/bench/src/gateway_soak/check_crashes.ts
@@ -3,6 +3,9 @@
 
 /** Crashes after which a request may reach upstreams only a few times more. */
 const CRASHES = 3;
+/** The same for prompts with a part that crashes upstreams. */
+const PART_CRASHES = 5;
+const PART_PREFIX = 'part ';
 const MAX_LATE_ARRIVALS = 3;
 /** Time for the knowledge of the last of these crashes to spread. */
 const SPREAD_MS = 3_000;
@@ -15,10 +18,11 @@
 ): string[] {
   const found: string[] = [];
   for (const body of ledger.bodies) {
-    const late = ledger.countReachedAfter(body, CRASHES, SPREAD_MS);
+    const crashes = body.startsWith(PART_PREFIX) ? PART_CRASHES : CRASHES;
+    const late = ledger.countReachedAfter(body, crashes, SPREAD_MS);
     if (late > MAX_LATE_ARRIVALS) {
       found.push(
-        `${body} reached upstreams ${late} times after ${CRASHES} crashes`,
+        `${body} reached upstreams ${late} times after ${crashes} crashes`,
       );
     }
   }
--- a/packages/bench/src/gateway_soak/checked_upstream.ts
+++ b/packages/bench/src/gateway_soak/checked_upstream.ts
@@ -14,11 +14,15 @@
 const EVENT_MS = 40;
 const CALL_MS = 20;
 const CRASH_MARKER = 'crash';
+/** Part of prompts that crashes the upstream which begins to answer. */
+const CRASHING_PART = 'dead';
 /** Time for which a crashed upstream is down. */
 const DOWN_MS = 800;
 
 /** An upstream that notes which requests it ran, behind a proxy that fails. */
 export class CheckedUpstream {
+  /** Ids of the requests that arrived, with their monotonic times. */
+  readonly arrivals: {readonly id: string; readonly atMs: number}[] = [];
   private readonly server: Server;
   private proxyBefore: FaultProxy | undefined;
 
@@ -28,6 +32,8 @@
     readonly service: string,
     private readonly runs: Map<string, number>,
     private readonly ledger: CrashLedger,
+    /** Requests a second that it takes from all gateways, if it names a limit. */
+    readonly perSecond?: number,
   ) {
     this.server = createServer((request, response) => {
       this.take(request, response);
@@ -39,6 +45,11 @@
     return CRASH_MARKER;
   }
 
+  /** Part whose prompts crash the upstream that begins to answer them. */
+  static get crashingPart(): string {
+    return CRASHING_PART;
+  }
+
   /** Number of events in a whole answer. */
   static get streamEvents(): number {
     return STREAM_EVENTS;
@@ -66,6 +77,10 @@
   private take(request: IncomingMessage, response: ServerResponse): void {
     const id = String(request.headers['request-id']);
     response.setHeader('request-id', id);
+    this.arrivals.push({id, atMs: performance.now()});
+    if (this.perSecond !== undefined) {
+      response.setHeader('upstream-rate-limit', this.perSecond);
+    }
     const expected = request.headers['expected-upstream'];
     if (expected !== undefined && expected !== this.id) {
       response.writeHead(421, {'not-run': '1'}).end();
@@ -80,6 +95,13 @@
         this.crash(`${request.url ?? ''} ${body}`);
         return;
       }
+      const parts = String(request.headers['prompt-parts'] ?? '');
+      if (parts.includes(CRASHING_PART)) {
+        response.writeHead(200, {'content-type': 'text/event-stream'});
+        response.write(`id: 1\ndata: ${id} 1\n\n`);
+        this.crash(`part ${CRASHING_PART}`);
+        return;
+      }
       if (this.service === 'engine') this.stream(id, request, response);
       else setTimeout(() => response.end(`ran ${id}`), CALL_MS);
     });
--- a/packages/bench/src/gateway_soak/run_gateway_soak.ts
+++ b/packages/bench/src/gateway_soak/run_gateway_soak.ts
@@ -2,6 +2,7 @@
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {checkCalls} from './check_calls.js';
 import {checkCrashes} from './check_crashes.js';
+import {checkLimits} from './check_limits.js';
 import {CrashLedger} from './crash_ledger.js';
 import {CheckedUpstream} from './checked_upstream.js';
 import {GatewayFaults} from './gateway_faults.js';
@@ -10,6 +11,8 @@
 import {SoakCallers} from './soak_callers.js';
 
 const UPSTREAMS = 3;
+/** What one upstream of each service takes from all gateways. */
+const LIMIT_PER_SECOND = 2;
 /** Time in which upstreams that were avoided are tried again: at most 4 s. */
 const RECOVERY_MS = 5_000;
 const CALM_MS = 2_000;
@@ -35,7 +38,13 @@
     Array.from(
       {length: UPSTREAMS},
       (_none, at) =>
-        new CheckedUpstream(`${service}-${at}`, service, runs, ledger),
+        new CheckedUpstream(
+          `${service}-${at}`,
+          service,
+          runs,
+          ledger,
+          at === 0 ? LIMIT_PER_SECOND : undefined,
+        ),
     ),
   );
   for (const upstream of upstreams) await upstream.start();
@@ -65,6 +74,7 @@
       violations: [
         ...checkCalls(calls, runs, faults.stops, calmFromMs),
         ...checkCrashes(calls, ledger),
+        ...checkLimits(upstreams, calls, faults.stops),
       ],
     };
   } finally {
--- a/packages/bench/src/gateway_soak/soak_callers.ts
+++ b/packages/bench/src/gateway_soak/soak_callers.ts
@@ -16,6 +16,8 @@
 /** Callers give up after this time; the routes' limits are shorter. */
 const GIVE_UP_MS = 12_000;
 
+const {crashingPart: CRASHING_PART} = CheckedUpstream;
+
 /** Callers that use open connections until the gateway is gone. */
 export class SoakCallers {
   readonly calls: SoakCall[] = [];
@@ -65,8 +67,18 @@
       this.allowsCrashes && uniformInt(this.random, 1, CRASH_INTERVAL) === 1;
     const one = uniformInt(this.random, 1, CRASHING_REQUESTS);
     const body = isCrashing ? `${CheckedUpstream.crashMarker} ${one}` : id;
-    const call = await this.call(agent, gateway, route, id, body);
-    return {...call, isCrashing};
+    const hasPart =
+      this.allowsCrashes &&
+      route.service === 'engine' &&
+      uniformInt(this.random, 1, CRASH_INTERVAL) === 1;
+    const parts = [
+      'all',
+      `topic${one}`,
+      ...(hasPart ? [CRASHING_PART] : []),
+      id,
+    ];
+    const call = await this.call(agent, gateway, route, id, body, parts);
+    return {...call, isCrashing: isCrashing || hasPart};
   }
 
   private async call(
@@ -75,6 +87,7 @@
     route: SoakRoute,
     id: string,
     sentBody: string,
+    parts: readonly string[],
   ): Promise<Omit<SoakCall, 'isCrashing'>> {
     const startedAtMs = performance.now();
     let status = 0;
@@ -89,6 +102,7 @@
           host: 'soak.example',
           'request-id': id,
           'token-counts': '1000,400',
+          'prompt-parts': parts.map(part => `${part}:250`).join(','),
         },
         body: sentBody,
         signal: AbortSignal.timeout(GIVE_UP_MS),
