--- a/packages/daemon/src/gateway/session_log.ts
+++ b/packages/daemon/src/gateway/session_log.ts
@@ -106,6 +106,7 @@
     const requestId = this.request.metadata.id;
     this.context.log.warn('upstream_crashed', {
       requestId,
+      promptParts: this.request.metadata.promptParts.join(' ') || undefined,
       upstreams,
       crashes,
       isIsolated,
