Do not hold one request that comes again against the parts of its prompt

Cause: each crash counted for the parts of the prompt, also when it was the same request each time. Its fingerprint now competes as an explanation with the parts; where it explains as many crashes, the parts are not suspected, and the request is blocked as such.

--- a/packages/daemon/src/upstreams/part_tracker.ts
+++ b/packages/daemon/src/upstreams/part_tracker.ts
@@ -67,18 +67,30 @@
     return found === undefined ? '' : computeGroupFingerprint(found.parts);
   }
 
-  /** Records a crash that this host noticed. */
+  /**
+   * Records a crash that this host noticed.
+   *
+   * @param request Fingerprint of the request.
+   */
   recordCrash(
+    request: string,
     parts: readonly string[],
     {upstreams, startedAtMs}: ObservedCrash,
   ): void {
     if (parts.length === 0) return;
     const nowMs = this.clock.nowMs();
     for (const upstream of upstreams) {
-      const crash = {upstream, parts, startedAtMs, crashedAtMs: nowMs};
+      const crash = {
+        upstream,
+        request,
+        parts,
+        startedAtMs,
+        crashedAtMs: nowMs,
+      };
       this.evidence.recordCrash(crash, nowMs);
       this.publisher.publishPartCrash({
         upstream,
+        request,
         parts: [...parts],
         startedAgoMs: toAge(nowMs - startedAtMs),
         crashedAgoMs: 0,
@@ -101,11 +113,11 @@
 
   /** Applies what a peer saw of a crash. */
   applyCrash(message: PartCrashMessage): void {
-    const {upstream, parts, startedAgoMs, crashedAgoMs} = message;
+    const {upstream, request, parts, startedAgoMs, crashedAgoMs} = message;
     const nowMs = this.clock.nowMs();
     const startedAtMs = nowMs - startedAgoMs;
     const crashedAtMs = nowMs - crashedAgoMs;
-    const crash = {upstream, parts, startedAtMs, crashedAtMs};
+    const crash = {upstream, request, parts, startedAtMs, crashedAtMs};
     this.evidence.recordCrash(crash, nowMs);
     this.planAssessment();
   }
--- a/packages/daemon/src/upstreams/suspect_tracker.ts
+++ b/packages/daemon/src/upstreams/suspect_tracker.ts
@@ -91,11 +91,12 @@
    * @return Status of the request from now on.
    */
   recordCrash(subject: SuspectSubject, crash: ObservedCrash): CrashStatus {
-    this.parts.recordCrash(subject.parts, crash);
+    const fingerprint = this.computeFingerprint(subject);
+    this.parts.recordCrash(fingerprint, subject.parts, crash);
     const {stateBefore, wasIsolated} = crash;
     const update = this.suspects.recordCrash(
       {
-        fingerprint: this.computeFingerprint(subject),
+        fingerprint,
         bodyBytes: subject.body.length,
         stateBefore,
         wasIsolated,
--- a/packages/requests/src/crash_evidence.test.ts
+++ b/packages/requests/src/crash_evidence.test.ts
@@ -30,7 +30,8 @@
     const evidence = new CrashEvidence();
     for (let at = 0; at < 9; at++) {
       const upstream = `u${at}`;
-      const report = {upstream, parts: ['batch'], crashedAtMs: 200 + at};
+      const [request, crashedAtMs] = [`request ${at}`, 200 + at];
+      const report = {upstream, request, parts: ['batch'], crashedAtMs};
       evidence.recordCrash({...report, startedAtMs: at}, 200 + at);
     }
     const [suspicion] = evidence.assess(NONE, 300);
@@ -45,6 +46,14 @@
     expect(evidence.assess(NONE, SETTLED_MS)).to.deep.equal([]);
   });
 
+  it('does not hold the crashes of one request that comes again against its parts', () => {
+    const evidence = new CrashEvidence();
+    evidence.recordAnswer(['first'], 0, HOSTS, 0);
+    const parts = ['first', 'topic'];
+    for (const at of [1, 2, 3, 4]) crash(evidence, `u${at}`, parts, at, 'same');
+    expect(evidence.assess(NONE, SETTLED_MS)).to.deep.equal([]);
+  });
+
   it('counts each crash of an upstream that is back at once', () => {
     const evidence = new CrashEvidence();
     for (const at of [0, 1, 2]) crash(evidence, 'u', ['bad'], at * RESTART_MS);
@@ -134,10 +143,11 @@
   upstream: string,
   parts: readonly string[],
   nowMs: number,
+  request = `request ${parts.join(' ')} at ${nowMs}`,
 ): void {
   const startedAtMs = nowMs - 0.5;
   evidence.recordCrash(
-    {upstream, parts, startedAtMs, crashedAtMs: nowMs},
+    {upstream, request, parts, startedAtMs, crashedAtMs: nowMs},
     nowMs,
   );
 }
--- a/packages/requests/src/crash_evidence.ts
+++ b/packages/requests/src/crash_evidence.ts
@@ -23,9 +23,10 @@
   atMs: number;
 }
 
-/** A part and the crashes that it may explain. */
+/** A part, or a request as a whole, and the crashes that it may explain. */
 interface Candidate {
-  readonly part: string;
+  readonly name: string;
+  readonly isPart: boolean;
   readonly crashes: Set<Crash>;
   /** Prompts with the part under which upstreams crashed. */
   readonly prompts: Set<PartCrash>;
@@ -40,7 +41,8 @@
  * unless another prompt with the part was started as late and completed its
  * answer. The part that explains most crashes, compared with the answers that it
  * was part of lately, is taken first, and its crashes are explained; the others
- * have to account for the rest.
+ * have to account for the rest. A request that comes again explains its crashes as well
+ * as its parts do.
  */
 export class CrashEvidence {
   private crashes: PartCrash[] = [];
@@ -101,7 +103,9 @@
           one.answers <= best.answers && isEqual(one.crashes, best.crashes),
       );
       const groups = groupByPrompts(equals);
-      for (const parts of groups) {
+      // One request that comes again is blocked as such.
+      const isRequest = equals.some(({isPart}) => !isPart);
+      for (const parts of isRequest ? [] : groups) {
         // Prompts that ran beside the cause at each crash are told apart by a trial.
         found.push(this.describe(best, parts, groups.length === 1));
       }
@@ -153,19 +157,20 @@
     const byPart = new Map<string, Candidate>();
     for (const crash of crashes) {
       for (const report of crash.reports) {
-        const {parts, startedAtMs} = report;
-        for (const part of parts) {
-          const answeredAtMs = this.answers.getLastStartMs(part);
+        const {request, parts, startedAtMs} = report;
+        for (const name of [request, ...parts]) {
+          const answeredAtMs = this.answers.getLastStartMs(name);
           if (startedAtMs <= answeredAtMs + SIMULTANEOUS_MS) continue;
-          const candidate = byPart.get(part) ?? {
-            part,
+          const candidate = byPart.get(name) ?? {
+            name,
+            isPart: name !== request,
             crashes: new Set(),
             prompts: new Set(),
-            answers: this.answers.getWeight(part, nowMs),
+            answers: this.answers.getWeight(name, nowMs),
           };
           candidate.crashes.add(crash);
           candidate.prompts.add(report);
-          byPart.set(part, candidate);
+          byPart.set(name, candidate);
         }
       }
     }
@@ -184,11 +189,11 @@
   }
 
   /** Whether a prompt with the part was sent after a crash, and crashed again. */
-  private hasRecurred({part, crashes}: Candidate): boolean {
+  private hasRecurred({name, crashes}: Candidate): boolean {
     const firstMs = Math.min(...[...crashes].map(({atMs}) => atMs));
     return [...crashes].some(({reports}) =>
       reports.some(
-        ({parts, startedAtMs}) => startedAtMs > firstMs && parts.includes(part),
+        ({parts, startedAtMs}) => startedAtMs > firstMs && parts.includes(name),
       ),
     );
   }
@@ -209,7 +214,7 @@
 function compareCandidates(left: Candidate, right: Candidate): number {
   const difference = getScore(right) - getScore(left);
   if (difference !== 0) return difference;
-  return left.part < right.part ? -1 : 1;
+  return left.name < right.name ? -1 : 1;
 }
 
 function getScore({crashes, answers}: Candidate): number {
@@ -219,10 +224,10 @@
 /** Joins the parts that only occurred together, in the same prompts. */
 function groupByPrompts(candidates: readonly Candidate[]): string[][] {
   const groups: {prompts: ReadonlySet<PartCrash>; parts: string[]}[] = [];
-  for (const {part, prompts} of candidates) {
+  for (const {name, prompts} of candidates) {
     const group = groups.find(one => isEqual(one.prompts, prompts));
-    if (group === undefined) groups.push({prompts, parts: [part]});
-    else group.parts.push(part);
+    if (group === undefined) groups.push({prompts, parts: [name]});
+    else group.parts.push(name);
   }
   return groups.map(({parts}) => parts.sort());
 }
--- a/packages/requests/src/part_crash.ts
+++ b/packages/requests/src/part_crash.ts
@@ -1,6 +1,8 @@
 /** Crash of an upstream while a prompt ran on it, as one host saw it. */
 export interface PartCrash {
   readonly upstream: string;
+  /** SHA-256 that identifies the request, in hexadecimal. */
+  readonly request: string;
   /** Parts of the prompt that other prompts may share. */
   readonly parts: readonly string[];
   /** Monotonic time at which the attempt started, in milliseconds. */
