Do not let a limited server hide those that are avoided

Callers got 503 while servers took connections: servers that are avoided are asked only where no other is left, and a limited one without a free token counted as left.

Servers without a free token are now left out before the others are weighed.

--- a/packages/daemon/src/gateway/attempt_placer.ts
+++ b/packages/daemon/src/gateway/attempt_placer.ts
@@ -260,7 +260,9 @@
     nowMs: number,
   ): CapacityShortage {
     const {limits, countHosts} = this.context;
-    const ids = this.listUntried(nowMs).map(({id}) => id);
+    const ids = this.listUsable()
+      .map(({id}) => id)
+      .filter(id => !this.triedUpstreams.has(id));
     const areLimited =
       ids.length > 0 && !ids.some(id => limits.mayTake(id, nowMs));
     if (!areLimited) return shortage;
@@ -273,9 +275,13 @@
     nowMs: number,
     suspect: string,
   ): UpstreamChoice | CapacityShortage {
-    const untried = this.listUntried(nowMs);
-    const {limits} = this.context;
-    const candidates = untried.filter(({id}) => limits.mayTake(id, nowMs));
+    const {chooser, limits} = this.context;
+    // A limited upstream must not hide those that are avoided.
+    const candidates = chooser.listCandidates(
+      this.listUsable().filter(({id}) => limits.mayTake(id, nowMs)),
+      this.triedUpstreams,
+      nowMs,
+    );
     if (suspect !== '') {
       const isolated = this.chooseAmong(
         candidates.filter(
@@ -303,14 +309,6 @@
     return chooser.chooseEngines(candidates, service, demand, nowMs);
   }
 
-  private listUntried(nowMs: number): UpstreamEntry[] {
-    return this.context.chooser.listCandidates(
-      this.listUsable(),
-      this.triedUpstreams,
-      nowMs,
-    );
-  }
-
   private describeDemand(
     service: Service | undefined,
     nowMs: number,
