Try parts again soon that were sound before

Cause: a few crashes without an answer between them, as in an outage, confirmed a part that was known to be sound, and nothing could clear the block, as all its prompts were refused. Such a block now ends after 10 s, and only crashes of attempts that started after it count again.

--- a/packages/daemon/src/upstreams/part_tracker.ts
+++ b/packages/daemon/src/upstreams/part_tracker.ts
@@ -21,6 +21,8 @@
 const BLOCK_MS = 3_600_000;
 /** A sound part may be blocked while no prompt with it has been answered. */
 const UNPROVEN_BLOCK_MS = 60_000;
+/** Parts that were sound before are tried again soon. */
+const ANSWERED_BLOCK_MS = 10_000;
 
 /**
  * Tracks which parts of prompts crash upstreams, from what all hosts tell of
@@ -140,7 +142,8 @@
     this.planAssessment();
   }
 
-  private planAssessment(): void {
+  /** Plans an assessment after something was learned. */
+  planAssessment(): void {
     this.settledAtMs = this.clock.nowMs() + ASSESSMENT_DELAY_MS;
     this.assessAtMs = Math.min(this.assessAtMs, this.settledAtMs);
   }
@@ -156,27 +159,39 @@
     // Of a group, one part alone may be the cause.
     const blocked = new Set(groups.filter(({length}) => length === 1).flat());
     const suspicions = this.evidence.assess(blocked, nowMs);
+    for (const part of blocked) {
+      // Once the block has ended, only new crashes count.
+      if (this.evidence.wasAnswered(part)) this.evidence.forgive(part, nowMs);
+    }
     this.suspicions = suspicions.filter(({isConfirmed}) => !isConfirmed);
     const repeatAtMs =
       this.suspicions.length > 0 ? nowMs + MAX_ASSESSMENT_AGE_MS : Infinity;
     const isSettled = nowMs >= this.settledAtMs;
     this.assessAtMs = isSettled ? repeatAtMs : this.settledAtMs;
     for (const {parts, crashes, isConfirmed, isProven} of suspicions) {
-      if (!isConfirmed || this.isBlockedGroup(parts)) continue;
+      if (!isConfirmed) continue;
+      const wasAnswered = parts.every(part => this.evidence.wasAnswered(part));
+      if (this.isBlockedGroup(parts)) continue;
       const fingerprint = computeGroupFingerprint(parts);
       this.onUpdate(
         this.suspects.blockParts(
           fingerprint,
           parts,
           crashes,
-          isProven ? BLOCK_MS : UNPROVEN_BLOCK_MS,
+          chooseBlockMs(wasAnswered, isProven),
           nowMs,
         ),
       );
+      this.planAssessment();
     }
   }
 }
 
+function chooseBlockMs(wasAnswered: boolean, isProven: boolean): number {
+  if (wasAnswered) return ANSWERED_BLOCK_MS;
+  return isProven ? BLOCK_MS : UNPROVEN_BLOCK_MS;
+}
+
 function computeGroupFingerprint(parts: readonly string[]): string {
   return createHash('sha256')
     .update(`parts ${parts.join(',')}`)
--- a/packages/daemon/src/upstreams/suspect_tracker.ts
+++ b/packages/daemon/src/upstreams/suspect_tracker.ts
@@ -141,6 +141,7 @@
     const update = decodeUpdate(message);
     if (update === undefined) return;
     if (!this.suspects.applyUpdate(update, this.clock.nowMs())) return;
+    if (update.parts.length > 0) this.parts.planAssessment();
     this.log.record(update, source);
   }
 
--- a/packages/requests/src/crash_evidence.ts
+++ b/packages/requests/src/crash_evidence.ts
@@ -72,6 +72,16 @@
     }
   }
 
+  /** Whether a prompt with the part got its whole answer at some time. */
+  wasAnswered(part: string): boolean {
+    return this.answers.getLastStartMs(part) > -Infinity;
+  }
+
+  /** Holds no crash of an attempt that was started until now against a part. */
+  forgive(part: string, nowMs: number): void {
+    this.answers.record(part, nowMs, 0, nowMs);
+  }
+
   /** Whether a crash may be explained by one of these parts. */
   mayExplain(parts: readonly string[]): boolean {
     return this.crashes.some(crash =>
@@ -179,11 +189,9 @@
 
   /** Whether answers tell that one of the crashes has no other cause. */
   private isProven({crashes}: Candidate, group: readonly string[]): boolean {
-    const isSound = (part: string): boolean =>
-      this.answers.getLastStartMs(part) > -Infinity;
     return [...crashes].some(({reports}) =>
       reports.every(({parts}) =>
-        parts.every(part => group.includes(part) || isSound(part)),
+        parts.every(part => group.includes(part) || this.wasAnswered(part)),
       ),
     );
   }
