Name what requests have in common traits

Parts of prompts are not the only thing that requests may share. The classes that weigh crashes against what requests have in common are named for that; nothing else changes.

--- a/packages/daemon/src/upstreams/suspect_tracker.ts
+++ b/packages/daemon/src/upstreams/suspect_tracker.ts
@@ -14,7 +14,7 @@
 } from '@parsleywood/schema/suspects';
 import type {Clock} from '../host/clock.js';
 import type {ObservedCrash} from './observed_crash.js';
-import {PartTracker} from './part_tracker.js';
+import {TraitTracker} from './trait_tracker.js';
 import type {SuspectLog} from './suspect_log.js';
 import type {SuspectPublisher} from './suspect_publisher.js';
 import {SuspectSource} from './suspect_source.js';
@@ -32,7 +32,7 @@
  */
 export class SuspectTracker {
   private readonly suspects = new CrashSuspects();
-  private readonly parts: PartTracker;
+  private readonly parts: TraitTracker;
 
   /** @param countHosts Returns the number of live hosts. */
   constructor(
@@ -41,7 +41,7 @@
     private readonly log: SuspectLog,
     countHosts: () => number,
   ) {
-    this.parts = new PartTracker(
+    this.parts = new TraitTracker(
       this.suspects,
       clock,
       publisher,
--- a/packages/daemon/src/upstreams/part_tracker.ts
+++ b/packages/daemon/src/upstreams/trait_tracker.ts
@@ -2,7 +2,7 @@
 import {
   CrashEvidence,
   type CrashSuspects,
-  type PartSuspicion,
+  type TraitSuspicion,
   type SuspectUpdate,
 } from '@parsleywood/requests';
 import type {
@@ -28,9 +28,9 @@
  * Tracks which parts of prompts crash upstreams, from what all hosts tell of
  * crashes and complete answers.
  */
-export class PartTracker {
+export class TraitTracker {
   private readonly evidence = new CrashEvidence();
-  private suspicions: PartSuspicion[] = [];
+  private suspicions: TraitSuspicion[] = [];
   /** Monotonic time at which all hosts have reported what is known so far. */
   private settledAtMs = -Infinity;
   /** Monotonic time of the next assessment; Infinity if there is no evidence. */
--- a/packages/requests/src/crash_evidence.ts
+++ b/packages/requests/src/crash_evidence.ts
@@ -1,6 +1,6 @@
 import {AnswerWeights} from './answer_weights.js';
-import type {PartCrash} from './part_crash.js';
-import type {PartSuspicion} from './part_suspicion.js';
+import type {TraitCrash} from './trait_crash.js';
+import type {TraitSuspicion} from './trait_suspicion.js';
 
 const CRASH_TTL_MS = 60_000;
 const MAX_CRASHES = 1_024;
@@ -19,7 +19,7 @@
 
 /** One crash of an upstream, from the reports of all hosts. */
 interface Crash {
-  readonly reports: PartCrash[];
+  readonly reports: TraitCrash[];
   atMs: number;
 }
 
@@ -29,7 +29,7 @@
   readonly isPart: boolean;
   readonly crashes: Set<Crash>;
   /** Prompts with the part under which upstreams crashed. */
-  readonly prompts: Set<PartCrash>;
+  readonly prompts: Set<TraitCrash>;
   readonly answers: number;
 }
 
@@ -45,11 +45,11 @@
  * as its parts do.
  */
 export class CrashEvidence {
-  private crashes: PartCrash[] = [];
+  private crashes: TraitCrash[] = [];
   private readonly answers = new AnswerWeights();
 
   /** Records what a host saw of a crash. */
-  recordCrash(crash: PartCrash, nowMs: number): void {
+  recordCrash(crash: TraitCrash, nowMs: number): void {
     this.crashes = this.crashes
       .filter(({crashedAtMs}) => nowMs - crashedAtMs < CRASH_TTL_MS)
       .slice(1 - MAX_CRASHES);
@@ -95,7 +95,7 @@
    * @param blocked Parts that are known to crash upstreams; the crashes of prompts
    *     with them are explained.
    */
-  assess(blocked: ReadonlySet<string>, nowMs: number): PartSuspicion[] {
+  assess(blocked: ReadonlySet<string>, nowMs: number): TraitSuspicion[] {
     const unexplained = new Set(
       this.listCrashes(nowMs).filter(
         ({reports, atMs}) =>
@@ -104,7 +104,7 @@
       ),
     );
     const candidates = this.listCandidates(unexplained, nowMs);
-    const found: PartSuspicion[] = [];
+    const found: TraitSuspicion[] = [];
     for (;;) {
       const [best] = candidates.filter(isSuspect).sort(compareCandidates);
       if (best === undefined) return found;
@@ -130,7 +130,7 @@
     candidate: Candidate,
     parts: readonly string[],
     isUnambiguous: boolean,
-  ): PartSuspicion {
+  ): TraitSuspicion {
     const crashes = candidate.crashes.size;
     const isProven = this.isProven(candidate, parts);
     const isConfirmed =
@@ -208,7 +208,7 @@
 }
 
 /** Whether a report tells of a crash that is known, not of the next one. */
-function isSameCrash(known: Crash, report: PartCrash): boolean {
+function isSameCrash(known: Crash, report: TraitCrash): boolean {
   const laterMs = report.crashedAtMs - known.atMs;
   if (laterMs < MIN_RESTART_MS) return true;
   return laterMs < SAME_CRASH_MS && report.startedAtMs <= known.atMs;
@@ -231,7 +231,7 @@
 
 /** Joins the parts that only occurred together, in the same prompts. */
 function groupByPrompts(candidates: readonly Candidate[]): string[][] {
-  const groups: {prompts: ReadonlySet<PartCrash>; parts: string[]}[] = [];
+  const groups: {prompts: ReadonlySet<TraitCrash>; parts: string[]}[] = [];
   for (const {name, prompts} of candidates) {
     const group = groups.find(one => isEqual(one.prompts, prompts));
     if (group === undefined) groups.push({prompts, parts: [name]});
--- a/packages/requests/src/crash_suspects.ts
+++ b/packages/requests/src/crash_suspects.ts
@@ -1,7 +1,7 @@
 import {computeRecordHash} from './compute_record_hash.js';
 import type {CrashReport} from './crash_report.js';
 import {CrashStatus} from './crash_status.js';
-import {PartGroups} from './part_groups.js';
+import {TraitGroups} from './trait_groups.js';
 import type {SuspectRecord} from './suspect_record.js';
 import type {SuspectState} from './suspect_state.js';
 import type {SuspectUpdate} from './suspect_update.js';
@@ -39,7 +39,7 @@
   /** Combined hash of the records in each bucket. */
   private readonly bucketHashes = new Uint32Array(BUCKETS);
   /** Parts of prompts that are blocked. */
-  private readonly blockedGroups = new PartGroups();
+  private readonly blockedGroups = new TraitGroups();
   private purgeAtMs = 0;
 
   /** Number of records, including expired ones that are not yet deleted. */
--- a/packages/requests/src/part_crash.ts
+++ b/packages/requests/src/trait_crash.ts
@@ -1,5 +1,5 @@
 /** Crash of an upstream while a prompt ran on it, as one host saw it. */
-export interface PartCrash {
+export interface TraitCrash {
   readonly upstream: string;
   /** SHA-256 that identifies the request, in hexadecimal. */
   readonly request: string;
--- a/packages/requests/src/part_groups.ts
+++ b/packages/requests/src/trait_groups.ts
@@ -1,5 +1,5 @@
 /** Groups of parts of prompts, found by the parts of a prompt. */
-export class PartGroups {
+export class TraitGroups {
   /** Groups by the first of their parts and by their fingerprint. */
   private readonly byFirst = new Map<string, Map<string, readonly string[]>>();
 
--- a/packages/requests/src/part_suspicion.ts
+++ b/packages/requests/src/trait_suspicion.ts
@@ -1,5 +1,5 @@
 /** Parts of prompts that explain the crashes of several upstreams. */
-export interface PartSuspicion {
+export interface TraitSuspicion {
   /**
    * Sorted. Several parts that occurred only together: prompts that have all of
    * them are suspected.
