Recognise a crashing request that comes again under another query

Callers of a plain service saw most calls fail while a request crashed its servers again and again: each time with another query, so with a new fingerprint (method, target with query, account, body). On the hosts' own path the same happened when any field of the body changed beside the prompt.

Cause: the fingerprint takes for granted that a caller sends the same bytes again.

Each request now has scopes: hashes of path, account and body, and of these with the method and with each parameter of the query. CrashEvidence weighs them as it weighs parts of prompts, so what all crashed requests have in common is blocked, and no more: sound requests of the same path and key go on, as their answers speak for what they share. One decision without I/O for both request paths.

Property tests: a parameter is blocked within six crashes, and no request without it, in 300 draws.

Messages between hosts gain a field; hosts of the version before ignore it.

--- a/packages/daemon/src/callers/completion_handler.ts
+++ b/packages/daemon/src/callers/completion_handler.ts
@@ -38,8 +38,8 @@
       caller.account,
       this.serving.clock.wallMs(),
     ).unwrapOrElse(throwFailure);
-    const {model, parts} = request;
-    const subject = {name: model, body: request.body, parts};
+    const {model} = request;
+    const subject = {...request, name: model};
     const {suspects} = this.serving;
     if (suspects.findStatus(subject) === CrashStatus.BLOCKED) {
       throw createCrashFailure(suspects.findBlockedParts(subject));
--- a/packages/daemon/src/callers/completion_request.ts
+++ b/packages/daemon/src/callers/completion_request.ts
@@ -11,6 +11,8 @@
   readonly body: Buffer;
   /** Length of the prompt text in the body. */
   readonly promptBytes: number;
+  /** Hashes from `describeScopes`, of the prompt without other fields. */
+  readonly scopes: readonly string[];
   /** Hashes of the parts of the prompt that other prompts may share. */
   readonly parts: readonly string[];
   /** Limit on the number of answer tokens. */
--- a/packages/daemon/src/callers/completion_session.ts
+++ b/packages/daemon/src/callers/completion_session.ts
@@ -64,8 +64,8 @@
       serving.traffic,
       serving.engines,
     );
-    const {model, body, parts} = request;
-    this.subject = {name: model, body, parts};
+    const {model, body, scopes, parts} = request;
+    this.subject = {name: model, body, scopes, parts};
     this.stateBefore = serving.suspects.findState(this.subject);
     this.lifecycle = new RequestLifecycle({
       requestId: request.id,
@@ -226,9 +226,9 @@
     const {suspects, clock, picker} = this.serving;
     this.startedAtMs = clock.nowMs();
     this.stateBefore = suspects.findState(this.subject);
-    const blocked = suspects.findBlockedParts(this.subject);
-    if (blocked.length > 0) {
-      this.onPickFailed(createCrashFailure(blocked));
+    if (suspects.findStatus(this.subject) === CrashStatus.BLOCKED) {
+      const parts = suspects.findBlockedParts(this.subject);
+      this.onPickFailed(createCrashFailure(parts));
       return;
     }
     const {status} = this.stateBefore;
--- a/packages/daemon/src/callers/parse_completion_request.ts
+++ b/packages/daemon/src/callers/parse_completion_request.ts
@@ -1,6 +1,7 @@
 import type {Failure} from '@parsleywood/errors';
 import type {ChatRequest} from '@parsleywood/schema/chat_request';
 import type {CompletionRequest as TextRequest} from '@parsleywood/schema/completion_request';
+import {describeScopes} from '@parsleywood/requests';
 import type {Result} from 'true-myth';
 import {BodyValidator} from './body_validator.js';
 import {ChatFormatter} from './chat_formatter.js';
@@ -32,6 +33,7 @@
       ...readCommonFields(chat),
       ...{id, account, path, body},
       promptBytes: countChatBytes(chat),
+      scopes: describePromptScopes(path, chat.model, chat.messages),
       parts: hashPromptParts(chat),
       maxTokens:
         chat.max_completion_tokens ?? chat.max_tokens ?? DEFAULT_MAX_TOKENS,
@@ -42,12 +44,23 @@
     ...readCommonFields(text),
     ...{id, account, path, body},
     promptBytes: countTextBytes(text),
+    scopes: describePromptScopes(path, text.model, text.prompt),
     parts: [],
     maxTokens: text.max_tokens ?? DEFAULT_MAX_TOKENS,
     formatter: new TextFormatter(id, text.model, created),
   }));
 }
 
+/** Callers may change the other fields when they send a prompt again. */
+function describePromptScopes(
+  path: CompletionPath,
+  model: string,
+  prompt: unknown,
+): string[] {
+  const body = JSON.stringify([model, prompt]);
+  return describeScopes({method: 'POST', target: path, account: '', body});
+}
+
 function readCommonFields(
   request: ChatRequest | TextRequest,
 ): Pick<CompletionRequest, 'model' | 'stream' | 'includeUsage'> {
--- a/packages/daemon/src/control/control_plane.ts
+++ b/packages/daemon/src/control/control_plane.ts
@@ -165,11 +165,11 @@
         case 'suspect':
           this.serving.suspects.applyUpdate(body.value);
           break;
-        case 'partCrash':
-          this.serving.suspects.applyPartCrash(body.value);
+        case 'traitCrash':
+          this.serving.suspects.applyTraitCrash(body.value);
           break;
-        case 'partAnswer':
-          this.serving.suspects.applyPartAnswer(body.value);
+        case 'traitAnswer':
+          this.serving.suspects.applyTraitAnswer(body.value);
           break;
         case 'suspectSummary':
           this.suspects.handleSummary(from.host, body.value);
--- a/packages/daemon/src/gateway/crash_detector.ts
+++ b/packages/daemon/src/gateway/crash_detector.ts
@@ -1,5 +1,9 @@
 import {AttemptOutcome, type RouteMatch} from '@parsleywood/forwarding';
-import {CrashStatus, type SuspectState} from '@parsleywood/requests';
+import {
+  CrashStatus,
+  describeScopes,
+  type SuspectState,
+} from '@parsleywood/requests';
 import type {Failure} from '@parsleywood/errors';
 import {createCrashFailure} from '../callers/create_crash_failure.js';
 import type {SuspectSubject} from '../upstreams/suspect_subject.js';
@@ -22,28 +26,28 @@
   private quarantine = '';
   /** Monotonic time at which the current attempt started. */
   private startedAtMs = 0;
+  private readonly subject: SuspectSubject;
 
   constructor(
     private readonly context: GatewayContext,
-    private readonly match: RouteMatch,
-    private readonly request: ReceivedRequest,
+    match: RouteMatch,
+    request: ReceivedRequest,
     private readonly placer: AttemptPlacer,
     private readonly log: SessionLog,
   ) {
+    this.subject = describeSubject(match, request);
     this.stateBefore = this.findState();
   }
 
   /** Whether the request is known to crash upstreams, at any host. */
   shouldRefuse(): boolean {
     const {suspects} = this.context;
-    return suspects.findStatus(this.describeSubject()) === CrashStatus.BLOCKED;
+    return suspects.findStatus(this.subject) === CrashStatus.BLOCKED;
   }
 
   /** Creates the failure for a request that is refused. */
   createFailure(): Failure {
-    const parts = this.context.suspects.findBlockedParts(
-      this.describeSubject(),
-    );
+    const parts = this.context.suspects.findBlockedParts(this.subject);
     return createCrashFailure(parts);
   }
 
@@ -67,13 +71,11 @@
   startAttempt(): string {
     this.stateBefore = this.findState();
     this.startedAtMs = this.context.clock.nowMs();
-    this.quarantine = this.context.suspects.findQuarantine(
-      this.describeSubject(),
-    );
+    this.quarantine = this.context.suspects.findQuarantine(this.subject);
     if (this.quarantine !== '') return this.quarantine;
     return this.stateBefore.status === CrashStatus.CLEAR
       ? ''
-      : this.context.suspects.computeFingerprint(this.describeSubject());
+      : this.context.suspects.computeFingerprint(this.subject);
   }
 
   /**
@@ -106,7 +108,7 @@
     const unreachable = await placer.findUnreachable();
     if (unreachable.length === 0) return;
     const upstreams = unreachable.map(({id}) => id);
-    const status = context.suspects.recordCrash(this.describeSubject(), {
+    const status = context.suspects.recordCrash(this.subject, {
       upstreams,
       stateBefore,
       wasIsolated,
@@ -124,26 +126,30 @@
    * Clears the suspicion after a complete response.
    *
    * @param hasAnswered Whether it is an answer rather than an error, and so tells
-   *     that the parts of the prompt are sound.
+   *     that what it has in common with others is sound.
    */
   recordSuccess(hasAnswered: boolean): void {
-    const subject = this.describeSubject();
-    const parts = hasAnswered ? subject.parts : [];
-    this.context.suspects.recordSuccess({...subject, parts}, this.startedAtMs);
+    const {subject} = this;
+    const known = hasAnswered ? subject : {...subject, scopes: [], parts: []};
+    this.context.suspects.recordSuccess(known, this.startedAtMs);
   }
 
   private findState(): SuspectState {
-    return this.context.suspects.findState(this.describeSubject());
+    return this.context.suspects.findState(this.subject);
   }
+}
 
-  private describeSubject(): SuspectSubject {
-    const {method, target, promptParts} = this.request.metadata;
-    // An account has several keys, which are replaced from time to time.
-    const account = this.match.account?.name ?? '';
-    return {
-      name: `${method} ${target} ${account}`,
-      body: this.request.body,
-      parts: promptParts,
-    };
-  }
+function describeSubject(
+  match: RouteMatch,
+  {metadata, body}: ReceivedRequest,
+): SuspectSubject {
+  const {method, target, promptParts} = metadata;
+  // An account has several keys, which are replaced from time to time.
+  const account = match.account?.name ?? '';
+  return {
+    name: `${method} ${target} ${account}`,
+    body,
+    scopes: describeScopes({method, target, account, body}),
+    parts: promptParts,
+  };
 }
--- a/packages/daemon/src/gateway/update_applier.ts
+++ b/packages/daemon/src/gateway/update_applier.ts
@@ -53,11 +53,11 @@
         );
         return true;
       }
-      case 'partCrash':
-        this.suspects.applyPartCrash(body.value);
+      case 'traitCrash':
+        this.suspects.applyTraitCrash(body.value);
         return true;
-      case 'partAnswer':
-        this.suspects.applyPartAnswer(body.value);
+      case 'traitAnswer':
+        this.suspects.applyTraitAnswer(body.value);
         return true;
       default:
         return false;
--- a/packages/daemon/src/gateway/update_relay.ts
+++ b/packages/daemon/src/gateway/update_relay.ts
@@ -1,8 +1,8 @@
 import type {Placement} from '@parsleywood/dispatch';
 import type {FleetMessage, HostNews} from '@parsleywood/schema/fleet';
 import type {
-  PartAnswerMessage,
-  PartCrashMessage,
+  TraitAnswerMessage,
+  TraitCrashMessage,
   SuspectMessage,
   SuspectRecords,
   SuspectSummary,
@@ -105,12 +105,12 @@
     this.publish({body: {$case: 'suspect', value: update}});
   }
 
-  publishPartCrash(crash: PartCrashMessage): void {
-    this.publish({body: {$case: 'partCrash', value: crash}});
+  publishTraitCrash(crash: TraitCrashMessage): void {
+    this.publish({body: {$case: 'traitCrash', value: crash}});
   }
 
-  publishPartAnswer(answer: PartAnswerMessage): void {
-    this.publish({body: {$case: 'partAnswer', value: answer}});
+  publishTraitAnswer(answer: TraitAnswerMessage): void {
+    this.publish({body: {$case: 'traitAnswer', value: answer}});
   }
 
   sendSummary(address: string, summary: SuspectSummary): void {
--- a/packages/daemon/src/host/serving.ts
+++ b/packages/daemon/src/host/serving.ts
@@ -1,6 +1,6 @@
 import {RetryBudget} from '@parsleywood/admission';
 import {ErrorKind, ExecutionStatus, Failure} from '@parsleywood/errors';
-import {CrashStatus} from '@parsleywood/requests';
+import {CrashStatus, describeScopes} from '@parsleywood/requests';
 import type {Settings} from '@parsleywood/schema/settings';
 import type {ListedUpstream} from '@parsleywood/schema/upstream_list';
 import type {Incarnation} from '@parsleywood/types';
@@ -136,10 +136,10 @@
   ): Promise<Result<ServiceAnswer, Failure>> {
     const {name, address} = upstream;
     const subject = describeSubject(call);
-    const stateBefore = this.suspects.findState(subject);
-    if (stateBefore.status === CrashStatus.BLOCKED) {
+    if (this.suspects.findStatus(subject) === CrashStatus.BLOCKED) {
       return Result.err(createCrashFailure());
     }
+    const stateBefore = this.suspects.findState(subject);
     this.countCall(name, 1);
     const startedAtMs = this.clock.nowMs();
     const result = await this.services.send(call, address, limitMs, fencing);
@@ -214,6 +214,8 @@
 
 function describeSubject(call: ServiceCall): SuspectSubject {
   const {account, service, method, target, body} = call;
-  const subject = `${account} ${service} ${method} ${target}`;
-  return {name: subject, body, parts: []};
+  const name = `${account} ${service} ${method} ${target}`;
+  const path = `${service} ${target}`;
+  const scopes = describeScopes({method, target: path, account, body});
+  return {name, body, scopes, parts: []};
 }
--- a/packages/daemon/src/peers/peer_suspect_publisher.ts
+++ b/packages/daemon/src/peers/peer_suspect_publisher.ts
@@ -1,7 +1,7 @@
 import type {PeerMessage} from '@parsleywood/schema/peer';
 import type {
-  PartAnswerMessage,
-  PartCrashMessage,
+  TraitAnswerMessage,
+  TraitCrashMessage,
   SuspectMessage,
 } from '@parsleywood/schema/suspects';
 import type {SuspectPublisher} from '../upstreams/suspect_publisher.js';
@@ -19,12 +19,12 @@
     this.sendToAll({body: {$case: 'suspect', value}});
   }
 
-  publishPartCrash(value: PartCrashMessage): void {
-    this.sendToAll({body: {$case: 'partCrash', value}});
+  publishTraitCrash(value: TraitCrashMessage): void {
+    this.sendToAll({body: {$case: 'traitCrash', value}});
   }
 
-  publishPartAnswer(value: PartAnswerMessage): void {
-    this.sendToAll({body: {$case: 'partAnswer', value}});
+  publishTraitAnswer(value: TraitAnswerMessage): void {
+    this.sendToAll({body: {$case: 'traitAnswer', value}});
   }
 
   private sendToAll(message: PeerMessage): void {
--- a/packages/daemon/src/sessions/crashing_request.test.ts
+++ b/packages/daemon/src/sessions/crashing_request.test.ts
@@ -69,9 +69,25 @@
     expect(answers.at(-1)).to.equal('422 request_crashes_upstream');
   });
 
+  it('crashes five engines at most when other fields of its body change', async () => {
+    const before = await countCrashes();
+    const answers = [];
+    for (let at = 0; at < PROMPTS; at++) {
+      const fields = {user: `user ${at}`, seed: at};
+      answers.push(await send(at % HOSTS, 'CRASHING anew', [], fields));
+      await pause(ENGINE_DOWN_MS);
+    }
+    expect(await countCrashes()).to.be.at.most(before + MAX_PART_CRASHES);
+    expect(answers.at(-1)).to.equal('422 request_crashes_upstream');
+  });
+
   for (const [name, call] of [
     ['a repeatable service call', {path: '/levels?of=CRASHING'}],
     ['an order', {path: '/orders', body: '{"text": "CRASHING"}'}],
+    [
+      'a service call with other queries',
+      {path: '/levels?of=CRASHING', variesQuery: true},
+    ],
   ] as const) {
     it(`as ${name} crashes the service three times at most`, async () => {
       await setServiceFaults({crashOnMarker: 'CRASHING'});
@@ -102,8 +118,10 @@
   /** Calls the service through a host; returns the status. */
   async function callService(
     at: number,
-    {path, body}: {path: string; body?: string},
+    call: {path: string; body?: string; variesQuery?: boolean},
   ): Promise<number> {
+    const {body} = call;
+    const path = call.variesQuery ? `${call.path}&at=${at}` : call.path;
     const url = `${site.urls[at % HOSTS] ?? ''}/v1/services/test-app${path}`;
     const answer = await fetch(url, {
       method: body === undefined ? 'GET' : 'POST',
@@ -129,6 +147,7 @@
     host: number,
     content: string,
     shared: readonly string[] = [],
+    fields: object = {},
   ): Promise<string> {
     const answer = await fetch(`${site.urls[host] ?? ''}/v1/chat/completions`, {
       method: 'POST',
@@ -143,6 +162,7 @@
           {role: 'user', content},
         ],
         max_tokens: ANSWER_TOKENS,
+        ...fields,
       }),
     });
     const body = (await answer.json()) as {
--- a/packages/daemon/src/upstreams/suspect_log.ts
+++ b/packages/daemon/src/upstreams/suspect_log.ts
@@ -14,13 +14,13 @@
   ) {}
 
   record(
-    {fingerprint, parts, crashes, verdict}: SuspectUpdate,
+    {fingerprint, traits, crashes, verdict}: SuspectUpdate,
     source: SuspectSource,
   ): void {
     this.metrics.suspectUpdates.inc({status: verdict, source});
     this.log.info('suspect_updated', {
       fingerprint: fingerprint.slice(0, LOGGED_DIGITS),
-      ...(parts.length > 0 && {parts: parts.join(' ')}),
+      ...(traits.length > 0 && {traits: traits.join(' ')}),
       crashes,
       status: verdict,
       source,
--- a/packages/daemon/src/upstreams/suspect_publisher.ts
+++ b/packages/daemon/src/upstreams/suspect_publisher.ts
@@ -1,12 +1,12 @@
 import type {
-  PartAnswerMessage,
-  PartCrashMessage,
+  TraitAnswerMessage,
+  TraitCrashMessage,
   SuspectMessage,
 } from '@parsleywood/schema/suspects';
 
 /** Sends what this host learns of crashing requests to every peer. */
 export interface SuspectPublisher {
   publishSuspect(update: SuspectMessage): void;
-  publishPartCrash(crash: PartCrashMessage): void;
-  publishPartAnswer(answer: PartAnswerMessage): void;
+  publishTraitCrash(crash: TraitCrashMessage): void;
+  publishTraitAnswer(answer: TraitAnswerMessage): void;
 }
--- a/packages/daemon/src/upstreams/suspect_subject.ts
+++ b/packages/daemon/src/upstreams/suspect_subject.ts
@@ -1,8 +1,8 @@
+import type {RequestTraits} from '@parsleywood/requests';
+
 /** What a request is recognised by once it has crashed an upstream. */
-export interface SuspectSubject {
+export interface SuspectSubject extends RequestTraits {
   /** Distinguishes requests with equal bodies. */
   readonly name: string;
   readonly body: Buffer;
-  /** Ids of the parts of the prompt that other prompts may share. */
-  readonly parts: readonly string[];
 }
--- a/packages/daemon/src/upstreams/suspect_tracker.ts
+++ b/packages/daemon/src/upstreams/suspect_tracker.ts
@@ -2,12 +2,13 @@
 import {
   CrashStatus,
   CrashSuspects,
+  type RequestTraits,
   type SuspectState,
   type SuspectUpdate,
 } from '@parsleywood/requests';
 import type {
-  PartAnswerMessage,
-  PartCrashMessage,
+  TraitAnswerMessage,
+  TraitCrashMessage,
   SuspectMessage,
   SuspectRecords,
   SuspectSummary,
@@ -27,12 +28,12 @@
 
 /**
  * Tracks which requests crashed upstreams, on this host and on its peers.
- * Requests are identified by a fingerprint of name and body, or by parts of their
- * prompts.
+ * Requests are identified by a fingerprint of name and body, or by traits that they
+ * share with others.
  */
 export class SuspectTracker {
   private readonly suspects = new CrashSuspects();
-  private readonly parts: TraitTracker;
+  private readonly traits: TraitTracker;
 
   /** @param countHosts Returns the number of live hosts. */
   constructor(
@@ -41,7 +42,7 @@
     private readonly log: SuspectLog,
     countHosts: () => number,
   ) {
-    this.parts = new TraitTracker(
+    this.traits = new TraitTracker(
       this.suspects,
       clock,
       publisher,
@@ -52,23 +53,24 @@
     );
   }
 
-  /** Returns the crash status of a request, by itself and by its parts. */
+  /** Returns the crash status of a request, by itself and by its traits. */
   findStatus(subject: SuspectSubject): CrashStatus {
-    if (this.findBlockedParts(subject).length > 0) return CrashStatus.BLOCKED;
+    if (this.traits.findBlocked(subject).length > 0) return CrashStatus.BLOCKED;
     return this.findState(subject).status;
   }
 
-  /** Returns the parts for which a request is refused; empty if there are none. */
-  findBlockedParts({parts}: SuspectSubject): readonly string[] {
-    return this.parts.findBlocked(parts);
+  /** Returns the parts of its prompt for which a request is refused, if it is for them. */
+  findBlockedParts(subject: SuspectSubject): readonly string[] {
+    const blocked = this.traits.findBlocked(subject);
+    return blocked.filter(trait => subject.parts.includes(trait));
   }
 
   /**
-   * Returns the name under which requests run one at a time, as they have a part
+   * Returns the name under which requests run one at a time, as they have a trait
    * that may crash upstreams; empty if this one has none.
    */
-  findQuarantine({parts}: SuspectSubject): string {
-    return this.parts.findQuarantine(parts);
+  findQuarantine(traits: RequestTraits): string {
+    return this.traits.findQuarantine(traits);
   }
 
   /** Returns what is known of a request itself; needed when an attempt starts. */
@@ -92,7 +94,7 @@
    */
   recordCrash(subject: SuspectSubject, crash: ObservedCrash): CrashStatus {
     const fingerprint = this.computeFingerprint(subject);
-    this.parts.recordCrash(fingerprint, subject.parts, crash);
+    this.traits.recordCrash(fingerprint, subject, crash);
     const {stateBefore, wasIsolated} = crash;
     const update = this.suspects.recordCrash(
       {
@@ -113,7 +115,7 @@
    * @param startedAtMs Monotonic time at which its last attempt started.
    */
   recordSuccess(subject: SuspectSubject, startedAtMs: number): void {
-    this.parts.recordAnswer(subject.parts, startedAtMs);
+    this.traits.recordAnswer(subject, startedAtMs);
     if (this.findState(subject).status !== CrashStatus.SUSPECT) return;
     const update = this.suspects.recordSuccess(
       this.computeFingerprint(subject),
@@ -123,13 +125,13 @@
   }
 
   /** Applies what a peer saw of a crash. */
-  applyPartCrash(message: PartCrashMessage): void {
-    this.parts.applyCrash(message);
+  applyTraitCrash(message: TraitCrashMessage): void {
+    this.traits.applyCrash(message);
   }
 
   /** Applies a complete answer of a peer. */
-  applyPartAnswer(message: PartAnswerMessage): void {
-    this.parts.applyAnswer(message);
+  applyTraitAnswer(message: TraitAnswerMessage): void {
+    this.traits.applyAnswer(message);
   }
 
   /**
@@ -141,7 +143,7 @@
     const update = decodeUpdate(message);
     if (update === undefined) return;
     if (!this.suspects.applyUpdate(update, this.clock.nowMs())) return;
-    if (update.parts.length > 0) this.parts.planAssessment();
+    if (update.traits.length > 0) this.traits.planAssessment();
     this.log.record(update, source);
   }
 
@@ -173,7 +175,7 @@
 
 function encodeUpdate(update: SuspectUpdate): SuspectMessage {
   const remainingMs = Math.ceil(update.remainingMs);
-  return {...update, parts: [...update.parts], remainingMs};
+  return {...update, traits: [...update.traits], remainingMs};
 }
 
 function decodeUpdate(message: SuspectMessage): SuspectUpdate | undefined {
--- a/packages/daemon/src/upstreams/trait_tracker.ts
+++ b/packages/daemon/src/upstreams/trait_tracker.ts
@@ -1,13 +1,15 @@
 import {createHash} from 'node:crypto';
 import {
   CrashEvidence,
+  listTraits,
   type CrashSuspects,
+  type RequestTraits,
   type TraitSuspicion,
   type SuspectUpdate,
 } from '@parsleywood/requests';
 import type {
-  PartAnswerMessage,
-  PartCrashMessage,
+  TraitAnswerMessage,
+  TraitCrashMessage,
 } from '@parsleywood/schema/suspects';
 import type {Clock} from '../host/clock.js';
 import type {ObservedCrash} from './observed_crash.js';
@@ -19,13 +21,13 @@
 const MAX_ASSESSMENT_AGE_MS = 250;
 
 const BLOCK_MS = 3_600_000;
-/** A sound part may be blocked while no prompt with it has been answered. */
+/** A sound trait may be blocked while no request with it has been answered. */
 const UNPROVEN_BLOCK_MS = 60_000;
-/** Parts that were sound before are tried again soon. */
+/** Traits that were sound before are tried again soon. */
 const ANSWERED_BLOCK_MS = 10_000;
 
 /**
- * Tracks which parts of prompts crash upstreams, from what all hosts tell of
+ * Tracks which traits of requests crash upstreams, from what all hosts tell of
  * crashes and complete answers.
  */
 export class TraitTracker {
@@ -37,7 +39,7 @@
   private assessAtMs = Infinity;
 
   /**
-   * @param countHosts Returns the number of hosts among which prompts are spread.
+   * @param countHosts Returns the number of hosts among which requests are spread.
    * @param onUpdate Called with each change of what is blocked.
    */
   constructor(
@@ -48,25 +50,26 @@
     private readonly onUpdate: (update: SuspectUpdate) => void,
   ) {}
 
-  /** Returns the parts for which a prompt is refused; empty if it is not. */
-  findBlocked(parts: readonly string[]): readonly string[] {
-    if (parts.length === 0) return [];
+  /** Returns the traits for which a request is refused; empty if it is not. */
+  findBlocked(traits: RequestTraits): readonly string[] {
     this.assessIfDue();
-    const [record] = this.suspects.listBlockedParts(parts, this.clock.nowMs());
-    return record?.parts ?? [];
+    const names = listTraits(traits);
+    const [record] = this.suspects.listBlockedTraits(names, this.clock.nowMs());
+    return record?.traits ?? [];
   }
 
   /**
-   * Returns the name under which prompts that may crash upstreams run one at a
-   * time; empty if the prompt is none of them.
+   * Returns the name under which requests that may crash upstreams run one at a
+   * time; empty if the request is none of them.
    */
-  findQuarantine(parts: readonly string[]): string {
-    if (parts.length === 0) return '';
+  findQuarantine(traits: RequestTraits): string {
     this.assessIfDue();
-    const found = this.suspicions.find(({parts: group}) =>
-      group.every(part => parts.includes(part)),
+    if (this.suspicions.length === 0) return '';
+    const names = listTraits(traits);
+    const found = this.suspicions.find(({traits: group}) =>
+      group.every(trait => names.includes(trait)),
     );
-    return found === undefined ? '' : computeGroupFingerprint(found.parts);
+    return found === undefined ? '' : computeGroupFingerprint(found.traits);
   }
 
   /**
@@ -76,23 +79,24 @@
    */
   recordCrash(
     request: string,
-    parts: readonly string[],
+    {scopes, parts}: RequestTraits,
     {upstreams, startedAtMs}: ObservedCrash,
   ): void {
-    if (parts.length === 0) return;
     const nowMs = this.clock.nowMs();
     for (const upstream of upstreams) {
       const crash = {
         upstream,
         request,
+        scopes,
         parts,
         startedAtMs,
         crashedAtMs: nowMs,
       };
       this.evidence.recordCrash(crash, nowMs);
-      this.publisher.publishPartCrash({
+      this.publisher.publishTraitCrash({
         upstream,
         request,
+        scopes: [...scopes],
         parts: [...parts],
         startedAgoMs: toAge(nowMs - startedAtMs),
         crashedAgoMs: 0,
@@ -102,42 +106,42 @@
   }
 
   /** Records a complete answer of this host. */
-  recordAnswer(parts: readonly string[], startedAtMs: number): void {
-    if (parts.length === 0) return;
+  recordAnswer(traits: RequestTraits, startedAtMs: number): void {
     const nowMs = this.clock.nowMs();
     const weight = this.countHosts();
-    this.evidence.recordAnswer(parts, startedAtMs, weight, nowMs);
-    if (!this.evidence.mayExplain(parts)) return;
+    this.evidence.recordAnswer(traits, startedAtMs, weight, nowMs);
+    if (!this.evidence.mayExplain(traits)) return;
     const startedAgoMs = toAge(nowMs - startedAtMs);
-    this.publisher.publishPartAnswer({parts: [...parts], startedAgoMs});
-    this.applyCounterEvidence(parts);
+    const [scopes, parts] = [[...traits.scopes], [...traits.parts]];
+    this.publisher.publishTraitAnswer({scopes, parts, startedAgoMs});
+    this.applyCounterEvidence(traits);
   }
 
   /** Applies what a peer saw of a crash. */
-  applyCrash(message: PartCrashMessage): void {
-    const {upstream, request, parts, startedAgoMs, crashedAgoMs} = message;
+  applyCrash(message: TraitCrashMessage): void {
+    const {startedAgoMs, crashedAgoMs, ...seen} = message;
     const nowMs = this.clock.nowMs();
     const startedAtMs = nowMs - startedAgoMs;
     const crashedAtMs = nowMs - crashedAgoMs;
-    const crash = {upstream, request, parts, startedAtMs, crashedAtMs};
-    this.evidence.recordCrash(crash, nowMs);
+    this.evidence.recordCrash({...seen, startedAtMs, crashedAtMs}, nowMs);
     this.planAssessment();
   }
 
   /** Applies a complete answer of a peer. */
-  applyAnswer({parts, startedAgoMs}: PartAnswerMessage): void {
+  applyAnswer({startedAgoMs, ...traits}: TraitAnswerMessage): void {
     const nowMs = this.clock.nowMs();
-    this.evidence.recordAnswer(parts, nowMs - startedAgoMs, 0, nowMs);
-    this.applyCounterEvidence(parts);
+    this.evidence.recordAnswer(traits, nowMs - startedAgoMs, 0, nowMs);
+    this.applyCounterEvidence(traits);
   }
 
   private isBlockedGroup(group: readonly string[]): boolean {
-    const records = this.suspects.listBlockedParts(group, this.clock.nowMs());
-    return records.some(({parts}) => parts.length === group.length);
+    const records = this.suspects.listBlockedTraits(group, this.clock.nowMs());
+    return records.some(({traits}) => traits.length === group.length);
   }
 
-  private applyCounterEvidence(parts: readonly string[]): void {
-    const updates = this.suspects.clearParts(parts, this.clock.nowMs());
+  private applyCounterEvidence(traits: RequestTraits): void {
+    const names = listTraits(traits);
+    const updates = this.suspects.clearTraits(names, this.clock.nowMs());
     for (const update of updates) this.onUpdate(update);
     this.planAssessment();
   }
@@ -156,27 +160,27 @@
   private assess(): void {
     const nowMs = this.clock.nowMs();
     const groups = this.suspects.listBlockedGroups();
-    // Of a group, one part alone may be the cause.
+    // Of a group, one trait alone may be the cause.
     const blocked = new Set(groups.filter(({length}) => length === 1).flat());
     const suspicions = this.evidence.assess(blocked, nowMs);
-    for (const part of blocked) {
+    for (const trait of blocked) {
       // Once the block has ended, only new crashes count.
-      if (this.evidence.wasAnswered(part)) this.evidence.forgive(part, nowMs);
+      if (this.evidence.wasAnswered(trait)) this.evidence.forgive(trait, nowMs);
     }
     this.suspicions = suspicions.filter(({isConfirmed}) => !isConfirmed);
     const repeatAtMs =
       this.suspicions.length > 0 ? nowMs + MAX_ASSESSMENT_AGE_MS : Infinity;
     const isSettled = nowMs >= this.settledAtMs;
     this.assessAtMs = isSettled ? repeatAtMs : this.settledAtMs;
-    for (const {parts, crashes, isConfirmed, isProven} of suspicions) {
+    for (const {traits, crashes, isConfirmed, isProven} of suspicions) {
       if (!isConfirmed) continue;
-      const wasAnswered = parts.every(part => this.evidence.wasAnswered(part));
-      if (this.isBlockedGroup(parts)) continue;
-      const fingerprint = computeGroupFingerprint(parts);
+      const wasAnswered = traits.every(it => this.evidence.wasAnswered(it));
+      if (this.isBlockedGroup(traits)) continue;
+      const fingerprint = computeGroupFingerprint(traits);
       this.onUpdate(
-        this.suspects.blockParts(
+        this.suspects.blockTraits(
           fingerprint,
-          parts,
+          traits,
           crashes,
           chooseBlockMs(wasAnswered, isProven),
           nowMs,
@@ -192,9 +196,10 @@
   return isProven ? BLOCK_MS : UNPROVEN_BLOCK_MS;
 }
 
-function computeGroupFingerprint(parts: readonly string[]): string {
+/** Hosts of earlier versions hash groups of parts in the same way. */
+function computeGroupFingerprint(traits: readonly string[]): string {
   return createHash('sha256')
-    .update(`parts ${parts.join(',')}`)
+    .update(`parts ${traits.join(',')}`)
     .digest('hex');
 }
 
--- a/packages/requests/src/answer_weights.ts
+++ b/packages/requests/src/answer_weights.ts
@@ -1,5 +1,5 @@
 const HALF_LIFE_MS = 5_000;
-const MAX_PARTS = 4_096;
+const MAX_TRAITS = 16_384;
 
 interface AnswerWeight {
   weight: number;
@@ -7,33 +7,33 @@
   lastStartMs: number;
 }
 
-/** Tracks how often the parts of prompts were in complete answers lately. */
+/** Tracks how often the traits of requests were in complete answers lately. */
 export class AnswerWeights {
-  /** The part that was answered longest ago comes first. */
-  private readonly byPart = new Map<string, AnswerWeight>();
+  /** The trait that was answered longest ago comes first. */
+  private readonly byTrait = new Map<string, AnswerWeight>();
 
   /** @param startMs Time at which the attempt was started that was answered. */
-  record(part: string, startMs: number, weight: number, nowMs: number): void {
-    const lastStartMs = Math.max(this.getLastStartMs(part), startMs);
-    const total = this.getWeight(part, nowMs) + weight;
-    this.byPart.delete(part);
-    this.byPart.set(part, {weight: total, atMs: nowMs, lastStartMs});
-    if (this.byPart.size <= MAX_PARTS) return;
-    for (const oldest of this.byPart.keys()) {
-      this.byPart.delete(oldest);
+  record(trait: string, startMs: number, weight: number, nowMs: number): void {
+    const lastStartMs = Math.max(this.getLastStartMs(trait), startMs);
+    const total = this.getWeight(trait, nowMs) + weight;
+    this.byTrait.delete(trait);
+    this.byTrait.set(trait, {weight: total, atMs: nowMs, lastStartMs});
+    if (this.byTrait.size <= MAX_TRAITS) return;
+    for (const oldest of this.byTrait.keys()) {
+      this.byTrait.delete(oldest);
       break;
     }
   }
 
   /** Returns the number of answers, of which each halves in five seconds. */
-  getWeight(part: string, nowMs: number): number {
-    const known = this.byPart.get(part);
+  getWeight(trait: string, nowMs: number): number {
+    const known = this.byTrait.get(trait);
     if (known === undefined) return 0;
     return known.weight * 2 ** ((known.atMs - nowMs) / HALF_LIFE_MS);
   }
 
   /** Returns the latest start of an answered attempt; -Infinity if none is known. */
-  getLastStartMs(part: string): number {
-    return this.byPart.get(part)?.lastStartMs ?? -Infinity;
+  getLastStartMs(trait: string): number {
+    return this.byTrait.get(trait)?.lastStartMs ?? -Infinity;
   }
 }
--- a/packages/requests/src/crash_evidence.test.ts
+++ b/packages/requests/src/crash_evidence.test.ts
@@ -1,6 +1,8 @@
 import {expect} from 'chai';
 import fc from 'fast-check';
 import {CrashEvidence} from './crash_evidence.js';
+import {describeScopes} from './describe_scopes.js';
+import type {RequestTraits} from './request_traits.js';
 
 const SEED = 1;
 const STEP_MS = 100;
@@ -13,16 +15,18 @@
 const NONE: ReadonlySet<string> = new Set();
 /** Three prompts with a part may reach upstreams after its fifth crash. */
 const MAX_CRASHES = 8;
+/** Three requests may reach upstreams after the third crash. */
+const MAX_PLAIN_CRASHES = 6;
 
 describe('CrashEvidence', () => {
   it('suspects a part after three crashes that no other part explains', () => {
     const evidence = new CrashEvidence();
-    evidence.recordAnswer(['first'], 0, HOSTS, 0);
+    answer(evidence, ['first'], 0, HOSTS, 0);
     for (const at of [1, 2]) crash(evidence, `u${at}`, ['first', 'bad'], at);
     expect(evidence.assess(NONE, SETTLED_MS)).to.deep.equal([]);
     crash(evidence, 'u3', ['first', 'bad'], 3);
     expect(evidence.assess(NONE, SETTLED_MS)).to.deep.equal([
-      {parts: ['bad'], crashes: 3, isConfirmed: true, isProven: true},
+      {traits: ['bad'], crashes: 3, isConfirmed: true, isProven: true},
     ]);
   });
 
@@ -31,12 +35,17 @@
     for (let at = 0; at < 9; at++) {
       const upstream = `u${at}`;
       const [request, crashedAtMs] = [`request ${at}`, 200 + at];
-      const report = {upstream, request, parts: ['batch'], crashedAtMs};
+      const report = {
+        upstream,
+        request,
+        ...describeParts(['batch']),
+        crashedAtMs,
+      };
       evidence.recordCrash({...report, startedAtMs: at}, 200 + at);
     }
     const [suspicion] = evidence.assess(NONE, 300);
     expect(suspicion).to.include({crashes: 9, isConfirmed: false});
-    evidence.recordAnswer(['batch'], 4, 0, 400);
+    answer(evidence, ['batch'], 4, 0, 400);
     expect(evidence.assess(NONE, 400)).to.deep.equal([]);
   });
 
@@ -48,7 +57,7 @@
 
   it('does not hold the crashes of one request that comes again against its parts', () => {
     const evidence = new CrashEvidence();
-    evidence.recordAnswer(['first'], 0, HOSTS, 0);
+    answer(evidence, ['first'], 0, HOSTS, 0);
     const parts = ['first', 'topic'];
     for (const at of [1, 2, 3, 4]) crash(evidence, `u${at}`, parts, at, 'same');
     expect(evidence.assess(NONE, SETTLED_MS)).to.deep.equal([]);
@@ -65,10 +74,10 @@
     const evidence = new CrashEvidence();
     for (const at of [1, 2, 3]) crash(evidence, `u${at}`, ['topic', 'bad'], at);
     const [both] = evidence.assess(NONE, SETTLED_MS);
-    expect(both?.parts).to.deep.equal(['bad', 'topic']);
+    expect(both?.traits).to.deep.equal(['bad', 'topic']);
     crash(evidence, 'u4', ['other', 'bad'], 4);
     const [one, ...others] = evidence.assess(NONE, SETTLED_MS);
-    expect(one?.parts).to.deep.equal(['bad']);
+    expect(one?.traits).to.deep.equal(['bad']);
     expect(others).to.deep.equal([]);
   });
 
@@ -76,16 +85,16 @@
     const evidence = new CrashEvidence();
     for (let at = 0; at < 40; at++) {
       const parts = at % 2 === 0 ? ['first'] : ['first', 'turned'];
-      evidence.recordAnswer(parts, at * STEP_MS, 1, at * STEP_MS);
+      answer(evidence, parts, at * STEP_MS, 1, at * STEP_MS);
     }
     let nowMs = 40 * STEP_MS;
     let crashes = 0;
     while (evidence.assess(NONE, nowMs).length === 0) {
       nowMs += STEP_MS;
       crash(evidence, `u${crashes++}`, ['first', 'turned'], nowMs);
-      evidence.recordAnswer(['first'], nowMs - ANSWER_MS, 1, nowMs);
+      answer(evidence, ['first'], nowMs - ANSWER_MS, 1, nowMs);
     }
-    expect(evidence.assess(NONE, nowMs)[0]?.parts).to.deep.equal(['turned']);
+    expect(evidence.assess(NONE, nowMs)[0]?.traits).to.deep.equal(['turned']);
   });
 
   it('blocks the crashing part in any traffic, and no request without it', () => {
@@ -108,7 +117,7 @@
           for (const parts of sound.map(nameParts)) {
             expect(isBlocked(parts), String(blocked)).to.equal(false);
             const startedAtMs = nowMs - ANSWER_MS;
-            evidence.recordAnswer(parts, startedAtMs, HOSTS, nowMs);
+            answer(evidence, parts, startedAtMs, HOSTS, nowMs);
           }
           const parts = [...nameParts(crashing), 'bad'];
           if (isBlocked(parts)) continue;
@@ -123,12 +132,12 @@
             blocked.filter(({length}) => length === 1).flat(),
           );
           const found = evidence.assess(single, nowMs + STEP_MS - 1);
-          for (const {parts, isConfirmed} of found) {
-            if (isConfirmed) blocked.push([...parts]);
+          for (const {traits, isConfirmed} of found) {
+            if (isConfirmed) blocked.push([...traits]);
           }
           quarantined = found
             .filter(({isConfirmed}) => !isConfirmed)
-            .flatMap(({parts}) => parts);
+            .flatMap(({traits}) => traits);
         }
         expect(crashes).to.be.at.most(MAX_CRASHES);
       }),
@@ -137,6 +146,71 @@
   });
 });
 
+describe('CrashEvidence of requests without a prompt', () => {
+  it('blocks a parameter of the query, and no request without it', () => {
+    const sharedParameters = fc.uniqueArray(fc.nat({max: 3}), {maxLength: 2});
+    const step = fc.record({
+      crashing: sharedParameters,
+      bystanders: fc.array(sharedParameters, {maxLength: 2}),
+      sound: fc.array(sharedParameters, {minLength: 1, maxLength: 4}),
+    });
+    fc.assert(
+      fc.property(fc.array(step, {minLength: 20, maxLength: 40}), steps => {
+        const evidence = new CrashEvidence();
+        const blocked: string[][] = [];
+        let [crashes, sent] = [0, 0];
+        const describeCall = (parameters: readonly string[]): RequestTraits => {
+          const [path, method] = ['path', 'path GET'];
+          const own = `own ${sent++}`;
+          return {scopes: [path, method, own, ...parameters], parts: []};
+        };
+        const isBlocked = ({scopes}: RequestTraits): boolean =>
+          blocked.some(group => group.every(scope => scopes.includes(scope)));
+        for (const [at, {crashing, bystanders, sound}] of steps.entries()) {
+          const nowMs = at * STEP_MS;
+          for (const call of sound.map(nameParts).map(describeCall)) {
+            expect(isBlocked(call), String(blocked)).to.equal(false);
+            evidence.recordAnswer(call, nowMs - ANSWER_MS, HOSTS, nowMs);
+          }
+          const call = describeCall([...nameParts(crashing), 'bad']);
+          if (isBlocked(call)) continue;
+          const upstream = `u${crashes++}`;
+          const calls = bystanders.map(nameParts).map(describeCall);
+          for (const one of [call, ...calls]) {
+            const request = one.scopes.join(' ');
+            const crash = {upstream, request, ...one, crashedAtMs: nowMs};
+            evidence.recordCrash({...crash, startedAtMs: nowMs - 0.5}, nowMs);
+          }
+          for (const {traits, isConfirmed} of evidence.assess(
+            new Set(),
+            nowMs + STEP_MS - 1,
+          )) {
+            if (isConfirmed) blocked.push([...traits]);
+          }
+        }
+        expect(crashes).to.be.at.most(MAX_PLAIN_CRASHES);
+      }),
+      {seed: SEED, numRuns: 300},
+    );
+  });
+
+  it('blocks requests with the same path, account and body under other methods', () => {
+    const evidence = new CrashEvidence();
+    for (const [at, method] of ['GET', 'HEAD', 'POST'].entries()) {
+      const content = {method, target: `/a?at=${at}`, account: 'm', body: ''};
+      const scopes = describeScopes(content);
+      const call = {upstream: `u${at}`, request: method, scopes, parts: []};
+      const times = {startedAtMs: at - 0.5, crashedAtMs: at};
+      evidence.recordCrash({...call, ...times}, at);
+    }
+    const [suspicion] = evidence.assess(NONE, SETTLED_MS);
+    const content = {method: 'GET', target: '/a', account: 'm', body: ''};
+    const [widest] = describeScopes(content);
+    expect(suspicion?.traits).to.deep.equal([widest]);
+    expect(suspicion?.isConfirmed).to.equal(true);
+  });
+});
+
 /** Records the crash of an attempt that had just started. */
 function crash(
   evidence: CrashEvidence,
@@ -146,10 +220,22 @@
   request = `request ${parts.join(' ')} at ${nowMs}`,
 ): void {
   const startedAtMs = nowMs - 0.5;
-  evidence.recordCrash(
-    {upstream, request, parts, startedAtMs, crashedAtMs: nowMs},
-    nowMs,
-  );
+  const crash = {upstream, request, startedAtMs, crashedAtMs: nowMs};
+  evidence.recordCrash({...crash, ...describeParts(parts)}, nowMs);
+}
+
+function answer(
+  evidence: CrashEvidence,
+  parts: readonly string[],
+  startedAtMs: number,
+  weight: number,
+  nowMs: number,
+): void {
+  evidence.recordAnswer(describeParts(parts), startedAtMs, weight, nowMs);
+}
+
+function describeParts(parts: readonly string[]): RequestTraits {
+  return {scopes: [], parts};
 }
 
 function nameParts(numbers: readonly number[]): string[] {
--- a/packages/requests/src/crash_suspects.test.ts
+++ b/packages/requests/src/crash_suspects.test.ts
@@ -27,7 +27,7 @@
       {
         fingerprint: 'a',
         bodyBytes: 1,
-        parts: [],
+        traits: [],
         verdict: CrashStatus.CLEAR,
         generation: 9,
         crashes: 0,
--- a/packages/requests/src/crash_suspects.ts
+++ b/packages/requests/src/crash_suspects.ts
@@ -38,7 +38,7 @@
   private readonly countByBodyBytes = new Map<number, number>();
   /** Combined hash of the records in each bucket. */
   private readonly bucketHashes = new Uint32Array(BUCKETS);
-  /** Parts of prompts that are blocked. */
+  /** Traits of requests that are blocked. */
   private readonly blockedGroups = new TraitGroups();
   private purgeAtMs = 0;
 
@@ -103,7 +103,7 @@
       {
         fingerprint,
         bodyBytes,
-        parts: [],
+        traits: [],
         generation,
         crashes,
         isBlocked,
@@ -115,14 +115,14 @@
   }
 
   /**
-   * Blocks the prompts that have all parts of a group.
+   * Blocks the requests that have all traits of a group.
    *
-   * @param parts Sorted.
+   * @param traits Sorted.
    * @return Update to send to the peers.
    */
-  blockParts(
+  blockTraits(
     fingerprint: string,
-    parts: readonly string[],
+    traits: readonly string[],
     crashes: number,
     ttlMs: number,
     nowMs: number,
@@ -132,7 +132,7 @@
       {
         fingerprint,
         bodyBytes: 0,
-        parts,
+        traits,
         generation: before?.generation ?? 0,
         crashes,
         isBlocked: true,
@@ -144,12 +144,12 @@
   }
 
   /**
-   * Clears the blocked groups that a prompt with a complete answer had.
+   * Clears the blocked groups that a request with a complete answer had.
    *
    * @return Updates to send to the peers.
    */
-  clearParts(parts: readonly string[], nowMs: number): SuspectUpdate[] {
-    const cleared = this.listBlockedParts(parts, nowMs);
+  clearTraits(traits: readonly string[], nowMs: number): SuspectUpdate[] {
+    const cleared = this.listBlockedTraits(traits, nowMs);
     return cleared.map(record =>
       this.store(
         {
@@ -164,14 +164,14 @@
     );
   }
 
-  /** Lists the blocked groups of parts that a prompt has. */
-  listBlockedParts(parts: readonly string[], nowMs: number): SuspectRecord[] {
+  /** Lists the blocked groups of traits that a request has. */
+  listBlockedTraits(traits: readonly string[], nowMs: number): SuspectRecord[] {
     return this.blockedGroups
-      .listIn(parts)
+      .listIn(traits)
       .flatMap(fingerprint => this.findRecord(fingerprint, nowMs) ?? []);
   }
 
-  /** Lists all blocked groups of parts. */
+  /** Lists all blocked groups of traits. */
   listBlockedGroups(): (readonly string[])[] {
     return this.blockedGroups.list();
   }
@@ -201,7 +201,7 @@
    * @return Whether the update changed what is known.
    */
   applyUpdate(update: SuspectUpdate, nowMs: number): boolean {
-    const {fingerprint, bodyBytes, parts, verdict, generation, crashes} =
+    const {fingerprint, bodyBytes, traits, verdict, generation, crashes} =
       update;
     const before = this.findRecord(fingerprint, nowMs);
     const isBlocked = verdict === CrashStatus.BLOCKED;
@@ -214,7 +214,7 @@
       {
         fingerprint,
         bodyBytes,
-        parts,
+        traits,
         generation,
         crashes,
         isBlocked,
@@ -271,8 +271,8 @@
     const record = {...suspect, expiresAtMs: nowMs + ttlMs, hash};
     this.records.set(fingerprint, record);
     this.toggleHash(record);
-    if (record.parts.length > 0) {
-      if (record.isBlocked) this.blockedGroups.add(fingerprint, record.parts);
+    if (record.traits.length > 0) {
+      if (record.isBlocked) this.blockedGroups.add(fingerprint, record.traits);
     } else if (crashes > 0) {
       this.count(bodyBytes, 1);
     }
@@ -298,8 +298,8 @@
     if (record === undefined) return;
     this.records.delete(fingerprint);
     this.toggleHash(record);
-    if (record.parts.length > 0) {
-      this.blockedGroups.remove(fingerprint, record.parts);
+    if (record.traits.length > 0) {
+      this.blockedGroups.remove(fingerprint, record.traits);
     } else if (record.crashes > 0) {
       this.count(record.bodyBytes, -1);
     }
@@ -325,12 +325,12 @@
 }
 
 function describeRecord(record: SuspectRecord, nowMs: number): SuspectUpdate {
-  const {fingerprint, bodyBytes, parts, generation, crashes, expiresAtMs} =
+  const {fingerprint, bodyBytes, traits, generation, crashes, expiresAtMs} =
     record;
   return {
     fingerprint,
     bodyBytes,
-    parts,
+    traits,
     verdict: getStatus(record),
     generation,
     crashes,
@@ -345,8 +345,8 @@
 /** Orders what hosts know, so that all of them come to the same record. */
 function isNewer(update: SuspectUpdate, record: SuspectRecord): boolean {
   const isBlocked = update.verdict === CrashStatus.BLOCKED;
-  const hasParts = update.parts.length > 0;
-  if (!hasParts && isBlocked !== record.isBlocked) return isBlocked;
+  const hasTraits = update.traits.length > 0;
+  if (!hasTraits && isBlocked !== record.isBlocked) return isBlocked;
   if (update.generation !== record.generation) {
     return update.generation > record.generation;
   }
--- /dev/null
+++ b/packages/requests/src/describe_scopes.test.ts
@@ -0,0 +1,43 @@
+import {expect} from 'chai';
+import type {CallContent} from './call_content.js';
+import {describeScopes} from './describe_scopes.js';
+
+const CALL = {
+  method: 'GET',
+  target: '/read/7?bin=4&at=1',
+  account: 'mill',
+  body: '',
+};
+
+/** Returns how many scopes a call has in common with the first one. */
+function countShared(changes: Partial<CallContent>): number {
+  const before = describeScopes(CALL);
+  return describeScopes({...CALL, ...changes}).filter(scope =>
+    before.includes(scope),
+  ).length;
+}
+
+describe('describeScopes', () => {
+  it('joins calls that differ in query or method only', () => {
+    expect(describeScopes(CALL)).to.have.length(4);
+    expect(countShared({})).to.equal(4);
+    expect(countShared({target: '/read/7?at=1&bin=4'})).to.equal(4);
+    expect(countShared({target: '/read/7?bin=4&at=2'})).to.equal(3);
+    expect(countShared({target: '/read/7'})).to.equal(2);
+    expect(countShared({method: 'HEAD'})).to.equal(3);
+  });
+
+  it('keeps calls of other paths, accounts and bodies apart', () => {
+    expect(countShared({target: '/read/8?bin=4&at=1'})).to.equal(0);
+    expect(countShared({account: 'shop'})).to.equal(0);
+    expect(countShared({body: '4'})).to.equal(0);
+  });
+
+  it('describes a bounded number of parameters', () => {
+    const target = `/a?${new Array(99)
+      .fill(0)
+      .map((_none, at) => `p${at}`)
+      .join('&')}`;
+    expect(describeScopes({...CALL, target})).to.have.length(10);
+  });
+});
--- a/packages/requests/src/suspect_record.ts
+++ b/packages/requests/src/suspect_record.ts
@@ -1,4 +1,4 @@
-/** What is recorded about the requests, or parts of prompts, of one fingerprint. */
+/** What is recorded about the requests, or group of traits, of one fingerprint. */
 export interface SuspectRecord {
   /** SHA-256 that identifies the requests, in hexadecimal. */
   readonly fingerprint: string;
@@ -7,10 +7,10 @@
    */
   readonly bodyBytes: number;
   /**
-   * Parts that a prompt has to have, sorted; empty for a record of requests that
+   * Traits that a request has to have, sorted; empty for a record of requests that
    * are the same as a whole.
    */
-  readonly parts: readonly string[];
+  readonly traits: readonly string[];
   /** Number of times that the suspicion was cleared. */
   readonly generation: number;
   /** Successive crashes since then; 0 once it is cleared. */
--- a/packages/requests/src/suspect_update.ts
+++ b/packages/requests/src/suspect_update.ts
@@ -6,8 +6,8 @@
   readonly fingerprint: string;
   /** Length of the body, in bytes. */
   readonly bodyBytes: number;
-  /** Parts that a prompt has to have, sorted; empty for a whole request. */
-  readonly parts: readonly string[];
+  /** Traits that a request has to have, sorted; empty for a whole request. */
+  readonly traits: readonly string[];
   readonly verdict: CrashStatus;
   /** Number of times that the suspicion was cleared. */
   readonly generation: number;
--- a/packages/requests/src/trait_groups.ts
+++ b/packages/requests/src/trait_groups.ts
@@ -1,6 +1,6 @@
-/** Groups of parts of prompts, found by the parts of a prompt. */
+/** Groups of traits, found by the traits of a request. */
 export class TraitGroups {
-  /** Groups by the first of their parts and by their fingerprint. */
+  /** Groups by the first of their traits and by their fingerprint. */
   private readonly byFirst = new Map<string, Map<string, readonly string[]>>();
 
   /** Lists all groups. */
@@ -8,7 +8,7 @@
     return [...this.byFirst.values()].flatMap(groups => [...groups.values()]);
   }
 
-  /** @param group Parts, of which a prompt has to have all. */
+  /** @param group Traits, of which a request has to have all. */
   add(fingerprint: string, group: readonly string[]): void {
     const [first] = group;
     if (first === undefined) return;
@@ -22,12 +22,12 @@
     if (groups?.size === 0) this.byFirst.delete(first);
   }
 
-  /** Lists the fingerprints of the groups whose parts all occur in a prompt. */
-  listIn(parts: readonly string[]): string[] {
+  /** Lists the fingerprints of the groups whose traits a request all has. */
+  listIn(traits: readonly string[]): string[] {
     if (this.byFirst.size === 0) return [];
-    return parts
-      .flatMap(part => [...(this.byFirst.get(part) ?? [])])
-      .filter(([, group]) => group.every(part => parts.includes(part)))
+    return traits
+      .flatMap(trait => [...(this.byFirst.get(trait) ?? [])])
+      .filter(([, group]) => group.every(trait => traits.includes(trait)))
       .map(([fingerprint]) => fingerprint);
   }
 }
