Keep a suspect that an upstream answers with an error

Callers saw a service go down again and again under one request: an upstream that answered it with 500 between two crashes cleared the suspicion, so the count began anew each time.

Cause: any complete answer counted as proof that the request is sound. An error of the upstream may come before the request runs, and says nothing of it. What an answer tells is decided in one place for both request paths now (SuspectTracker.recordAnswer): a status of 500 or more clears nothing.

--- a/packages/daemon/src/callers/completion_session.ts
+++ b/packages/daemon/src/callers/completion_session.ts
@@ -30,6 +30,7 @@
 const ENGINE_IDLE_TIMEOUT_MS = 5_000;
 const MAX_ATTEMPTS = 4;
 const MS_PER_SECOND = 1_000;
+const OK_STATUS = 200;
 
 /**
  * Runs one completion request: admission, attempts and answer. Decisions are
@@ -351,7 +352,7 @@
       bytes: this.request.promptBytes,
       tokens: usage.promptTokens,
     });
-    serving.suspects.recordSuccess(this.subject, this.startedAtMs);
+    serving.suspects.recordAnswer(this.subject, OK_STATUS, this.startedAtMs);
     const tokens = usage.promptTokens + usage.completionTokens;
     serving.admission.noteFinished(routedRequest.id, true, tokens);
     serving.retries.recordSuccess();
--- a/packages/daemon/src/gateway/crash_detector.ts
+++ b/packages/daemon/src/gateway/crash_detector.ts
@@ -122,16 +122,10 @@
     );
   }
 
-  /**
-   * Clears the suspicion after a complete response.
-   *
-   * @param hasAnswered Whether it is an answer rather than an error, and so tells
-   *     that what it has in common with others is sound.
-   */
-  recordSuccess(hasAnswered: boolean): void {
-    const {subject} = this;
-    const known = hasAnswered ? subject : {...subject, scopes: [], parts: []};
-    this.context.suspects.recordSuccess(known, this.startedAtMs);
+  /** Records a complete response with an HTTP status. */
+  recordAnswer(status: number): void {
+    const {suspects} = this.context;
+    suspects.recordAnswer(this.subject, status, this.startedAtMs);
   }
 
   private findState(): SuspectState {
--- a/packages/daemon/src/gateway/forward_session.ts
+++ b/packages/daemon/src/gateway/forward_session.ts
@@ -339,7 +339,7 @@
   }
 
   private endResponse(head: ResponseHead): void {
-    this.crashDetector.recordSuccess(head.status === OK_STATUS);
+    this.crashDetector.recordAnswer(head.status);
     if (this.isStreaming()) {
       if (!this.writer.hasStarted) this.writer.start(head);
       this.writer.end();
--- a/packages/daemon/src/host/serving.ts
+++ b/packages/daemon/src/host/serving.ts
@@ -146,7 +146,8 @@
     this.countCall(name, -1);
     if (result.isOk) {
       this.upstreams.noteSuccess(name);
-      this.suspects.recordSuccess(subject, startedAtMs);
+      const {status} = result.value;
+      this.suspects.recordAnswer(subject, status, startedAtMs);
       return result;
     }
     this.upstreams.noteFailure(name);
--- a/packages/daemon/src/upstreams/suspect_tracker.ts
+++ b/packages/daemon/src/upstreams/suspect_tracker.ts
@@ -24,6 +24,8 @@
 /** Time after which hosts of earlier versions forget a request. */
 const DEFAULT_REMAINING_MS = 3_600_000;
 const HASH_FACTOR = 31;
+const OK_STATUS = 200;
+const SERVER_ERROR_STATUS = 500;
 const VERDICTS = new Set<string>(Object.values(CrashStatus));
 
 /**
@@ -110,12 +112,19 @@
   }
 
   /**
-   * Records that a request completed.
+   * Records that a request got a complete answer. An error of the upstream tells
+   * nothing: it may come before the request runs.
    *
+   * @param status HTTP status of the answer.
    * @param startedAtMs Monotonic time at which its last attempt started.
    */
-  recordSuccess(subject: SuspectSubject, startedAtMs: number): void {
-    this.traits.recordAnswer(subject, startedAtMs);
+  recordAnswer(
+    subject: SuspectSubject,
+    status: number,
+    startedAtMs: number,
+  ): void {
+    if (status >= SERVER_ERROR_STATUS) return;
+    if (status === OK_STATUS) this.traits.recordAnswer(subject, startedAtMs);
     if (this.findState(subject).status !== CrashStatus.SUSPECT) return;
     const update = this.suspects.recordSuccess(
       this.computeFingerprint(subject),
