Log the fingerprint and the scopes of a request under which an upstream crashed

The line upstream_crashed named the request's id only, so that the lines of one incident could be joined by their times alone: whether a caller sent the same request again, or one that differs in its query or method, could not be read from them.

--- a/packages/daemon/src/gateway/crash_detector.ts
+++ b/packages/daemon/src/gateway/crash_detector.ts
@@ -6,6 +6,7 @@
 } from '@parsleywood/requests';
 import type {Failure} from '@parsleywood/errors';
 import {createCrashFailure} from '../callers/create_crash_failure.js';
+import {shortenHash} from '../upstreams/shorten_hash.js';
 import type {SuspectSubject} from '../upstreams/suspect_subject.js';
 import type {AttemptPlacer} from './attempt_placer.js';
 import type {GatewayContext} from './gateway_context.js';
@@ -114,12 +115,16 @@
       wasIsolated,
       startedAtMs: this.startedAtMs,
     });
-    this.log.logCrash(
-      upstreams.join(' '),
-      stateBefore.crashes + 1,
-      wasIsolated,
-      status === CrashStatus.BLOCKED,
-    );
+    this.log.logCrash({
+      upstreams: upstreams.join(' '),
+      crashes: stateBefore.crashes + 1,
+      isIsolated: wasIsolated,
+      isCondemned: status === CrashStatus.BLOCKED,
+      fingerprint: shortenHash(
+        context.suspects.computeFingerprint(this.subject),
+      ),
+      scopes: this.subject.scopes.map(shortenHash).join(' '),
+    });
   }
 
   /** Records a complete response with an HTTP status. */
--- a/packages/daemon/src/gateway/session_log.ts
+++ b/packages/daemon/src/gateway/session_log.ts
@@ -1,6 +1,7 @@
 import type {Failure} from '@parsleywood/errors';
 import {AttemptOutcome, type RouteMatch} from '@parsleywood/forwarding';
 import {TimelineEventName, type TimelineFields} from '@parsleywood/timeline';
+import type {CrashFields} from './crash_fields.js';
 import type {GatewayContext} from './gateway_context.js';
 import type {PlacedAttempt} from './placed_attempt.js';
 import type {ReceivedRequest} from './received_request.js';
@@ -97,20 +98,12 @@
   }
 
   /** Logs that upstreams crashed while executing the request. */
-  logCrash(
-    upstreams: string,
-    crashes: number,
-    isIsolated: boolean,
-    isCondemned: boolean,
-  ): void {
-    const requestId = this.request.metadata.id;
+  logCrash(crash: CrashFields): void {
+    const {id, promptParts} = this.request.metadata;
     this.context.log.warn('upstream_crashed', {
-      requestId,
-      promptParts: this.request.metadata.promptParts.join(' ') || undefined,
-      upstreams,
-      crashes,
-      isIsolated,
-      isCondemned,
+      requestId: id,
+      promptParts: promptParts.join(' ') || undefined,
+      ...crash,
     });
   }
 
--- a/packages/daemon/src/upstreams/suspect_log.ts
+++ b/packages/daemon/src/upstreams/suspect_log.ts
@@ -1,11 +1,9 @@
 import type {SuspectUpdate} from '@parsleywood/requests';
 import type {EventLog} from '../host/event_log.js';
 import type {HostMetrics} from '../host/host_metrics.js';
+import {shortenHash} from './shorten_hash.js';
 import type {SuspectSource} from './suspect_source.js';
 
-/** Digits of a fingerprint that log lines show. */
-const LOGGED_DIGITS = 12;
-
 /** Logs and counts the changes of crash statuses that a host learns of. */
 export class SuspectLog {
   constructor(
@@ -19,8 +17,8 @@
   ): void {
     this.metrics.suspectUpdates.inc({status: verdict, source});
     this.log.info('suspect_updated', {
-      fingerprint: fingerprint.slice(0, LOGGED_DIGITS),
-      ...(traits.length > 0 && {traits: traits.join(' ')}),
+      fingerprint: shortenHash(fingerprint),
+      ...(traits.length > 0 && {traits: traits.map(shortenHash).join(' ')}),
       crashes,
       status: verdict,
       source,
