Order states of the store by epoch and revision

Cause: a revision was taken to order all states of the store. After a return from a copy revisions go back and are given out again: states below the known revision were ignored, changes below it never asked for, and peers compared what cannot be compared.

Each answer of the store names an epoch (Store-Era on the wire), and epoch and revision together order states, at the replica, in heartbeats and in queries between hosts. A watch that shows a new epoch loads all anew; answers of an earlier epoch and lists with pages of two are dropped. When all hosts have to load at once a few do so early, and the others hear of it from peers; a store that stays behind without naming an epoch is read ever more slowly.

Evidence: the tests failed before with 404 at all of nine and three hosts, and at one of nine. They pass now. Property test: in 500 random histories with returns, position and version never go back, no upstream that was seen to leave is used, and the end state is that of the store. In a test with 300 hosts at most a third load before they hear of it from peers.

Hosts of the version before send no epoch and are taken to be in epoch 0.

--- a/packages/daemon/src/gateway/attempt_placer.ts
+++ b/packages/daemon/src/gateway/attempt_placer.ts
@@ -194,7 +194,7 @@
       this.triedUpstreams.delete(upstream.id);
       this.penalize(faultyHelper, true, outcome, status);
     } else if (status === MISDIRECTED_STATUS) {
-      context.replica.upstreams.evict(upstream.id);
+      context.replica.upstreams.evict(upstream.id, context.clock.nowMs());
     } else if (
       outcome === AttemptOutcome.ANSWERED &&
       status < SERVER_ERROR_STATUS
--- a/packages/daemon/src/gateway/fleet_membership.ts
+++ b/packages/daemon/src/gateway/fleet_membership.ts
@@ -6,13 +6,14 @@
   type RelayChoice,
 } from '@parsleywood/membership';
 import type {UpstreamLimits} from '@parsleywood/dispatch';
-import type {SiteSnapshot} from '@parsleywood/forwarding';
+import {comparePositions, type SiteSnapshot} from '@parsleywood/forwarding';
 import {
   HostStage,
   type FleetMessage,
   type HostBeat,
   type HostDigest,
   type HostSighting,
+  type SiteQuery,
 } from '@parsleywood/schema/fleet';
 import type {Delivery} from '@parsleywood/schema/peer';
 import type {GatewaySettings} from '@parsleywood/schema/gateway_settings';
@@ -220,13 +221,10 @@
         this.suspects.handleRecords(body.value);
         break;
       case 'siteQuery':
-        this.answerQuery(host, body.value.revision);
+        this.answerQuery(host, body.value);
         break;
       case 'siteState':
-        this.siteUpdater.applySnapshot(
-          JSON.parse(body.value.json) as SiteSnapshot,
-          host,
-        );
+        this.siteUpdater.applySnapshot(decodeSnapshot(body.value.json), host);
         break;
     }
   }
@@ -333,29 +331,29 @@
   }
 
   /**
-   * Queries the peer with the newest revision when the store has not delivered
-   * it.
+   * Queries the peer with the latest position of the store when the store has not
+   * delivered it.
    */
   private queryNewestPeer(nowMs: number): void {
+    const {position} = this.siteUpdater;
     const ahead = this.livePeers.filter(
-      ({revision}) => revision > this.siteUpdater.revision,
+      peer => comparePositions(peer, position) > 0,
     );
-    const [best] = ahead.sort((left, right) => right.revision - left.revision);
+    const [best] = ahead.sort((left, right) => comparePositions(right, left));
     if (best === undefined) {
       this.peerAheadSinceMs = Infinity;
       return;
     }
     this.peerAheadSinceMs = Math.min(this.peerAheadSinceMs, nowMs);
     if (nowMs - this.peerAheadSinceMs < PEER_QUERY_DELAY_MS) return;
-    const {revision} = this.siteUpdater;
     this.relay.send(best.peersAddress, {
-      body: {$case: 'siteQuery', value: {revision}},
+      body: {$case: 'siteQuery', value: position},
     });
   }
 
-  private answerQuery(host: string, revision: number): void {
+  private answerQuery(host: string, query: SiteQuery): void {
     const snapshot = this.readSnapshot();
-    if (snapshot.revision <= revision) return;
+    if (comparePositions(snapshot, query) <= 0) return;
     const json = JSON.stringify(snapshot);
     // A host's name among peers is its address for peers.
     this.relay.send(host, {
@@ -373,7 +371,7 @@
       callersAddress,
       failureDomain,
       stage: STAGES[this.readStage()],
-      revision: this.siteUpdater.revision,
+      ...this.siteUpdater.position,
       hearsReceiver: false,
       knownAddresses: [],
       processorShare: this.settings.processorShare ?? 1,
@@ -408,6 +406,12 @@
   return {...beat, incarnation, stage: decodeStage(beat.stage)};
 }
 
+/** Hosts of earlier versions tell no epoch. */
+function decodeSnapshot(json: string): SiteSnapshot {
+  const snapshot = JSON.parse(json) as SiteSnapshot & {epoch?: number};
+  return {...snapshot, epoch: snapshot.epoch ?? 0};
+}
+
 function decodeStage(stage: HostStage): PeerStage {
   if (stage === HostStage.HOST_STAGE_READY) return PeerStage.READY;
   if (stage === HostStage.HOST_STAGE_STOPPING) return PeerStage.STOPPING;
--- a/packages/daemon/src/gateway/gateway_host.ts
+++ b/packages/daemon/src/gateway/gateway_host.ts
@@ -279,7 +279,7 @@
     }
     this.version = configuration.version;
     this.timeline.record(TimelineEventName.CONFIGURATION_ADOPTED, '', {
-      revision: replica.revision,
+      revision: replica.position.revision,
     });
     this.recordReady();
     this.server.applyLimits(configuration.limits);
@@ -292,7 +292,7 @@
     this.timeline.record(TimelineEventName.HOST_SERVING);
     this.log.info('host_ready', {
       version: this.version,
-      revision: this.replica.revision,
+      ...this.replica.position,
       // The monotonic clock starts with the process.
       sinceStartMs: Math.round(this.clock.nowMs()),
     });
@@ -319,7 +319,7 @@
       name: this.settings.host,
       failureDomain: this.settings.failureDomain,
       state: this.readStage(),
-      revision: this.replica.revision,
+      ...this.replica.position,
       version: this.version,
       storeAgeMs: this.siteUpdater.getStoreAgeMs(),
       hosts: this.fleet.countHosts(),
--- a/packages/daemon/src/gateway/gateway_server.ts
+++ b/packages/daemon/src/gateway/gateway_server.ts
@@ -198,7 +198,7 @@
       outcome: failure.kind,
       reason: failure.message,
       version: context.replica.rules?.configuration.version,
-      revision: context.replica.revision,
+      ...context.replica.position,
     });
     if (failure.kind === ErrorKind.CALLER_GONE) writer.abort();
     else writer.fail(failure);
--- a/packages/daemon/src/gateway/session_log.ts
+++ b/packages/daemon/src/gateway/session_log.ts
@@ -64,7 +64,7 @@
       promptTokens: request.metadata.promptTokens,
       leftMs: Math.round(leftMs),
       knownPlacements: context.placements.size,
-      revision: context.replica.revision,
+      ...context.replica.position,
     });
   }
 
@@ -92,7 +92,7 @@
       end: outcome,
       status,
       detail,
-      revision: context.replica.revision,
+      ...context.replica.position,
       tookMs: Math.round(context.clock.nowMs() - startedAtMs),
     });
   }
--- a/packages/daemon/src/gateway/site_file.ts
+++ b/packages/daemon/src/gateway/site_file.ts
@@ -23,6 +23,9 @@
 /** Time after which a watch without changes returns, in milliseconds. */
 const WATCH_TIMEOUT_MS = 2_500;
 
+/** A file does not say whether it is a copy. */
+const NO_EPOCH = 0;
+
 /** The file's content after validation, with the schema's defaults filled in. */
 type PublishedSite = Omit<Configuration, 'limits'> & {
   readonly limits?: Partial<Configuration['limits']>;
@@ -70,7 +73,7 @@
         return Result.ok({...rest, updated: upstreams, removed});
       }
     }
-    return Result.ok({revision, updated: [], removed: []});
+    return Result.ok({epoch: NO_EPOCH, revision, updated: [], removed: []});
   }
 
   close(): void {
@@ -110,6 +113,7 @@
   }: PublishedSite): SiteSnapshot {
     this.knownUpstreams = new Set(upstreams.map(({id}) => id));
     return {
+      epoch: NO_EPOCH,
       revision: rest.version,
       configuration: {...rest, limits: {...DEFAULT_CALLER_LIMITS, ...limits}},
       upstreams,
--- a/packages/daemon/src/gateway/site_source.ts
+++ b/packages/daemon/src/gateway/site_source.ts
@@ -9,7 +9,8 @@
 
   /**
    * Waits for changes after a revision (long poll). Without changes, returns
-   * after a timeout with the revision alone.
+   * after a timeout with the position alone. A position of another epoch tells that
+   * the store came back from a copy; the changes do not follow the revision then.
    */
   watch(revision: number): Promise<Result<SiteChange, SiteSourceError>>;
 
--- a/packages/daemon/src/gateway/site_updater.ts
+++ b/packages/daemon/src/gateway/site_updater.ts
@@ -1,7 +1,9 @@
-import type {
-  SiteChange,
-  SiteReplica,
-  SiteSnapshot,
+import {
+  comparePositions,
+  type SiteChange,
+  type SiteReplica,
+  type SiteSnapshot,
+  type StorePosition,
 } from '@parsleywood/forwarding';
 import type {Clock} from '../host/clock.js';
 import type {EventLog} from '../host/event_log.js';
@@ -25,8 +27,8 @@
     private readonly onChanged: () => void,
   ) {}
 
-  get revision(): number {
-    return this.replica.revision;
+  get position(): StorePosition {
+    return this.replica.position;
   }
 
   /** Whether the store responded to this host's last call. */
@@ -44,10 +46,15 @@
     else this.storeFailedAtMs = this.clock.nowMs();
   }
 
-  /** @param origin Source of the snapshot, for the log. */
-  applySnapshot(snapshot: SiteSnapshot, origin: string): void {
+  /**
+   * Applies a snapshot.
+   *
+   * @param origin Source of the snapshot, for the log.
+   * @return Whether it is as late as what was known.
+   */
+  applySnapshot(snapshot: SiteSnapshot, origin: string): boolean {
     const {replica} = this;
-    const before = replica.revision;
+    const before = replica.position;
     const isNew = replica.applySnapshot(
       snapshot,
       this.clock.nowMs(),
@@ -56,16 +63,18 @@
     const upstreams = snapshot.upstreams.length;
     this.log.info('site_loaded', {
       origin,
-      before,
-      revision: replica.revision,
+      before: before.revision,
+      beforeEpoch: before.epoch,
+      ...replica.position,
       upstreams,
     });
     this.notifyChanged(isNew);
+    return comparePositions(snapshot, before) >= 0;
   }
 
   applyChange(change: SiteChange): void {
     const {replica} = this;
-    if (change.revision <= replica.revision) return;
+    if (comparePositions(change, replica.position) <= 0) return;
     const isNew = replica.applyChange(
       change,
       this.clock.nowMs(),
@@ -76,11 +85,11 @@
         upstream: id,
         stage,
         service,
-        revision: change.revision,
+        ...replica.position,
       });
     }
     for (const upstream of change.removed) {
-      this.log.info('upstream_removed', {upstream, revision: change.revision});
+      this.log.info('upstream_removed', {upstream, ...replica.position});
     }
     this.notifyChanged(isNew);
   }
@@ -90,7 +99,7 @@
     if (isNewConfiguration) {
       this.log.info('configuration_in_force', {
         version,
-        revision: this.revision,
+        ...this.position,
       });
     }
     this.onChanged();
--- a/packages/daemon/src/gateway/site_watcher.ts
+++ b/packages/daemon/src/gateway/site_watcher.ts
@@ -1,4 +1,5 @@
 import {setTimeout as pause} from 'node:timers/promises';
+import {comparePositions, type StorePosition} from '@parsleywood/forwarding';
 import type {EventLog} from '../host/event_log.js';
 import type {GatewayMetrics} from './gateway_metrics.js';
 import type {SiteUpdater} from './site_updater.js';
@@ -16,6 +17,13 @@
  */
 const CHANGE_DELAY_PER_HOST_MS = 5;
 const MAX_CHANGE_DELAY_MS = 400;
+/**
+ * Time within which the hosts load all anew when the store's history is lost to all
+ * of them, for each host of the site. A few load early; the others learn of it from
+ * them and need not.
+ */
+const RELOAD_SPREAD_PER_HOST_MS = 6;
+const MAX_RELOAD_SPREAD_MS = 1_800;
 
 /** Loads and then watches the published state, until stopped. */
 export class SiteWatcher {
@@ -64,24 +72,32 @@
     if (result.isErr) {
       return this.recordFailure('load', result.error.kind, result.error.detail);
     }
-    this.recordSuccess('load');
+    const isApplied = this.updater.applySnapshot(result.value, 'store');
+    this.recordResponse('load', isApplied);
     this.needsLoad = false;
-    this.updater.applySnapshot(result.value, 'store');
-    return true;
+    return isApplied;
   }
 
   private async watch(): Promise<boolean> {
-    const result = await this.source.watch(this.updater.revision);
+    const before = this.updater.position;
+    const result = await this.source.watch(before.revision);
     if (result.isErr) {
-      return this.recordFailure(
-        'watch',
-        result.error.kind,
-        result.error.detail,
-      );
+      const {kind, detail} = result.error;
+      this.recordFailure('watch', kind, detail);
+      if (kind === SiteSourceErrorKind.HISTORY_LOST) {
+        await this.planReload(before);
+      }
+      return false;
+    }
+    this.recordResponse('watch', true);
+    const change = result.value;
+    if (change.epoch > before.epoch) {
+      this.log.warn('store_restored', {...before, newEpoch: change.epoch});
+      await this.planReload(before);
+      return true;
     }
-    this.recordSuccess('watch');
-    const hasChanges = result.value.revision > this.updater.revision;
-    this.updater.applyChange(result.value);
+    const hasChanges = comparePositions(change, this.updater.position) > 0;
+    this.updater.applyChange(change);
     if (hasChanges) {
       await pause(
         Math.min(
@@ -93,13 +109,32 @@
     return true;
   }
 
-  private recordSuccess(call: string): void {
+  /**
+   * Loads all anew, unless a peer tells of a later position first.
+   *
+   * @param lostAt Position after which the changes cannot be read.
+   */
+  private async planReload(lostAt: StorePosition): Promise<void> {
+    const spreadMs = Math.min(
+      MAX_RELOAD_SPREAD_MS,
+      this.countHosts() * RELOAD_SPREAD_PER_HOST_MS,
+    );
+    await pause(spreadMs * Math.cbrt(this.draw()));
+    this.needsLoad = comparePositions(this.updater.position, lostAt) <= 0;
+  }
+
+  /** @param isProgress Whether failures before are over with this response. */
+  private recordResponse(call: string, isProgress: boolean): void {
     this.metrics.storeCalls.inc({call, outcome: 'ok'});
+    this.updater.recordStoreCall(true);
+    if (!isProgress) {
+      this.failures++;
+      return;
+    }
     if (this.failures > 0) {
       this.log.info('store_regained', {call, failures: this.failures});
     }
     this.failures = 0;
-    this.updater.recordStoreCall(true);
   }
 
   private recordFailure(
@@ -110,8 +145,7 @@
     if (this.isStopped) return false;
     this.metrics.storeCalls.inc({call, outcome: kind});
     if (kind === SiteSourceErrorKind.HISTORY_LOST) {
-      this.log.info('store_history_lost', {revision: this.updater.revision});
-      this.needsLoad = true;
+      this.log.info('store_history_lost', {...this.updater.position});
     } else if (this.failures === 0) {
       this.log.warn('store_lost', {
         call,
--- a/packages/forwarding/src/site_change.ts
+++ b/packages/forwarding/src/site_change.ts
@@ -1,10 +1,12 @@
 import type {Configuration} from './configuration.js';
+import type {StorePosition} from './store_position.js';
 import type {UpstreamEntry} from './upstream_entry.js';
 
-/** Changes in the configuration store since an earlier revision. */
-export interface SiteChange {
-  /** Revision of the store that includes the changes. */
-  readonly revision: number;
+/**
+ * Changes in the configuration store since an earlier revision, and the position of
+ * the store that includes them.
+ */
+export interface SiteChange extends StorePosition {
   /** The newest configuration among the changes. */
   readonly configuration?: Configuration;
   /** Upstreams that were added or updated, in the order of their changes. */
--- a/packages/forwarding/src/site_snapshot.ts
+++ b/packages/forwarding/src/site_snapshot.ts
@@ -1,9 +1,9 @@
 import type {Configuration} from './configuration.js';
+import type {StorePosition} from './store_position.js';
 import type {UpstreamEntry} from './upstream_entry.js';
 
-/** Configuration and upstreams of a site at one revision of the store. */
-export interface SiteSnapshot {
-  readonly revision: number;
+/** Configuration and upstreams of a site at one position of the store. */
+export interface SiteSnapshot extends StorePosition {
   /** Absent until operators publish one. */
   readonly configuration?: Configuration;
   readonly upstreams: readonly UpstreamEntry[];
--- a/packages/forwarding/src/upstream_entry.ts
+++ b/packages/forwarding/src/upstream_entry.ts
@@ -11,4 +11,6 @@
   readonly stage: UpstreamStage;
   /** Maximum number of requests that it runs concurrently. */
   readonly slots: number;
+  /** Revision of the store at which it was written; absent if it is not known. */
+  readonly revision?: number;
 }
--- a/packages/membership/src/peer_heartbeat.ts
+++ b/packages/membership/src/peer_heartbeat.ts
@@ -8,7 +8,8 @@
   readonly failureDomain: string;
   readonly incarnation: string;
   readonly stage: PeerStage;
-  /** Revision of the store that the sender has applied. */
+  /** Position of the store that the sender has applied; epoch 0 if it tells none. */
+  readonly epoch: number;
   readonly revision: number;
   /** Whether the sender hears the receiver of this heartbeat. */
   readonly hearsReceiver: boolean;
--- a/packages/membership/src/peer_roster.test.ts
+++ b/packages/membership/src/peer_roster.test.ts
@@ -13,6 +13,7 @@
     failureDomain: 'd',
     incarnation: '1',
     stage: PeerStage.READY,
+    epoch: 0,
     revision: 1,
     hearsReceiver: true,
     knownAddresses: [],
--- a/packages/membership/src/relay_chooser.test.ts
+++ b/packages/membership/src/relay_chooser.test.ts
@@ -13,6 +13,7 @@
     failureDomain: `d${index % 4}`,
     incarnation: '1',
     stage: PeerStage.READY,
+    epoch: 0,
     revision: 1,
     hearsReceiver: true,
     knownAddresses: [],
