Hand on a version that a restored store has lost

Callers got 404 from some hosts for a route that others served: its version had been confirmed and read by a few hosts when the store came back from an older copy. All hosts then stood at the same position, so none asked another one.

Heartbeats and queries name the version in force besides the position.

--- a/packages/daemon/src/gateway/fleet_membership.ts
+++ b/packages/daemon/src/gateway/fleet_membership.ts
@@ -331,15 +331,19 @@
   }
 
   /**
-   * Queries the peer with the latest position of the store when the store has not
-   * delivered it.
+   * Queries the peer with the newest configuration, or else the latest position of
+   * the store, when the store has not delivered them. A store that came back from a
+   * copy may lack a configuration that some hosts have.
    */
   private queryNewestPeer(nowMs: number): void {
-    const {position} = this.siteUpdater;
+    const {position, version} = this.siteUpdater;
     const ahead = this.livePeers.filter(
-      peer => comparePositions(peer, position) > 0,
+      peer => peer.version > version || comparePositions(peer, position) > 0,
+    );
+    const [best] = ahead.sort(
+      (left, right) =>
+        right.version - left.version || comparePositions(right, left),
     );
-    const [best] = ahead.sort((left, right) => comparePositions(right, left));
     if (best === undefined) {
       this.peerAheadSinceMs = Infinity;
       return;
@@ -347,13 +351,16 @@
     this.peerAheadSinceMs = Math.min(this.peerAheadSinceMs, nowMs);
     if (nowMs - this.peerAheadSinceMs < PEER_QUERY_DELAY_MS) return;
     this.relay.send(best.peersAddress, {
-      body: {$case: 'siteQuery', value: position},
+      body: {$case: 'siteQuery', value: {...position, version}},
     });
   }
 
   private answerQuery(host: string, query: SiteQuery): void {
     const snapshot = this.readSnapshot();
-    if (comparePositions(snapshot, query) <= 0) return;
+    const isAhead =
+      comparePositions(snapshot, query) > 0 ||
+      this.siteUpdater.version > query.version;
+    if (!isAhead) return;
     const json = JSON.stringify(snapshot);
     // A host's name among peers is its address for peers.
     this.relay.send(host, {
@@ -372,6 +379,7 @@
       failureDomain,
       stage: STAGES[this.readStage()],
       ...this.siteUpdater.position,
+      version: this.siteUpdater.version,
       hearsReceiver: false,
       knownAddresses: [],
       processorShare: this.settings.processorShare ?? 1,
--- a/packages/daemon/src/gateway/site_updater.ts
+++ b/packages/daemon/src/gateway/site_updater.ts
@@ -31,6 +31,11 @@
     return this.replica.position;
   }
 
+  /** Version of the configuration in force; 0 for none. */
+  get version(): number {
+    return this.replica.version;
+  }
+
   /** Whether the store responded to this host's last call. */
   get isStoreReachable(): boolean {
     return this.storeFailedAtMs < this.storeRespondedAtMs;
--- a/packages/membership/src/peer_heartbeat.ts
+++ b/packages/membership/src/peer_heartbeat.ts
@@ -11,6 +11,8 @@
   /** Position of the store that the sender has applied; epoch 0 if it tells none. */
   readonly epoch: number;
   readonly revision: number;
+  /** Version of the configuration in force there; 0 if it tells none. */
+  readonly version: number;
   /** Whether the sender hears the receiver of this heartbeat. */
   readonly hearsReceiver: boolean;
   /** Peer addresses of the hosts that the sender hears. */
--- a/packages/membership/src/peer_roster.test.ts
+++ b/packages/membership/src/peer_roster.test.ts
@@ -15,6 +15,7 @@
     stage: PeerStage.READY,
     epoch: 0,
     revision: 1,
+    version: 0,
     hearsReceiver: true,
     knownAddresses: [],
     processorShare: 1,
--- a/packages/membership/src/relay_chooser.test.ts
+++ b/packages/membership/src/relay_chooser.test.ts
@@ -15,6 +15,7 @@
     stage: PeerStage.READY,
     epoch: 0,
     revision: 1,
+    version: 0,
     hearsReceiver: true,
     knownAddresses: [],
     processorShare: index % 10 === 0 ? 1.35 : 0.324,
