--- a/packages/bench/src/gateway_soak/checked_upstream.ts
+++ b/packages/bench/src/gateway_soak/checked_upstream.ts
@@ -92,7 +92,8 @@
       this.runs.set(id, (this.runs.get(id) ?? 0) + 1);
       const body = Buffer.concat(chunks).toString();
       if (body.startsWith(CRASH_MARKER)) {
-        this.crash(`${request.url ?? ''} ${body}`);
+        const [path = ''] = (request.url ?? '').split('?');
+        this.crash(`${path} ${body}`);
         return;
       }
       const parts = String(request.headers['prompt-parts'] ?? '');
--- a/packages/bench/src/gateway_soak/soak_callers.ts
+++ b/packages/bench/src/gateway_soak/soak_callers.ts
@@ -77,7 +77,9 @@
       ...(hasPart ? [CRASHING_PART] : []),
       id,
     ];
-    const call = await this.call(agent, gateway, route, id, body, parts);
+    // The last of the crashing requests comes with another query each time.
+    const query = one === CRASHING_REQUESTS ? `?at=${id}` : '';
+    const call = await this.call(agent, gateway, route, id, body, parts, query);
     return {...call, isCrashing: isCrashing || hasPart};
   }
 
@@ -88,6 +90,7 @@
     id: string,
     sentBody: string,
     parts: readonly string[],
+    query: string,
   ): Promise<Omit<SoakCall, 'isCrashing'>> {
     const startedAtMs = performance.now();
     let status = 0;
@@ -96,7 +99,7 @@
     try {
       const answer = await agent.request({
         origin: `http://${this.addresses[gateway] ?? ''}`,
-        path: route.path,
+        path: `${route.path}${query}`,
         method: 'POST',
         headers: {
           host: 'soak.example',
