Let a site file say that its revisions went back

A gateway without a platform ignored a site file that came back from a backup until its version had passed the one known before, with all changes of upstreams in it: the same fault as with a store that comes back from a copy. A file may name an epoch and a revision of its own now; without them the version counts as before.

--- a/packages/daemon/src/gateway/site_file.ts
+++ b/packages/daemon/src/gateway/site_file.ts
@@ -23,23 +23,23 @@
 /** Time after which a watch without changes returns, in milliseconds. */
 const WATCH_TIMEOUT_MS = 2_500;
 
-/** A file does not say whether it is a copy. */
-const NO_EPOCH = 0;
-
 /** The file's content after validation, with the schema's defaults filled in. */
 type PublishedSite = Omit<Configuration, 'limits'> & {
+  readonly epoch: number;
+  readonly revision?: number;
   readonly limits?: Partial<Configuration['limits']>;
   readonly upstreams: readonly UpstreamEntry[];
 };
 
 /**
- * Site published in a JSON file. The version in the file serves as the
- * revision.
+ * Site published in a JSON file. Where the file has no revision, its version
+ * serves as one.
  */
 export class SiteFile implements SiteSource {
   private readonly schemaCheck = new SchemaValidator<PublishedSite>(
     PUBLISHED_SITE_SCHEMA,
   );
+  private knownEpoch = 0;
   private knownUpstreams: ReadonlySet<string> = new Set();
   private lastModifiedMs = NaN;
   private isClosed = false;
@@ -59,13 +59,13 @@
       if (this.isClosed) break;
       await pause(POLL_INTERVAL_MS);
       if (!(await this.hasChanged())) continue;
-      const previous = this.knownUpstreams;
+      const [epoch, previous] = [this.knownEpoch, this.knownUpstreams];
       const site = this.read();
       if (site.isErr) {
         this.lastModifiedMs = NaN;
         return Result.err(site.error);
       }
-      if (site.value.revision > revision) {
+      if (site.value.epoch !== epoch || site.value.revision > revision) {
         const {upstreams, ...rest} = site.value;
         const removed = [...previous].filter(
           id => !this.knownUpstreams.has(id),
@@ -73,7 +73,8 @@
         return Result.ok({...rest, updated: upstreams, removed});
       }
     }
-    return Result.ok({epoch: NO_EPOCH, revision, updated: [], removed: []});
+    const {knownEpoch: epoch} = this;
+    return Result.ok({epoch, revision, updated: [], removed: []});
   }
 
   close(): void {
@@ -109,12 +110,15 @@
   private toSnapshot({
     upstreams,
     limits,
+    epoch,
+    revision,
     ...rest
   }: PublishedSite): SiteSnapshot {
+    this.knownEpoch = epoch;
     this.knownUpstreams = new Set(upstreams.map(({id}) => id));
     return {
-      epoch: NO_EPOCH,
-      revision: rest.version,
+      epoch,
+      revision: revision ?? rest.version,
       configuration: {...rest, limits: {...DEFAULT_CALLER_LIMITS, ...limits}},
       upstreams,
     };
