Let the site of the soak come back from copies

The soak of gateways publishes an earlier state under a new epoch and lower revisions now and then, and the newest one again within a second; at the end every gateway has to serve the route that only the last version has.

--- a/packages/bench/src/gateway_soak/describe_soak_site.ts
+++ b/packages/bench/src/gateway_soak/describe_soak_site.ts
@@ -1,4 +1,5 @@
 import type {CheckedUpstream} from './checked_upstream.js';
+import {describeNewestRoute} from './describe_newest_route.js';
 import {SOAK_ROUTES} from './soak_routes.js';
 
 const ENGINE = {
@@ -14,7 +15,7 @@
   meanAnswerTokens: 400,
 };
 
-/** Describes the site of a soak: a route of each kind, plain services and engines. */
+/** Describes the site of a soak: a route of each kind, and one that each version has alone. */
 export function describeSoakSite(
   version: number,
   upstreams: readonly CheckedUpstream[],
@@ -22,16 +23,18 @@
 ): object {
   return {
     version,
-    routes: SOAK_ROUTES.map(({path, kind, service, ...route}) => ({
-      ...route,
-      host: 'soak.example',
-      prefix: path,
-      kind,
-      targets: [{service, weight: 1}],
-      maxAttempts: 2,
-      latencyObjectiveMs: 300,
-      ...(kind === 'stream' && {resumable: true, pauseObjectiveMs: 250}),
-    })),
+    routes: [...SOAK_ROUTES, describeNewestRoute(version)].map(
+      ({path, kind, service, ...route}) => ({
+        ...route,
+        host: 'soak.example',
+        prefix: path,
+        kind,
+        targets: [{service, weight: 1}],
+        maxAttempts: 2,
+        latencyObjectiveMs: 300,
+        ...(kind === 'stream' && {resumable: true, pauseObjectiveMs: 250}),
+      }),
+    ),
     services: [{name: 'app'}, {name: 'engine', engine: ENGINE}],
     upstreams: upstreams.map(({id, service, proxy}) => ({
       id,
--- a/packages/bench/src/gateway_soak/gateway_faults.ts
+++ b/packages/bench/src/gateway_soak/gateway_faults.ts
@@ -16,6 +16,7 @@
 const MAX_GAP_MS = 900;
 const MAX_FAULT_MS = 2_500;
 const MAX_PAUSE_MS = 1_500;
+const MAX_LOST_VERSIONS = 4;
 
 /** Injects faults from outside the gateways, in series and overlapping. */
 export class GatewayFaults {
@@ -40,6 +41,7 @@
       (): Promise<void> => this.restartGateway(true),
       (): Promise<void> => this.restartGateway(false),
       (): Promise<void> => this.changeSite(),
+      (): Promise<void> => this.restoreSite(),
     ];
     while (performance.now() < untilMs) {
       const act = acts[this.draw(0, acts.length - 1)];
@@ -87,6 +89,14 @@
     this.fleet.publish(new Set());
   }
 
+  /** Lets the site come back from a copy, and be published again after a while. */
+  private async restoreSite(): Promise<void> {
+    this.count('restore');
+    this.fleet.restore(this.draw(0, MAX_LOST_VERSIONS));
+    await pause(this.draw(MIN_GAP_MS, MAX_GAP_MS));
+    this.fleet.publish(new Set());
+  }
+
   /** Acts on a gateway that no other fault has, and notes the time. */
   private async withGateway(
     name: string,
--- a/packages/bench/src/gateway_soak/gateway_fleet.ts
+++ b/packages/bench/src/gateway_soak/gateway_fleet.ts
@@ -22,6 +22,10 @@
   private children: Child[] = [];
   private addresses: string[][] = [];
   private version = 0;
+  private epoch = 0;
+  private revision = 0;
+  /** What was published, the oldest first. */
+  private readonly history: object[] = [];
 
   constructor(
     private readonly upstreams: readonly CheckedUpstream[],
@@ -45,10 +49,27 @@
     for (let at = 0; at < count; at++) await this.waitUntilReady(at);
   }
 
+  /** Version of the site that was published last. */
+  get publishedVersion(): number {
+    return this.version;
+  }
+
   /** Publishes a new version of the site. */
   publish(draining: ReadonlySet<string>): void {
     const site = describeSoakSite(++this.version, this.upstreams, draining);
-    writeFileSync(join(this.folder, 'site.json'), JSON.stringify(site));
+    this.history.push(site);
+    this.write(site, this.revision + 1);
+  }
+
+  /**
+   * Lets the site come back from a copy.
+   *
+   * @param lost Number of versions that the copy lacks.
+   */
+  restore(lost: number): void {
+    const at = Math.max(0, this.history.length - 1 - lost);
+    this.epoch++;
+    this.write(this.history[at] ?? {}, Math.max(1, this.revision - lost));
   }
 
   /** Leaves a file that cannot be read, until the next version. */
@@ -74,6 +95,12 @@
     rmSync(this.folder, {recursive: true});
   }
 
+  private write(site: object, revision: number): void {
+    this.revision = revision;
+    const text = JSON.stringify({...site, epoch: this.epoch, revision});
+    writeFileSync(join(this.folder, 'site.json'), text);
+  }
+
   private startOne(at: number): void {
     const [callers, readiness, directory, peers, metrics] =
       this.addresses[at] ?? [];
--- a/packages/bench/src/gateway_soak/run_gateway_soak.ts
+++ b/packages/bench/src/gateway_soak/run_gateway_soak.ts
@@ -3,6 +3,7 @@
 import {checkCalls} from './check_calls.js';
 import {checkCrashes} from './check_crashes.js';
 import {checkLimits} from './check_limits.js';
+import {checkNewest} from './check_newest.js';
 import {CrashLedger} from './crash_ledger.js';
 import {CheckedUpstream} from './checked_upstream.js';
 import {GatewayFaults} from './gateway_faults.js';
@@ -60,6 +61,7 @@
     const calmFromMs = performance.now();
     await pause(CALM_MS);
     await callers.stop();
+    const outdated = await checkNewest(fleet.callers, fleet.publishedVersion);
     const {calls} = callers;
     const statuses: Record<string, number> = {};
     for (const {status} of calls) {
@@ -75,6 +77,7 @@
         ...checkCalls(calls, runs, faults.stops, calmFromMs),
         ...checkCrashes(calls, ledger),
         ...checkLimits(upstreams, calls, faults.stops),
+        ...outdated,
       ],
     };
   } finally {
