Ask a store that was away at once whether it came back from a copy

The first watch after a failure returns at once, with the epoch. Answers of an earlier epoch than the known one count as a failure, so that they slow the reader down.

--- a/packages/daemon/src/gateway/site_file.ts
+++ b/packages/daemon/src/gateway/site_file.ts
@@ -50,12 +50,12 @@
     return Promise.resolve(this.read());
   }
 
-  async watch(revision: number): Promise<Result<SiteChange, SiteSourceError>> {
-    for (
-      let waitedMs = 0;
-      waitedMs < WATCH_TIMEOUT_MS;
-      waitedMs += POLL_INTERVAL_MS
-    ) {
+  async watch(
+    revision: number,
+    isProbe: boolean,
+  ): Promise<Result<SiteChange, SiteSourceError>> {
+    const limitMs = isProbe ? POLL_INTERVAL_MS : WATCH_TIMEOUT_MS;
+    for (let waitedMs = 0; waitedMs < limitMs; waitedMs += POLL_INTERVAL_MS) {
       if (this.isClosed) break;
       await pause(POLL_INTERVAL_MS);
       if (!(await this.hasChanged())) continue;
--- a/packages/daemon/src/gateway/site_source.ts
+++ b/packages/daemon/src/gateway/site_source.ts
@@ -11,8 +11,13 @@
    * Waits for changes after a revision (long poll). Without changes, returns
    * after a timeout with the position alone. A position of another epoch tells that
    * the store came back from a copy; the changes do not follow the revision then.
+   *
+   * @param isProbe Whether to return at once, with or without changes.
    */
-  watch(revision: number): Promise<Result<SiteChange, SiteSourceError>>;
+  watch(
+    revision: number,
+    isProbe: boolean,
+  ): Promise<Result<SiteChange, SiteSourceError>>;
 
   close(): void;
 }
--- a/packages/daemon/src/gateway/site_watcher.test.ts
+++ b/packages/daemon/src/gateway/site_watcher.test.ts
@@ -20,6 +20,7 @@
 /** Store that came back from a copy, as hosts of one site read it. */
 class RestoredSource implements SiteSource {
   static loads = 0;
+  static watches = 0;
   position = {epoch: 1, revision: 9};
 
   load(): ReturnType<SiteSource['load']> {
@@ -28,6 +29,7 @@
   }
 
   async watch(revision: number): ReturnType<SiteSource['watch']> {
+    RestoredSource.watches++;
     await pause(WATCH_MS);
     if (revision > this.position.revision) {
       const kind = SiteSourceErrorKind.HISTORY_LOST;
@@ -99,6 +101,19 @@
     for (const {position} of replicas) expect(position).to.deep.equal(LATEST);
   });
 
+  it('ignores answers of an earlier epoch, and slows down', async () => {
+    startHosts(1);
+    for (const source of sources) source.position = {...LATEST};
+    await pause(3 * WATCH_MS);
+    RestoredSource.watches = 0;
+    RestoredSource.loads = 0;
+    for (const source of sources) source.position = {epoch: 1, revision: 99};
+    await pause(20 * WATCH_MS);
+    expect(replicas[0]?.position).to.deep.equal(LATEST);
+    expect(RestoredSource.loads).to.equal(0);
+    expect(RestoredSource.watches).to.be.within(1, 8);
+  });
+
   it('slows down while a store that names no epoch stays behind', async () => {
     startHosts(1);
     await pause(WATCH_MS);
--- a/packages/daemon/src/gateway/site_watcher.ts
+++ b/packages/daemon/src/gateway/site_watcher.ts
@@ -80,7 +80,10 @@
 
   private async watch(): Promise<boolean> {
     const before = this.updater.position;
-    const result = await this.source.watch(before.revision);
+    // A store that was away may have come back from a copy, and a waiting watch
+    // does not tell that until something changes.
+    const isProbe = this.failures > 0;
+    const result = await this.source.watch(before.revision, isProbe);
     if (result.isErr) {
       const {kind, detail} = result.error;
       this.recordFailure('watch', kind, detail);
@@ -89,8 +92,10 @@
       }
       return false;
     }
-    this.recordResponse('watch', true);
     const change = result.value;
+    const isLate = change.epoch < before.epoch;
+    this.recordResponse('watch', !isLate);
+    if (isLate) return false;
     if (change.epoch > before.epoch) {
       this.log.warn('store_restored', {...before, newEpoch: change.epoch});
       await this.planReload(before);
