Do not suspect a part of prompts for one or two requests

Callers of sound prompts got 422 from the first second of a site on: the part topic3 was blocked for an hour. All else in the first crash was known to be sound, but for the request itself, so the part counted as proven.

A part is suspected only once upstreams crashed under three different requests with it, told apart by their widest scope. On the hosts' own path an attempt after a crash waits until the reports on it are weighed, which gateways do for suspects already; without that the third request would crash a sixth engine for five allowed.

Evidence: the unit test found topic confirmed and proven before.

--- a/packages/daemon/src/callers/completion_session.ts
+++ b/packages/daemon/src/callers/completion_session.ts
@@ -1,3 +1,4 @@
+import {setTimeout as pause} from 'node:timers/promises';
 import type {ServerResponse} from 'node:http';
 import {ErrorKind, type Failure} from '@parsleywood/errors';
 import {
@@ -31,6 +32,8 @@
 const MAX_ATTEMPTS = 4;
 const MS_PER_SECOND = 1_000;
 const OK_STATUS = 200;
+/** Time in which the reports of all hosts on a crash arrive and are weighed. */
+const CRASH_SETTLE_MS = 100;
 
 /**
  * Runs one completion request: admission, attempts and answer. Decisions are
@@ -180,6 +183,8 @@
           isIsolated && this.stateBefore.status === CrashStatus.SUSPECT,
         startedAtMs: this.startedAtMs,
       });
+      // The next attempt depends on what the crash tells of the request's parts.
+      await pause(CRASH_SETTLE_MS);
     }
     this.failAttempt(attempt, AttemptFault.BROKEN, detail);
   }
--- a/packages/requests/src/crash_evidence.test.ts
+++ b/packages/requests/src/crash_evidence.test.ts
@@ -63,6 +63,16 @@
     expect(evidence.assess(NONE, SETTLED_MS)).to.deep.equal([]);
   });
 
+  it('does not suspect a part of two requests that crash for reasons of their own', () => {
+    const evidence = new CrashEvidence();
+    answer(evidence, ['first'], 0, HOSTS, 0);
+    for (const at of [1, 2]) {
+      crash(evidence, `u${at}`, ['first', 'topic'], at, 'one');
+    }
+    crash(evidence, 'u3', ['first', 'topic', 'bad'], 3, 'other');
+    expect(evidence.assess(NONE, SETTLED_MS)).to.deep.equal([]);
+  });
+
   it('counts each crash of an upstream that is back at once', () => {
     const evidence = new CrashEvidence();
     for (const at of [0, 1, 2]) crash(evidence, 'u', ['bad'], at * RESTART_MS);
--- a/packages/requests/src/crash_evidence.ts
+++ b/packages/requests/src/crash_evidence.ts
@@ -10,6 +10,8 @@
 const MAX_CRASHES = 1_024;
 /** Crashes from which traits are suspected. */
 const MIN_CRASHES = 3;
+/** Different requests under which a part crashed upstreams, before it is suspected. */
+const MIN_REQUESTS = 3;
 /** Crashes that confirm a suspicion although other traits may be the cause. */
 const MAX_UNPROVEN_CRASHES = 5;
 /** Time in which the reports of all hosts on a crash arrive. */
@@ -21,6 +23,9 @@
 interface Candidate {
   readonly name: string;
   readonly isTrait: boolean;
+  readonly isPart: boolean;
+  /** Requests with the trait under which upstreams crashed, by their widest scope. */
+  readonly requests: Set<string>;
   readonly crashes: Set<JoinedCrash>;
   /** Attempts with the trait under which upstreams crashed. */
   readonly attempts: Set<TraitCrash>;
@@ -155,12 +160,15 @@
           const candidate = byName.get(name) ?? {
             name,
             isTrait: name !== request,
+            isPart: report.parts.includes(name),
+            requests: new Set(),
             crashes: new Set(),
             attempts: new Set(),
             answers: this.answers.getWeight(name, nowMs),
           };
           candidate.crashes.add(crash);
           candidate.attempts.add(report);
+          candidate.requests.add(report.scopes[0] ?? request);
           byName.set(name, candidate);
         }
       }
@@ -206,7 +214,10 @@
   }
 }
 
-function isSuspect({crashes, answers}: Candidate): boolean {
+function isSuspect(candidate: Candidate): boolean {
+  const {crashes, answers, isPart, requests} = candidate;
+  // One or two requests may crash upstreams for reasons of their own.
+  if (isPart && requests.size < MIN_REQUESTS) return false;
   return crashes.size >= MIN_CRASHES && crashes.size >= answers;
 }
 
