Count the requests with a part in the crashes that are left to explain

Requests whose crashes another trait explains counted towards the three that a part needs before it is suspected.

--- a/packages/requests/src/crash_evidence.ts
+++ b/packages/requests/src/crash_evidence.ts
@@ -1,4 +1,5 @@
 import {AnswerWeights} from './answer_weights.js';
+import {countRequests} from './count_requests.js';
 import {joinReports} from './join_reports.js';
 import type {JoinedCrash} from './joined_crash.js';
 import {listTraits} from './list_traits.js';
@@ -24,8 +25,6 @@
   readonly name: string;
   readonly isTrait: boolean;
   readonly isPart: boolean;
-  /** Requests with the trait under which upstreams crashed, by their widest scope. */
-  readonly requests: Set<string>;
   readonly crashes: Set<JoinedCrash>;
   /** Attempts with the trait under which upstreams crashed. */
   readonly attempts: Set<TraitCrash>;
@@ -161,14 +160,12 @@
             name,
             isTrait: name !== request,
             isPart: report.parts.includes(name),
-            requests: new Set(),
             crashes: new Set(),
             attempts: new Set(),
             answers: this.answers.getWeight(name, nowMs),
           };
           candidate.crashes.add(crash);
           candidate.attempts.add(report);
-          candidate.requests.add(report.scopes[0] ?? request);
           byName.set(name, candidate);
         }
       }
@@ -214,11 +211,10 @@
   }
 }
 
-function isSuspect(candidate: Candidate): boolean {
-  const {crashes, answers, isPart, requests} = candidate;
+function isSuspect({name, crashes, answers, isPart}: Candidate): boolean {
+  if (crashes.size < MIN_CRASHES || crashes.size < answers) return false;
   // One or two requests may crash upstreams for reasons of their own.
-  if (isPart && requests.size < MIN_REQUESTS) return false;
-  return crashes.size >= MIN_CRASHES && crashes.size >= answers;
+  return !isPart || countRequests(name, crashes) >= MIN_REQUESTS;
 }
 
 /** Orders candidates, the same way at all hosts. */
