Prove a part of prompts by different requests, and not within one moment

A proof needs crashes under two different requests in which all else is known to be sound. Without a proof one crash has to come of an attempt that was sent 0.5 s after the first one, as in the test whether an answer came as late; until then prompts with the part run one at a time, and their answers speak for it.

Evidence: both unit tests found the part confirmed before.

--- a/packages/requests/src/crash_evidence.test.ts
+++ b/packages/requests/src/crash_evidence.test.ts
@@ -73,6 +73,36 @@
     expect(evidence.assess(NONE, SETTLED_MS)).to.deep.equal([]);
   });
 
+  it('does not take a request that crashes upstreams by itself for a proof against its part', () => {
+    const evidence = new CrashEvidence();
+    answer(evidence, ['first'], 0, HOSTS, 0);
+    const [own, shared] = [
+      ['first', 'topic'],
+      ['first', 'topic', 'bad'],
+    ];
+    for (const at of [1, 2]) crash(evidence, `u${at}`, own, at, 'one');
+    for (const at of [3, 4]) crash(evidence, `u${at}`, shared, at, 'other');
+    crash(evidence, 'u5', own, 5, 'bystander');
+    crash(evidence, 'u5', ['unknown'], 5, 'third');
+    const [topic] = evidence.assess(NONE, SETTLED_MS);
+    expect(topic).to.include({crashes: 5, isConfirmed: false});
+  });
+
+  it('does not confirm a part that others ran beside in crashes at one time', () => {
+    const evidence = new CrashEvidence();
+    for (const at of [0, 1, 2, 3, 4]) {
+      const crashedAtMs = at * STEP_MS;
+      crash(evidence, `u${at}`, ['topic'], crashedAtMs);
+      crash(evidence, `u${at}`, [`other ${at}`], crashedAtMs);
+    }
+    const [topic] = evidence.assess(NONE, 5 * STEP_MS);
+    expect(topic).to.include({crashes: 5, isConfirmed: false});
+    crash(evidence, 'u5', ['topic'], 6 * STEP_MS);
+    crash(evidence, 'u5', ['other 5'], 6 * STEP_MS);
+    const [again] = evidence.assess(NONE, 7 * STEP_MS);
+    expect(again).to.include({crashes: 6, isConfirmed: true});
+  });
+
   it('counts each crash of an upstream that is back at once', () => {
     const evidence = new CrashEvidence();
     for (const at of [0, 1, 2]) crash(evidence, 'u', ['bad'], at * RESTART_MS);
--- a/packages/requests/src/crash_evidence.ts
+++ b/packages/requests/src/crash_evidence.ts
@@ -1,9 +1,12 @@
 import {AnswerWeights} from './answer_weights.js';
+import {areEqualSets} from './are_equal_sets.js';
 import {countRequests} from './count_requests.js';
+import {groupByAttempts} from './group_by_attempts.js';
 import {joinReports} from './join_reports.js';
 import type {JoinedCrash} from './joined_crash.js';
 import {listTraits} from './list_traits.js';
 import type {RequestTraits} from './request_traits.js';
+import type {TraitCandidate} from './trait_candidate.js';
 import type {TraitCrash} from './trait_crash.js';
 import type {TraitSuspicion} from './trait_suspicion.js';
 
@@ -13,6 +16,8 @@
 const MIN_CRASHES = 3;
 /** Different requests under which a part crashed upstreams, before it is suspected. */
 const MIN_REQUESTS = 3;
+/** Different requests under which crashes have no other cause, for a proof. */
+const MIN_PROOFS = 2;
 /** Crashes that confirm a suspicion although other traits may be the cause. */
 const MAX_UNPROVEN_CRASHES = 5;
 /** Time in which the reports of all hosts on a crash arrive. */
@@ -20,17 +25,6 @@
 /** Attempts that were started within this time count as simultaneous. */
 const SIMULTANEOUS_MS = 500;
 
-/** A trait, or a request as a whole, and the crashes that it may explain. */
-interface Candidate {
-  readonly name: string;
-  readonly isTrait: boolean;
-  readonly isPart: boolean;
-  readonly crashes: Set<JoinedCrash>;
-  /** Attempts with the trait under which upstreams crashed. */
-  readonly attempts: Set<TraitCrash>;
-  readonly answers: number;
-}
-
 /**
  * Finds the traits of requests that crash upstreams, among those that only occur
  * beside them.
@@ -109,7 +103,8 @@
       if (best === undefined) return found;
       const equals = candidates.filter(
         one =>
-          one.answers <= best.answers && isEqual(one.crashes, best.crashes),
+          one.answers <= best.answers &&
+          areEqualSets(one.crashes, best.crashes),
       );
       const groups = groupByAttempts(equals);
       // One request that comes again is blocked as such.
@@ -126,16 +121,17 @@
   }
 
   private describe(
-    candidate: Candidate,
+    candidate: TraitCandidate,
     traits: readonly string[],
     isUnambiguous: boolean,
   ): TraitSuspicion {
     const crashes = candidate.crashes.size;
     const isProven = this.isProven(candidate, traits);
-    const isConfirmed =
-      isUnambiguous &&
-      this.hasRecurred(candidate) &&
-      (isProven || crashes >= MAX_UNPROVEN_CRASHES);
+    const isCertain = isProven
+      ? hasRecurred(candidate, 0)
+      : crashes >= MAX_UNPROVEN_CRASHES &&
+        hasRecurred(candidate, SIMULTANEOUS_MS);
+    const isConfirmed = isUnambiguous && isCertain;
     return {traits, crashes, isConfirmed, isProven};
   }
 
@@ -148,8 +144,8 @@
   private listCandidates(
     crashes: ReadonlySet<JoinedCrash>,
     nowMs: number,
-  ): Candidate[] {
-    const byName = new Map<string, Candidate>();
+  ): TraitCandidate[] {
+    const byName = new Map<string, TraitCandidate>();
     for (const crash of crashes) {
       for (const report of crash.reports) {
         const {request, startedAtMs} = report;
@@ -173,11 +169,18 @@
     return [...byName.values()];
   }
 
-  /** Whether answers tell that one of the crashes has no other cause. */
-  private isProven({crashes}: Candidate, group: readonly string[]): boolean {
-    return [...crashes].some(({reports}) =>
+  /**
+   * Whether answers tell that crashes under different requests have no other cause;
+   * one request may be the cause itself.
+   */
+  private isProven(
+    {crashes, isPart}: TraitCandidate,
+    group: readonly string[],
+  ): boolean {
+    const proofs = [...crashes].filter(({reports}) =>
       reports.every(report => this.hasNoOtherCause(report, group)),
     );
+    return countRequests(group, isPart, proofs) >= MIN_PROOFS;
   }
 
   /**
@@ -198,47 +201,40 @@
     }
     return this.wasAnswered(widest);
   }
+}
 
-  /** Whether a request with the trait was sent after a crash, and crashed again. */
-  private hasRecurred({name, crashes}: Candidate): boolean {
-    const firstMs = Math.min(...[...crashes].map(({atMs}) => atMs));
-    return [...crashes].some(({reports}) =>
-      reports.some(
-        report =>
-          report.startedAtMs > firstMs && listTraits(report).includes(name),
-      ),
-    );
-  }
+/**
+ * Whether a request with the trait was sent after a crash, and crashed again.
+ *
+ * @param gapMs Time after the first crash within which requests tell nothing.
+ */
+function hasRecurred({name, crashes}: TraitCandidate, gapMs: number): boolean {
+  const firstMs = Math.min(...[...crashes].map(({atMs}) => atMs));
+  return [...crashes].some(({reports}) =>
+    reports.some(
+      report =>
+        report.startedAtMs > firstMs + gapMs &&
+        listTraits(report).includes(name),
+    ),
+  );
 }
 
-function isSuspect({name, crashes, answers, isPart}: Candidate): boolean {
+function isSuspect({name, crashes, answers, isPart}: TraitCandidate): boolean {
   if (crashes.size < MIN_CRASHES || crashes.size < answers) return false;
   // One or two requests may crash upstreams for reasons of their own.
-  return !isPart || countRequests(name, crashes) >= MIN_REQUESTS;
+  return !isPart || countRequests([name], true, [...crashes]) >= MIN_REQUESTS;
 }
 
 /** Orders candidates, the same way at all hosts. */
-function compareCandidates(left: Candidate, right: Candidate): number {
+function compareCandidates(
+  left: TraitCandidate,
+  right: TraitCandidate,
+): number {
   const difference = getScore(right) - getScore(left);
   if (difference !== 0) return difference;
   return left.name < right.name ? -1 : 1;
 }
 
-function getScore({crashes, answers}: Candidate): number {
+function getScore({crashes, answers}: TraitCandidate): number {
   return crashes.size / (1 + answers);
 }
-
-/** Joins the traits that only occurred together, in the same attempts. */
-function groupByAttempts(candidates: readonly Candidate[]): string[][] {
-  const groups: {attempts: ReadonlySet<TraitCrash>; traits: string[]}[] = [];
-  for (const {name, attempts} of candidates) {
-    const group = groups.find(one => isEqual(one.attempts, attempts));
-    if (group === undefined) groups.push({attempts, traits: [name]});
-    else group.traits.push(name);
-  }
-  return groups.map(({traits}) => traits.sort());
-}
-
-function isEqual<T>(one: ReadonlySet<T>, other: ReadonlySet<T>): boolean {
-  return one.size === other.size && [...one].every(it => other.has(it));
-}
