Choose engines in one pass over them, and leave out what cannot win

Cause: each decision forecast and sorted all engines anew, the cost of an option was computed in the comparator of the sort, and what others lose was computed for engines that could not be chosen, for each of up to 17 splits.

Ruled out: a cache of forecasts. A host of a large fleet places less than one request a second while each engine changes several times, so it would always miss.

Change: one pass an engine for its forecast; CheapestOptions keeps the cheapest options of a split and tells which engines need not be described; the host's order of preference is kept between decisions.

--- a/packages/dispatch/src/prefill_planner.ts
+++ b/packages/dispatch/src/prefill_planner.ts
@@ -1,4 +1,5 @@
 import {allocatePromptMemory} from './allocate_prompt_memory.js';
+import {CheapestOptions} from './cheapest_options.js';
 import type {CapacityShortage} from './capacity_shortage.js';
 import type {EngineForecast} from './engine_forecast.js';
 import {estimateLatenessLoss} from './estimate_lateness_loss.js';
@@ -6,6 +7,7 @@
 import {PassModel} from './pass_model.js';
 import type {PrefillOption} from './prefill_option.js';
 import type {PrefillPlan} from './prefill_plan.js';
+import type {PrefillTiming} from './prefill_timing.js';
 import type {PromptDemand} from './prompt_demand.js';
 import {weighRequest} from './weigh_request.js';
 
@@ -69,15 +71,11 @@
     engines: readonly EngineForecast[],
   ): PrefillPlan | CapacityShortage {
     const {slots} = this.model.profile;
-    const withFreeSlot = engines.filter(({usedSlots}) => usedSlots < slots);
-    if (withFreeSlot.length === 0) return {waitMs: 0};
+    if (!engines.some(({usedSlots}) => usedSlots < slots)) return {waitMs: 0};
     let best: {plan: PrefillPlan; cost: number} | undefined;
     const maxCount = this.limitEngineCount(demand, engines);
-    const positions = new Map(
-      engines.map((engine, position) => [engine, position]),
-    );
     for (let count = 1; count <= maxCount; count++) {
-      const option = this.planFor(demand, withFreeSlot, positions, count);
+      const option = this.planFor(demand, engines, count);
       if (option === undefined) continue;
       if (best === undefined || option.cost < best.cost) best = option;
     }
@@ -116,50 +114,52 @@
   /**
    * Finds the cheapest plan with a given number of engines.
    *
-   * @param withFreeSlot Engines that may answer.
-   * @param positions All engines, with their position in this host's own order of
-   *     preference.
-   * @return Undefined when the engines lack the memory for the prompt.
+   * @param engines Engines in this host's own order of preference.
+   * @return Undefined when no engine may answer or they lack the memory for the
+   *     prompt.
    */
   private planFor(
     demand: PromptDemand,
-    withFreeSlot: readonly EngineForecast[],
-    positions: ReadonlyMap<EngineForecast, number>,
+    engines: readonly EngineForecast[],
     count: number,
   ): {plan: PrefillPlan; cost: number} | undefined {
     const tokens = Math.ceil(demand.promptTokens / count);
     const millionPairs =
       PassModel.countMillionPairs(demand.promptTokens) / count;
     const weight = weighRequest(demand.promptTokens, demand.answerTokens);
-    const latenessLoss = (ms: number): number =>
-      weight * estimateLatenessLoss(ms, demand);
-    const computeCost = (option: PrefillOption): number =>
-      option.othersLossTokens +
-      latenessLoss(option.finishMs) +
-      COST_TOKENS_PER_MS * option.finishMs;
     const isSplit = count > 1;
     const costPerPosition = isSplit
       ? PART_COST_TOKENS_PER_POSITION
       : COST_TOKENS_PER_POSITION;
-    const computeCostByPosition = (option: PrefillOption): number =>
-      computeCost(option) +
-      costPerPosition * (positions.get(option.engine) ?? 0);
-    const first = findCheapest(
-      withFreeSlot.map(engine =>
-        this.describe(engine, tokens, millionPairs, isSplit),
-      ),
-      option =>
-        computeCostByPosition(option) +
-        computeFirstDecodeCost(option.engine) +
-        weight * this.computeMissingMemory(demand, option.engine),
-    );
-    const helpers = [...positions.keys()]
-      .filter(({upstream}) => upstream !== first.engine.upstream)
-      .map(engine => this.describe(engine, tokens, millionPairs, isSplit))
-      .sort(
-        (left, right) =>
-          computeCostByPosition(left) - computeCostByPosition(right),
-      )
+    const timeCost = (ms: number): number =>
+      weight * estimateLatenessLoss(ms, demand) + COST_TOKENS_PER_MS * ms;
+    const answering = new CheapestOptions(1);
+    const helping = new CheapestOptions(count);
+    engines.forEach((engine, position) => {
+      const timing = this.estimateTiming(engine, tokens, millionPairs);
+      const ownCost = timeCost(timing.finishMs) + costPerPosition * position;
+      const mayAnswer =
+        engine.usedSlots < this.model.profile.slots &&
+        answering.accepts(ownCost);
+      const mayHelp = isSplit && helping.accepts(ownCost);
+      if (!mayAnswer && !mayHelp) return;
+      // What others lose is added last, as it takes longest to compute.
+      const option = this.describe(engine, timing, isSplit);
+      const cost = option.othersLossTokens + ownCost;
+      if (mayHelp) helping.add(option, cost);
+      if (!mayAnswer) return;
+      answering.add(
+        option,
+        cost +
+          computeFirstDecodeCost(engine) +
+          weight * this.computeMissingMemory(demand, engine),
+      );
+    });
+    const [first] = answering.list();
+    if (first === undefined) return undefined;
+    const helpers = helping
+      .list()
+      .filter(({engine}) => engine !== first.engine)
       .slice(0, count - 1);
     const options = [first, ...helpers];
     const heldTokens = allocatePromptMemory(
@@ -186,8 +186,7 @@
       },
       cost:
         othersLossTokens +
-        latenessLoss(expectedMs) +
-        COST_TOKENS_PER_MS * expectedMs +
+        timeCost(expectedMs) +
         COST_TOKENS_PER_PART * count +
         computeFirstDecodeCost(first.engine),
     };
@@ -203,6 +202,26 @@
     return Math.max(0, needed - Math.max(0, free)) / Math.max(needed, 1);
   }
 
+  /** Estimates when an engine would have prefilled a part, and in which pass. */
+  private estimateTiming(
+    engine: EngineForecast,
+    tokens: number,
+    millionPairs: number,
+  ): PrefillTiming {
+    const {backlogMs, passMs, slowdownFactor, decodeRequests} = engine;
+    const prefillMs =
+      slowdownFactor * this.model.estimatePrefillMs(tokens, millionPairs);
+    if (decodeRequests.length === 0) {
+      return {prefillMs, finishMs: backlogMs + prefillMs, passMs: 0};
+    }
+    const passes = Math.ceil(tokens / this.model.maxPrefillTokensPerPass);
+    return {
+      prefillMs,
+      finishMs: passMs / 2 + backlogMs + passes * passMs + prefillMs,
+      passMs: passMs + prefillMs / passes + engine.nextPassPrefillMs,
+    };
+  }
+
   /**
    * Estimates the effect of prefilling a part on an engine.
    *
@@ -211,34 +230,20 @@
    */
   private describe(
     engine: EngineForecast,
-    tokens: number,
-    millionPairs: number,
+    {prefillMs, finishMs, passMs}: PrefillTiming,
     isAheadOfQueue: boolean,
   ): PrefillOption {
-    const {backlogMs, passMs, slowdownFactor, decodeRequests} = engine;
-    const prefillMs =
-      slowdownFactor * this.model.estimatePrefillMs(tokens, millionPairs);
-    if (decodeRequests.length === 0) {
-      const othersLossTokens = isAheadOfQueue
-        ? estimatePrefillLoss(engine, prefillMs)
-        : 0;
-      return {
-        engine,
-        finishMs: backlogMs + prefillMs,
-        passMs: 0,
-        othersLossTokens,
-      };
-    }
-    const passes = Math.ceil(tokens / this.model.maxPrefillTokensPerPass);
-    const longestPassMs =
-      passMs + prefillMs / passes + engine.nextPassPrefillMs;
+    const isDecoding = engine.decodeRequests.length > 0;
+    const delaysPrefill = isDecoding || isAheadOfQueue;
+    const prefillLoss = delaysPrefill
+      ? estimatePrefillLoss(engine, prefillMs)
+      : 0;
+    const decodeLoss = isDecoding ? estimateDecodeLoss(engine, passMs) : 0;
     return {
       engine,
-      finishMs: passMs / 2 + backlogMs + passes * passMs + prefillMs,
-      passMs: longestPassMs,
-      othersLossTokens:
-        estimateDecodeLoss(engine, longestPassMs) +
-        estimatePrefillLoss(engine, prefillMs),
+      finishMs,
+      passMs,
+      othersLossTokens: decodeLoss + prefillLoss,
     };
   }
 }
@@ -269,16 +274,3 @@
 function computeFirstDecodeCost({decodeRequests}: EngineForecast): number {
   return decodeRequests.length === 0 ? FIRST_DECODE_COST_TOKENS : 0;
 }
-
-function findCheapest<Option extends object>(
-  options: readonly Option[],
-  computeCost: (option: Option) => number,
-): Option {
-  const [first, ...others] = options;
-  if (first === undefined) throw new RangeError('options list is empty');
-  let cheapest = first;
-  for (const option of others) {
-    if (computeCost(option) < computeCost(cheapest)) cheapest = option;
-  }
-  return cheapest;
-}
--- a/packages/dispatch/src/upstream_chooser.ts
+++ b/packages/dispatch/src/upstream_chooser.ts
@@ -13,7 +13,9 @@
 
 /** Chooses upstreams by the placements of all hosts and by upstream health. */
 export class UpstreamChooser {
-  private positions = new Map<string, number>();
+  private readonly known = new Set<string>();
+  /** All known upstreams in this host's order of preference. */
+  private ordered: readonly string[] = [];
   private readonly models = new WeakMap<Service, PassModel>();
 
   /**
@@ -106,16 +108,11 @@
 
   /** Sorts upstreams by rendezvous hashing with the name of this host. */
   private sortByPreference(entries: readonly UpstreamEntry[]): UpstreamEntry[] {
-    if (entries.some(({id}) => !this.positions.has(id))) {
-      const ids = entries.map(({id}) => id);
-      const knownIds = [...this.positions.keys()];
-      const ordered = orderByRendezvous(this.host, [...knownIds, ...ids]);
-      this.positions = new Map(ordered.map((id, position) => [id, position]));
+    const byId = new Map(entries.map(entry => [entry.id, entry]));
+    if (entries.some(({id}) => !this.known.has(id))) {
+      for (const id of byId.keys()) this.known.add(id);
+      this.ordered = orderByRendezvous(this.host, [...this.known]);
     }
-    const positionOf = ({id}: UpstreamEntry): number =>
-      this.positions.get(id) ?? 0;
-    return [...entries].sort(
-      (left, right) => positionOf(left) - positionOf(right),
-    );
+    return this.ordered.flatMap(id => byId.get(id) ?? []);
   }
 }
