Do not take a refusal that an upstream writes once more for one

Callers saw (reported by other operators; shown here on stand-ins): 'not run, try again' for a request that an upstream had run or was running, or such a request ran at a second upstream.

Cause: a response without an id was taken for that of the current request, also on a kept connection, and a request that came back to an upstream could get the kept connection on which it had been refused, so that the repeated refusal named the right id.

Ruled out: a repeated refusal that names the earlier request (it was rejected already), and a response head that is cut in the middle (12 variants on new and kept connections, all reported as broken before this change).

Change: UpstreamConnection tells to which request a response belongs. One that names no request is taken only while the upstream names none on that connection, and a refusal without an id only as the first response there; a request that was refused is sent again over another connection.

Measured: the tests 'does not take a refusal that comes once more' (without an id, 503 and 421), 'sends a request that was refused again on another connection' and 'takes no response without an id' failed before and pass now.

--- a/packages/daemon/src/gateway/upstream_attempt.test.ts
+++ b/packages/daemon/src/gateway/upstream_attempt.test.ts
@@ -170,6 +170,86 @@
     expect((await send(address)).outcome).to.equal(AttemptOutcome.REFUSED);
   });
 
+  /** Refusals of an earlier request that may come once more, by their id header. */
+  const REFUSAL_IDS = new Map([
+    ['with the id of the earlier request', 'Request-Id: r1\r\n'],
+    ['without an id', ''],
+  ]);
+  for (const [name, idHeader] of REFUSAL_IDS) {
+    for (const status of ['503 Busy\r\nNot-Run: 1', '421 Misdirected']) {
+      it(`does not take a refusal that comes once more, ${name}, for one (${status.slice(0, 3)})`, async () => {
+        const refusal = `HTTP/1.1 ${status}\r\n${idHeader}Content-Length: 0\r\n\r\n`;
+        const address = await listen(socket => {
+          socket.write(refusal);
+        });
+        expect((await send(address)).outcome).to.equal(AttemptOutcome.REFUSED);
+        await new Promise(resolve => setTimeout(resolve, 10));
+        const {outcome} = await send(address, 'r2');
+        expect(await countConnections()).to.be.at.most(1);
+        expect(outcome).to.equal(AttemptOutcome.BROKEN);
+      });
+    }
+  }
+
+  it('sends a request that was refused again on another connection', async () => {
+    const refusal =
+      'HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nRequest-Id: r1\r\nContent-Length: 0\r\n\r\n';
+    const whole =
+      'HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nContent-Length: 2\r\n\r\nok';
+    let refused: Socket | undefined;
+    const address = await listen(socket => {
+      // The faulty upstream runs the request that comes again, and first writes
+      // the earlier refusal once more where that connection was kept.
+      refused ??= socket;
+      socket.write(socket === refused ? refusal : whole);
+    });
+    expect((await send(address)).outcome).to.equal(AttemptOutcome.REFUSED);
+    await new Promise(resolve => setTimeout(resolve, 10));
+    const {outcome, body} = await send(address);
+    expect([outcome, body]).to.deep.equal([AttemptOutcome.ANSWERED, 'ok']);
+  });
+
+  it('takes no response without an id where the upstream tells ids', async () => {
+    const answer = (id: string): string =>
+      `HTTP/1.1 200 OK\r\n${id}Content-Length: 2\r\n\r\nok`;
+    let requests = 0;
+    const address = await listen(socket => {
+      socket.write(answer(requests++ === 0 ? 'Request-Id: r1\r\n' : ''));
+    });
+    expect((await send(address)).outcome).to.equal(AttemptOutcome.ANSWERED);
+    await new Promise(resolve => setTimeout(resolve, 10));
+    expect((await send(address, 'r2')).outcome).to.equal(AttemptOutcome.BROKEN);
+  });
+
+  const CUT_HEADS = [
+    'HTTP/1.1 200',
+    'HTTP/1.1 200 OK\r\n',
+    'HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n',
+    'HTTP/1.1 200 OK\r\nContent-Length: 1',
+    'HTTP/1.1 200 OK\r\nContent-Length: 12\r\n',
+    'HTTP/1.1 200 OK\r\nConnection: close\r\n\r',
+  ];
+  for (const head of CUT_HEADS) {
+    for (const isReused of [false, true]) {
+      it(`does not take a head that is cut for a response (${JSON.stringify(head)}, ${isReused ? 'kept' : 'new'} connection)`, async () => {
+        let left = isReused ? 1 : 0;
+        const address = await listen(socket => {
+          if (left-- > 0) {
+            socket.write('HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok');
+          } else {
+            socket.end(head);
+          }
+        });
+        if (isReused) {
+          await send(address, 'r0');
+          await new Promise(resolve => setTimeout(resolve, 10));
+        }
+        const {outcome, body} = await send(address);
+        expect([outcome, body]).to.deep.equal([AttemptOutcome.BROKEN, '']);
+      });
+    }
+  }
+
   it('reports that nothing was sent when the connection fails', async () => {
     const server = createServer();
     await new Promise<void>(resolve => {
--- a/packages/daemon/src/gateway/upstream_attempt.ts
+++ b/packages/daemon/src/gateway/upstream_attempt.ts
@@ -28,7 +28,7 @@
     const {upstream, needsNewConnection} = request;
     this.connection = needsNewConnection
       ? new UpstreamConnection(upstream.address)
-      : connectionPool.acquire(upstream.id, upstream.address);
+      : connectionPool.acquire(upstream.id, upstream.address, request.id);
   }
 
   /** Sends the request. The listener is called until the attempt ends. */
@@ -67,18 +67,25 @@
     headers: Record<string, string | string[] | undefined>,
   ): void {
     if (this.hasEnded || status < 200) return;
-    const {headerNames} = this;
+    const {headerNames, request, connection} = this;
     const echoedId = headers[headerNames.requestId];
-    if (echoedId !== undefined && echoedId !== this.request.id) {
+    const namedId = echoedId === undefined ? undefined : String(echoedId);
+    this.isRefused =
+      headers[headerNames.notRun] !== undefined ||
+      status === MISDIRECTED_STATUS;
+    if (!connection.isResponseTo(request.id, namedId, this.isRefused)) {
+      this.isRefused = false;
       this.fail(
         AttemptOutcome.BROKEN,
-        `response belongs to request ${String(echoedId)}`,
+        `response belongs to request ${namedId ?? '(unnamed)'}`,
       );
       return;
     }
-    this.isRefused =
-      headers[headerNames.notRun] !== undefined ||
-      status === MISDIRECTED_STATUS;
+    connection.recordResponse(
+      request.id,
+      namedId !== undefined,
+      this.isRefused,
+    );
     const isAccepted = this.listener.onHead({
       status,
       headers: listEndToEndHeaders(readRawHeaders(controller), NO_EXCLUSIONS),
--- a/packages/daemon/src/gateway/upstream_connection.ts
+++ b/packages/daemon/src/gateway/upstream_connection.ts
@@ -11,12 +11,19 @@
 /** Idle time before TCP keep-alive probes, which detect a dead connection. */
 const KEEP_ALIVE_DELAY_MS = 1_000;
 
-/** One connection to an upstream. It carries one request at a time. */
+/**
+ * One connection to an upstream. It carries one request at a time. A faulty upstream
+ * may write a response once more where that to a later request is due, so the
+ * connection remembers what shows to which request a response belongs.
+ */
 export class UpstreamConnection {
   readonly client: Client;
   /** Monotonic time at which the connection became idle. */
   idleSinceMs = 0;
   private socket: Socket | undefined;
+  private responses = 0;
+  private namesRequests = false;
+  private readonly refusedIds = new Set<string>();
 
   constructor(address: string) {
     const connect = buildConnector({
@@ -40,6 +47,38 @@
     });
   }
 
+  /**
+   * Whether a response belongs to a request.
+   *
+   * @param namedId Id of the request that the response names, if it names one.
+   * @param isRefusal Whether it states that the request was not executed.
+   */
+  isResponseTo(
+    requestId: string,
+    namedId: string | undefined,
+    isRefusal: boolean,
+  ): boolean {
+    if (namedId !== undefined) return namedId === requestId;
+    if (this.namesRequests) return false;
+    return !isRefusal || this.responses === 0;
+  }
+
+  /** Records a response that belongs to a request. */
+  recordResponse(
+    requestId: string,
+    namesRequest: boolean,
+    isRefusal: boolean,
+  ): void {
+    this.responses++;
+    if (namesRequest) this.namesRequests = true;
+    if (isRefusal) this.refusedIds.add(requestId);
+  }
+
+  /** Whether a request was refused here, so that the refusal may come once more. */
+  hasRefused(requestId: string): boolean {
+    return this.refusedIds.has(requestId);
+  }
+
   /** Whether the connection is open and may carry another request. */
   get isOpen(): boolean {
     const {socket} = this;
--- a/packages/daemon/src/gateway/upstream_connection_pool.ts
+++ b/packages/daemon/src/gateway/upstream_connection_pool.ts
@@ -16,14 +16,19 @@
   constructor(private readonly clock: Clock) {}
 
   /**
-   * Returns an idle connection to an upstream, or a new one that is not yet
-   * connected.
+   * Returns an idle connection to an upstream on which the request was not refused,
+   * or a new one that is not yet connected.
    */
-  acquire(upstream: string, address: string): UpstreamConnection {
+  acquire(
+    upstream: string,
+    address: string,
+    requestId: string,
+  ): UpstreamConnection {
     const idle = this.idle.get(upstream) ?? [];
     const nowMs = this.clock.nowMs();
     for (let one = idle.pop(); one !== undefined; one = idle.pop()) {
-      if (one.isOpen && nowMs - one.idleSinceMs < MAX_IDLE_MS) return one;
+      const isFresh = nowMs - one.idleSinceMs < MAX_IDLE_MS;
+      if (one.isOpen && isFresh && !one.hasRefused(requestId)) return one;
       one.close();
     }
     return new UpstreamConnection(address);
