Show a caller nothing of a second upstream that is no part of its stream

Callers saw (reported by other operators; shown here on stand-ins): text of an error, at times a whole head, in the middle of a stream that was resumed, and a stream that ended as if it were complete.

Cause: any success of the second upstream was read as events, whatever its content type, and a block of lines without an id or any field was passed on as an event. Events before a fault in one chunk were lost, though the stream resumed after them.

Ruled out: failures of the second upstream with a length, in chunks or without either, an answer without content, and a body in JSON: these were cut off before.

Change: only a success whose content type is that of event streams (or missing) is read as events; EventCursor finds a fault in lines that are no fields, and in data without an id once a stream whose events had ids is resumed; it returns the events before a fault.

--- a/packages/daemon/src/gateway/forward_session.ts
+++ b/packages/daemon/src/gateway/forward_session.ts
@@ -165,13 +165,12 @@
       return;
     }
     const events = this.cursor.append(chunk);
-    if (events === undefined) {
+    if (events.length > 0) this.relay(events);
+    if (this.cursor.hasFault) {
       this.abortAttempt(
         AttemptOutcome.BROKEN,
         'response is not a valid event stream',
       );
-    } else if (events.length > 0) {
-      this.relay(events);
     }
   }
 
@@ -267,7 +266,7 @@
   private prepare(placed: PlacedAttempt): void {
     this.head = undefined;
     this.responseBuffer = new ResponseBuffer();
-    this.cursor.discardPartialEvent();
+    this.cursor.resume();
     this.sender.send(placed, this.cursor.lastId);
   }
 
@@ -344,8 +343,8 @@
       if (!this.writer.hasStarted) this.writer.start(head);
       this.writer.end();
     } else if (this.writer.hasStarted) {
-      // The status of an earlier attempt is already sent. Only closing the
-      // connection can signal the failure.
+      // The head of an earlier attempt is already sent, and this answer is no part
+      // of that one. Only closing the connection can signal the failure.
       this.writer.abort();
     } else {
       this.writer.send(head, this.responseBuffer.join());
@@ -393,7 +392,9 @@
 
   private isStreaming(): boolean {
     return (
-      this.route.kind === RequestKind.STREAM && this.head?.status === OK_STATUS
+      this.route.kind === RequestKind.STREAM &&
+      this.head?.status === OK_STATUS &&
+      this.head.isEventStream
     );
   }
 
--- a/packages/daemon/src/gateway/response_head.ts
+++ b/packages/daemon/src/gateway/response_head.ts
@@ -3,6 +3,8 @@
   readonly status: number;
   /** End-to-end headers, names and values alternating. */
   readonly headers: readonly string[];
+  /** Whether the body is a stream of events, as far as the headers tell. */
+  readonly isEventStream: boolean;
   /** Whether the upstream states that it did not execute the request. */
   readonly isNotRun: boolean;
   /** Whether the response has neither a length nor chunks. */
--- a/packages/daemon/src/gateway/upstream_attempt.ts
+++ b/packages/daemon/src/gateway/upstream_attempt.ts
@@ -9,6 +9,7 @@
 
 const MISDIRECTED_STATUS = 421;
 const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
+const EVENT_STREAM = 'text/event-stream';
 const NO_EXCLUSIONS: ReadonlySet<string> = new Set();
 
 /** One attempt to send a request to an upstream, with its response. */
@@ -89,6 +90,7 @@
     const isAccepted = this.listener.onHead({
       status,
       headers: listEndToEndHeaders(readRawHeaders(controller), NO_EXCLUSIONS),
+      isEventStream: isEventStream(headers['content-type']),
       isNotRun: this.isRefused,
       endsWithConnection: isEndedByConnection(status, headers),
       faultyAddress: String(headers[headerNames.faultyUpstream] ?? ''),
@@ -151,6 +153,12 @@
   return Number.isFinite(value) && value > 0 ? value : undefined;
 }
 
+/** Whether a content type is that of event streams, or is missing. */
+function isEventStream(contentType: string | string[] | undefined): boolean {
+  if (contentType === undefined) return true;
+  return String(contentType).trim().toLowerCase().startsWith(EVENT_STREAM);
+}
+
 /** Whether only the end of the connection shows where the body ends. */
 function isEndedByConnection(
   status: number,
--- a/packages/forwarding/src/event_cursor.test.ts
+++ b/packages/forwarding/src/event_cursor.test.ts
@@ -24,7 +24,7 @@
     .map(point => point % (bytes.length + 1))
     .sort((a, b) => a - b);
   for (const end of [...ends, bytes.length]) {
-    returned += cursor.append(bytes.subarray(from, end))?.toString() ?? '';
+    returned += cursor.append(bytes.subarray(from, end)).toString();
     from = end;
   }
   return returned;
@@ -63,7 +63,7 @@
             whole.slice(0, breakAt),
             splitPoints,
           );
-          cursor.discardPartialEvent();
+          cursor.resume();
           const last = cursor.lastId ?? 0;
           // The second upstream may repeat some events before the resume
           // position.
@@ -101,8 +101,43 @@
     expect(cursor.hasPartialEvent).to.equal(true);
   });
 
-  it('returns undefined when an event exceeds the maximum length', () => {
+  it('finds a fault when an event exceeds the maximum length', () => {
     const cursor = new EventCursor();
-    expect(cursor.append(Buffer.alloc(2_000_000, 'x'))).to.equal(undefined);
+    expect(cursor.append(Buffer.alloc(1_048_577, 'x'))).to.have.length(0);
+    expect(cursor.hasFault).to.equal(true);
+  });
+
+  const FOREIGN_BYTES = [
+    'HTTP/1.1 500 Failed\r\nContent-Type: text/plain\r\n\r\n',
+    'HTTP/1.1 200 OK\n\n',
+    'upstream failed\n\n',
+    '{"error"}\n\n',
+  ];
+  for (const foreign of FOREIGN_BYTES) {
+    it(`returns the events before bytes that are none, and not those: ${JSON.stringify(foreign)}`, () => {
+      const cursor = new EventCursor();
+      const text = `${makeEvents(1, 2)}${foreign}${makeEvent(3)}`;
+      expect(cursor.append(Buffer.from(text)).toString()).to.equal(
+        makeEvents(1, 2),
+      );
+      expect([cursor.hasFault, cursor.lastId]).to.deep.equal([true, 2]);
+      cursor.resume();
+      expect(cursor.append(Buffer.from(makeEvent(3))).toString()).to.equal(
+        makeEvent(3),
+      );
+      expect(cursor.hasFault).to.equal(false);
+    });
+  }
+
+  it('takes events without an id only before a stream is resumed', () => {
+    const cursor = new EventCursor();
+    const plain = 'data: no id\n\n';
+    const comment = ': still here\n\n';
+    const first = `${plain}${comment}${makeEvent(1)}`;
+    expect(cursor.append(Buffer.from(first)).toString()).to.equal(first);
+    cursor.resume();
+    expect(cursor.append(Buffer.from(comment)).toString()).to.equal(comment);
+    expect(cursor.append(Buffer.from(plain))).to.have.length(0);
+    expect(cursor.hasFault).to.equal(true);
   });
 });
--- a/packages/forwarding/src/event_cursor.ts
+++ b/packages/forwarding/src/event_cursor.ts
@@ -2,6 +2,9 @@
 const CARRIAGE_RETURN = 0x0d;
 /** Maximum length of an event that is not yet terminated by its blank line. */
 const MAX_EVENT_BYTES = 1_048_576;
+/** A line that is neither a field nor a comment of an event. */
+const FOREIGN_LINE = /^(?!(?:data|event|id|retry)\r?$)[^:\r\n]+\r?$/m;
+const DATA_LINE = /^data(?::|\r?$)/m;
 
 /**
  * Splits a stream of server-sent events into complete events and returns each
@@ -12,6 +15,8 @@
   private pending: Buffer = Buffer.alloc(0);
   private returnedId: number | undefined;
   private returnedCount = 0;
+  private requiresIds = false;
+  private isFaulty = false;
 
   /**
    * @param afterId Id of the last event that the caller has already received.
@@ -35,35 +40,55 @@
     return this.pending.length > 0;
   }
 
+  /** Whether the bytes since the last `resume` are no part of the stream. */
+  get hasFault(): boolean {
+    return this.isFaulty;
+  }
+
   /**
-   * Adds the next bytes of the answer.
+   * Adds the next bytes of the answer. They are no part of the stream where an event
+   * exceeds its maximum length or has lines that are no fields, or where an event
+   * without an id comes after a resumption.
    *
-   * @return The complete events that the caller has not received yet, or
-   *     undefined when an event exceeds its maximum length.
+   * @return The complete events that the caller has not received yet, up to a fault.
    */
-  append(chunk: Buffer): Buffer | undefined {
+  append(chunk: Buffer): Buffer {
     let bytes =
       this.pending.length > 0 ? Buffer.concat([this.pending, chunk]) : chunk;
     const events: Buffer[] = [];
     let end = findEventEnd(bytes);
-    while (end > 0) {
+    while (end > 0 && !this.isFaulty) {
       const event = bytes.subarray(0, end);
-      if (this.advanceTo(event)) events.push(event);
+      const text = event.toString('latin1');
+      if (!this.isPart(text)) this.isFaulty = true;
+      else if (this.advanceTo(text)) events.push(event);
       bytes = bytes.subarray(end);
       end = findEventEnd(bytes);
     }
     this.pending = bytes;
-    if (bytes.length > MAX_EVENT_BYTES) return undefined;
-    return events.length === 1 ? events[0] : Buffer.concat(events);
+    if (bytes.length > MAX_EVENT_BYTES) this.isFaulty = true;
+    const [first] = events;
+    return events.length === 1 && first ? first : Buffer.concat(events);
   }
 
-  /** Discards an incomplete event before another upstream sends it again. */
-  discardPartialEvent(): void {
+  /**
+   * Prepares for another upstream, which sends an incomplete event again. Events
+   * of a resumed stream name their place in it if the earlier ones did.
+   */
+  resume(): void {
     this.pending = Buffer.alloc(0);
+    this.requiresIds = this.returnedCount > 0;
+    this.isFaulty = false;
+  }
+
+  private isPart(event: string): boolean {
+    if (FOREIGN_LINE.test(event)) return false;
+    const hasId = parseEventId(event) !== undefined;
+    return hasId || !this.requiresIds || !DATA_LINE.test(event);
   }
 
   /** Advances to the event; false when the caller has already received it. */
-  private advanceTo(event: Buffer): boolean {
+  private advanceTo(event: string): boolean {
     const id = parseEventId(event);
     if (id === undefined) return true;
     if (this.returnedId !== undefined && id <= this.returnedId) return false;
@@ -85,7 +110,7 @@
   return 0;
 }
 
-function parseEventId(event: Buffer): number | undefined {
-  const match = /^id: ?(\d+)\r?$/m.exec(event.toString('latin1'));
+function parseEventId(event: string): number | undefined {
+  const match = /^id: ?(\d+)\r?$/m.exec(event);
   return match === null ? undefined : Number(match[1]);
 }
