Send heartbeats to one relay, and tell only hosts that changed in digests

Cause: each host sent its heartbeat to all relays twice in 1.2 s and was answered by all of them, each digest repeated every host's heartbeat to every host, and each digest and heartbeat interval sorted all hosts anew to choose relays.

Ruled out, by runs of 24 hosts as processes: flags of the runtime (no optimiser, fewer threads, a baseline compiler, a larger heap for new objects): no gain beyond noise.

Change: a host that is ready sends its heartbeats to its own relay; relays send each other theirs and a digest of the hosts that they hear. Hosts that start or stop tell all relays. DigestHistory repeats what has changed, names the others as alone alive, and repeats all in each fourth digest, which hosts of an earlier version rely on. The hash of suspects is computed once an interval; peers are refreshed with the heartbeats.

--- a/packages/daemon/src/gateway/fleet_membership.ts
+++ b/packages/daemon/src/gateway/fleet_membership.ts
@@ -1,17 +1,17 @@
 import {
+  DigestHistory,
   PeerRoster,
   PeerStage,
   RelayChooser,
   type PeerHeartbeat,
+  type PeerSighting,
   type RelayChoice,
 } from '@parsleywood/membership';
 import type {UpstreamLimits} from '@parsleywood/dispatch';
 import {
-  HostStage,
   type FleetMessage,
   type HostBeat,
   type HostDigest,
-  type HostSighting,
 } from '@parsleywood/schema/fleet';
 import type {Delivery} from '@parsleywood/schema/peer';
 import type {GatewaySettings} from '@parsleywood/schema/gateway_settings';
@@ -23,6 +23,9 @@
 import type {SuspectSynchronizer} from '../upstreams/suspect_synchronizer.js';
 import type {UpdateRelay} from './update_relay.js';
 import type {UpdateApplier} from './update_applier.js';
+import {decodeHeartbeat} from './decode_heartbeat.js';
+import {encodeDigest} from './encode_digest.js';
+import {HOST_STAGES} from './host_stages.js';
 import type {SiteExchange} from './site_exchange.js';
 import type {SiteUpdater} from './site_updater.js';
 
@@ -37,12 +40,6 @@
 const INTRODUCTION_INTERVALS = 4;
 /** Minimum time between two connection resets for a host. */
 const RESET_MS = 1_500;
-const STAGES: Readonly<Record<PeerStage, HostStage>> = {
-  [PeerStage.STARTING]: HostStage.HOST_STAGE_STARTING,
-  [PeerStage.READY]: HostStage.HOST_STAGE_READY,
-  [PeerStage.STOPPING]: HostStage.HOST_STAGE_STOPPING,
-};
-
 /**
  * Tracks the other hosts of the site by heartbeats, and exchanges published
  * state with them.
@@ -50,9 +47,12 @@
 export class FleetMembership {
   private readonly roster: PeerRoster;
   private readonly relayChooser: RelayChooser;
+  private readonly digestHistory = new DigestHistory();
   private readonly resetAtMs = new Map<string, number>();
   private timer: NodeJS.Timeout | undefined;
   private heartbeatCount = 0;
+  /** Hash of the suspects at the last interval; it takes long to compute. */
+  private suspectsHash = 0;
   private livePeers: PeerHeartbeat[] = [];
   /** Undefined when all hosts exchange messages directly. */
   private relayChoice: RelayChoice | undefined;
@@ -119,7 +119,10 @@
   sendHeartbeats(): void {
     const nowMs = this.clock.nowMs();
     const tick = this.heartbeatCount++;
-    this.refreshLivePeers(nowMs);
+    this.suspectsHash = this.suspects.computeHash();
+    const isRefreshDue =
+      this.relayChoice === undefined || tick % RELAY_HEARTBEAT_INTERVALS === 0;
+    if (isRefreshDue) this.refreshLivePeers(nowMs);
     if (this.relayChoice === undefined) this.broadcastHeartbeat(tick, nowMs);
     else this.sendHeartbeatToRelays(this.relayChoice, tick, nowMs);
     if (tick % RELAY_HEARTBEAT_INTERVALS === 0) this.sendDigests(nowMs);
@@ -142,16 +145,21 @@
   }
 
   /**
-   * Sends heartbeats to relays, and at times to seeds and direct peers as well,
-   * so that a partitioned part of the site rejoins.
+   * Sends heartbeats to this host's relay, which passes them on to the others. A
+   * relay sends them to the other relays, as does a host that starts or stops. Seeds
+   * and direct peers get them at times, so that a partitioned part of the site
+   * rejoins.
    */
   private sendHeartbeatToRelays(
-    {relays}: RelayChoice,
+    {relays, subscribedRelay}: RelayChoice,
     tick: number,
     nowMs: number,
   ): void {
+    const isSettled = this.readStage() === PeerStage.READY;
+    const usesRelay = subscribedRelay !== undefined && isSettled;
+    const isDue = tick % RELAY_HEARTBEAT_INTERVALS === 0 || !isSettled;
     const targets = new Set(
-      tick % RELAY_HEARTBEAT_INTERVALS === 0 ? relays : [],
+      isDue ? (usesRelay ? [subscribedRelay] : relays) : [],
     );
     if (tick % INTRODUCTION_INTERVALS === 0) {
       for (const one of this.roster.listDirectPeers(nowMs)) targets.add(one);
@@ -174,13 +182,36 @@
     this.relay.send(address, {body: {$case: 'beat', value}});
   }
 
+  /**
+   * Sends a relay's subscribers all hosts that it knows of, and the other relays
+   * those that it hears itself.
+   */
   private sendDigests(nowMs: number): void {
     const subscribers = this.relay.listSubscribers(nowMs);
     if (subscribers.length === 0) return;
-    const digest = this.describeHosts(nowMs);
-    for (const address of subscribers) {
-      this.relay.send(address, {body: {$case: 'digest', value: digest}});
-    }
+    const sightings = this.roster.listSightings(nowMs);
+    const {changed, unchanged} = this.digestHistory.split(sightings);
+    this.sendDigestTo(subscribers, changed, unchanged);
+    const isHeard = ({beat}: PeerSighting): boolean =>
+      this.roster.hearsDirectly(beat.peersAddress, nowMs);
+    this.sendDigestTo(
+      this.relayChoice?.relays ?? [],
+      changed.filter(isHeard),
+      unchanged.filter(isHeard),
+    );
+  }
+
+  /** @param unchanged Hosts that are as the digest before told. */
+  private sendDigestTo(
+    addresses: readonly string[],
+    sightings: readonly PeerSighting[],
+    unchanged: readonly PeerSighting[] = [],
+  ): void {
+    const nowMs = this.clock.nowMs();
+    const store = this.siteExchange.describeContact();
+    const digest = encodeDigest(sightings, unchanged, store, nowMs);
+    const message: FleetMessage = {body: {$case: 'digest', value: digest}};
+    for (const address of addresses) this.relay.send(address, message);
   }
 
   private handleMessage(
@@ -256,8 +287,7 @@
     this.reconnect(address, nowMs);
     if (this.relayChoice === undefined) return;
     this.sendHeartbeatTo(address, [], nowMs);
-    const value = this.describeHosts(nowMs);
-    this.relay.send(address, {body: {$case: 'digest', value}});
+    this.sendDigestTo([address], this.roster.listSightings(nowMs));
   }
 
   /** Tells a host that may be new which upstreams limit their requests. */
@@ -275,7 +305,7 @@
 
   private handleDigest(
     host: string,
-    {sightings, store}: HostDigest,
+    {sightings, store, pulses}: HostDigest,
     nowMs: number,
   ): void {
     this.siteExchange.recordContact(host, store, nowMs);
@@ -287,19 +317,33 @@
       );
       if (replaced !== undefined) this.applier.dropHost(beat.peersAddress);
     }
-    this.refreshLivePeers(nowMs);
+    for (const {peersAddress, silentMs} of pulses) {
+      this.roster.extendSighting(peersAddress, nowMs - silentMs);
+    }
+    // The next heartbeat refreshes the peers, but a new host does not wait for it.
+    if (sightings.length > this.livePeers.length) this.refreshLivePeers(nowMs);
   }
 
   private refreshLivePeers(nowMs: number): void {
-    const current = this.roster.listAlive(nowMs);
-    const before = new Set(this.listPeers());
-    const after = new Set(current.map(({peersAddress}) => peersAddress));
-    for (const peer of after) if (!before.has(peer)) this.logPeer(peer, true);
-    for (const peer of before) if (!after.has(peer)) this.logPeer(peer, false);
-    this.livePeers = current;
+    const before = this.livePeers;
+    this.livePeers = this.roster.listAlive(nowMs);
+    this.logChanges(before);
     this.chooseRelays(nowMs);
   }
 
+  private logChanges(before: readonly PeerHeartbeat[]): void {
+    const toAddresses = (peers: readonly PeerHeartbeat[]): Set<string> =>
+      new Set(peers.map(({peersAddress}) => peersAddress));
+    const previous = toAddresses(before);
+    const current = toAddresses(this.livePeers);
+    for (const peer of current) {
+      if (!previous.has(peer)) this.logPeer(peer, true);
+    }
+    for (const peer of previous) {
+      if (!current.has(peer)) this.logPeer(peer, false);
+    }
+  }
+
   private chooseRelays(nowMs: number): void {
     const {subscribedRelay: source} = this.relayChoice ?? {};
     this.relayChoice = this.relayChooser.choose(
@@ -341,7 +385,7 @@
       peersAddress,
       callersAddress,
       failureDomain,
-      stage: STAGES[this.readStage()],
+      stage: HOST_STAGES[this.readStage()],
       ...this.siteUpdater.position,
       version: this.siteUpdater.version,
       hearsReceiver: false,
@@ -349,39 +393,8 @@
       processorShare: this.settings.processorShare ?? 1,
       subscribes: false,
       relays: this.relay.listSubscribers(nowMs).length > 0,
-      suspectsHash: this.suspects.computeHash(),
+      suspectsHash: this.suspectsHash,
       ...changes,
     };
   }
-
-  private describeHosts(nowMs: number): HostDigest {
-    const sightings = this.roster.listSightings(nowMs);
-    const store = this.siteExchange.describeContact();
-    return {
-      ...(store && {store}),
-      sightings: sightings.map(({beat, heardAtMs}): HostSighting => {
-        const {incarnation, stage, ...fields} = beat;
-        return {
-          beat: {
-            ...fields,
-            stage: STAGES[stage],
-            knownAddresses: [],
-            suspectsHash: 0,
-          },
-          incarnation,
-          silentMs: Math.round(nowMs - heardAtMs),
-        };
-      }),
-    };
-  }
-}
-
-function decodeHeartbeat(beat: HostBeat, incarnation: string): PeerHeartbeat {
-  return {...beat, incarnation, stage: decodeStage(beat.stage)};
-}
-
-function decodeStage(stage: HostStage): PeerStage {
-  if (stage === HostStage.HOST_STAGE_READY) return PeerStage.READY;
-  if (stage === HostStage.HOST_STAGE_STOPPING) return PeerStage.STOPPING;
-  return PeerStage.STARTING;
 }
--- a/packages/membership/src/peer_roster.test.ts
+++ b/packages/membership/src/peer_roster.test.ts
@@ -77,6 +77,17 @@
     expect(roster.listDirectPeers(1_500)).to.have.members(['seed', 'b']);
   });
 
+  it('keeps a host alive that a relay still hears, unless it is unknown', () => {
+    roster.setRelayed(true);
+    roster.recordRelayedHeartbeat(buildBeat('b'), 1_000);
+    roster.extendSighting('b', 3_000);
+    roster.extendSighting('b', 2_000);
+    roster.extendSighting('unknown', 3_000);
+    const names = roster.listAlive(5_900).map(one => one.peersAddress);
+    expect(names).to.deep.equal(['b']);
+    expect(roster.listAlive(6_000)).to.have.length(0);
+  });
+
   it('drops silent addresses but never seeds', () => {
     roster.recordHeartbeat(buildBeat('b'), 0);
     expect(roster.listTargets(30_001)).to.deep.equal(['seed']);
--- a/packages/membership/src/peer_roster.ts
+++ b/packages/membership/src/peer_roster.ts
@@ -4,8 +4,8 @@
 /** Time without a heartbeat until a host counts as dead: four of 300 ms. */
 const DIRECT_PEER_TIMEOUT_MS = 1_200;
 /**
- * The same timeout in a site with relays: two heartbeats of 600 ms may be lost,
- * and two digests of 600 ms may be in transit.
+ * The same timeout in a site with relays: one heartbeat of 600 ms may be lost, and
+ * two digests of 600 ms may be in transit, between relays and to the host.
  */
 const RELAYED_PEER_TIMEOUT_MS = 3_000;
 /** Time without news after which an address that is no seed is dropped. */
@@ -69,6 +69,18 @@
     return this.storeSighting(heartbeat, heardAtMs);
   }
 
+  /**
+   * Records that a relay has heard from a host whose heartbeat has not changed.
+   *
+   * @param heardAtMs When the relay received the heartbeat.
+   */
+  extendSighting(address: string, heardAtMs: number): void {
+    const known = this.peers.get(address);
+    if (known === undefined || known.heardAtMs >= heardAtMs) return;
+    this.peers.set(address, {beat: known.beat, heardAtMs});
+    this.addAddresses([address], heardAtMs);
+  }
+
   /** Addresses to which this host sends heartbeats; drops expired addresses. */
   listTargets(nowMs: number): string[] {
     for (const [address, seenMs] of this.addressSeenMs) {
