Leave a silent relay before the hosts that it told of count as gone

Callers would see: a directory that names few hosts for half a second, and hosts that each send heartbeats to all known addresses, when a relay dies. Also hosts that knew only the seeds for as long as they ran.

Ruled out: heartbeats to a second relay (the loss of both remains, and each host sends twice as much), and heartbeats to all relays as before (17 messages a second).

Change: RelaySilence lets a host subscribe elsewhere after 1.3 s; it tells the new relay at once, which answers with a digest. Relays tell each other every 300 ms; a host counts as gone after 4.2 s in place of 3 s. Heartbeats carry the number of known hosts, and one that knows less than half of the receiver's gets a digest. Only seeds and relays answer others directly.

--- a/packages/daemon/src/gateway/fleet_membership.ts
+++ b/packages/daemon/src/gateway/fleet_membership.ts
@@ -3,6 +3,7 @@
   PeerRoster,
   PeerStage,
   RelayChooser,
+  RelaySilence,
   type PeerHeartbeat,
   type PeerSighting,
   type RelayChoice,
@@ -15,7 +16,6 @@
 } from '@parsleywood/schema/fleet';
 import type {Delivery} from '@parsleywood/schema/peer';
 import type {GatewaySettings} from '@parsleywood/schema/gateway_settings';
-import {TimelineEventName} from '@parsleywood/timeline';
 import type {Clock} from '../host/clock.js';
 import type {EventLog} from '../host/event_log.js';
 import type {HostTimeline} from '../host/host_timeline.js';
@@ -26,6 +26,7 @@
 import {decodeHeartbeat} from './decode_heartbeat.js';
 import {encodeDigest} from './encode_digest.js';
 import {HOST_STAGES} from './host_stages.js';
+import {PeerLog} from './peer_log.js';
 import type {SiteExchange} from './site_exchange.js';
 import type {SiteUpdater} from './site_updater.js';
 
@@ -47,7 +48,9 @@
 export class FleetMembership {
   private readonly roster: PeerRoster;
   private readonly relayChooser: RelayChooser;
-  private readonly digestHistory = new DigestHistory();
+  private readonly peerLog: PeerLog;
+  private readonly subscriberDigests = new DigestHistory();
+  private readonly relayDigests = new DigestHistory();
   private readonly resetAtMs = new Map<string, number>();
   private timer: NodeJS.Timeout | undefined;
   private heartbeatCount = 0;
@@ -56,6 +59,7 @@
   private livePeers: PeerHeartbeat[] = [];
   /** Undefined when all hosts exchange messages directly. */
   private relayChoice: RelayChoice | undefined;
+  private readonly relaySilence = new RelaySilence();
 
   /**
    * @param draw Returns a random number in [0, 1).
@@ -63,7 +67,7 @@
    */
   constructor(
     private readonly settings: GatewaySettings,
-    private readonly transport: PeerTransport,
+    private readonly transport: Pick<PeerTransport, 'reset'>,
     private readonly relay: UpdateRelay,
     private readonly applier: UpdateApplier,
     private readonly suspects: SuspectSynchronizer,
@@ -72,12 +76,13 @@
     private readonly siteExchange: SiteExchange,
     private readonly clock: Clock,
     private readonly log: EventLog,
-    private readonly timeline: HostTimeline,
+    timeline: HostTimeline,
     draw: () => number,
     private readonly readStage: () => PeerStage,
   ) {
     this.roster = new PeerRoster(settings.peersAddress, settings.seedPeers);
     this.relayChooser = new RelayChooser(draw);
+    this.peerLog = new PeerLog(log, timeline);
   }
 
   start(): void {
@@ -120,12 +125,14 @@
     const nowMs = this.clock.nowMs();
     const tick = this.heartbeatCount++;
     this.suspectsHash = this.suspects.computeHash();
-    const isRefreshDue =
+    const isDue =
       this.relayChoice === undefined || tick % RELAY_HEARTBEAT_INTERVALS === 0;
-    if (isRefreshDue) this.refreshLivePeers(nowMs);
+    if (isDue || this.relaySilence.isSilent(nowMs)) {
+      this.refreshLivePeers(nowMs);
+    }
     if (this.relayChoice === undefined) this.broadcastHeartbeat(tick, nowMs);
     else this.sendHeartbeatToRelays(this.relayChoice, tick, nowMs);
-    if (tick % RELAY_HEARTBEAT_INTERVALS === 0) this.sendDigests(nowMs);
+    this.sendDigests(isDue, nowMs);
     this.siteExchange.queryNewestPeer(this.livePeers, nowMs);
   }
 
@@ -162,7 +169,13 @@
       isDue ? (usesRelay ? [subscribedRelay] : relays) : [],
     );
     if (tick % INTRODUCTION_INTERVALS === 0) {
-      for (const one of this.roster.listDirectPeers(nowMs)) targets.add(one);
+      // Others answer only seeds and relays, or all would go on for ever.
+      const isAsked =
+        this.roster.isSeed || !usesRelay || this.relay.isRelaying(nowMs);
+      const introduced = isAsked
+        ? this.roster.listDirectPeers(nowMs)
+        : this.roster.listSeeds();
+      for (const one of introduced) targets.add(one);
     }
     for (const address of targets) this.sendHeartbeatTo(address, [], nowMs);
   }
@@ -183,22 +196,25 @@
   }
 
   /**
-   * Sends a relay's subscribers all hosts that it knows of, and the other relays
-   * those that it hears itself.
+   * Sends the other relays the hosts that a relay hears itself, and its subscribers
+   * all hosts that it knows of.
+   *
+   * @param isDue Whether a digest to subscribers is due, and not to relays alone.
    */
-  private sendDigests(nowMs: number): void {
+  private sendDigests(isDue: boolean, nowMs: number): void {
     const subscribers = this.relay.listSubscribers(nowMs);
     if (subscribers.length === 0) return;
     const sightings = this.roster.listSightings(nowMs);
-    const {changed, unchanged} = this.digestHistory.split(sightings);
-    this.sendDigestTo(subscribers, changed, unchanged);
-    const isHeard = ({beat}: PeerSighting): boolean =>
-      this.roster.hearsDirectly(beat.peersAddress, nowMs);
-    this.sendDigestTo(
-      this.relayChoice?.relays ?? [],
-      changed.filter(isHeard),
-      unchanged.filter(isHeard),
+    const heard = this.relayDigests.split(
+      sightings.filter(({beat}) =>
+        this.roster.hearsDirectly(beat.peersAddress, nowMs),
+      ),
     );
+    const relays = this.relayChoice?.relays ?? [];
+    this.sendDigestTo(relays, heard.changed, heard.unchanged);
+    if (!isDue) return;
+    const known = this.subscriberDigests.split(sightings);
+    this.sendDigestTo(subscribers, known.changed, known.unchanged);
   }
 
   /** @param unchanged Hosts that are as the digest before told. */
@@ -221,6 +237,7 @@
   ): void {
     const nowMs = this.clock.nowMs();
     this.siteExchange.recordMessage(host, nowMs);
+    this.relaySilence.recordMessage(host, nowMs);
     if (this.applier.apply(host, message, nowMs)) {
       this.relay.forward(host, message);
       return;
@@ -261,7 +278,7 @@
     beat: HostBeat,
     nowMs: number,
   ): void {
-    const {peersAddress, hearsReceiver, subscribes} = beat;
+    const {peersAddress, hearsReceiver, subscribes, hosts} = beat;
     const replaced = this.roster.recordHeartbeat(
       decodeHeartbeat(beat, incarnation),
       nowMs,
@@ -270,6 +287,7 @@
     this.relay.subscribe(peersAddress, subscribes, nowMs);
     this.suspects.handleHash(peersAddress, beat.suspectsHash, nowMs);
     if (!hearsReceiver) this.announceTo(peersAddress, nowMs);
+    else if (this.knowsFarMoreThan(hosts)) this.introduceHosts(peersAddress);
     if (!hearsReceiver || replaced !== undefined) {
       this.sendLimits(peersAddress, nowMs);
     }
@@ -287,7 +305,21 @@
     this.reconnect(address, nowMs);
     if (this.relayChoice === undefined) return;
     this.sendHeartbeatTo(address, [], nowMs);
-    this.sendDigestTo([address], this.roster.listSightings(nowMs));
+    this.introduceHosts(address);
+  }
+
+  /**
+   * Whether a host knows so few others that it is on its own beside a large fleet:
+   * the digest that it got at its start came before this host knew the others.
+   */
+  private knowsFarMoreThan(hosts: number): boolean {
+    const isTold = hosts > 0 && this.relayChoice !== undefined;
+    return isTold && hosts * 2 < this.countHosts();
+  }
+
+  private introduceHosts(address: string): void {
+    const sightings = this.roster.listSightings(this.clock.nowMs());
+    this.sendDigestTo([address], sightings);
   }
 
   /** Tells a host that may be new which upstreams limit their requests. */
@@ -327,33 +359,24 @@
   private refreshLivePeers(nowMs: number): void {
     const before = this.livePeers;
     this.livePeers = this.roster.listAlive(nowMs);
-    this.logChanges(before);
+    this.peerLog.record(before, this.livePeers);
     this.chooseRelays(nowMs);
   }
 
-  private logChanges(before: readonly PeerHeartbeat[]): void {
-    const toAddresses = (peers: readonly PeerHeartbeat[]): Set<string> =>
-      new Set(peers.map(({peersAddress}) => peersAddress));
-    const previous = toAddresses(before);
-    const current = toAddresses(this.livePeers);
-    for (const peer of current) {
-      if (!previous.has(peer)) this.logPeer(peer, true);
-    }
-    for (const peer of previous) {
-      if (!current.has(peer)) this.logPeer(peer, false);
-    }
-  }
-
   private chooseRelays(nowMs: number): void {
     const {subscribedRelay: source} = this.relayChoice ?? {};
     this.relayChoice = this.relayChooser.choose(
       decodeHeartbeat(this.describeSelf(nowMs), ''),
       this.livePeers,
+      address => this.relaySilence.isAvoided(address, nowMs),
     );
     this.roster.setRelayed(this.relayChoice !== undefined);
     this.relay.setRecipients(this.relayChoice?.relays ?? this.listPeers());
     this.siteExchange.setRelay(this.relayChoice?.subscribedRelay);
     if (this.relayChoice?.subscribedRelay === source) return;
+    const {subscribedRelay} = this.relayChoice ?? {};
+    this.relaySilence.setRelay(subscribedRelay, nowMs);
+    if (subscribedRelay) this.sendHeartbeatTo(subscribedRelay, [], nowMs);
     this.log.info('relay_chosen', {
       relay: this.relayChoice?.subscribedRelay,
       before: source,
@@ -362,13 +385,6 @@
     });
   }
 
-  private logPeer(peer: string, isHeard: boolean): void {
-    if (isHeard) this.log.info('peer_heard', {peer});
-    else this.log.warn('peer_lost', {peer});
-    const state = isHeard ? 'heard' : 'lost';
-    this.timeline.record(TimelineEventName.MEMBER_CHANGED, '', {peer, state});
-  }
-
   /** Resets the connection to a host out of contact, as it may be dead. */
   private reconnect(address: string, nowMs: number): void {
     if (nowMs - (this.resetAtMs.get(address) ?? -Infinity) < RESET_MS) return;
@@ -392,8 +408,9 @@
       knownAddresses: [],
       processorShare: this.settings.processorShare ?? 1,
       subscribes: false,
-      relays: this.relay.listSubscribers(nowMs).length > 0,
+      relays: this.relay.isRelaying(nowMs),
       suspectsHash: this.suspectsHash,
+      hosts: this.countHosts(),
       ...changes,
     };
   }
--- a/packages/daemon/src/gateway/update_relay.ts
+++ b/packages/daemon/src/gateway/update_relay.ts
@@ -60,6 +60,11 @@
     return [...this.subscribedAtMs.keys()];
   }
 
+  /** Whether other hosts subscribe to this one. */
+  isRelaying(nowMs: number): boolean {
+    return this.listSubscribers(nowMs).length > 0;
+  }
+
   publishStart(placement: Placement): void {
     const parts = placement.parts.map(part => ({...part}));
     const answerTokens = Math.round(placement.answerTokens);
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -18,6 +18,7 @@
 export {UpstreamState} from './upstream_state.js';
 export type {PeerHeartbeat} from './peer_heartbeat.js';
 export {DigestHistory} from './digest_history.js';
+export {RelaySilence} from './relay_silence.js';
 export {PeerRoster} from './peer_roster.js';
 export type {PeerSighting} from './peer_sighting.js';
 export {RelayChooser} from './relay_chooser.js';
--- a/packages/membership/src/peer_roster.ts
+++ b/packages/membership/src/peer_roster.ts
@@ -4,10 +4,11 @@
 /** Time without a heartbeat until a host counts as dead: four of 300 ms. */
 const DIRECT_PEER_TIMEOUT_MS = 1_200;
 /**
- * The same timeout in a site with relays: one heartbeat of 600 ms may be lost, and
- * two digests of 600 ms may be in transit, between relays and to the host.
+ * The same timeout in a site with relays. A sighting is up to 1.5 s old: a heartbeat
+ * of 600 ms, a digest between relays of 300 ms and one to the host of 600 ms. When
+ * relays die, their hosts are heard through others after 2.6 s more.
  */
-const RELAYED_PEER_TIMEOUT_MS = 3_000;
+const RELAYED_PEER_TIMEOUT_MS = 4_200;
 /** Time without news after which an address that is no seed is dropped. */
 const ADDRESS_EXPIRY_MS = 30_000;
 
@@ -101,6 +102,16 @@
     return this.excludeSelf([...this.seeds, ...directPeers]);
   }
 
+  /** Whether the other hosts contact this one for as long as they run. */
+  get isSeed(): boolean {
+    return this.seeds.includes(this.self);
+  }
+
+  /** Addresses that this host always contacts. */
+  listSeeds(): string[] {
+    return this.excludeSelf(this.seeds);
+  }
+
   /** Replaces the addresses that are always contacted. */
   setSeeds(seeds: readonly string[]): void {
     this.seeds = seeds;
--- a/packages/membership/src/relay_chooser.test.ts
+++ b/packages/membership/src/relay_chooser.test.ts
@@ -110,6 +110,21 @@
     expect(remaining.some(one => one.peersAddress === second)).to.equal(true);
   });
 
+  it('leaves a relay that is silent, also for one of another domain', () => {
+    const chooser = new RelayChooser(() => 0);
+    const all = buildPeers(64);
+    const self = getAt(all, 17);
+    const others = excludeSelf(all, self);
+    const first = chooser.choose(self, others)?.subscribedRelay;
+    const second = chooser.choose(
+      self,
+      others,
+      address => address === first,
+    )?.subscribedRelay;
+    expect(second).to.be.a('string');
+    expect(second).to.not.equal(first);
+  });
+
   it('chooses a subscribed relay elsewhere when its domain has no other host', () => {
     const all = buildPeers(64).filter(
       ({failureDomain}) => failureDomain !== 'd1',
--- a/packages/membership/src/relay_chooser.ts
+++ b/packages/membership/src/relay_chooser.ts
@@ -34,11 +34,14 @@
 
   /**
    * @param others The other hosts that are alive.
+   * @param isSilent Whether a host that counts as alive has sent nothing where it
+   *     should have. It is not subscribed to.
    * @return Undefined if the site is small enough for direct messages.
    */
   choose(
     self: Candidate,
     others: readonly PeerHeartbeat[],
+    isSilent: (peersAddress: string) => boolean = () => false,
   ): RelayChoice | undefined {
     const hostCount = others.length + 1;
     if (hostCount <= MAX_DIRECT_HOSTS) {
@@ -58,7 +61,10 @@
     }
     this.subscribedRelay = isRelay
       ? undefined
-      : this.pickSubscribedRelay(self, otherRelays);
+      : this.pickSubscribedRelay(
+          self,
+          otherRelays.filter(({peersAddress}) => !isSilent(peersAddress)),
+        );
     return {
       relays: [...relays],
       ...(this.subscribedRelay !== undefined && {
