Send heartbeats to all relays while one's own is of an earlier version

Operators would see, in a rolling replacement: hosts that only the subscribers of a relay of the earlier version know, as that passes heartbeats on to them alone.

Change: a host sends its heartbeats to one relay once that relay's own tell the number of hosts, which came with digests between relays. Not run with hosts of two versions.

--- a/packages/daemon/src/gateway/encode_digest.ts
+++ b/packages/daemon/src/gateway/encode_digest.ts
@@ -32,7 +32,6 @@
           stage: HOST_STAGES[stage],
           knownAddresses: [],
           suspectsHash: 0,
-          hosts: 0,
         },
         incarnation,
         silentMs: Math.round(nowMs - heardAtMs),
--- a/packages/daemon/src/gateway/fleet_membership.ts
+++ b/packages/daemon/src/gateway/fleet_membership.ts
@@ -41,6 +41,7 @@
 const INTRODUCTION_INTERVALS = 4;
 /** Minimum time between two connection resets for a host. */
 const RESET_MS = 1_500;
+
 /**
  * Tracks the other hosts of the site by heartbeats, and exchanges published
  * state with them.
@@ -155,7 +156,8 @@
    * Sends heartbeats to this host's relay, which passes them on to the others. A
    * relay sends them to the other relays, as does a host that starts or stops. Seeds
    * and direct peers get them at times, so that a partitioned part of the site
-   * rejoins.
+   * rejoins. A relay of an earlier version passes heartbeats on to its subscribers
+   * alone.
    */
   private sendHeartbeatToRelays(
     {relays, subscribedRelay}: RelayChoice,
@@ -163,7 +165,11 @@
     nowMs: number,
   ): void {
     const isSettled = this.readStage() === PeerStage.READY;
-    const usesRelay = subscribedRelay !== undefined && isSettled;
+    const relay = this.livePeers.find(
+      ({peersAddress}) => peersAddress === subscribedRelay,
+    );
+    const passesOn = relay !== undefined && relay.hosts > 0;
+    const usesRelay = subscribedRelay !== undefined && passesOn && isSettled;
     const isDue = tick % RELAY_HEARTBEAT_INTERVALS === 0 || !isSettled;
     const targets = new Set(
       isDue ? (usesRelay ? [subscribedRelay] : relays) : [],
--- a/packages/membership/src/digest_history.test.ts
+++ b/packages/membership/src/digest_history.test.ts
@@ -22,6 +22,7 @@
     processorShare: 1,
     subscribes: false,
     relays: false,
+    hosts: 1,
     ...changes,
   };
   return {beat, heardAtMs: 0};
--- a/packages/membership/src/peer_heartbeat.ts
+++ b/packages/membership/src/peer_heartbeat.ts
@@ -23,4 +23,6 @@
   readonly subscribes: boolean;
   /** Whether the sender relays messages to other hosts. */
   readonly relays: boolean;
+  /** Number of hosts that the sender knows; 0 if it is of a version that does not tell. */
+  readonly hosts: number;
 }
--- a/packages/membership/src/peer_roster.test.ts
+++ b/packages/membership/src/peer_roster.test.ts
@@ -21,6 +21,7 @@
     processorShare: 1,
     subscribes: false,
     relays: false,
+    hosts: 1,
     ...changes,
   };
 }
--- a/packages/membership/src/relay_chooser.test.ts
+++ b/packages/membership/src/relay_chooser.test.ts
@@ -21,6 +21,7 @@
     processorShare: index % 10 === 0 ? 1.35 : 0.324,
     subscribes: false,
     relays: false,
+    hosts: 1,
     ...changes,
   };
 }
