Keep the newest configuration alone in the log of deltas

Operators would see: memory of a host that grows by one whole configuration with each of the last 64 changes (with 20,000 routes far over a host's limit).

Cause: the deltas for peers that lag kept every configuration that was published.

Change: a newer configuration takes the place of the earlier ones in the log; a peer that lags gets it with the deltas that follow.

Found by reading. Shown by a test of the log; memory of hosts was not measured for it.

--- a/packages/forwarding/src/site_delta_log.test.ts
+++ b/packages/forwarding/src/site_delta_log.test.ts
@@ -50,6 +50,38 @@
     expect(log.listSince({epoch: 0, revision: 5})).to.equal(undefined);
   });
 
+  it('keeps the newest configuration alone, which every lagging peer gets', () => {
+    const limits = {
+      maxHeaderBytes: 1,
+      maxBodyBytes: 1,
+      headerTimeoutMs: 1,
+      idleTimeoutMs: 1,
+    };
+    const log = new SiteDeltaLog();
+    for (let revision = 1; revision <= 9; revision++) {
+      const isPublished = revision % 3 === 0;
+      const configuration = {
+        version: revision,
+        routes: [],
+        services: [],
+        limits,
+      };
+      log.add({
+        ...buildDelta(revision - 1, revision),
+        ...(isPublished && {configuration}),
+      });
+    }
+    log.add(buildDelta(9, 10));
+    const deltas = log.listSince({epoch: 1, revision: 0}) ?? [];
+    expect(
+      deltas.flatMap(({configuration}) => configuration?.version ?? []),
+    ).to.deep.equal([9]);
+    const peer = new SiteReplica();
+    peer.applySnapshot({epoch: 1, revision: 1, upstreams: []}, 0, false);
+    for (const delta of deltas) peer.applyChange(delta, 0, false);
+    expect([peer.version, peer.position.revision]).to.deep.equal([9, 10]);
+  });
+
   it('starts anew after a gap', () => {
     const log = new SiteDeltaLog();
     log.add(buildDelta(1, 2));
--- a/packages/forwarding/src/site_delta_log.ts
+++ b/packages/forwarding/src/site_delta_log.ts
@@ -12,12 +12,17 @@
 export class SiteDeltaLog {
   private deltas: SiteDelta[] = [];
 
-  /** Adds a delta. One that does not follow the last starts the log anew. */
+  /**
+   * Adds a delta. One that does not follow the last starts the log anew. Only the
+   * newest configuration is kept, which replaces all earlier ones.
+   */
   add(delta: SiteDelta): void {
     const last = this.deltas.at(-1);
     const follows =
       last?.epoch === delta.epoch && last.revision >= delta.fromRevision;
-    this.deltas = [...(follows ? this.deltas : []), delta].slice(-MAX_DELTAS);
+    const earlier = follows ? this.deltas : [];
+    const kept = delta.configuration ? earlier.map(dropConfiguration) : earlier;
+    this.deltas = [...kept, delta].slice(-MAX_DELTAS);
   }
 
   /**
@@ -31,3 +36,10 @@
     return reaches ? missing : undefined;
   }
 }
+
+function dropConfiguration({
+  configuration: _configuration,
+  ...rest
+}: SiteDelta): SiteDelta {
+  return rest;
+}
