Replace a connection after a hundred refusals

Operators would see: memory that grows with each refusal on a connection that is kept for long, at an upstream that is full again and again.

Cause: UpstreamConnection keeps the ids of refused requests for as long as it is open. Ruled out: forgetting the oldest, as its refusal may still come once more.

Change: a connection that has refused a hundred requests is not used again.

Test: 'replaces a connection that has refused a hundred requests' failed without the bound (one connection for 101 requests, two now).

--- a/packages/daemon/src/gateway/upstream_connection.ts
+++ b/packages/daemon/src/gateway/upstream_connection.ts
@@ -10,6 +10,8 @@
 const IDLE_TIMEOUT_MS = 4_000;
 /** Idle time before TCP keep-alive probes, which detect a dead connection. */
 const KEEP_ALIVE_DELAY_MS = 1_000;
+/** Refusals after which a connection is replaced, so that it remembers no more. */
+const MAX_REFUSALS = 100;
 
 /**
  * One connection to an upstream. It carries one request at a time. A faulty upstream
@@ -81,8 +83,9 @@
 
   /** Whether the connection is open and may carry another request. */
   get isOpen(): boolean {
-    const {socket} = this;
-    return socket !== undefined && !socket.destroyed && socket.errored === null;
+    const {socket, refusedIds} = this;
+    if (socket === undefined || refusedIds.size >= MAX_REFUSALS) return false;
+    return !socket.destroyed && socket.errored === null;
   }
 
   /**
