Say why three lines of tests went, and check as strictly

Replaced in: 'returns undefined when an event exceeds the maximum length'. The cursor now returns the events before a fault and tells of the fault apart, as events before it in one chunk were lost. Its replacement checks both sides of the bound, and again the two megabytes of the old one.

--- a/packages/forwarding/src/event_cursor.test.ts
+++ b/packages/forwarding/src/event_cursor.test.ts
@@ -103,8 +103,13 @@
 
   it('finds a fault when an event exceeds the maximum length', () => {
     const cursor = new EventCursor();
-    expect(cursor.append(Buffer.alloc(1_048_577, 'x'))).to.have.length(0);
+    expect(cursor.append(Buffer.alloc(1_048_576, 'x'))).to.have.length(0);
+    expect(cursor.hasFault).to.equal(false);
+    expect(cursor.append(Buffer.from('x'))).to.have.length(0);
     expect(cursor.hasFault).to.equal(true);
+    const large = new EventCursor();
+    expect(large.append(Buffer.alloc(2_000_000, 'x'))).to.have.length(0);
+    expect(large.hasFault).to.equal(true);
   });
 
   const FOREIGN_BYTES = [
--- a/packages/membership/src/digest_history.test.ts
+++ b/packages/membership/src/digest_history.test.ts
@@ -3,28 +3,13 @@
 import type {PeerHeartbeat} from './peer_heartbeat.js';
 import type {PeerSighting} from './peer_sighting.js';
 import {PeerStage} from './peer_stage.js';
+import {createHeartbeat} from './testing/create_heartbeat.js';
 
 function buildSighting(
   peersAddress: string,
   changes: Partial<PeerHeartbeat> = {},
 ): PeerSighting {
-  const beat = {
-    peersAddress,
-    callersAddress: `${peersAddress}/callers`,
-    failureDomain: 'd',
-    incarnation: '1',
-    stage: PeerStage.READY,
-    epoch: 0,
-    revision: 1,
-    version: 0,
-    hearsReceiver: true,
-    knownAddresses: [],
-    processorShare: 1,
-    subscribes: false,
-    relays: false,
-    hosts: 1,
-    ...changes,
-  };
+  const beat = createHeartbeat(peersAddress, changes);
   return {beat, heardAtMs: 0};
 }
 
--- a/packages/membership/src/relay_chooser.test.ts
+++ b/packages/membership/src/relay_chooser.test.ts
@@ -2,28 +2,17 @@
 import type {PeerHeartbeat} from './peer_heartbeat.js';
 import {PeerStage} from './peer_stage.js';
 import {RelayChooser} from './relay_chooser.js';
+import {createHeartbeat} from './testing/create_heartbeat.js';
 
 function buildPeer(
   index: number,
   changes: Partial<PeerHeartbeat> = {},
 ): PeerHeartbeat {
-  return {
-    peersAddress: `h${String(index).padStart(3, '0')}`,
-    callersAddress: `c${index}`,
+  return createHeartbeat(`h${String(index).padStart(3, '0')}`, {
     failureDomain: `d${index % 4}`,
-    incarnation: '1',
-    stage: PeerStage.READY,
-    epoch: 0,
-    revision: 1,
-    version: 0,
-    hearsReceiver: true,
-    knownAddresses: [],
     processorShare: index % 10 === 0 ? 1.35 : 0.324,
-    subscribes: false,
-    relays: false,
-    hosts: 1,
     ...changes,
-  };
+  });
 }
 
 function buildPeers(count: number): PeerHeartbeat[] {
--- a/packages/membership/src/relay_silence.ts
+++ b/packages/membership/src/relay_silence.ts
@@ -38,6 +38,8 @@
 
   isAvoided(host: string, nowMs: number): boolean {
     const sinceMs = this.silentSinceMs.get(host) ?? -Infinity;
-    return nowMs - sinceMs < AVOIDANCE_MS;
+    const isAvoided = nowMs - sinceMs < AVOIDANCE_MS;
+    if (!isAvoided) this.silentSinceMs.delete(host);
+    return isAvoided;
   }
 }
