--- a/packages/forwarding/src/event_cursor.ts
+++ b/packages/forwarding/src/event_cursor.ts
@@ -60,8 +60,9 @@
     while (end > 0 && !this.isFaulty) {
       const event = bytes.subarray(0, end);
       const text = event.toString('latin1');
-      if (!this.isPart(text)) this.isFaulty = true;
-      else if (this.advanceTo(text)) events.push(event);
+      const id = parseEventId(text);
+      if (!this.isPart(text, id)) this.isFaulty = true;
+      else if (this.advanceTo(id)) events.push(event);
       bytes = bytes.subarray(end);
       end = findEventEnd(bytes);
     }
@@ -81,15 +82,13 @@
     this.isFaulty = false;
   }
 
-  private isPart(event: string): boolean {
+  private isPart(event: string, id: number | undefined): boolean {
     if (FOREIGN_LINE.test(event)) return false;
-    const hasId = parseEventId(event) !== undefined;
-    return hasId || !this.requiresIds || !DATA_LINE.test(event);
+    return id !== undefined || !this.requiresIds || !DATA_LINE.test(event);
   }
 
   /** Advances to the event; false when the caller has already received it. */
-  private advanceTo(event: string): boolean {
-    const id = parseEventId(event);
+  private advanceTo(id: number | undefined): boolean {
     if (id === undefined) return true;
     if (this.returnedId !== undefined && id <= this.returnedId) return false;
     this.returnedId = id;
