Take an engine's error for a refusal only if it names the attempt

Callers would see: 'not run' for a prompt that an engine had begun and failed with an error, or that it ran after writing an earlier refusal once more (the like of the reports on the gateways' path, looked for on the hosts' own path).

Cause: AttemptReader took every status but 200 and 400 for proof that the attempt did not run, a bare 500 as well, whatever attempt the error named.

Ruled out: events in a resumed stream (each names attempt and position), and calls of services (they say 'not run' only where no connection was made).

Change: an error is a refusal only if error.attempt is the attempt, as engines write it; any other is a broken attempt. One that names another attempt is never the caller's own invalid request.

--- a/packages/daemon/src/upstreams/attempt_reader.ts
+++ b/packages/daemon/src/upstreams/attempt_reader.ts
@@ -4,6 +4,7 @@
 import type {Dispatcher} from 'undici';
 import type {AttemptListener} from './attempt_listener.js';
 import {MAX_RESPONSE_BYTES} from './max_response_bytes.js';
+import type {EngineError} from './engine_error.js';
 import type {EngineEvent} from './engine_event.js';
 
 /** Errors raised before a connection exists, so that nothing was sent. */
@@ -110,10 +111,10 @@
   }
 
   private reportRefusal(): void {
-    const refusalKind = parseRefusalKind(this.errorText);
+    const refusal = parseRefusal(this.errorText);
     this.reportFault(
-      this.classifyRefusal(refusalKind),
-      `${this.status} ${refusalKind}`,
+      this.classifyRefusal(refusal),
+      `${this.status} ${refusal.kind}`,
     );
   }
 
@@ -123,9 +124,18 @@
     this.controller?.abort(new Error(detail));
   }
 
-  private classifyRefusal(refusalKind: string): AttemptFault {
-    if (refusalKind === LEAVING_KIND) return AttemptFault.SHUTTING_DOWN;
-    return this.status === 400 ? AttemptFault.INVALID : AttemptFault.REFUSED;
+  /**
+   * Classifies a response that is no success. It proves that the attempt did not run
+   * only if it names it: an engine may fail while it runs the attempt, and a faulty
+   * one may write the refusal of an earlier attempt once more.
+   */
+  private classifyRefusal({kind, attempt}: EngineError): AttemptFault {
+    const isOther = attempt !== '' && attempt !== this.attempt;
+    if (this.status === 400 && !isOther) return AttemptFault.INVALID;
+    if (attempt !== this.attempt) return AttemptFault.BROKEN;
+    return kind === LEAVING_KIND
+      ? AttemptFault.SHUTTING_DOWN
+      : AttemptFault.REFUSED;
   }
 
   private handleEvent(data: string): void {
@@ -167,12 +177,17 @@
   }
 }
 
-/** Returns `error.kind` of an engine's error body; empty if it has none. */
-function parseRefusalKind(text: string): string {
+/** Reads an engine's error body. What it does not say is empty. */
+function parseRefusal(text: string): EngineError {
   try {
-    const answer = JSON.parse(text) as {error?: {kind?: unknown}};
-    return String(answer.error?.kind ?? '');
+    const {error} = JSON.parse(text) as {
+      error?: {kind?: unknown; attempt?: unknown};
+    };
+    return {
+      kind: String(error?.kind ?? ''),
+      attempt: String(error?.attempt ?? ''),
+    };
   } catch {
-    return '';
+    return {kind: '', attempt: ''};
   }
 }
