End an attempt as not sent when its upstream has no address

Cause: the connection is made when the attempt is built, outside the block that turns errors into an outcome; and the check whether an upstream accepts connections rejected instead of saying no. Both rejections ended in nothing, with the request still open.

Now such an attempt ends as not sent, so the request goes to another upstream or is answered at once, and the check says no.

--- a/packages/daemon/src/gateway/attempt_sender.ts
+++ b/packages/daemon/src/gateway/attempt_sender.ts
@@ -91,14 +91,22 @@
       lastEventId,
       context.headerNames,
     );
-    this.attempt = new UpstreamAttempt(
-      request,
-      context.connectionPool,
-      context.headerNames,
-      this.listener,
-    );
+    let attempt: UpstreamAttempt;
+    try {
+      attempt = new UpstreamAttempt(
+        request,
+        context.connectionPool,
+        context.headerNames,
+        this.listener,
+      );
+    } catch (error) {
+      // The address is none, so nothing was sent.
+      this.listener.onEnd(AttemptOutcome.NOT_SENT, String(error));
+      return;
+    }
+    this.attempt = attempt;
     this.sent++;
     this.onSent(placed);
-    this.attempt.start();
+    attempt.start();
   }
 }
--- a/packages/daemon/src/gateway/can_connect.ts
+++ b/packages/daemon/src/gateway/can_connect.ts
@@ -1,4 +1,4 @@
-import {connect} from 'node:net';
+import {connect, type Socket} from 'node:net';
 import {parseAddress} from '../host/parse_address.js';
 
 /**
@@ -10,7 +10,11 @@
 /** Tests whether an address (IP:port) accepts TCP connections. */
 export async function canConnect(address: string): Promise<boolean> {
   return new Promise(resolve => {
-    const socket = connect(parseAddress(address));
+    const socket = open(address);
+    if (socket === undefined) {
+      resolve(false);
+      return;
+    }
     const finish = (isReachable: boolean): void => {
       socket.destroy();
       resolve(isReachable);
@@ -27,3 +31,12 @@
     });
   });
 }
+
+/** Opens a connection; undefined for an address that can't have one. */
+function open(address: string): Socket | undefined {
+  try {
+    return connect(parseAddress(address));
+  } catch {
+    return undefined;
+  }
+}
