Go on watching the store after an answer that cannot be applied

Operators saw hosts that stopped following the list of servers while they went on serving. The run of the watcher has no catch, so one exception, in a source or while an update is applied, ends it for ever and leaves no line that says so.

The watcher now logs `site_update_failed`, backs off and loads all anew, since an update that failed may be applied in part: its revision counts as known, so it would not be delivered again.

Now it reaches the last revision after two rejections and two failed updates.

--- a/packages/daemon/src/gateway/site_watcher.test.ts
+++ b/packages/daemon/src/gateway/site_watcher.test.ts
@@ -123,3 +123,49 @@
     expect(RestoredSource.loads).to.be.within(1, 5);
   });
 });
+
+/** Store whose calls fail in a way that no source should. */
+class RejectingSource extends RestoredSource {
+  calls = 0;
+
+  override load(): ReturnType<SiteSource['load']> {
+    return this.calls++ === 0 ? reject() : super.load();
+  }
+
+  override watch(revision: number): ReturnType<SiteSource['watch']> {
+    return this.calls++ === 2 ? reject() : super.watch(revision);
+  }
+}
+
+function reject(): Promise<never> {
+  return Promise.reject(new Error('unexpected'));
+}
+
+describe('SiteWatcher of a source that rejects, and of an update that fails', () => {
+  it('loads all anew and goes on', async () => {
+    const log = new EventLog({host: 'h', id: '1'}, 'error');
+    const replica = new SiteReplica();
+    const source = new RejectingSource();
+    let failures = 2;
+    const updater = new SiteUpdater(replica, new SystemClock(), log, () => {
+      if (source.calls > 4 && failures-- > 0) throw new Error('odd entry');
+    });
+    const watcher = new SiteWatcher(
+      source,
+      updater,
+      log,
+      new GatewayMetrics(new HostMetrics()),
+      () => 1,
+      () => 0.5,
+    );
+    watcher.start();
+    await pause(5 * WATCH_MS);
+    source.position = {epoch: 1, revision: 12};
+    await pause(10 * WATCH_MS);
+    watcher.stop();
+    expect(failures).to.equal(-1);
+    expect(replica.position).to.deep.equal({epoch: 1, revision: 12});
+    // At most a watch per interval, and a load after each of four failures.
+    expect(source.calls).to.be.within(8, 15 + 4);
+  });
+});
--- a/packages/daemon/src/gateway/site_watcher.ts
+++ b/packages/daemon/src/gateway/site_watcher.ts
@@ -74,8 +74,7 @@
         await pause(DUTY_CHECK_INTERVAL_MS);
         continue;
       }
-      const isDone = this.needsLoad ? await this.load() : await this.watch();
-      if (isDone) continue;
+      if (await this.runOnce()) continue;
       const backoffMs = Math.min(
         this.getMaxBackoffMs(),
         INITIAL_BACKOFF_MS * 2 ** this.failures,
@@ -85,6 +84,22 @@
     }
   }
 
+  /**
+   * Loads or watches once. What cannot be applied must not end the watching; all is
+   * loaded anew, as it may be applied in part.
+   */
+  private async runOnce(): Promise<boolean> {
+    try {
+      return await (this.needsLoad ? this.load() : this.watch());
+    } catch (error) {
+      const reason = error instanceof Error ? error.stack : String(error);
+      this.log.error('site_update_failed', {reason, ...this.updater.position});
+      this.needsLoad = true;
+      this.failures++;
+      return false;
+    }
+  }
+
   private getMaxBackoffMs(): number {
     const spreadMs = this.countHosts() * MAX_BACKOFF_PER_HOST_MS;
     return Math.max(MAX_BACKOFF_MS, Math.min(LONGEST_BACKOFF_MS, spreadMs));
