Refuse a published value that is nested too deeply, and go on reading

A host of a site with a configuration service lost what it was reading when a value had 100,000 levels of nesting: writing the parsed value out again throws a RangeError in a promise that nothing awaits. Node ends a process for that, and again after each start while the value stays; a host that lives on never reads that key again. A response of null did the same, and a revision that is no whole number was taken.

Such a value now stands for one that every check refuses: it raises the usual alarm, what is in force stays, and the key is read on. A response without a sound revision is a failed read. The line that describes nesting or a reserved name no longer writes out what lies below, which threw as well, also for a gateway that reads a site file.

That a process ends was not run, only the rejection.

--- a/packages/config/src/merge_settings.test.ts
+++ b/packages/config/src/merge_settings.test.ts
@@ -1,6 +1,6 @@
 import {expect} from 'chai';
 import fc from 'fast-check';
-import {mergeSettings, parseSettings} from './index.js';
+import {formatProblem, mergeSettings, parseSettings} from './index.js';
 
 const RUNS = {seed: 1, numRuns: 500};
 const NAME = fc.constantFrom('a', 'b', 'c', 'toString', 'valueOf', 'toJSON');
@@ -63,6 +63,14 @@
 });
 
 describe('parseSettings', () => {
+  it('describes nesting that is too deep in one short line', () => {
+    const nested = '['.repeat(100_000) + ']'.repeat(100_000);
+    for (const text of [nested, `{"a":${nested}}`, `{"__proto__":${nested}}`]) {
+      const problem = parseSettings(text).mapErr(formatProblem);
+      expect(problem.isErr && problem.error).to.match(/^.{1,200}$/);
+    }
+  });
+
   it('refuses reserved names, which the merge ignores', () => {
     const parsed = parseSettings('{"a/b": {"__proto__": 1}}');
     expect(parsed.unwrapOrElse(problem => problem)).to.eql({
--- a/packages/config/src/parse_settings.ts
+++ b/packages/config/src/parse_settings.ts
@@ -3,6 +3,8 @@
 import type {SettingsProblem} from './settings_problem.js';
 
 const MAX_DEPTH = 32;
+/** Stands for a value that may be nested too deeply to be written out. */
+const OMITTED = '…';
 const RESERVED_NAMES: ReadonlySet<string> = new Set([
   '__proto__',
   'constructor',
@@ -34,16 +36,20 @@
   path: string,
   depth: number,
 ): SettingsProblem | undefined {
-  if (value === null || typeof value !== 'object') return undefined;
+  if (!isNested(value)) return undefined;
   if (depth === MAX_DEPTH) {
-    return {path, value, allowed: `at most ${MAX_DEPTH} levels of nesting`};
+    return {
+      path,
+      value: OMITTED,
+      allowed: `at most ${MAX_DEPTH} levels of nesting`,
+    };
   }
   for (const [name, child] of Object.entries(value)) {
     const childPath = `${path}/${escapePointer(name)}`;
     if (RESERVED_NAMES.has(name)) {
       return {
         path: childPath,
-        value: child,
+        value: isNested(child) ? OMITTED : child,
         allowed: 'a different name (this one is reserved)',
       };
     }
@@ -52,3 +58,7 @@
   }
   return undefined;
 }
+
+function isNested(value: unknown): value is object {
+  return value !== null && typeof value === 'object';
+}
--- a/packages/daemon/src/control/configuration_control.ts
+++ b/packages/daemon/src/control/configuration_control.ts
@@ -13,6 +13,7 @@
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import type {Result} from 'true-myth';
 import type {Clock} from '../host/clock.js';
+import {encodePublishedValue} from './encode_published_value.js';
 import type {ConfigurationListener} from './configuration_listener.js';
 import {DecisionRunner} from '../host/decision_runner.js';
 import type {EventLog} from '../host/event_log.js';
@@ -140,7 +141,7 @@
         kind: ConfigurationEventKind.VALUE,
         key,
         revision: published.revision,
-        value: JSON.stringify(published.value),
+        value: encodePublishedValue(published.value),
       });
     });
   }
--- a/packages/daemon/src/control/platform_client.test.ts
+++ b/packages/daemon/src/control/platform_client.test.ts
@@ -1,14 +1,20 @@
+import {createServer} from 'node:http';
+import type {AddressInfo} from 'node:net';
 import {startPlatform, type StandIn} from '@parsleywood/stand-ins';
 import {expect} from 'chai';
 import {HostMetrics} from '../host/host_metrics.js';
+import {encodePublishedValue} from './encode_published_value.js';
 import {PlatformClient} from './platform_client.js';
 
+const LOCAL = '127.0.0.1';
+const METRICS = new HostMetrics();
+
 describe('PlatformClient', () => {
   let platform: StandIn;
   let client: PlatformClient;
   before(async () => {
     platform = await startPlatform(0);
-    client = new PlatformClient(platform.url, new HostMetrics());
+    client = new PlatformClient(platform.url, METRICS);
     await send('PUT', '/values/base', {a: 1});
   });
   after(async () => {
@@ -38,6 +44,35 @@
     expect((await client.read('base')).isErr).to.equal(true);
   });
 
+  for (const [name, body] of Object.entries({
+    null: 'null',
+    'a list': '[]',
+    'a revision of 1e400': '{"key":"k","revision":1e400,"value":{}}',
+    'a revision that is a fraction': '{"key":"k","revision":1.5,"value":{}}',
+    'no JSON': '{',
+  })) {
+    it(`returns a failure for a response that is ${name}`, async () => {
+      const server = createServer((_request, response) => response.end(body));
+      await new Promise<void>(resolve => server.listen(0, LOCAL, resolve));
+      const {port} = server.address() as AddressInfo;
+      const odd = new PlatformClient(`http://${LOCAL}:${port}`, METRICS);
+      const result = await odd.read('k');
+      await odd.close();
+      server.close();
+      expect(result.isErr).to.equal(true);
+    });
+  }
+
+  it('encodes each value, however it is nested', () => {
+    const nested: unknown = JSON.parse(
+      '['.repeat(100_000) + ']'.repeat(100_000),
+    );
+    expect(encodePublishedValue({a: 1})).to.equal('{"a":1}');
+    for (const value of [nested, {a: nested}, undefined]) {
+      expect(JSON.parse(encodePublishedValue(value))).to.be.a('string');
+    }
+  });
+
   async function send(
     method: string,
     path: string,
--- a/packages/daemon/src/control/platform_client.ts
+++ b/packages/daemon/src/control/platform_client.ts
@@ -64,7 +64,10 @@
         signal: AbortSignal.timeout(waitMs + RESPONSE_TIMEOUT_MS),
       });
       if (response.statusCode === 200) {
-        return Result.ok((await response.body.json()) as PublishedValue);
+        const published = decodeValue(await response.body.json(), key);
+        return published
+          ? Result.ok(published)
+          : this.createFailure(key, 'the response is no published value');
       }
       await response.body.dump();
       if (response.statusCode === 404) return Result.ok(0);
@@ -91,5 +94,17 @@
 /** Parses the revision of an entity tag such as "17"; 0 when there is none. */
 function parseRevision(entityTag: string | string[] | undefined): number {
   const digits = /^"([0-9]+)"$/.exec(String(entityTag))?.[1];
-  return Number(digits ?? 0);
+  const revision = Number(digits ?? 0);
+  return Number.isSafeInteger(revision) ? revision : 0;
+}
+
+/** Undefined unless a response has a key and a revision that hosts can pass on. */
+function decodeValue(
+  content: unknown,
+  key: string,
+): PublishedValue | undefined {
+  if (typeof content !== 'object' || content === null) return undefined;
+  const {revision, value} = content as Partial<PublishedValue>;
+  if (!Number.isSafeInteger(revision) || Number(revision) < 0) return undefined;
+  return {key, revision: Number(revision), value};
 }
