Wait where an objective is longer than any timer

A route with an objective above 12 days had each idempotent request tried again after 1 ms, since Node.js runs a timer whose delay exceeds 31 bits at once, with a warning. The delay is now capped at the longest that a timer takes.

Test before: 2 timeouts within 100 ms, for objectives of 2^31 ms and of 1e300 ms.

--- a/packages/daemon/src/gateway/inactivity_timer.ts
+++ b/packages/daemon/src/gateway/inactivity_timer.ts
@@ -1,6 +1,9 @@
 import type {PrefillPlan} from '@parsleywood/dispatch';
 import {attemptTimeouts, type Route} from '@parsleywood/forwarding';
 
+/** Maximum delay of a Node.js timer; a longer one would end at once. */
+const MAX_TIMER_MS = 2_147_483_647;
+
 /**
  * Detects attempts without progress, for requests that may be retried
  * elsewhere.
@@ -54,6 +57,7 @@
 
   private arm(afterMs: number, callback: () => void): void {
     this.stop();
-    if (this.isRepeatable) this.timer = setTimeout(callback, afterMs);
+    if (!this.isRepeatable) return;
+    this.timer = setTimeout(callback, Math.min(afterMs, MAX_TIMER_MS));
   }
 }
