Keep token counts within what hosts can tell one another

A request that names 0.5, 4,294,967,296 or 1e300 tokens cost all messages to a peer that were queued in the same turn of the loop, its heartbeat and other placements among them: a placement of such a count cannot be encoded ("invalid uint32"), which ended in `uncaughtException`. A negative mean answer length of an engine did the same.

Counts of requests are now rounded up and capped at 32 bits, which is more than the memory of all engines, so that such prompts are refused as too long as before.

Ruled out: such figures did not let a call wait, before or after.

--- a/packages/daemon/src/gateway/read_request_metadata.ts
+++ b/packages/daemon/src/gateway/read_request_metadata.ts
@@ -5,6 +5,8 @@
 /** Parts after the first ones are not told apart. */
 const MAX_PARTS = 32;
 const MAX_PART_ID_LENGTH = 64;
+/** More than the memory of all engines; the largest that 32 bits hold. */
+const MAX_TOKENS = 4_294_967_295;
 
 /**
  * Decodes a request's headers. Numbers that are invalid or negative count as
@@ -29,9 +31,9 @@
     host: request.headers.host ?? '',
     accountKey: read(names.key),
     timeLimitMs: readNumber(read(names.timeLimit)),
-    promptTokens: readNumber(counts[0]) ?? 0,
-    maxAnswerTokens: readNumber(counts[1]) ?? 0,
-    estimatedAnswerTokens: readNumber(read(names.answerEstimate)) ?? 0,
+    promptTokens: readTokens(counts[0]),
+    maxAnswerTokens: readTokens(counts[1]),
+    estimatedAnswerTokens: readTokens(read(names.answerEstimate)),
     promptParts: readSharedParts(read(names.promptParts) ?? ''),
     lastEventId: readNumber(read(names.lastEventId)),
   };
@@ -47,6 +49,11 @@
   return [...new Set(ids.slice(0, -1))];
 }
 
+/** Reads a number of tokens, as messages between hosts can carry it. */
+function readTokens(text: string | undefined): number {
+  return Math.min(Math.ceil(readNumber(text) ?? 0), MAX_TOKENS);
+}
+
 function readNumber(text: string | undefined): number | undefined {
   if (text === undefined || text.trim() === '') return undefined;
   const value = Number(text);
--- a/packages/daemon/src/gateway/update_relay.ts
+++ b/packages/daemon/src/gateway/update_relay.ts
@@ -21,6 +21,8 @@
 const BATCH_WINDOW_MS = 30;
 /** Time after which a subscription expires: five heartbeats of 600 ms. */
 const SUBSCRIPTION_MS = 3_000;
+/** Largest number of tokens that a message can carry. */
+const MAX_TOKENS = 4_294_967_295;
 
 /**
  * Publishes this host's updates, and forwards the updates of others to
@@ -67,7 +69,10 @@
 
   publishStart(placement: Placement): void {
     const parts = placement.parts.map(part => ({...part}));
-    const answerTokens = Math.round(placement.answerTokens);
+    const answerTokens = Math.min(
+      MAX_TOKENS,
+      Math.max(0, Math.round(placement.answerTokens)),
+    );
     this.publish({
       body: {
         $case: 'placementStart',
