End a request at once when the host cannot go on with it

An exception while an upstream is chosen, or while it is checked after an attempt, left the request open to its deadline: the steps of a request run as promises that nothing awaits. An upstream whose id cannot be turned into text, as a message of another host may hold it, is enough.

Each such step is now guarded: the request is answered at once, with 503 if it has not run and 502 otherwise, and `request_fault` has the reason. An attempt whose headers cannot be built ends as not sent, too.

--- a/packages/daemon/src/gateway/attempt_sender.ts
+++ b/packages/daemon/src/gateway/attempt_sender.ts
@@ -82,17 +82,17 @@
 
   private start(placed: PlacedAttempt, lastEventId: number | undefined): void {
     const {context} = this;
-    const request = buildUpstreamRequest(
-      this.request,
-      this.match,
-      placed,
-      this.reservations,
-      this.getLeftMs(),
-      lastEventId,
-      context.headerNames,
-    );
     let attempt: UpstreamAttempt;
     try {
+      const request = buildUpstreamRequest(
+        this.request,
+        this.match,
+        placed,
+        this.reservations,
+        this.getLeftMs(),
+        lastEventId,
+        context.headerNames,
+      );
       attempt = new UpstreamAttempt(
         request,
         context.connectionPool,
@@ -100,7 +100,7 @@
         this.listener,
       );
     } catch (error) {
-      // The address is none, so nothing was sent.
+      // The entry names no address, so nothing was sent.
       this.listener.onEnd(AttemptOutcome.NOT_SENT, String(error));
       return;
     }
--- a/packages/daemon/src/gateway/forward_session.ts
+++ b/packages/daemon/src/gateway/forward_session.ts
@@ -32,6 +32,7 @@
 const SERVER_ERROR_STATUS = 500;
 const OK_STATUS = 200;
 const MISDIRECTED_STATUS = 421;
+const FAULT_MESSAGE = 'host could not go on with the request';
 
 /**
  * Forwards one request: sends attempts, relays the response, enforces the
@@ -85,7 +86,7 @@
         this.handleTimeout();
       },
       () => {
-        void this.checkReachability();
+        void this.guard(() => this.checkReachability());
       },
     );
     this.crashDetector = new CrashDetector(
@@ -122,7 +123,7 @@
     if (this.crashDetector.shouldRefuse()) {
       this.fail(this.crashDetector.createFailure());
     } else {
-      void this.sendAttempt();
+      void this.guard(() => this.sendAttempt());
     }
   }
 
@@ -182,7 +183,7 @@
     } else if (isTruncated) {
       this.handleEnd(AttemptOutcome.BROKEN, 'stream ended inside an event');
     } else if (this.head?.endsWithConnection === true) {
-      void this.confirmEnd();
+      void this.guard(() => this.confirmEnd());
     } else {
       this.handleEnd(reported, detail);
     }
@@ -214,7 +215,7 @@
     const faultyAddress = head?.faultyAddress ?? '';
     this.placer.recordOutcome(outcome, head?.status ?? 0, faultyAddress);
     if (this.crashDetector.mayHaveCrashed(outcome, faultyAddress)) {
-      void this.concludeAfterCheck(outcome, status, detail);
+      void this.guard(() => this.concludeAfterCheck(outcome, status, detail));
     } else {
       this.concludeAttempt(outcome, status, detail);
     }
@@ -250,7 +251,7 @@
       this.placer.hasUntriedUpstream && !this.crashDetector.shouldRefuse(),
       () => this.context.retryBudgets.tryRetry(this.placer.service),
     );
-    if (step === NextStep.RETRY) void this.sendAttempt();
+    if (step === NextStep.RETRY) void this.guard(() => this.sendAttempt());
     else if (step === NextStep.FORWARD_ANSWER && head) this.endResponse(head);
     else this.failAfterAttempts(detail || 'upstream refused the request');
   }
@@ -263,6 +264,22 @@
     else this.refuse(placed);
   }
 
+  /** Runs a step; the request ends at once, and not at its deadline, if it throws. */
+  private async guard(step: () => Promise<void>): Promise<void> {
+    try {
+      await step();
+    } catch (error) {
+      if (this.hasEnded) return;
+      this.log.logFault(error);
+      const ran = this.getExecutionStatus();
+      this.endAttempt();
+      if (ran === ExecutionStatus.NO) this.failAfterAttempts(FAULT_MESSAGE);
+      else {
+        this.fail(new Failure(ErrorKind.UPSTREAM_FAILED, FAULT_MESSAGE, ran));
+      }
+    }
+  }
+
   private prepare(placed: PlacedAttempt): void {
     this.head = undefined;
     this.responseBuffer = new ResponseBuffer();
--- a/packages/daemon/src/gateway/odd_upstreams.test.ts
+++ b/packages/daemon/src/gateway/odd_upstreams.test.ts
@@ -19,6 +19,9 @@
 
 const LOCAL = '127.0.0.1';
 const ODD_ADDRESSES = ['127.0.0.1:70000', '127.0.0.999:80', 'name:80', ''];
+const ODD = ODD_ADDRESSES.map((address, at) =>
+  createUpstream(`odd${at}`, {address}),
+);
 const CALLS = 24;
 const LIMIT_MS = 1_000;
 const SETTLE_MS = 300;
@@ -62,11 +65,12 @@
   });
 
   /** Starts a host before odd upstreams, and returns its address for callers. */
-  async function start(hasSound: boolean, kind: RequestKind): Promise<string> {
+  async function start(
+    hasSound: boolean,
+    kind: RequestKind,
+    odd = ODD,
+  ): Promise<string> {
     const {port} = server.address() as AddressInfo;
-    const odd = ODD_ADDRESSES.map((address, at) =>
-      createUpstream(`odd${at}`, {address}),
-    );
     const sound = createUpstream('sound', {address: `${LOCAL}:${port}`});
     const snapshot = {
       epoch: 0,
@@ -149,4 +153,13 @@
       expect(statuses).to.not.include(504);
     });
   }
+
+  it('answers at once when upstreams cannot even be ordered', async () => {
+    const unnamed = JSON.parse('{"toString":0,"valueOf":0}') as string;
+    const nameless = createUpstream(unnamed, {address: `${LOCAL}:1`});
+    const callers = await start(false, RequestKind.NON_IDEMPOTENT, [nameless]);
+    const {statuses, longestMs} = await callAll(callers);
+    expect(statuses).to.deep.equal([503]);
+    expect(longestMs).to.be.below(LIMIT_MS / 2);
+  });
 });
--- a/packages/daemon/src/gateway/session_log.ts
+++ b/packages/daemon/src/gateway/session_log.ts
@@ -68,6 +68,14 @@
     });
   }
 
+  /** Logs an exception that ended the request. */
+  logFault(error: unknown): void {
+    this.context.log.error('request_fault', {
+      requestId: this.request.metadata.id,
+      reason: error instanceof Error ? error.stack : String(error),
+    });
+  }
+
   logAttemptEnd(
     outcome: AttemptOutcome,
     status: number,
