Handle the other messages of a delivery when one cannot be handled

A message of another host that cannot be decoded ended the handling of its whole delivery, heartbeats and placements after it among it, with an uncaught exception. A change that could be applied in part only counted as known from then on, so a host that learns of changes from others alone would never get the rest.

Each message is now handled for itself, and `peer_message_failed` names the kind and the reason. A change counts as known once all of it is applied.

Tests before: "unexpected end of file" thrown out of the delivery, with the state behind it lost; revision 5 known after a change that threw. Now the state is applied, and the revision stays at 0 until the change can be.

--- a/packages/daemon/src/gateway/fleet_membership.test.ts
+++ b/packages/daemon/src/gateway/fleet_membership.test.ts
@@ -1,3 +1,4 @@
+import {gzipSync} from 'node:zlib';
 import {expect} from 'chai';
 import {VirtualFleet} from '../testing/virtual_fleet.js';
 
@@ -91,3 +92,33 @@
     });
   }
 });
+
+describe('FleetMembership and messages that cannot be handled', () => {
+  it('handles the others of the same delivery', () => {
+    const [host] = new VirtualFleet(2, 1, 1).hosts;
+    const position = {epoch: 0, revision: 9};
+    const odd = [
+      Buffer.of(1),
+      gzipSync('null'),
+      gzipSync('{"updated":[]}'),
+    ];
+    const deltas = odd.map(change => ({
+      $case: 'siteDelta' as const,
+      value: {...position, fromRevision: 0, mayHaveExpired: false, change},
+    }));
+    const json = JSON.stringify({...position, upstreams: []});
+    const states = ['{', 'null', '{"upstreams":0}', json].map(text => ({
+      $case: 'siteState' as const,
+      value: {revision: 9, json: text},
+    }));
+    host?.fleet.handleDelivery({
+      from: 'h1:1',
+      fromIncarnation: '1',
+      hybridTime: undefined,
+      messages: [...deltas, ...states].map(body => ({
+        body: {$case: 'fleet' as const, value: {body}},
+      })),
+    });
+    expect(host?.updater.position).to.deep.equal(position);
+  });
+});
--- a/packages/daemon/src/gateway/fleet_membership.ts
+++ b/packages/daemon/src/gateway/fleet_membership.ts
@@ -140,7 +140,11 @@
   handleDelivery({from, fromIncarnation, messages}: Delivery): void {
     for (const {body} of messages) {
       if (body?.$case !== 'fleet') continue;
-      this.handleMessage(from, fromIncarnation, body.value);
+      try {
+        this.handleMessage(from, fromIncarnation, body.value);
+      } catch (error) {
+        this.peerLog.recordFault(from, body.value, error);
+      }
     }
   }
 
--- a/packages/daemon/src/gateway/peer_log.ts
+++ b/packages/daemon/src/gateway/peer_log.ts
@@ -1,4 +1,5 @@
 import type {PeerHeartbeat} from '@parsleywood/membership';
+import type {FleetMessage} from '@parsleywood/schema/fleet';
 import {TimelineEventName} from '@parsleywood/timeline';
 import type {EventLog} from '../host/event_log.js';
 import type {HostTimeline} from '../host/host_timeline.js';
@@ -25,6 +26,15 @@
     }
   }
 
+  /** Logs a message that could not be handled; those after it are. */
+  recordFault(peer: string, {body}: FleetMessage, error: unknown): void {
+    this.log.error('peer_message_failed', {
+      peer,
+      message: body?.$case,
+      reason: error instanceof Error ? error.stack : String(error),
+    });
+  }
+
   private recordPeer(peer: string, isHeard: boolean): void {
     if (isHeard) this.log.info('peer_heard', {peer});
     else this.log.warn('peer_lost', {peer});
--- a/packages/forwarding/src/site_replica.test.ts
+++ b/packages/forwarding/src/site_replica.test.ts
@@ -75,6 +75,16 @@
     );
   });
 
+  it('does not count a change as known that cannot be applied', () => {
+    const replica = new SiteReplica();
+    const change = {epoch: 0, revision: 5, updated: [], removed: []};
+    const odd = {...change, removed: 0 as unknown as string[]};
+    expect(() => replica.applyChange(odd, 0, false)).to.throw(TypeError);
+    expect(replica.position.revision).to.equal(0);
+    replica.applyChange(change, 0, false);
+    expect(replica.position.revision).to.equal(5);
+  });
+
   it('excludes draining and removed upstreams from new work', () => {
     const replica = new SiteReplica();
     const upstreams = [makeUpstream('a'), makeUpstream('b'), makeUpstream('c')];
--- a/packages/forwarding/src/site_replica.ts
+++ b/packages/forwarding/src/site_replica.ts
@@ -72,11 +72,12 @@
     const {epoch, revision} = change;
     if (epoch !== this.currentPosition.epoch) return false;
     if (revision < this.currentPosition.revision) return false;
-    this.currentPosition = {epoch, revision};
     for (const entry of change.updated) this.upstreams.write(entry, nowMs);
     for (const id of change.removed) {
       this.upstreams.remove(id, nowMs, mayHaveExpired);
     }
+    // Last, so that a change that cannot be applied is asked for again.
+    this.currentPosition = {epoch, revision};
     return this.adoptIfNewer(change.configuration);
   }
 
