Refuse a site file whose upstreams have no address

A site file with an upstream at port 70000 or with octet 999 came into force, and calls went to that upstream in vain. Such a file is now refused, with the id of the upstream in the log, as other faults in it are, and what was in force stays.

Test before: the files were taken; now refused.

--- a/packages/config/src/index.ts
+++ b/packages/config/src/index.ts
@@ -17,6 +17,7 @@
 export {explainSettings} from './explain_settings.js';
 export type {ExplainedValue} from './explained_value.js';
 export {formatProblem} from './format_problem.js';
+export {isAddress} from './is_address.js';
 export type {Member} from './member.js';
 export {mergeSettings} from './merge_settings.js';
 export {parseSettings} from './parse_settings.js';
--- a/packages/daemon/src/gateway/site_file.test.ts
+++ b/packages/daemon/src/gateway/site_file.test.ts
@@ -29,6 +29,24 @@
     expect(result.isOk && result.value).to.include({epoch: 0, revision: 4});
   });
 
+  for (const address of ['10.0.0.1:70000', '10.0.0.999:80', '10.0.0.010:80']) {
+    it(`refuses a file with an upstream at ${address}`, async () => {
+      const upstream = {id: 'u', service: 's', failureDomain: 'd', slots: 1};
+      write({version: 4, upstreams: [{...upstream, address}]});
+      const result = await new SiteFile(path).load();
+      expect(result.isErr && result.error.detail).to.contain('"u"');
+    });
+  }
+
+  it('refuses a file that is nested too deeply', async () => {
+    const nested = '['.repeat(100_000) + ']'.repeat(100_000);
+    for (const text of [nested, `{"version":1,"upstreams":${nested}}`]) {
+      writeFileSync(path, text);
+      const result = await new SiteFile(path).load();
+      expect(result.isErr && result.error.detail).to.contain('nesting');
+    }
+  });
+
   it('tells of a later epoch although the revision went back', async () => {
     write({version: 4, epoch: 1, revision: 9});
     const file = new SiteFile(path);
--- a/packages/daemon/src/gateway/site_file.ts
+++ b/packages/daemon/src/gateway/site_file.ts
@@ -2,6 +2,7 @@
 import {setTimeout as pause} from 'node:timers/promises';
 import {
   formatProblem,
+  isAddress,
   readSettingsFile,
   SchemaValidator,
 } from '@parsleywood/config';
@@ -103,6 +104,12 @@
             first ? `${this.path}: ${formatProblem(first)}` : this.path,
           ),
       )
+      .andThen(site => {
+        const odd = site.upstreams.find(({address}) => !isAddress(address));
+        return odd === undefined
+          ? Result.ok(site)
+          : Result.err(`${this.path}: address of upstream "${odd.id}"`);
+      })
       .map(site => this.toSnapshot(site))
       .mapErr(detail => ({kind: SiteSourceErrorKind.UNAVAILABLE, detail}));
   }
