Accept in a stop only what ends before the close

Callers saw requests that they sent after a planned stop had begun cut off at the end of the grace: calls that must run only once were answered 502, outcome unknown, and streams were broken off.

Cause: for 3 s after the signal a stopping gateway accepted every request, whatever its time limit, and cut off all that was open 1 s before the end of the grace.

Evidence: "Planned stop of a host on the platform" on the code before, with a grace of 8 s: 12 of 904 requests sent after the begin were cut, 4 calls of 5 s (sent 2.0 to 2.7 s after the begin) and 8 resumable streams of 6 s (1.1 to 2.7 s).

Change: DrainAdmission accepts a request if its time limit ends before the close, or if it may run again and recent requests of its route ended soon enough; the time from which all are refused is compared with the clock, not awaited by a timer. Others are refused at once, not run, also those that are refused when the host closes, with Retry-After. The decision follows the body.

--- a/packages/daemon/src/gateway/forward_session.ts
+++ b/packages/daemon/src/gateway/forward_session.ts
@@ -13,6 +13,7 @@
 import type {ResponseListener} from './response_listener.js';
 import type {ResponseWriter} from './response_writer.js';
 import {createCapacityFailure} from './create_capacity_failure.js';
+import {createStoppingFailure} from './create_stopping_failure.js';
 import {CrashDetector} from './crash_detector.js';
 import {drawService} from './draw_service.js';
 import {computeTimeLimit} from './compute_time_limit.js';
@@ -55,13 +56,16 @@
   private isCheckingCrash = false;
   private hasEnded = false;
 
-  /** @param onEnded Called once when the request has ended. */
+  /**
+   * @param onEnded Called once when the request has ended, with the number of
+   *     attempts that were sent.
+   */
   constructor(
     private readonly context: GatewayContext,
     match: RouteMatch,
     request: ReceivedRequest,
     private readonly writer: ResponseWriter,
-    private readonly onEnded: () => void,
+    private readonly onEnded: (sentAttempts: number) => void,
   ) {
     const {route} = match;
     this.route = route;
@@ -139,11 +143,12 @@
     if (this.hasEnded) return;
     const ran = this.getExecutionStatus();
     this.endAttempt();
-    const kind = ErrorKind.HOST_UNAVAILABLE;
     // The error must not invite a retry of a request that may have been executed.
-    const reportedKind =
-      ran === ExecutionStatus.NO ? kind : ErrorKind.UPSTREAM_FAILED;
-    this.fail(new Failure(reportedKind, 'host is stopping', ran));
+    this.fail(
+      ran === ExecutionStatus.NO
+        ? createStoppingFailure()
+        : new Failure(ErrorKind.UPSTREAM_FAILED, 'host is stopping', ran),
+    );
   }
 
   onHead(head: ResponseHead): boolean {
@@ -404,7 +409,7 @@
     this.inactivityTimer.stop();
     const {sender, cursor, head} = this;
     this.log.logEnd(outcome, head?.status, sender.sentAttempts, cursor.count);
-    this.onEnded();
+    this.onEnded(sender.sentAttempts);
   }
 
   private isStreaming(): boolean {
--- a/packages/daemon/src/gateway/gateway_host.ts
+++ b/packages/daemon/src/gateway/gateway_host.ts
@@ -51,8 +51,8 @@
 /** Upper bound of the time for which callers may cache directory responses. */
 const MAX_DIRECTORY_TTL_MS = 1_000;
 /**
- * Time for which a stopping host still accepts requests: by its end, callers have
- * learnt of the stop.
+ * Time for which a stopping host still accepts requests that end in time: by its
+ * end, callers have learnt of the stop.
  */
 const DRAIN_NOTICE_MS = 3_000;
 /** Part of the grace period reserved for closing the remaining connections. */
@@ -248,28 +248,28 @@
   }
 
   private async stopGracefully(): Promise<void> {
-    const beganMs = this.clock.nowMs();
+    const {clock, server, settings} = this;
+    const beganMs = clock.nowMs();
+    const closesAtMs = beganMs + settings.bounds.stopGraceMs - CLOSE_MARGIN_MS;
+    const refusesFromMs = Math.min(beganMs + DRAIN_NOTICE_MS, closesAtMs);
     this.stage = PeerStage.STOPPING;
     this.timeline.record(TimelineEventName.HOST_DRAINING);
-    this.log.info('host_stopping', {open: this.server.openRequests});
+    this.log.info('host_stopping', {open: server.openRequests});
+    server.startDraining(refusesFromMs, closesAtMs);
     this.fleet.sendHeartbeats();
-    this.server.startDraining();
-    await pause(DRAIN_NOTICE_MS);
-    this.server.startRefusing();
-    const untilMs =
-      beganMs + this.settings.bounds.stopGraceMs - CLOSE_MARGIN_MS;
-    while (this.server.openRequests > 0 && this.clock.nowMs() < untilMs) {
+    await pause(refusesFromMs - beganMs);
+    while (server.openRequests > 0 && clock.nowMs() < closesAtMs) {
       await pause(DRAIN_POLL_INTERVAL_MS);
     }
     this.timeline.record(TimelineEventName.HOST_STOPPED);
-    this.log.info('host_stopped', {open: this.server.openRequests});
+    this.log.info('host_stopped', {open: server.openRequests});
+    await server.close();
     this.siteWatcher.stop();
     this.upstreamProber.stop();
     this.fleet.stop();
     this.context.connectionPool.close();
     this.transport.close();
     await Promise.all([
-      this.server.close(),
       this.directory.close(),
       this.probes.close(),
       this.peers.close(),
@@ -301,7 +301,9 @@
       revision: replica.position.revision,
     });
     this.recordReady();
-    this.server.applyLimits(configuration.limits);
+    const {limits, routes} = configuration;
+    this.server.applyLimits(limits);
+    this.server.retainRoutes(new Set(routes.map(({name}) => name)));
   }
 
   /** Logs, once, that this host can serve requests. */
--- a/packages/daemon/src/gateway/gateway_server.ts
+++ b/packages/daemon/src/gateway/gateway_server.ts
@@ -3,6 +3,8 @@
 import {ErrorKind, Failure} from '@parsleywood/errors';
 import {
   DEFAULT_CALLER_LIMITS,
+  DrainAdmission,
+  DurationHistory,
   matchRequest,
   type CallerLimits,
   type RouteMatch,
@@ -10,6 +12,7 @@
 import fastify, {type FastifyInstance, type FastifyRequest} from 'fastify';
 import {ResponseWriter} from './response_writer.js';
 import {computeTimeLimit} from './compute_time_limit.js';
+import {createStoppingFailure} from './create_stopping_failure.js';
 import {ForwardSession} from './forward_session.js';
 import type {GatewayContext} from './gateway_context.js';
 import {readBody} from './read_body.js';
@@ -27,11 +30,6 @@
 const IDLE_MARGIN_MS = 2_000;
 /** Interval at which the timeouts of open connections are checked. */
 const CHECK_INTERVAL_MS = 1_000;
-/**
- * Retry-After of a response from a stopping host; other hosts are available at
- * once.
- */
-const STOPPING_RETRY_MS = 50;
 
 /** HTTP server for callers. Each request is forwarded by a session of its own. */
 export class GatewayServer {
@@ -39,8 +37,8 @@
   private readonly sessions = new Set<ForwardSession>();
   private readonly sockets = new Set<Socket>();
   private limits: CallerLimits = DEFAULT_CALLER_LIMITS;
-  private isDraining = false;
-  private isRefusing = false;
+  private readonly durations = new DurationHistory();
+  private drainAdmission: DrainAdmission | undefined;
 
   constructor(private readonly context: GatewayContext) {
     this.server = fastify({
@@ -91,14 +89,24 @@
     this.limits = limits;
   }
 
-  /** Asks callers to close their connections after each response. */
-  startDraining(): void {
-    this.isDraining = true;
+  /** Forgets the durations of all routes but these. */
+  retainRoutes(names: ReadonlySet<string>): void {
+    this.durations.retain(names);
   }
 
-  /** Refuses new requests from now on. */
-  startRefusing(): void {
-    this.isRefusing = true;
+  /**
+   * Accepts only requests that end in time, and asks callers to close their
+   * connections after each response.
+   *
+   * @param refusesFromMs Monotonic time from which all requests are refused.
+   * @param closesAtMs Monotonic time at which the server is closed at the latest.
+   */
+  startDraining(refusesFromMs: number, closesAtMs: number): void {
+    this.drainAdmission = new DrainAdmission(
+      this.durations,
+      refusesFromMs,
+      closesAtMs,
+    );
   }
 
   /** Fails the remaining requests and closes all connections. */
@@ -124,7 +132,7 @@
       metadata.id,
       context.headerNames.requestId,
     );
-    if (this.isDraining) writer.closeConnectionAfter();
+    if (this.drainAdmission !== undefined) writer.closeConnectionAfter();
     const match = this.matchRoute(request.raw, metadata);
     if (match instanceof Failure) {
       this.refuse(metadata, writer, match);
@@ -136,6 +144,12 @@
       this.refuse(metadata, writer, body.error);
       return;
     }
+    // A connection that is closed before its request is read whole is reset, and
+    // the caller may lose the refusal.
+    if (!this.mayAccept(match, receivedAtMs + limitMs)) {
+      this.refuse(metadata, writer, createStoppingFailure());
+      return;
+    }
     const headers = request.raw.rawHeaders;
     const received = {metadata, headers, body: body.value, receivedAtMs};
     this.forward(match, received, writer, response);
@@ -152,8 +166,11 @@
       match,
       received,
       writer,
-      () => {
+      sentAttempts => {
         this.sessions.delete(session);
+        if (sentAttempts === 0) return;
+        const tookMs = this.context.clock.nowMs() - received.receivedAtMs;
+        this.durations.record(match.route.name, tookMs);
       },
     );
     this.sessions.add(session);
@@ -163,15 +180,16 @@
     session.start();
   }
 
+  private mayAccept({route}: RouteMatch, deadlineMs: number): boolean {
+    const {drainAdmission, context} = this;
+    if (drainAdmission === undefined) return true;
+    return drainAdmission.mayAccept(route, deadlineMs, context.clock.nowMs());
+  }
+
   private matchRoute(
     request: IncomingMessage,
     metadata: RequestMetadata,
   ): RouteMatch | Failure {
-    if (this.isRefusing) {
-      const message = 'host is stopping';
-      const kind = ErrorKind.HOST_UNAVAILABLE;
-      return new Failure(kind, message, undefined, STOPPING_RETRY_MS);
-    }
     const bytes = request.rawHeaders.reduce(
       (sum, one) => sum + one.length + 2,
       0,
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -11,6 +11,8 @@
 export {compareSnapshots} from './compare_snapshots.js';
 export type {Configuration} from './configuration.js';
 export {DEFAULT_CALLER_LIMITS} from './default_caller_limits.js';
+export {DrainAdmission} from './drain_admission.js';
+export {DurationHistory} from './duration_history.js';
 export type {EngineProfile} from './engine_profile.js';
 export {EventCursor} from './event_cursor.js';
 export {KeyTable} from './key_table.js';
--- a/packages/forwarding/src/retry_controller.ts
+++ b/packages/forwarding/src/retry_controller.ts
@@ -1,7 +1,7 @@
 import {ErrorKind, ExecutionStatus, Failure} from '@parsleywood/errors';
 import {AttemptOutcome} from './attempt_outcome.js';
+import {isRepeatable} from './is_repeatable.js';
 import {NextStep} from './next_step.js';
-import {RequestKind} from './request_kind.js';
 import type {Route} from './route.js';
 
 /** Retries after attempts that did not run, on top of `maxAttempts`. */
@@ -35,9 +35,7 @@
 
   /** Whether the request may run again or its stream resume elsewhere. */
   get isRepeatable(): boolean {
-    const {kind, resumable} = this.route;
-    if (kind === RequestKind.STREAM) return resumable;
-    return kind === RequestKind.IDEMPOTENT;
+    return isRepeatable(this.route);
   }
 
   /** Whether a retry is allowed if the current attempt is cancelled now. */
