Hand open answers over before a stopping gateway closes

Callers saw their connection closed while they still read an answer or still sent a request, 3 s after a planned stop had begun and with 4 s of the grace left. Answers of requests from before the stop did not ask to close, so that callers kept connections that were about to end.

Cause: the gateway waited for its sessions. A session ends when its answer is written to the response, not when the caller has it, and begins when the body is read. Failing what was open and closing all connections was one step.

Evidence, on the code before: a caller that did not read for 3.2 s after the stop got 3,932,160 of 15,000,000 bytes; a call whose body ended 3.2 s after the stop got no answer; no answer of an earlier request had Connection: close.

Change: a request counts as open from its head until the response is handed to the system whole or closed. A request that comes meanwhile is refused like others. The start of a stop marks the open answers.

--- a/packages/daemon/src/gateway/gateway_server.ts
+++ b/packages/daemon/src/gateway/gateway_server.ts
@@ -1,5 +1,6 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
+import {setTimeout as pause} from 'node:timers/promises';
 import {ErrorKind, Failure} from '@parsleywood/errors';
 import {
   DEFAULT_CALLER_LIMITS,
@@ -30,6 +31,9 @@
 const IDLE_MARGIN_MS = 2_000;
 /** Interval at which the timeouts of open connections are checked. */
 const CHECK_INTERVAL_MS = 1_000;
+/** Maximum time in which callers read their answers once the host closes. */
+const FLUSH_TIMEOUT_MS = 500;
+const FLUSH_POLL_INTERVAL_MS = 20;
 
 /** HTTP server for callers. Each request is forwarded by a session of its own. */
 export class GatewayServer {
@@ -37,6 +41,8 @@
   private readonly sessions = new Set<ForwardSession>();
   private readonly sockets = new Set<Socket>();
   private limits: CallerLimits = DEFAULT_CALLER_LIMITS;
+  /** Writers of the responses that are not handed over whole. */
+  private readonly writers = new Set<ResponseWriter>();
   private readonly durations = new DurationHistory();
   private drainAdmission: DrainAdmission | undefined;
 
@@ -44,6 +50,8 @@
     this.server = fastify({
       // Requests are matched by the site's routes, not by Fastify's.
       rewriteUrl: () => '/',
+      // Requests that come while the server closes are refused like others.
+      return503OnClosing: false,
       http: {
         maxHeaderSize: MAX_HEADER_BYTES,
         connectionsCheckingInterval: CHECK_INTERVAL_MS,
@@ -63,9 +71,9 @@
     this.applyLimits(DEFAULT_CALLER_LIMITS);
   }
 
-  /** Number of requests without a complete response. */
+  /** Number of requests whose response is not handed over whole. */
   get openRequests(): number {
-    return this.sessions.size;
+    return this.writers.size;
   }
 
   async listen(host: string, port: number): Promise<void> {
@@ -102,18 +110,31 @@
    * @param closesAtMs Monotonic time at which the server is closed at the latest.
    */
   startDraining(refusesFromMs: number, closesAtMs: number): void {
+    const {durations, writers} = this;
     this.drainAdmission = new DrainAdmission(
-      this.durations,
+      durations,
       refusesFromMs,
       closesAtMs,
     );
+    for (const writer of writers) writer.closeConnectionAfter();
   }
 
   /** Fails the remaining requests and closes all connections. */
   async close(): Promise<void> {
     for (const session of [...this.sessions]) session.stop();
+    const closed = this.server.close();
+    await this.flush();
     this.server.server.closeAllConnections();
-    await this.server.close();
+    await closed;
+  }
+
+  /** Waits for callers that read slowly. */
+  private async flush(): Promise<void> {
+    const {clock} = this.context;
+    const untilMs = clock.nowMs() + FLUSH_TIMEOUT_MS;
+    while (this.writers.size > 0 && clock.nowMs() < untilMs) {
+      await pause(FLUSH_POLL_INTERVAL_MS);
+    }
   }
 
   private async handleRequest(
@@ -132,6 +153,10 @@
       metadata.id,
       context.headerNames.requestId,
     );
+    this.writers.add(writer);
+    response.on('close', () => {
+      this.writers.delete(writer);
+    });
     if (this.drainAdmission !== undefined) writer.closeConnectionAfter();
     const match = this.matchRoute(request.raw, metadata);
     if (match instanceof Failure) {
