Keep a silent attempt until another one has taken over

Callers lost answers that were on their way: a stream broke off, or a call ended in 502, although its upstream was sound and only silent for a second.

Cause: after 800 ms without an event, or the timeouts of a first event and of a call, the attempt was cancelled and another upstream asked. If that one refused, broke off, failed or was silent as well, nothing was left to answer with. All requests of a silent upstream were given up in the same moment, when the others are the least likely to have room.

Ruled out: longer timeouts. They move the loss to longer silences, and leave less time for a retry where an upstream hangs for good.

Change: the silent attempt is held, with its capacity, while the other one is tried. It ends once the other one delivers an event or a complete answer. It goes on if the other one ends without a usable answer, if no other can be placed, or if it makes progress first. Attempts and retries count as before; suspects are not held, as they run on one upstream at a time.

--- a/packages/daemon/src/gateway/attempt_placer.ts
+++ b/packages/daemon/src/gateway/attempt_placer.ts
@@ -16,6 +16,7 @@
 import type {GatewayContext} from './gateway_context.js';
 import type {PlacedAttempt} from './placed_attempt.js';
 import type {ReceivedRequest} from './received_request.js';
+import type {SuspendedPlacement} from './suspended_placement.js';
 
 const SERVER_ERROR_STATUS = 500;
 const MISDIRECTED_STATUS = 421;
@@ -167,11 +168,29 @@
 
   /** Ends the attempt in progress and frees its capacity. */
   endAttempt(): void {
-    const {placed, context} = this;
+    const {placed} = this;
     if (placed === undefined) return;
     this.placed = undefined;
-    context.placements.end(placed.placement.id);
-    context.publisher.publishEnd(placed.placement.id);
+    this.free(placed);
+  }
+
+  /** Sets the attempt in progress aside; it keeps its capacity. */
+  suspend(): SuspendedPlacement | undefined {
+    const {placed, isDecoding} = this;
+    this.placed = undefined;
+    return placed && {placed, isDecoding};
+  }
+
+  /** Goes on with an attempt that was set aside. */
+  resume({placed, isDecoding}: SuspendedPlacement): void {
+    this.placed = placed;
+    this.isDecoding = isDecoding;
+    this.passMeter = new PassMeter();
+  }
+
+  /** Frees the capacity of an attempt that was set aside. */
+  discard({placed}: SuspendedPlacement): void {
+    this.free(placed);
   }
 
   /**
@@ -254,6 +273,12 @@
     log.warn('upstream_avoided', {upstream: id, end: outcome, status});
   }
 
+  private free({placement}: PlacedAttempt): void {
+    const {placements, publisher} = this.context;
+    placements.end(placement.id);
+    publisher.publishEnd(placement.id);
+  }
+
   /** Asks the caller to come again when an upstream's limit allows it. */
   private planReturn(
     shortage: CapacityShortage,
--- a/packages/daemon/src/gateway/attempt_sender.ts
+++ b/packages/daemon/src/gateway/attempt_sender.ts
@@ -6,11 +6,14 @@
 import {PromptReservations} from './prompt_reservations.js';
 import type {ReceivedRequest} from './received_request.js';
 import type {ResponseListener} from './response_listener.js';
+import {ResponseSwitch} from './response_switch.js';
+import type {SentAttempt} from './sent_attempt.js';
 import {UpstreamAttempt} from './upstream_attempt.js';
 
 /** Sends the attempts of one request, with engine memory reserved where needed. */
 export class AttemptSender {
   private attempt: UpstreamAttempt | undefined;
+  private response: ResponseSwitch | undefined;
   private reservations: PromptReservations | undefined;
   private sent = 0;
 
@@ -63,6 +66,28 @@
     this.reservations = undefined;
   }
 
+  /** Sets the attempt that is sent aside, so that another one can be sent. */
+  suspend(): SentAttempt | undefined {
+    const {attempt, response, reservations} = this;
+    if (attempt === undefined || response === undefined) return undefined;
+    this.attempt = undefined;
+    this.reservations = undefined;
+    return {attempt, response, reservations};
+  }
+
+  /** Goes on with an attempt that was set aside. */
+  resume({attempt, response, reservations}: SentAttempt): void {
+    this.attempt = attempt;
+    this.response = response;
+    this.reservations = reservations;
+  }
+
+  /** Ends an attempt that was set aside. */
+  discard({attempt, reservations}: SentAttempt): void {
+    attempt.cancel();
+    reservations?.release();
+  }
+
   private async sendReserved(
     placed: PlacedAttempt,
     reserved: PromptReservations,
@@ -82,6 +107,7 @@
 
   private start(placed: PlacedAttempt, lastEventId: number | undefined): void {
     const {context} = this;
+    const response = new ResponseSwitch(this.listener);
     let attempt: UpstreamAttempt;
     try {
       const request = buildUpstreamRequest(
@@ -97,13 +123,14 @@
         request,
         context.connectionPool,
         context.headerNames,
-        this.listener,
+        response,
       );
     } catch (error) {
       // The entry names no address, so nothing was sent.
       this.listener.onEnd(AttemptOutcome.NOT_SENT, String(error));
       return;
     }
+    this.response = response;
     this.attempt = attempt;
     this.sent++;
     this.onSent(placed);
--- a/packages/daemon/src/gateway/forward_session.ts
+++ b/packages/daemon/src/gateway/forward_session.ts
@@ -2,38 +2,32 @@
 import {ErrorKind, ExecutionStatus, Failure} from '@parsleywood/errors';
 import {
   AttemptOutcome,
-  EventCursor,
   NextStep,
-  RequestKind,
   RetryController,
   type RouteMatch,
-  type Route,
 } from '@parsleywood/forwarding';
 import type {ResponseHead} from './response_head.js';
 import type {ResponseListener} from './response_listener.js';
 import type {ResponseWriter} from './response_writer.js';
-import {createCapacityFailure} from './create_capacity_failure.js';
-import {createStoppingFailure} from './create_stopping_failure.js';
 import {CrashDetector} from './crash_detector.js';
 import {drawService} from './draw_service.js';
+import {endResponse} from './end_response.js';
 import {computeTimeLimit} from './compute_time_limit.js';
 import type {GatewayContext} from './gateway_context.js';
 import type {PlacedAttempt} from './placed_attempt.js';
-import {ResponseBuffer} from './response_buffer.js';
+import {ReceivedResponse} from './received_response.js';
 import type {ReceivedRequest} from './received_request.js';
+import {SessionFailures} from './session_failures.js';
 import {SessionLog} from './session_log.js';
 import {SuspectTrial} from './suspect_trial.js';
 import {SessionOutcome} from './session_outcome.js';
 import {InactivityTimer} from './inactivity_timer.js';
+import {AttemptHolder} from './attempt_holder.js';
 import {AttemptPlacer} from './attempt_placer.js';
 import {AttemptSender} from './attempt_sender.js';
 
-/** Retry-After of a response when no upstream could be reached. */
-const UNAVAILABLE_RETRY_MS = 300;
 const SERVER_ERROR_STATUS = 500;
-const OK_STATUS = 200;
 const MISDIRECTED_STATUS = 421;
-const FAULT_MESSAGE = 'host could not go on with the request';
 
 /**
  * Forwards one request: sends attempts, relays the response, enforces the
@@ -41,9 +35,9 @@
  */
 export class ForwardSession implements ResponseListener {
   private readonly retryController: RetryController;
-  private readonly route: Route;
-  private readonly cursor: EventCursor;
+  private readonly response: ReceivedResponse;
   private readonly placer: AttemptPlacer;
+  private readonly failures: SessionFailures;
   private readonly log: SessionLog;
   private readonly crashDetector: CrashDetector;
   private readonly trial: SuspectTrial;
@@ -51,8 +45,8 @@
   private readonly deadlineMs: number;
   private deadlineTimer: NodeJS.Timeout | undefined;
   private readonly inactivityTimer: InactivityTimer;
-  private head: ResponseHead | undefined;
-  private responseBuffer = new ResponseBuffer();
+  private readonly holder: AttemptHolder;
+  private isPlacing = false;
   private isCheckingCrash = false;
   private hasEnded = false;
 
@@ -68,21 +62,20 @@
     private readonly onEnded: (sentAttempts: number) => void,
   ) {
     const {route} = match;
-    this.route = route;
-    this.retryController = new RetryController(route);
     const {metadata, receivedAtMs} = request;
-    this.cursor = new EventCursor(metadata.lastEventId);
+    this.retryController = new RetryController(route);
+    this.response = new ReceivedResponse(route, metadata.lastEventId);
     const service = drawService(route, context.draw());
     this.log = new SessionLog(context, match, request, service);
     this.deadlineMs = receivedAtMs + computeTimeLimit(metadata, route);
-    const {deadlineMs} = this;
     this.placer = new AttemptPlacer(
       context,
       match,
       request,
       service,
-      deadlineMs,
+      this.deadlineMs,
     );
+    this.failures = new SessionFailures(this.placer, this.retryController);
     this.inactivityTimer = new InactivityTimer(
       route,
       this.retryController.isRepeatable,
@@ -117,6 +110,14 @@
       },
       () => this.getLeftMs(),
     );
+    this.holder = new AttemptHolder(
+      this.placer,
+      this.sender,
+      this.response,
+      () => {
+        this.handleHeldProgress();
+      },
+    );
   }
 
   start(): void {
@@ -143,51 +144,36 @@
     if (this.hasEnded) return;
     const ran = this.getExecutionStatus();
     this.endAttempt();
-    // The error must not invite a retry of a request that may have been executed.
-    this.fail(
-      ran === ExecutionStatus.NO
-        ? createStoppingFailure()
-        : new Failure(ErrorKind.UPSTREAM_FAILED, 'host is stopping', ran),
-    );
+    this.fail(this.failures.createStopping(ran));
   }
 
   onHead(head: ResponseHead): boolean {
-    this.head = head;
+    this.response.recordHead(head);
     this.log.recordHead();
     if (head.status !== MISDIRECTED_STATUS) {
       this.placer.recordLimit(head.rateLimit);
     }
-    if (this.isStreaming()) {
+    if (this.response.isStreaming) {
       this.inactivityTimer.awaitEvent();
     }
     return true;
   }
 
   onData(chunk: Buffer): void {
-    if (!this.isStreaming()) {
-      this.responseBuffer.append(chunk);
-      const {fault} = this.responseBuffer;
-      if (fault !== undefined) this.abortAttempt(AttemptOutcome.BROKEN, fault);
-      return;
-    }
-    const events = this.cursor.append(chunk);
+    const events = this.response.append(chunk);
     if (events.length > 0) this.relay(events);
-    if (this.cursor.hasFault) {
-      this.abortAttempt(
-        AttemptOutcome.BROKEN,
-        'response is not a valid event stream',
-      );
-    }
+    const {fault} = this.response;
+    if (fault !== undefined) this.abortAttempt(AttemptOutcome.BROKEN, fault);
   }
 
   onEnd(reported: AttemptOutcome, detail: string): void {
     if (this.hasEnded) return;
-    const isTruncated = this.isStreaming() && this.cursor.hasPartialEvent;
+    const {head, endsInsideEvent} = this.response;
     if (reported !== AttemptOutcome.ANSWERED) {
       this.handleEnd(reported, detail);
-    } else if (isTruncated) {
+    } else if (endsInsideEvent) {
       this.handleEnd(AttemptOutcome.BROKEN, 'stream ended inside an event');
-    } else if (this.head?.endsWithConnection === true) {
+    } else if (head?.endsWithConnection === true) {
       void this.guard(() => this.confirmEnd());
     } else {
       this.handleEnd(reported, detail);
@@ -213,12 +199,11 @@
   }
 
   private handleEnd(outcome: AttemptOutcome, detail: string): void {
-    const {head} = this;
+    const {head} = this.response;
     const status =
       outcome === AttemptOutcome.ANSWERED ? (head?.status ?? 0) : 0;
-    this.log.logAttemptEnd(outcome, status, detail, this.placer.currentAttempt);
     const faultyAddress = head?.faultyAddress ?? '';
-    this.placer.recordOutcome(outcome, head?.status ?? 0, faultyAddress);
+    this.recordOutcome(outcome, status, detail);
     if (this.crashDetector.mayHaveCrashed(outcome, faultyAddress)) {
       void this.guard(() => this.concludeAfterCheck(outcome, status, detail));
     } else {
@@ -226,6 +211,17 @@
     }
   }
 
+  private recordOutcome(
+    outcome: AttemptOutcome,
+    status: number,
+    detail: string,
+  ): void {
+    const {placer, response} = this;
+    const {head} = response;
+    this.log.logAttemptEnd(outcome, status, detail, placer.currentAttempt);
+    placer.recordOutcome(outcome, head?.status ?? 0, head?.faultyAddress ?? '');
+  }
+
   /**
    * Concludes an attempt once it is known whether an upstream crashed, on which
    * the next attempt depends.
@@ -247,7 +243,7 @@
     status: number,
     detail: string,
   ): void {
-    const {head} = this;
+    const {head, isStreaming} = this.response;
     this.endAttempt();
     const step = this.retryController.endAttempt(
       outcome,
@@ -256,17 +252,29 @@
       this.placer.hasUntriedUpstream && !this.crashDetector.shouldRefuse(),
       () => this.context.retryBudgets.tryRetry(this.placer.service),
     );
+    const isUsable =
+      step === NextStep.FORWARD_ANSWER &&
+      status < SERVER_ERROR_STATUS &&
+      (isStreaming || !this.writer.hasStarted);
     if (step === NextStep.RETRY) void this.guard(() => this.sendAttempt());
+    else if (this.holder.isPending && !isUsable) this.holder.resume(this);
     else if (step === NextStep.FORWARD_ANSWER && head) this.endResponse(head);
     else this.failAfterAttempts(detail || 'upstream refused the request');
   }
 
   private async sendAttempt(): Promise<void> {
     const {attempts} = this.retryController;
+    this.isPlacing = true;
     const placed = await this.trial.place(attempts, this.getLeftMs());
+    this.isPlacing = false;
     if (this.hasEnded) this.placer.endAttempt();
-    else if ('placement' in placed) this.prepare(placed);
-    else this.refuse(placed);
+    else if (this.holder.hasProgressed) {
+      this.placer.withdraw();
+      this.holder.resume(this);
+    } else if ('placement' in placed) {
+      this.response.restart();
+      this.sender.send(placed, this.response.lastEventId);
+    } else this.refuse(placed);
   }
 
   /** Runs a step; the request ends at once, and not at its deadline, if it throws. */
@@ -278,20 +286,10 @@
       this.log.logFault(error);
       const ran = this.getExecutionStatus();
       this.endAttempt();
-      if (ran === ExecutionStatus.NO) this.failAfterAttempts(FAULT_MESSAGE);
-      else {
-        this.fail(new Failure(ErrorKind.UPSTREAM_FAILED, FAULT_MESSAGE, ran));
-      }
+      this.fail(this.failures.createFault(ran));
     }
   }
 
-  private prepare(placed: PlacedAttempt): void {
-    this.head = undefined;
-    this.responseBuffer = new ResponseBuffer();
-    this.cursor.resume();
-    this.sender.send(placed, this.cursor.lastId);
-  }
-
   private handleSent(placed: PlacedAttempt): void {
     this.inactivityTimer.awaitResponse(placed.choice.plan);
     const {attempts} = this.retryController;
@@ -299,10 +297,12 @@
   }
 
   private relay(events: Buffer): void {
+    this.holder.discard();
     this.inactivityTimer.awaitEvent();
     this.placer.recordEvents();
     this.log.recordEvents();
-    if (!this.writer.hasStarted && this.head) this.writer.start(this.head);
+    const {head} = this.response;
+    if (!this.writer.hasStarted && head) this.writer.start(head);
     this.writer.write(events);
   }
 
@@ -311,7 +311,7 @@
     const {current} = this.sender;
     const unreachable = await this.placer.findUnreachable();
     if (this.hasEnded || this.isCheckingCrash) return;
-    if (this.sender.current !== current || this.head) return;
+    if (this.sender.current !== current || this.response.head) return;
     for (const engine of unreachable) {
       this.placer.penalize(engine, true, AttemptOutcome.TIMED_OUT, 0);
     }
@@ -319,15 +319,23 @@
   }
 
   /**
-   * Retries an unresponsive request elsewhere, at most once. A request that
-   * cannot be retried keeps waiting.
+   * Tries an unresponsive request elsewhere, at most once. A request that cannot be
+   * retried keeps waiting.
    */
   private handleTimeout(): void {
     if (this.hasEnded || !this.mayRetryElsewhere()) return;
-    this.abortAttempt(
-      AttemptOutcome.TIMED_OUT,
-      'upstream did not respond in time',
-    );
+    const outcome = AttemptOutcome.TIMED_OUT;
+    const detail = 'upstream did not respond in time';
+    this.recordOutcome(outcome, 0, detail);
+    this.holder.hold();
+    this.concludeAttempt(outcome, 0, detail);
+  }
+
+  /** Prefers a silent attempt that goes on to the one sent in its place. */
+  private handleHeldProgress(): void {
+    if (this.isPlacing || this.isCheckingCrash) return;
+    this.endAttempt();
+    this.holder.resume(this);
   }
 
   /** Cancels the attempt in progress and records its outcome. */
@@ -361,16 +369,7 @@
 
   private endResponse(head: ResponseHead): void {
     this.crashDetector.recordAnswer(head.status);
-    if (this.isStreaming()) {
-      if (!this.writer.hasStarted) this.writer.start(head);
-      this.writer.end();
-    } else if (this.writer.hasStarted) {
-      // The head of an earlier attempt is already sent, and this answer is no part
-      // of that one. Only closing the connection can signal the failure.
-      this.writer.abort();
-    } else {
-      this.writer.send(head, this.responseBuffer.join());
-    }
+    endResponse(this.writer, this.response, head);
     this.finish(
       head.status < SERVER_ERROR_STATUS
         ? SessionOutcome.ANSWERED
@@ -380,21 +379,12 @@
 
   /** Ends the request when no attempt can be placed. */
   private refuse(reason: CapacityShortage | Failure): void {
-    const failure =
-      reason instanceof Failure
-        ? reason
-        : createCapacityFailure(this.placer, reason.waitMs);
-    if (this.retryController.attempts === 0 || this.placer.isPromptTooLong) {
-      this.fail(failure);
-    } else {
-      this.failAfterAttempts(failure.message);
-    }
+    if (this.holder.isPending) this.holder.resume(this);
+    else this.fail(this.failures.createRefusal(reason));
   }
 
   private failAfterAttempts(message: string): void {
-    this.fail(
-      this.retryController.createFailure(message, UNAVAILABLE_RETRY_MS),
-    );
+    this.fail(this.failures.createUnserved(message));
   }
 
   private fail(failure: Failure): void {
@@ -407,19 +397,13 @@
     this.hasEnded = true;
     clearTimeout(this.deadlineTimer);
     this.inactivityTimer.stop();
-    const {sender, cursor, head} = this;
-    this.log.logEnd(outcome, head?.status, sender.sentAttempts, cursor.count);
+    this.holder.discard();
+    const {sender, response} = this;
+    const {head, eventCount} = response;
+    this.log.logEnd(outcome, head?.status, sender.sentAttempts, eventCount);
     this.onEnded(sender.sentAttempts);
   }
 
-  private isStreaming(): boolean {
-    return (
-      this.route.kind === RequestKind.STREAM &&
-      this.head?.status === OK_STATUS &&
-      this.head.isEventStream
-    );
-  }
-
   /**
    * Whether an upstream may have executed the request, in this or an earlier
    * attempt.
--- /dev/null
+++ b/packages/daemon/src/gateway/received_response.ts
@@ -0,0 +1,93 @@
+import {EventCursor, RequestKind, type Route} from '@parsleywood/forwarding';
+import type {ReceivedPart} from './received_part.js';
+import {ResponseBuffer} from './response_buffer.js';
+import type {ResponseHead} from './response_head.js';
+
+const OK_STATUS = 200;
+const NO_EVENTS = Buffer.alloc(0);
+
+/** What has arrived of the response to one request, from attempt to attempt. */
+export class ReceivedResponse {
+  private readonly cursor: EventCursor;
+  private currentHead: ResponseHead | undefined;
+  private buffer = new ResponseBuffer();
+
+  /** @param lastEventId Last event that the caller has from an earlier response. */
+  constructor(
+    private readonly route: Route,
+    lastEventId: number | undefined,
+  ) {
+    this.cursor = new EventCursor(lastEventId);
+  }
+
+  /** Status and headers of the attempt in progress. */
+  get head(): ResponseHead | undefined {
+    return this.currentHead;
+  }
+
+  /** Whether the response is passed on event by event. */
+  get isStreaming(): boolean {
+    return (
+      this.route.kind === RequestKind.STREAM &&
+      this.currentHead?.status === OK_STATUS &&
+      this.currentHead.isEventStream
+    );
+  }
+
+  get endsInsideEvent(): boolean {
+    return this.isStreaming && this.cursor.hasPartialEvent;
+  }
+
+  /** Event after which a further attempt goes on. */
+  get lastEventId(): number | undefined {
+    return this.cursor.lastId;
+  }
+
+  get eventCount(): number {
+    return this.cursor.count;
+  }
+
+  /** Set when what has arrived cannot be passed on. */
+  get fault(): string | undefined {
+    if (!this.isStreaming) return this.buffer.fault;
+    return this.cursor.hasFault
+      ? 'response is not a valid event stream'
+      : undefined;
+  }
+
+  /** Prepares for the response to a further attempt. */
+  restart(): void {
+    this.currentHead = undefined;
+    this.buffer = new ResponseBuffer();
+    this.cursor.resume();
+  }
+
+  recordHead(head: ResponseHead): void {
+    this.currentHead = head;
+  }
+
+  /** @return The complete events, which the caller has not received yet. */
+  append(chunk: Buffer): Buffer {
+    if (this.isStreaming) return this.cursor.append(chunk);
+    this.buffer.append(chunk);
+    return NO_EVENTS;
+  }
+
+  /** Returns the body of a response that is not streamed. */
+  readBody(): Buffer {
+    return this.buffer.join();
+  }
+
+  /** Returns what is needed to go on with the attempt in progress later. */
+  capture(): ReceivedPart {
+    const {currentHead: head, buffer, cursor} = this;
+    return {head, buffer, partialEvent: cursor.partialEvent};
+  }
+
+  /** Goes on with an earlier attempt. */
+  restore({head, buffer, partialEvent}: ReceivedPart): void {
+    this.currentHead = head;
+    this.buffer = buffer;
+    this.cursor.restore(partialEvent);
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/gateway/session_failures.ts
@@ -0,0 +1,51 @@
+import type {CapacityShortage} from '@parsleywood/dispatch';
+import {ErrorKind, ExecutionStatus, Failure} from '@parsleywood/errors';
+import type {RetryController} from '@parsleywood/forwarding';
+import type {AttemptPlacer} from './attempt_placer.js';
+import {createCapacityFailure} from './create_capacity_failure.js';
+import {createStoppingFailure} from './create_stopping_failure.js';
+
+/** Retry-After of a response when no upstream could be reached. */
+const UNAVAILABLE_RETRY_MS = 300;
+
+/** Creates the failures with which one request may end. */
+export class SessionFailures {
+  constructor(
+    private readonly placer: AttemptPlacer,
+    private readonly retryController: RetryController,
+  ) {}
+
+  /** For a request of which no attempt can be placed. */
+  createRefusal(reason: CapacityShortage | Failure): Failure {
+    const {placer, retryController} = this;
+    const failure =
+      reason instanceof Failure
+        ? reason
+        : createCapacityFailure(placer, reason.waitMs);
+    return retryController.attempts === 0 || placer.isPromptTooLong
+      ? failure
+      : this.createUnserved(failure.message);
+  }
+
+  /** For a request whose attempts have all failed. */
+  createUnserved(message: string): Failure {
+    return this.retryController.createFailure(message, UNAVAILABLE_RETRY_MS);
+  }
+
+  /** For a request that this host could not go on with. */
+  createFault(ran: ExecutionStatus): Failure {
+    const message = 'host could not go on with the request';
+    if (ran === ExecutionStatus.NO) return this.createUnserved(message);
+    return new Failure(ErrorKind.UPSTREAM_FAILED, message, ran);
+  }
+
+  /**
+   * For a request that is open as this host closes. The failure must not invite a
+   * retry of one that may have been executed.
+   */
+  createStopping(ran: ExecutionStatus): Failure {
+    return ran === ExecutionStatus.NO
+      ? createStoppingFailure()
+      : new Failure(ErrorKind.UPSTREAM_FAILED, 'host is stopping', ran);
+  }
+}
--- a/packages/forwarding/src/event_cursor.ts
+++ b/packages/forwarding/src/event_cursor.ts
@@ -45,6 +45,11 @@
     return this.isFaulty;
   }
 
+  /** The bytes received so far of an event that is not complete. */
+  get partialEvent(): Buffer {
+    return this.pending;
+  }
+
   /**
    * Adds the next bytes of the answer. They are no part of the stream where an event
    * exceeds its maximum length or has lines that are no fields, or where an event
@@ -82,6 +87,17 @@
     this.isFaulty = false;
   }
 
+  /**
+   * Goes on with an earlier upstream.
+   *
+   * @param partialEvent What that one had sent of an event that was not complete.
+   */
+  restore(partialEvent: Buffer): void {
+    this.pending = partialEvent;
+    this.requiresIds = false;
+    this.isFaulty = false;
+  }
+
   private isPart(event: string, id: number | undefined): boolean {
     if (FOREIGN_LINE.test(event)) return false;
     return id !== undefined || !this.requiresIds || !DATA_LINE.test(event);
