--- a/packages/daemon/src/gateway/fleet_membership.test.ts
+++ b/packages/daemon/src/gateway/fleet_membership.test.ts
@@ -97,11 +97,7 @@
   it('handles the others of the same delivery', () => {
     const [host] = new VirtualFleet(2, 1, 1).hosts;
     const position = {epoch: 0, revision: 9};
-    const odd = [
-      Buffer.of(1),
-      gzipSync('null'),
-      gzipSync('{"updated":[]}'),
-    ];
+    const odd = [Buffer.of(1), gzipSync('null'), gzipSync('{"updated":[]}')];
     const deltas = odd.map(change => ({
       $case: 'siteDelta' as const,
       value: {...position, fromRevision: 0, mayHaveExpired: false, change},
