Cut gateways off and hold upstreams in the soak, and look for lost requests

The soak met faults of upstreams and of processes only. A host that lost all paths to upstreams, while callers and peers reached it, was in no test, nor were upstreams that are silent for a second and go on, reloads, series of configurations, slow readers, or odd entries in the list of upstreams; and a request that was read and ended without an answer broke no check.

Each gateway now reaches upstreams at a loopback address of its own, with a proxy at each, so that its paths fail alone: new connections are refused, all are reset, or bytes are swallowed. Callers use connections of node:http, as undici's client throws (`assert(!this.paused)`) where a connection ends while its reader waits.

New checks: a request that was read ends with a whole answer, unless its gateway was paused or killed, its time to stop is nearly over, or its upstream was cut off; no request is denied; no gateway ends by itself or leaves an exception uncaught; gateways cut off for over 3 s serve two thirds as often as the others.

--- a/packages/bench/src/gateway_soak/check_calls.ts
+++ b/packages/bench/src/gateway_soak/check_calls.ts
@@ -4,6 +4,8 @@
 
 /** Statuses that promise that a request did not run. */
 const NOT_RUN = new Set([408, 421, 429, 503]);
+/** Statuses for what no version of the site allows. */
+const DENIED = new Set([400, 401, 403, 404, 405, 413]);
 const OK_STATUS = 200;
 /** Time beyond the limit for an answer on a busy machine. */
 const SLACK_MS = 1_000;
@@ -42,13 +44,18 @@
   if (NOT_RUN.has(status) && runs > 0) {
     return [`${id} was answered ${status}, though it ran`];
   }
+  if (DENIED.has(status)) return [`${id} was denied with ${status}`];
   return [];
 }
 
-function checkBody({id, route, status, body, isCut}: SoakCall): string[] {
+function checkBody(call: SoakCall): string[] {
+  const {id, route, status, body, bodyBytes, isLarge, isCut} = call;
   if (status !== OK_STATUS) return [];
   if (route.kind !== 'stream') {
-    const isRight = isCut || body === `ran ${id}`;
+    const expected = `ran ${id}`;
+    const length = isLarge ? CheckedUpstream.largeBytes : expected.length;
+    const isRight =
+      isCut || (body.trimEnd() === expected && bodyBytes === length);
     return isRight ? [] : [`${id} got another answer: ${body.slice(0, 40)}`];
   }
   const events = body.split('\n\n').filter(text => text !== '');
--- a/packages/bench/src/gateway_soak/check_limits.ts
+++ b/packages/bench/src/gateway_soak/check_limits.ts
@@ -1,5 +1,5 @@
 import type {CheckedUpstream} from './checked_upstream.js';
-import type {GatewayStop} from './gateway_stop.js';
+import type {GatewaySpan} from './gateway_span.js';
 import type {SoakCall} from './soak_call.js';
 
 const WINDOW_MS = 4_000;
@@ -16,7 +16,7 @@
 export function checkLimits(
   upstreams: readonly CheckedUpstream[],
   calls: readonly SoakCall[],
-  stops: readonly GatewayStop[],
+  stops: readonly GatewaySpan[],
 ): string[] {
   const gateways = new Map(calls.map(({id, gateway}) => [id, gateway]));
   const isExcused = (id: string, atMs: number): boolean =>
--- a/packages/bench/src/gateway_soak/checked_upstream.ts
+++ b/packages/bench/src/gateway_soak/checked_upstream.ts
@@ -8,6 +8,8 @@
 import type {AddressInfo} from 'node:net';
 import type {CrashLedger} from './crash_ledger.js';
 import {FaultProxy} from './fault_proxy.js';
+import {ProxyFault} from './proxy_fault.js';
+import {UPSTREAM_HOSTS} from './upstream_hosts.js';
 
 const LOCAL = '127.0.0.1';
 const STREAM_EVENTS = 12;
@@ -16,15 +18,21 @@
 const CRASH_MARKER = 'crash';
 /** Part of prompts that crashes the upstream which begins to answer. */
 const CRASHING_PART = 'dead';
+const LARGE_MARKER = 'large';
+/** More than the buffers of a connection whose reader waits. */
+const LARGE_BYTES = 2_000_000;
 /** Time for which a crashed upstream is down. */
 const DOWN_MS = 800;
 
-/** An upstream that notes which requests it ran, behind a proxy that fails. */
+/** An upstream that notes which requests it ran, behind proxies that fail. */
 export class CheckedUpstream {
   /** Ids of the requests that arrived, with their monotonic times. */
   readonly arrivals: {readonly id: string; readonly atMs: number}[] = [];
   private readonly server: Server;
-  private proxyBefore: FaultProxy | undefined;
+  /** Times in which it lost bytes or connections. */
+  readonly outages: {readonly fromMs: number; readonly untilMs: number}[] = [];
+  private paths: FaultProxy[] = [];
+  private downUntilMs = -Infinity;
 
   /** @param runs How often each request id was run, over all upstreams. */
   constructor(
@@ -55,21 +63,55 @@
     return STREAM_EVENTS;
   }
 
-  get proxy(): FaultProxy {
-    if (this.proxyBefore === undefined) throw new Error('not started');
-    return this.proxyBefore;
+  /** Start of the body of a request for a large answer. */
+  static get largeMarker(): string {
+    return LARGE_MARKER;
   }
 
-  async start(): Promise<void> {
+  /** Length of a large answer. */
+  static get largeBytes(): number {
+    return LARGE_BYTES;
+  }
+
+  /** IP:port at which the site lists it. */
+  get address(): string {
+    return `${UPSTREAM_HOSTS.listed}:${this.paths[0]?.port ?? 0}`;
+  }
+
+  /** @param gateways Number of gateways, each with a path of its own. */
+  async start(gateways: number): Promise<void> {
     this.server.listen(0, LOCAL);
     await once(this.server, 'listening');
     const {port} = this.server.address() as AddressInfo;
-    this.proxyBefore = new FaultProxy(port);
-    await this.proxyBefore.start();
+    this.paths = Array.from(
+      {length: gateways},
+      (_none, at) => new FaultProxy(port, UPSTREAM_HOSTS.getFor(at)),
+    );
+    let listed = 0;
+    for (const path of this.paths) {
+      await path.start(listed);
+      listed = path.port;
+    }
+  }
+
+  /** Misbehaves towards all gateways until the promise is settled. */
+  async disturb(fault: ProxyFault, end: Promise<void>): Promise<void> {
+    const fromMs = performance.now();
+    for (const path of this.paths) path.fault = fault;
+    await end;
+    for (const path of this.paths) path.fault = ProxyFault.NONE;
+    if (fault === ProxyFault.HOLD) return;
+    this.outages.push({fromMs, untilMs: performance.now()});
+  }
+
+  /** Sets a fault of the path from one gateway. */
+  setCut(gateway: number, fault: ProxyFault): void {
+    const path = this.paths[gateway];
+    if (path) path.cut = fault;
   }
 
   stop(): void {
-    this.proxy.stop();
+    for (const path of this.paths) path.stop();
     this.server.closeAllConnections();
     this.server.close();
   }
@@ -104,7 +146,10 @@
         return;
       }
       if (this.service === 'engine') this.stream(id, request, response);
-      else setTimeout(() => response.end(`ran ${id}`), CALL_MS);
+      else {
+        const length = body.startsWith(LARGE_MARKER) ? LARGE_BYTES : 0;
+        setTimeout(() => response.end(`ran ${id}`.padEnd(length)), CALL_MS);
+      }
     });
   }
 
@@ -112,10 +157,13 @@
   private crash(name: string): void {
     this.ledger.noteReached(name, performance.now());
     setTimeout(() => {
-      if (this.proxy.isDown) return;
-      this.ledger.noteCrash(name, performance.now());
+      const nowMs = performance.now();
+      if (nowMs < this.downUntilMs) return;
+      this.downUntilMs = nowMs + DOWN_MS;
+      this.outages.push({fromMs: nowMs, untilMs: this.downUntilMs});
+      this.ledger.noteCrash(name, nowMs);
       this.server.closeAllConnections();
-      this.proxy.crash(DOWN_MS);
+      for (const path of this.paths) path.crash(DOWN_MS);
     }, CALL_MS);
   }
 
--- a/packages/bench/src/gateway_soak/describe_soak_site.ts
+++ b/packages/bench/src/gateway_soak/describe_soak_site.ts
@@ -20,6 +20,7 @@
   version: number,
   upstreams: readonly CheckedUpstream[],
   draining: ReadonlySet<string>,
+  odd: readonly object[],
 ): object {
   return {
     version,
@@ -36,13 +37,16 @@
       }),
     ),
     services: [{name: 'app'}, {name: 'engine', engine: ENGINE}],
-    upstreams: upstreams.map(({id, service, proxy}) => ({
-      id,
-      service,
-      address: proxy.address,
-      failureDomain: 'd0',
-      stage: draining.has(id) ? 'draining' : 'ready',
-      slots: 16,
-    })),
+    upstreams: [
+      ...odd,
+      ...upstreams.map(({id, service, address}) => ({
+        id,
+        service,
+        address,
+        failureDomain: 'd0',
+        stage: draining.has(id) ? 'draining' : 'ready',
+        slots: 16,
+      })),
+    ],
   };
 }
--- a/packages/bench/src/gateway_soak/fault_proxy.ts
+++ b/packages/bench/src/gateway_soak/fault_proxy.ts
@@ -10,40 +10,48 @@
 export class FaultProxy {
   private readonly server: Server;
   private readonly sockets = new Set<Socket>();
-  private current = ProxyFault.NONE;
-  private lastAddress = '';
+  private ownFault = ProxyFault.NONE;
+  private pathFault = ProxyFault.NONE;
+  private lastPort = 0;
+  private isCrashed = false;
+  private listens = false;
   private restart: NodeJS.Timeout | undefined;
 
-  /** @param target Port of the upstream. */
-  constructor(private readonly target: number) {
+  /**
+   * @param target Port of the upstream.
+   * @param host IP at which it seems to be.
+   */
+  constructor(
+    private readonly target: number,
+    private readonly host: string,
+  ) {
     this.server = createServer(socket => {
       this.take(socket);
     });
   }
 
-  /** IP:port at which the upstream seems to be. */
-  get address(): string {
-    return this.lastAddress;
+  /** Port at which the upstream seems to be. */
+  get port(): number {
+    return this.lastPort;
   }
 
-  async start(): Promise<void> {
-    this.server.listen(0, LOCAL);
+  /** @param port 0 for any. */
+  async start(port: number): Promise<void> {
+    this.listens = true;
+    this.server.listen(port, this.host);
     await once(this.server, 'listening');
-    const {port} = this.server.address() as AddressInfo;
-    this.lastAddress = `${LOCAL}:${port}`;
-  }
-
-  /** Whether it takes no connections, as its upstream has crashed. */
-  get isDown(): boolean {
-    return !this.server.listening;
+    this.lastPort = (this.server.address() as AddressInfo).port;
   }
 
   /** Resets all connections and takes none for a while. */
   crash(downMs: number): void {
-    const {port} = this.server.address() as AddressInfo;
-    this.server.close();
-    for (const socket of this.sockets) socket.resetAndDestroy();
-    this.restart = setTimeout(() => this.server.listen(port, LOCAL), downMs);
+    this.isCrashed = true;
+    this.resetAll();
+    this.listenOrClose();
+    this.restart = setTimeout(() => {
+      this.isCrashed = false;
+      this.listenOrClose();
+    }, downMs);
   }
 
   stop(): void {
@@ -52,9 +60,41 @@
     for (const socket of this.sockets) socket.destroy();
   }
 
+  /** Fault of the upstream. */
   set fault(fault: ProxyFault) {
-    this.current = fault;
-    if (fault !== ProxyFault.RESET) return;
+    this.ownFault = fault;
+    this.apply();
+  }
+
+  /** Fault of the way to the upstream, which hides one of the upstream. */
+  set cut(fault: ProxyFault) {
+    this.pathFault = fault;
+    this.apply();
+  }
+
+  private get current(): ProxyFault {
+    return this.pathFault === ProxyFault.NONE ? this.ownFault : this.pathFault;
+  }
+
+  private apply(): void {
+    const {current} = this;
+    if (current === ProxyFault.RESET) this.resetAll();
+    for (const socket of this.sockets) {
+      if (current === ProxyFault.HOLD) socket.pause();
+      else socket.resume();
+    }
+    this.listenOrClose();
+  }
+
+  private listenOrClose(): void {
+    const mayListen = !this.isCrashed && this.current !== ProxyFault.REFUSE;
+    if (mayListen === this.listens) return;
+    this.listens = mayListen;
+    if (mayListen) this.server.listen(this.lastPort, this.host);
+    else this.server.close();
+  }
+
+  private resetAll(): void {
     for (const socket of this.sockets) socket.resetAndDestroy();
   }
 
@@ -68,6 +108,9 @@
     this.keep(far);
     this.join(near, far, true);
     this.join(far, near, false);
+    if (this.current !== ProxyFault.HOLD) return;
+    near.pause();
+    far.pause();
   }
 
   /** Passes bytes on in order; once some are swallowed, all that follow are. */
--- a/packages/bench/src/gateway_soak/gateway_soak.test.ts
+++ b/packages/bench/src/gateway_soak/gateway_soak.test.ts
@@ -1,4 +1,5 @@
 import {expect} from 'chai';
+import type {GatewaySoakReport} from './gateway_soak_report.js';
 import {runGatewaySoak} from './run_gateway_soak.js';
 
 const SECONDS = 10;
@@ -9,10 +10,24 @@
   // 6 and 101: callers waited for a shared connection of their own, the gateway had
   // the request of seed 101 for 28 ms of 3,431.
   for (const seed of [1, 6]) {
+    let report: Promise<GatewaySoakReport> | undefined;
+    const run = (): Promise<GatewaySoakReport> =>
+      (report ??= runGatewaySoak(seed, SECONDS, GATEWAYS));
+
     it(`keeps the promises under faults, seed ${seed}`, async () => {
-      const report = await runGatewaySoak(seed, SECONDS, GATEWAYS);
-      expect(report.violations).to.deep.equal([]);
-      expect(report.statuses['200']).to.be.greaterThan(100);
+      const {violations, statuses} = await run();
+      expect(violations).to.deep.equal([]);
+      expect(statuses['200']).to.be.greaterThan(100);
+    });
+
+    it(`throws no exception under faults, seed ${seed}`, async () => {
+      const {exceptions} = await run();
+      expect(exceptions).to.deep.equal([]);
+    });
+
+    it(`serves callers of gateways that reach no upstream, seed ${seed}`, async () => {
+      const {unserved} = await run();
+      expect(unserved).to.deep.equal([]);
     });
   }
 });
--- a/packages/bench/src/gateway_soak/gateway_soak_report.ts
+++ b/packages/bench/src/gateway_soak/gateway_soak_report.ts
@@ -10,4 +10,8 @@
   readonly crashes: number;
   /** What must not happen and did. */
   readonly violations: readonly string[];
+  /** Exceptions that no code of the gateways caught. */
+  readonly exceptions: readonly string[];
+  /** Gateways without upstreams that served less often than the others. */
+  readonly unserved: readonly string[];
 }
--- a/packages/bench/src/gateway_soak/gateway_stop.ts
+++ b/packages/bench/src/gateway_soak/gateway_stop.ts
@@ -1,6 +1,7 @@
+import type {StopCause} from './stop_cause.js';
+import type {GatewaySpan} from './gateway_span.js';
+
 /** A time in which a gateway was paused or gone. */
-export interface GatewayStop {
-  readonly gateway: number;
-  readonly fromMs: number;
-  readonly untilMs: number;
+export interface GatewayStop extends GatewaySpan {
+  readonly cause: StopCause;
 }
--- a/packages/bench/src/gateway_soak/proxy_fault.ts
+++ b/packages/bench/src/gateway_soak/proxy_fault.ts
@@ -3,6 +3,10 @@
   NONE = 'none',
   /** Holds every piece for a while. */
   DELAY = 'delay',
+  /** Holds everything until the fault ends, then goes on. */
+  HOLD = 'hold',
+  /** Refuses new connections; open ones live on. */
+  REFUSE = 'refuse',
   /** Resets connections, open ones and new ones. */
   RESET = 'reset',
   /** Passes requests on and swallows the answers. */
--- a/packages/bench/src/gateway_soak/run_gateway_soak.ts
+++ b/packages/bench/src/gateway_soak/run_gateway_soak.ts
@@ -2,7 +2,9 @@
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {checkCalls} from './check_calls.js';
 import {checkCrashes} from './check_crashes.js';
+import {checkCuts} from './check_cuts.js';
 import {checkLimits} from './check_limits.js';
+import {checkLosses} from './check_losses.js';
 import {checkNewest} from './check_newest.js';
 import {CrashLedger} from './crash_ledger.js';
 import {CheckedUpstream} from './checked_upstream.js';
@@ -48,7 +50,7 @@
         ),
     ),
   );
-  for (const upstream of upstreams) await upstream.start();
+  for (const upstream of upstreams) await upstream.start(gateways);
   const fleet = new GatewayFleet(upstreams, logs);
   try {
     await fleet.start(gateways);
@@ -63,6 +65,7 @@
     await callers.stop();
     const outdated = await checkNewest(fleet.callers, fleet.publishedVersion);
     const {calls} = callers;
+    const {stops, cuts} = faults;
     const statuses: Record<string, number> = {};
     for (const {status} of calls) {
       statuses[status] = (statuses[status] ?? 0) + 1;
@@ -74,11 +77,15 @@
       faults: faults.counts,
       crashes: ledger.count,
       violations: [
-        ...checkCalls(calls, runs, faults.stops, calmFromMs),
+        ...checkCalls(calls, runs, stops, calmFromMs),
         ...checkCrashes(calls, ledger),
-        ...checkLimits(upstreams, calls, faults.stops),
+        ...checkLimits(upstreams, calls, [...stops, ...cuts]),
+        ...checkLosses(calls, upstreams, stops, cuts, fleet.stopGraceMs),
+        ...fleet.listExits(),
         ...outdated,
       ],
+      exceptions: fleet.listExceptions(),
+      unserved: checkCuts(calls, cuts, stops),
     };
   } finally {
     await fleet.stop();
--- a/packages/bench/src/gateway_soak/soak_call.ts
+++ b/packages/bench/src/gateway_soak/soak_call.ts
@@ -9,7 +9,10 @@
   readonly endedAtMs: number;
   /** Status of the answer; 0 when the connection ended without one. */
   readonly status: number;
+  /** Start of the answer, whole unless a large one was asked for. */
   readonly body: string;
+  readonly bodyBytes: number;
+  readonly isLarge: boolean;
   /** Whether the request crashes the upstreams that run it. */
   readonly isCrashing: boolean;
   /** Whether the answer was cut off. */
--- a/packages/bench/src/gateway_soak/soak_callers.ts
+++ b/packages/bench/src/gateway_soak/soak_callers.ts
@@ -1,7 +1,13 @@
+import {once} from 'node:events';
+import {
+  Agent,
+  request,
+  type ClientRequest,
+  type IncomingMessage,
+} from 'node:http';
 import {setTimeout as pause} from 'node:timers/promises';
 import {uniformInt} from 'pure-rand/distribution/uniformInt';
 import type {RandomGenerator} from 'pure-rand/types/RandomGenerator';
-import {Agent} from 'undici';
 import {CheckedUpstream} from './checked_upstream.js';
 import type {SoakCall} from './soak_call.js';
 import type {SoakRoute} from './soak_route.js';
@@ -13,6 +19,10 @@
 const CRASH_INTERVAL = 30;
 /** Number of different requests on each route that crash upstreams. */
 const CRASHING_REQUESTS = 3;
+/** Callers that wait after each piece of an answer, and ask for large ones. */
+const SLOW_CALLERS = 3;
+const SLOW_PIECE_MS = 8;
+const KEPT_BODY_LENGTH = 1_000;
 /** Callers give up after this time; the routes' limits are shorter. */
 const GIVE_UP_MS = 12_000;
 
@@ -34,7 +44,9 @@
   ) {}
 
   start(): void {
-    this.loops = Array.from({length: CALLERS}, () => this.loop());
+    this.loops = Array.from({length: CALLERS}, (_none, at) =>
+      this.loop(at < SLOW_CALLERS),
+    );
   }
 
   async stop(): Promise<void> {
@@ -42,18 +54,21 @@
     await Promise.all(this.loops);
   }
 
-  private async loop(): Promise<void> {
+  private async loop(isSlow: boolean): Promise<void> {
     // Shared connections would count the wait for a free one as the gateway's.
-    const agent = new Agent({connections: 1, pipelining: 1});
+    const agent = new Agent({keepAlive: true, maxSockets: 1});
     while (!this.isStopping) {
       const last = this.addresses.length - 1;
       const gateway = uniformInt(this.random, 0, last);
       const at = uniformInt(this.random, 0, SOAK_ROUTES.length - 1);
       const route = SOAK_ROUTES[at];
-      if (route) this.calls.push(await this.callOrCrash(agent, gateway, route));
+      if (route) {
+        const call = await this.callOrCrash(agent, gateway, route, isSlow);
+        this.calls.push(call);
+      }
       await pause(PAUSE_MS);
     }
-    await agent.destroy();
+    agent.destroy();
   }
 
   /** Sends a request of its own, or now and then one that crashes upstreams. */
@@ -61,12 +76,12 @@
     agent: Agent,
     gateway: number,
     route: SoakRoute,
+    isSlow: boolean,
   ): Promise<SoakCall> {
     const id = `s${this.started++}`;
-    const isCrashing =
+    const isFatal =
       this.allowsCrashes && uniformInt(this.random, 1, CRASH_INTERVAL) === 1;
     const one = uniformInt(this.random, 1, CRASHING_REQUESTS);
-    const body = isCrashing ? `${CheckedUpstream.crashMarker} ${one}` : id;
     const hasPart =
       this.allowsCrashes &&
       route.service === 'engine' &&
@@ -77,46 +92,61 @@
       ...(hasPart ? [CRASHING_PART] : []),
       id,
     ];
+    const isLarge = isSlow && !isFatal && route.service === 'app';
+    const marker = isLarge ? `${CheckedUpstream.largeMarker} ` : '';
+    const body = isFatal
+      ? `${CheckedUpstream.crashMarker} ${one}`
+      : `${marker}${id}`;
     // The last of the crashing requests comes with another query each time.
     const query = one === CRASHING_REQUESTS ? `?at=${id}` : '';
-    const call = await this.call(agent, gateway, route, id, body, parts, query);
-    return {...call, isCrashing: isCrashing || hasPart};
+    const address = this.addresses[gateway] ?? '';
+    const sent = request(`http://${address}${route.path}${query}`, {
+      agent,
+      method: 'POST',
+      headers: {
+        host: 'soak.example',
+        'request-id': id,
+        'token-counts': '1000,400',
+        'prompt-parts': parts.map(part => `${part}:250`).join(','),
+      },
+      signal: AbortSignal.timeout(GIVE_UP_MS),
+    });
+    const isCrashing = isFatal || hasPart;
+    // An error after the head ends the body, too.
+    sent.on('error', () => undefined);
+    const startedAtMs = performance.now();
+    sent.end(body);
+    const answer = await readAnswer(sent, isSlow ? SLOW_PIECE_MS : 0);
+    const endedAtMs = performance.now();
+    const times = {startedAtMs, endedAtMs};
+    return {id, route, gateway, isLarge, isCrashing, ...times, ...answer};
   }
+}
 
-  private async call(
-    agent: Agent,
-    gateway: number,
-    route: SoakRoute,
-    id: string,
-    sentBody: string,
-    parts: readonly string[],
-    query: string,
-  ): Promise<Omit<SoakCall, 'isCrashing'>> {
-    const startedAtMs = performance.now();
-    let status = 0;
-    let body = '';
-    let isCut = false;
-    try {
-      const answer = await agent.request({
-        origin: `http://${this.addresses[gateway] ?? ''}`,
-        path: `${route.path}${query}`,
-        method: 'POST',
-        headers: {
-          host: 'soak.example',
-          'request-id': id,
-          'token-counts': '1000,400',
-          'prompt-parts': parts.map(part => `${part}:250`).join(','),
-        },
-        body: sentBody,
-        signal: AbortSignal.timeout(GIVE_UP_MS),
-      });
-      status = answer.statusCode;
-      for await (const chunk of answer.body) body += String(chunk);
-    } catch {
-      // A connection that ends early is an outcome, which the checks judge.
-      isCut = true;
+/**
+ * Reads the answer to a request to its end.
+ *
+ * @param pieceMs Time to wait after each piece.
+ */
+async function readAnswer(
+  sent: ClientRequest,
+  pieceMs: number,
+): Promise<Pick<SoakCall, 'status' | 'body' | 'bodyBytes' | 'isCut'>> {
+  let status = 0;
+  let [body, bodyBytes] = ['', 0];
+  let isCut = false;
+  try {
+    const [answer] = (await once(sent, 'response')) as [IncomingMessage];
+    status = answer.statusCode ?? 0;
+    for await (const chunk of answer) {
+      const text = String(chunk);
+      bodyBytes += text.length;
+      body += text.slice(0, KEPT_BODY_LENGTH - body.length);
+      if (pieceMs > 0) await pause(pieceMs);
     }
-    const endedAtMs = performance.now();
-    return {id, route, gateway, startedAtMs, endedAtMs, status, body, isCut};
+  } catch {
+    // A connection that ends early is an outcome, which the checks judge.
+    isCut = true;
   }
+  return {status, body, bodyBytes, isCut};
 }
--- a/packages/bench/src/soak_main.ts
+++ b/packages/bench/src/soak_main.ts
@@ -27,4 +27,6 @@
     ? await runGatewaySoak(seed, minutes * SECONDS_PER_MINUTE, gateways, logs)
     : await runSoak(args, logs);
 process.stdout.write(`${JSON.stringify(report, null, 2)}\n`);
-process.exitCode = report.violations.length === 0 ? 0 : 1;
+const more =
+  'unserved' in report ? [...report.exceptions, ...report.unserved] : [];
+process.exitCode = report.violations.length + more.length === 0 ? 0 : 1;
