Serve small requests on idle engines

Callers with a prompt of 100 tokens and an answer of 20 got 503 "no capacity" from each host, always, while all engines were idle.

Cause: what a plan costs is compared with what a refusal loses, nine tenths of the request.

These overheads still choose between plans. Compared with a refusal they count for a tenth of the request at most; with the three quarters that a late answer loses, idle engines refuse nothing that fits one of them and the caller's patience.

Not looked at: the completions' path, which has a router of its own.

--- a/packages/dispatch/src/prefill_planner.ts
+++ b/packages/dispatch/src/prefill_planner.ts
@@ -2,12 +2,15 @@
 import {CheapestOptions} from './cheapest_options.js';
 import type {CapacityShortage} from './capacity_shortage.js';
 import type {EngineForecast} from './engine_forecast.js';
+import {estimateDecodeLoss} from './estimate_decode_loss.js';
 import {estimateLatenessLoss} from './estimate_lateness_loss.js';
+import {estimatePrefillLoss} from './estimate_prefill_loss.js';
 import {MAX_PREFILL_ENGINES} from './max_prefill_engines.js';
 import {PassModel} from './pass_model.js';
 import type {PrefillOption} from './prefill_option.js';
 import type {PrefillPlan} from './prefill_plan.js';
 import type {PrefillTiming} from './prefill_timing.js';
+import type {PricedPlan} from './priced_plan.js';
 import type {PromptDemand} from './prompt_demand.js';
 import {weighRequest} from './weigh_request.js';
 
@@ -49,6 +52,12 @@
  * caller may retry once and then be served.
  */
 const REFUSAL_LOSS_FRACTION = 0.9;
+/**
+ * Fraction of a request's weight that its overhead counts for at most when serving is
+ * compared with refusing. With the loss of a late answer it stays below the loss of a
+ * refusal, so that idle engines refuse no request because it is small.
+ */
+const MAX_OVERHEAD_FRACTION = 0.1;
 
 /**
  * Chooses the engines that prefill a prompt. It minimizes the expected loss over
@@ -72,17 +81,20 @@
   ): PrefillPlan | CapacityShortage {
     const {slots} = this.model.profile;
     if (!engines.some(({usedSlots}) => usedSlots < slots)) return {waitMs: 0};
-    let best: {plan: PrefillPlan; cost: number} | undefined;
+    let best: PricedPlan | undefined;
     const maxCount = this.limitEngineCount(demand, engines);
     for (let count = 1; count <= maxCount; count++) {
       const option = this.planFor(demand, engines, count);
       if (option === undefined) continue;
-      if (best === undefined || option.cost < best.cost) best = option;
+      if (best === undefined || sumCost(option) < sumCost(best)) best = option;
     }
     if (best === undefined) return {waitMs: 0};
     const {expectedMs} = best.plan;
     const weight = weighRequest(demand.promptTokens, demand.answerTokens);
-    const cost = best.cost + this.priceEngineTime(demand, engines);
+    const cost =
+      best.lossTokens +
+      Math.min(best.overheadTokens, MAX_OVERHEAD_FRACTION * weight) +
+      this.priceEngineTime(demand, engines);
     const isTooLate = expectedMs > demand.callerTimeoutMs;
     if (!isTooLate && cost < REFUSAL_LOSS_FRACTION * weight) return best.plan;
     return {waitMs: expectedMs - demand.objectiveMs};
@@ -122,7 +134,7 @@
     demand: PromptDemand,
     engines: readonly EngineForecast[],
     count: number,
-  ): {plan: PrefillPlan; cost: number} | undefined {
+  ): PricedPlan | undefined {
     const tokens = Math.ceil(demand.promptTokens / count);
     const millionPairs =
       PassModel.countMillionPairs(demand.promptTokens) / count;
@@ -131,13 +143,16 @@
     const costPerPosition = isSplit
       ? PART_COST_TOKENS_PER_POSITION
       : COST_TOKENS_PER_POSITION;
-    const timeCost = (ms: number): number =>
-      weight * estimateLatenessLoss(ms, demand) + COST_TOKENS_PER_MS * ms;
+    const lossWhenAfter = (ms: number): number =>
+      weight * estimateLatenessLoss(ms, demand);
     const answering = new CheapestOptions(1);
     const helping = new CheapestOptions(count);
     engines.forEach((engine, position) => {
       const timing = this.estimateTiming(engine, tokens, millionPairs);
-      const ownCost = timeCost(timing.finishMs) + costPerPosition * position;
+      const ownCost =
+        lossWhenAfter(timing.finishMs) +
+        COST_TOKENS_PER_MS * timing.finishMs +
+        costPerPosition * position;
       const mayAnswer =
         engine.usedSlots < this.model.profile.slots &&
         answering.accepts(ownCost);
@@ -184,9 +199,9 @@
           passMs,
         })),
       },
-      cost:
-        othersLossTokens +
-        timeCost(expectedMs) +
+      lossTokens: othersLossTokens + lossWhenAfter(expectedMs),
+      overheadTokens:
+        COST_TOKENS_PER_MS * expectedMs +
         COST_TOKENS_PER_PART * count +
         computeFirstDecodeCost(first.engine),
     };
@@ -248,27 +263,8 @@
   }
 }
 
-/** Value that decoding requests lose when a pass pauses them, in tokens. */
-function estimateDecodeLoss(
-  {decodeRequests}: EngineForecast,
-  pauseMs: number,
-): number {
-  return decodeRequests.reduce((total, {weight, pauseObjectiveMs}) => {
-    const limits = {objectiveMs: pauseObjectiveMs, callerTimeoutMs: Infinity};
-    return total + weight * estimateLatenessLoss(pauseMs, limits);
-  }, 0);
-}
-
-/** Value that requests in prefill lose when their first event is delayed, in tokens. */
-function estimatePrefillLoss(engine: EngineForecast, delayMs: number): number {
-  const undelayedMs = engine.backlogMs + engine.passMs;
-  return engine.prefillRequests.reduce((total, {weight, objectiveMs}) => {
-    const limits = {objectiveMs, callerTimeoutMs: Infinity};
-    const addedLoss =
-      estimateLatenessLoss(undelayedMs + delayMs, limits) -
-      estimateLatenessLoss(undelayedMs, limits);
-    return total + weight * addedLoss;
-  }, 0);
+function sumCost({lossTokens, overheadTokens}: PricedPlan): number {
+  return lossTokens + overheadTokens;
 }
 
 function computeFirstDecodeCost({decodeRequests}: EngineForecast): number {
