Answer a request at once when it fails before its session

Cause: the handler of a request is a promise that the server's hook drops once the reply is taken over. An exception while a route is matched, the body read or the session built left the request without an answer, without even a time limit, as that is the session's.

Change: such a request is answered 500 with `ran: no`, and `request_fault` has the reason. Refusals are written before they are counted and logged. An exception in a session that has started is ended by its guard (ruled out here).

Test before: no answer within the second that the test waits; now 500 in 0.1 s. Which input could cause such an exception is not known: the test makes the lookup of rules throw.

--- a/packages/daemon/src/gateway/gateway_server.ts
+++ b/packages/daemon/src/gateway/gateway_server.ts
@@ -1,7 +1,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import {setTimeout as pause} from 'node:timers/promises';
-import {ErrorKind, Failure} from '@parsleywood/errors';
+import {ErrorKind, ExecutionStatus, Failure} from '@parsleywood/errors';
 import {
   DEFAULT_CALLER_LIMITS,
   DrainAdmission,
@@ -35,6 +35,8 @@
 const FLUSH_TIMEOUT_MS = 500;
 const FLUSH_POLL_INTERVAL_MS = 20;
 
+const FAULT_MESSAGE = 'host could not handle the request';
+
 /** HTTP server for callers. Each request is forwarded by a session of its own. */
 export class GatewayServer {
   private readonly server: FastifyInstance;
@@ -142,7 +144,6 @@
     response: ServerResponse,
   ): Promise<void> {
     const {context} = this;
-    const receivedAtMs = context.clock.nowMs();
     const metadata = readRequestMetadata(
       request.raw,
       request.originalUrl,
@@ -158,13 +159,34 @@
       this.writers.delete(writer);
     });
     if (this.drainAdmission !== undefined) writer.closeConnectionAfter();
-    const match = this.matchRoute(request.raw, metadata);
+    try {
+      await this.receive(request.raw, metadata, writer, response);
+    } catch (error) {
+      const kind = ErrorKind.INTERNAL;
+      const failure = new Failure(kind, FAULT_MESSAGE, ExecutionStatus.NO);
+      this.refuse(metadata, writer, failure);
+      context.log.error('request_fault', {
+        requestId: metadata.id,
+        reason: error instanceof Error ? error.stack : String(error),
+      });
+    }
+  }
+
+  /** Reads a request and forwards it, or refuses it. */
+  private async receive(
+    request: IncomingMessage,
+    metadata: RequestMetadata,
+    writer: ResponseWriter,
+    response: ServerResponse,
+  ): Promise<void> {
+    const receivedAtMs = this.context.clock.nowMs();
+    const match = this.matchRoute(request, metadata);
     if (match instanceof Failure) {
       this.refuse(metadata, writer, match);
       return;
     }
     const limitMs = computeTimeLimit(metadata, match.route);
-    const body = await readBody(request.raw, this.limits.maxBodyBytes, limitMs);
+    const body = await readBody(request, this.limits.maxBodyBytes, limitMs);
     if (body.isErr) {
       this.refuse(metadata, writer, body.error);
       return;
@@ -175,7 +197,7 @@
       this.refuse(metadata, writer, createStoppingFailure());
       return;
     }
-    const headers = request.raw.rawHeaders;
+    const headers = request.rawHeaders;
     const received = {metadata, headers, body: body.value, receivedAtMs};
     this.forward(match, received, writer, response);
   }
@@ -235,6 +257,8 @@
     failure: Failure,
   ): void {
     const {context} = this;
+    if (failure.kind === ErrorKind.CALLER_GONE) writer.abort();
+    else writer.fail(failure);
     context.metrics.requests.inc({service: '', outcome: failure.kind});
     context.log.info('request_refused', {
       requestId: metadata.id,
@@ -243,7 +267,5 @@
       version: context.replica.rules?.configuration.version,
       ...context.replica.position,
     });
-    if (failure.kind === ErrorKind.CALLER_GONE) writer.abort();
-    else writer.fail(failure);
   }
 }
