Ask for three causes before crashes count as a proof against a part of prompts

A part counted as proven to crash upstreams once crashes under two different requests had no other part to blame.

CrashEvidence now counts how many requests it takes to explain the crashes if each request may come again (`countCauses`), and asks for three.

Both new tests failed before ("expected isConfirmed of false, but got true").

--- a/packages/requests/src/crash_evidence.test.ts
+++ b/packages/requests/src/crash_evidence.test.ts
@@ -88,6 +88,32 @@
     expect(topic).to.include({crashes: 5, isConfirmed: false});
   });
 
+  it('does not take two requests that crash upstreams by themselves for a proof against their part', () => {
+    const evidence = new CrashEvidence();
+    answer(evidence, ['first'], 0, HOSTS, 0);
+    const own = ['first', 'topic'];
+    const shared = ['first', 'topic', 'bad'];
+    for (const at of [1, 2]) crash(evidence, `u${at}`, own, at, 'one');
+    crash(evidence, 'u3', own, 3, 'two');
+    for (const at of [4, 5]) crash(evidence, `u${at}`, shared, at, 'three');
+    const [topic] = evidence.assess(NONE, SETTLED_MS);
+    expect(topic).to.include({crashes: 5, isConfirmed: false});
+  });
+
+  it('does not take prompts beside two requests that crash upstreams for a proof against their part', () => {
+    const evidence = new CrashEvidence();
+    answer(evidence, ['first'], 0, HOSTS, 0);
+    const parts = ['first', 'topic'];
+    for (const at of [1, 2, 3, 4]) {
+      crash(evidence, `u${at}`, parts, at, at < 3 ? 'one' : 'two');
+      for (const beside of ['a', 'b']) {
+        crash(evidence, `u${at}`, parts, at, `beside ${beside}${at}`);
+      }
+    }
+    const [topic] = evidence.assess(NONE, SETTLED_MS);
+    expect(topic).to.include({crashes: 4, isConfirmed: false});
+  });
+
   it('does not confirm a part that others ran beside in crashes at one time', () => {
     const evidence = new CrashEvidence();
     for (const at of [0, 1, 2, 3, 4]) {
--- a/packages/requests/src/crash_evidence.ts
+++ b/packages/requests/src/crash_evidence.ts
@@ -1,5 +1,6 @@
 import {AnswerWeights} from './answer_weights.js';
 import {areEqualSets} from './are_equal_sets.js';
+import {countCauses} from './count_causes.js';
 import {countRequests} from './count_requests.js';
 import {groupByAttempts} from './group_by_attempts.js';
 import {joinReports} from './join_reports.js';
@@ -18,6 +19,12 @@
 const MIN_REQUESTS = 3;
 /** Different requests under which crashes have no other cause, for a proof. */
 const MIN_PROOFS = 2;
+/**
+ * Requests that it takes to explain crashes without a part of prompts, for a proof
+ * against the part: as many requests as that seldom crash upstreams for reasons of
+ * their own.
+ */
+const MIN_CAUSES = 3;
 /** Crashes that confirm a suspicion although other traits may be the cause. */
 const MAX_UNPROVEN_CRASHES = 5;
 /** Time in which the reports of all hosts on a crash arrive. */
@@ -180,6 +187,7 @@
     const proofs = [...crashes].filter(({reports}) =>
       reports.every(report => this.hasNoOtherCause(report, group)),
     );
+    if (isPart) return countCauses(proofs) >= MIN_CAUSES;
     return countRequests(group, isPart, proofs) >= MIN_PROOFS;
   }
 
