Let upstreams rest at random in the soak of gateways

No soak asked a gateway to rest. Upstreams now refuse everything with 503 and `Retry-After` for 1 to 3 s, and the check finds those that get more than two requests of that gateway between 0.5 s after the refusal and its end. Proxies connect from an address of their gateway, which tells by which path a request came.

Gateways that reach no upstream are no longer compared with others that reach none meanwhile.

--- a/packages/bench/src/gateway_soak/check_cuts.ts
+++ b/packages/bench/src/gateway_soak/check_cuts.ts
@@ -20,9 +20,9 @@
 ): string[] {
   return cuts.flatMap(cut => {
     const fromMs = cut.fromMs + NOTICE_MS;
-    const stopped = new Set(
-      stops
-        .filter(stop => stop.fromMs < cut.untilMs && fromMs < stop.untilMs)
+    const impaired = new Set(
+      [...stops, ...cuts.filter(one => one.gateway !== cut.gateway)]
+        .filter(one => one.fromMs < cut.untilMs && fromMs < one.untilMs)
         .map(({gateway}) => gateway),
     );
     const during = calls.filter(
@@ -30,7 +30,7 @@
         !isCrashing &&
         fromMs <= startedAtMs &&
         startedAtMs < cut.untilMs &&
-        !stopped.has(gateway),
+        !impaired.has(gateway),
     );
     const here = during.filter(({gateway}) => gateway === cut.gateway);
     const elsewhere = during.filter(({gateway}) => gateway !== cut.gateway);
--- a/packages/bench/src/gateway_soak/checked_upstream.ts
+++ b/packages/bench/src/gateway_soak/checked_upstream.ts
@@ -8,7 +8,9 @@
 import type {AddressInfo} from 'node:net';
 import type {CrashLedger} from './crash_ledger.js';
 import {FaultProxy} from './fault_proxy.js';
+import type {GatewaySpan} from './gateway_span.js';
 import {ProxyFault} from './proxy_fault.js';
+import type {UpstreamArrival} from './upstream_arrival.js';
 import {UPSTREAM_HOSTS} from './upstream_hosts.js';
 
 const LOCAL = '127.0.0.1';
@@ -18,6 +20,7 @@
 const CRASH_MARKER = 'crash';
 /** Part of prompts that crashes the upstream which begins to answer. */
 const CRASHING_PART = 'dead';
+const MS_PER_SECOND = 1_000;
 const LARGE_MARKER = 'large';
 /** More than the buffers of a connection whose reader waits. */
 const LARGE_BYTES = 2_000_000;
@@ -27,12 +30,17 @@
 /** An upstream that notes which requests it ran, behind proxies that fail. */
 export class CheckedUpstream {
   /** Ids of the requests that arrived, with their monotonic times. */
-  readonly arrivals: {readonly id: string; readonly atMs: number}[] = [];
+  readonly arrivals: UpstreamArrival[] = [];
   private readonly server: Server;
+  /** Refusals that asked a gateway for a rest. */
+  readonly rests: GatewaySpan[] = [];
+  /** Times in which it held bytes, lost none and went on. */
+  readonly holds: {readonly fromMs: number; readonly untilMs: number}[] = [];
   /** Times in which it lost bytes or connections. */
   readonly outages: {readonly fromMs: number; readonly untilMs: number}[] = [];
   private paths: FaultProxy[] = [];
   private downUntilMs = -Infinity;
+  private restUntilMs = -Infinity;
 
   /** @param runs How often each request id was run, over all upstreams. */
   constructor(
@@ -100,8 +108,13 @@
     for (const path of this.paths) path.fault = fault;
     await end;
     for (const path of this.paths) path.fault = ProxyFault.NONE;
-    if (fault === ProxyFault.HOLD) return;
-    this.outages.push({fromMs, untilMs: performance.now()});
+    const spans = fault === ProxyFault.HOLD ? this.holds : this.outages;
+    spans.push({fromMs, untilMs: performance.now()});
+  }
+
+  /** Refuses all requests for a while, and asks for none. */
+  rest(restMs: number): void {
+    this.restUntilMs = performance.now() + restMs;
   }
 
   /** Sets a fault of the path from one gateway. */
@@ -119,7 +132,9 @@
   private take(request: IncomingMessage, response: ServerResponse): void {
     const id = String(request.headers['request-id']);
     response.setHeader('request-id', id);
-    this.arrivals.push({id, atMs: performance.now()});
+    const gateway = UPSTREAM_HOSTS.getGateway(request.socket.remoteAddress);
+    const nowMs = performance.now();
+    this.arrivals.push({id, gateway, atMs: nowMs});
     if (this.perSecond !== undefined) {
       response.setHeader('upstream-rate-limit', this.perSecond);
     }
@@ -128,6 +143,14 @@
       response.writeHead(421, {'not-run': '1'}).end();
       return;
     }
+    if (nowMs < this.restUntilMs) {
+      const restS = Math.ceil((this.restUntilMs - nowMs) / MS_PER_SECOND);
+      const untilMs = nowMs + restS * MS_PER_SECOND;
+      this.rests.push({gateway, fromMs: nowMs, untilMs});
+      response.setHeader('retry-after', restS);
+      response.writeHead(503, {'not-run': '1'}).end();
+      return;
+    }
     const chunks: Buffer[] = [];
     request.on('data', (chunk: Buffer) => chunks.push(chunk));
     request.on('end', () => {
--- a/packages/bench/src/gateway_soak/fault_proxy.ts
+++ b/packages/bench/src/gateway_soak/fault_proxy.ts
@@ -104,7 +104,12 @@
       near.resetAndDestroy();
       return;
     }
-    const far = connect(this.target, LOCAL);
+    const far = connect({
+      port: this.target,
+      host: LOCAL,
+      // Tells the upstream by which path a request came.
+      localAddress: this.host,
+    });
     this.keep(far);
     this.join(near, far, true);
     this.join(far, near, false);
--- a/packages/bench/src/gateway_soak/gateway_faults.ts
+++ b/packages/bench/src/gateway_soak/gateway_faults.ts
@@ -22,6 +22,8 @@
 const MAX_FAULT_MS = 2_500;
 const MIN_HOLD_MS = 700;
 const MAX_HOLD_MS = 1_300;
+const MIN_REST_MS = 1_000;
+const MAX_REST_MS = 3_000;
 const MIN_CUT_MS = 4_500;
 const MAX_CUT_MS = 6_000;
 const MAX_PAUSE_MS = 1_500;
@@ -54,6 +56,7 @@
       (): Promise<void> => this.disturbUpstream(),
       (): Promise<void> => this.disturbUpstream(),
       (): Promise<void> => this.holdUpstream(),
+      (): Promise<void> => this.restUpstream(),
       (): Promise<void> => this.pauseGateway(),
       (): Promise<void> => this.restartGateway(StopCause.KILL),
       (): Promise<void> => this.restartGateway(StopCause.TERMINATION),
@@ -91,6 +94,15 @@
     await upstream?.disturb(ProxyFault.HOLD, pause(holdMs));
   }
 
+  /** Lets an upstream refuse everything for a while, and ask for a rest. */
+  private async restUpstream(): Promise<void> {
+    const upstream = this.upstreams[this.draw(0, this.upstreams.length - 1)];
+    this.count('rest');
+    const restMs = this.draw(MIN_REST_MS, MAX_REST_MS);
+    upstream?.rest(restMs);
+    await pause(restMs);
+  }
+
   private async pauseGateway(): Promise<void> {
     await this.stopGateway(StopCause.PAUSE, async at => {
       this.fleet.signal(at, 'SIGSTOP');
--- a/packages/bench/src/gateway_soak/gateway_soak.test.ts
+++ b/packages/bench/src/gateway_soak/gateway_soak.test.ts
@@ -9,7 +9,8 @@
   // Seeds that once failed stay here. 4: the proxy swapped bytes of one connection.
   // 6 and 101: callers waited for a shared connection of their own, the gateway had
   // the request of seed 101 for 28 ms of 3,431.
-  for (const seed of [1, 6]) {
+  // 2: gateways that reached no upstream kept the requests that they took.
+  for (const seed of [1, 2, 6]) {
     let report: Promise<GatewaySoakReport> | undefined;
     const run = (): Promise<GatewaySoakReport> =>
       (report ??= runGatewaySoak(seed, SECONDS, GATEWAYS));
--- a/packages/bench/src/gateway_soak/run_gateway_soak.ts
+++ b/packages/bench/src/gateway_soak/run_gateway_soak.ts
@@ -6,6 +6,7 @@
 import {checkLimits} from './check_limits.js';
 import {checkLosses} from './check_losses.js';
 import {checkNewest} from './check_newest.js';
+import {checkRests} from './check_rests.js';
 import {CrashLedger} from './crash_ledger.js';
 import {CheckedUpstream} from './checked_upstream.js';
 import {GatewayFaults} from './gateway_faults.js';
@@ -80,6 +81,7 @@
         ...checkCalls(calls, runs, stops, calmFromMs),
         ...checkCrashes(calls, ledger),
         ...checkLimits(upstreams, calls, [...stops, ...cuts]),
+        ...checkRests(upstreams, [...stops, ...cuts]),
         ...checkLosses(calls, upstreams, stops, cuts, fleet.stopGraceMs),
         ...fleet.listExits(),
         ...outdated,
