Send nothing new to an upstream that says that it leaves

Callers' requests went on to upstreams that had said in an answer that they were about to stop, and were cut off there when they did.

Cause: only the store's word on leaving was read, no header of answers.

LeavingUpstreams keeps it by id and time of start, apart from the store's list, so that neither the store nor a copy undoes it, and a new start does. The hosts tell each other, also those that start later. Its idle connections are closed at the host that hears it first.

--- a/packages/daemon/src/gateway/attempt_placer.ts
+++ b/packages/daemon/src/gateway/attempt_placer.ts
@@ -285,6 +285,18 @@
     return rests.planReturnMs(ids, clock.nowMs());
   }
 
+  /** Leaves the current attempt's upstream out of use, here and at the other hosts. */
+  recordLeaving(): void {
+    const {placed, context} = this;
+    if (placed === undefined) return;
+    const {replica, connectionPool, publisher, log} = context;
+    const {id, bornMs = 0} = placed.choice.upstream;
+    if (!replica.upstreams.leaving.record(id, bornMs)) return;
+    connectionPool.closeIdle(id);
+    publisher.publishLeaving(id, bornMs);
+    log.info('upstream_leaving', {upstream: id});
+  }
+
   /** Records a failure of an upstream, here and at the other hosts. */
   penalize(
     {id}: UpstreamEntry,
--- a/packages/daemon/src/gateway/default_header_names.ts
+++ b/packages/daemon/src/gateway/default_header_names.ts
@@ -16,4 +16,5 @@
   notRun: 'not-run',
   faultyUpstream: 'faulty-upstream',
   rateLimit: 'upstream-rate-limit',
+  leaving: 'upstream-leaving',
 };
--- a/packages/daemon/src/gateway/fleet_membership.ts
+++ b/packages/daemon/src/gateway/fleet_membership.ts
@@ -8,7 +8,6 @@
   type PeerSighting,
   type RelayChoice,
 } from '@parsleywood/membership';
-import type {UpstreamLimits} from '@parsleywood/dispatch';
 import {
   type FleetMessage,
   type HostBeat,
@@ -72,7 +71,6 @@
     private readonly relay: UpdateRelay,
     private readonly applier: UpdateApplier,
     private readonly suspects: SuspectSynchronizer,
-    private readonly limits: UpstreamLimits,
     private readonly siteUpdater: SiteUpdater,
     private readonly siteExchange: SiteExchange,
     private readonly clock: Clock,
@@ -299,7 +297,7 @@
     if (!hearsReceiver) this.announceTo(peersAddress, nowMs);
     else if (this.knowsFarMoreThan(hosts)) this.introduceHosts(peersAddress);
     if (!hearsReceiver || replaced !== undefined) {
-      this.sendLimits(peersAddress, nowMs);
+      this.sendUpstreamNews(peersAddress, nowMs);
     }
     const isKnown = this.livePeers.some(
       one => one.peersAddress === peersAddress,
@@ -332,16 +330,10 @@
     this.sendDigestTo([address], sightings);
   }
 
-  /** Tells a host that may be new which upstreams limit their requests. */
-  private sendLimits(address: string, nowMs: number): void {
-    for (const {upstream, perSecond, toldAtMs} of this.limits.list()) {
-      const startedAgoMs = Math.round(nowMs - toldAtMs);
-      this.relay.send(address, {
-        body: {
-          $case: 'upstreamLimit',
-          value: {upstream, perSecond, startedAgoMs},
-        },
-      });
+  /** Tells a host that may be new what upstreams have said of themselves. */
+  private sendUpstreamNews(address: string, nowMs: number): void {
+    for (const message of this.applier.listUpstreamNews(nowMs)) {
+      this.relay.send(address, message);
     }
   }
 
--- a/packages/daemon/src/gateway/header_names.ts
+++ b/packages/daemon/src/gateway/header_names.ts
@@ -28,4 +28,6 @@
   readonly faultyUpstream: string;
   /** Requests a second that the upstream takes from all hosts together. */
   readonly rateLimit: string;
+  /** `1` in all responses of an upstream that is about to stop. */
+  readonly leaving: string;
 }
--- a/packages/daemon/src/gateway/response_head.ts
+++ b/packages/daemon/src/gateway/response_head.ts
@@ -18,4 +18,6 @@
   readonly rateLimit: number | undefined;
   /** Time for which a refusal asks for no more requests; 0 if it does not. */
   readonly restMs: number;
+  /** Whether the upstream is about to stop. */
+  readonly isLeaving: boolean;
 }
--- a/packages/daemon/src/gateway/update_applier.ts
+++ b/packages/daemon/src/gateway/update_applier.ts
@@ -3,6 +3,7 @@
   UpstreamHealth,
   UpstreamLimits,
 } from '@parsleywood/dispatch';
+import type {LeavingUpstreams} from '@parsleywood/forwarding';
 import type {FleetMessage} from '@parsleywood/schema/fleet';
 import type {SuspectTracker} from '../upstreams/suspect_tracker.js';
 
@@ -13,6 +14,7 @@
     private readonly health: UpstreamHealth,
     private readonly limits: UpstreamLimits,
     private readonly suspects: SuspectTracker,
+    private readonly leaving: LeavingUpstreams,
   ) {}
 
   /**
@@ -53,6 +55,9 @@
         );
         return true;
       }
+      case 'upstreamLeaving':
+        this.leaving.record(body.value.upstream, body.value.bornMs);
+        return true;
       case 'traitCrash':
         this.suspects.applyTraitCrash(body.value);
         return true;
@@ -64,6 +69,26 @@
     }
   }
 
+  /** Lists limits and leavings of upstreams as messages for a host that is new. */
+  listUpstreamNews(nowMs: number): FleetMessage[] {
+    const limits = this.limits
+      .list()
+      .map(({upstream, perSecond, toldAtMs}): FleetMessage => ({
+        body: {
+          $case: 'upstreamLimit',
+          value: {
+            upstream,
+            perSecond,
+            startedAgoMs: Math.round(nowMs - toldAtMs),
+          },
+        },
+      }));
+    const leaving = this.leaving.list().map(({id, bornMs}): FleetMessage => ({
+      body: {$case: 'upstreamLeaving', value: {upstream: id, bornMs}},
+    }));
+    return [...limits, ...leaving];
+  }
+
   /** Drops the placements of a host that has restarted. */
   dropHost(host: string): void {
     this.placements.dropHost(host);
--- a/packages/daemon/src/gateway/update_publisher.ts
+++ b/packages/daemon/src/gateway/update_publisher.ts
@@ -16,4 +16,6 @@
     perSecond: number | undefined,
     startedAgoMs: number,
   ): void;
+  /** @param bornMs Time of the upstream's start; 0 when it is not known. */
+  publishLeaving(upstream: string, bornMs: number): void;
 }
--- a/packages/daemon/src/gateway/update_relay.ts
+++ b/packages/daemon/src/gateway/update_relay.ts
@@ -111,6 +111,11 @@
     this.publish({body: {$case: 'upstreamLimit', value}});
   }
 
+  publishLeaving(upstream: string, bornMs: number): void {
+    const value = {upstream, bornMs};
+    this.publish({body: {$case: 'upstreamLeaving', value}});
+  }
+
   publishSuspect(update: SuspectMessage): void {
     this.publish({body: {$case: 'suspect', value: update}});
   }
--- a/packages/daemon/src/gateway/upstream_attempt.ts
+++ b/packages/daemon/src/gateway/upstream_attempt.ts
@@ -97,6 +97,7 @@
       faultyAddress: String(headers[headerNames.faultyUpstream] ?? ''),
       rateLimit: readRateLimit(headers[headerNames.rateLimit]),
       restMs: readRestMs(status, headers['retry-after']),
+      isLeaving: headers[headerNames.leaving] === '1',
     });
     if (!isAccepted) this.fail(AttemptOutcome.BROKEN, 'response rejected');
   }
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -16,6 +16,7 @@
 export type {EngineProfile} from './engine_profile.js';
 export {EventCursor} from './event_cursor.js';
 export {KeyTable} from './key_table.js';
+export {LeavingUpstreams} from './leaving_upstreams.js';
 export {matchRequest} from './match_request.js';
 export {NextStep} from './next_step.js';
 export {RequestKind} from './request_kind.js';
--- a/packages/forwarding/src/upstream_entry.ts
+++ b/packages/forwarding/src/upstream_entry.ts
@@ -11,6 +11,8 @@
   readonly stage: UpstreamStage;
   /** Maximum number of requests that it runs concurrently. */
   readonly slots: number;
+  /** Time of its start in Unix milliseconds; absent if it is not known. */
+  readonly bornMs?: number;
   /** Revision of the store at which it was written; absent if it is not known. */
   readonly revision?: number;
 }
--- a/packages/forwarding/src/upstream_registry.ts
+++ b/packages/forwarding/src/upstream_registry.ts
@@ -1,4 +1,5 @@
 import {Departures} from './departures.js';
+import {LeavingUpstreams} from './leaving_upstreams.js';
 import type {UpstreamEntry} from './upstream_entry.js';
 import {UpstreamStage} from './upstream_stage.js';
 
@@ -20,6 +21,7 @@
  * short time.
  */
 export class UpstreamRegistry {
+  readonly leaving = new LeavingUpstreams();
   private readonly entries = new Map<string, UpstreamEntry>();
   private readonly expired = new Map<
     string,
@@ -44,7 +46,8 @@
       entry =>
         entry.service === service &&
         entry.stage === UpstreamStage.READY &&
-        !this.departures.isHeld(entry.id, nowMs),
+        !this.departures.isHeld(entry.id, nowMs) &&
+        !this.leaving.has(entry),
     );
   }
 
