Learn that an engine leaves from answers on reservations

An engine that answers an order on its memory says there, too, that it leaves; a host that had no other answer from it went on to plan with it.

Change: StatusClient reads the header of every answer but 421, and the host records it as it does that of an attempt.

Test: "tells that an engine leaves, unless another one answers". It has no counterpart on the code before, where nothing could be asked. Not tested with a whole host before engines that take reservations.

--- a/packages/daemon/src/gateway/attempt_placer.ts
+++ b/packages/daemon/src/gateway/attempt_placer.ts
@@ -16,6 +16,7 @@
 import type {GatewayContext} from './gateway_context.js';
 import type {PlacedAttempt} from './placed_attempt.js';
 import type {ReceivedRequest} from './received_request.js';
+import {recordLeaving} from './record_leaving.js';
 import type {SuspendedPlacement} from './suspended_placement.js';
 
 const SERVER_ERROR_STATUS = 500;
@@ -285,16 +286,10 @@
     return rests.planReturnMs(ids, clock.nowMs());
   }
 
-  /** Leaves the current attempt's upstream out of use, here and at the other hosts. */
+  /** Takes the current attempt's upstream out of use, as it leaves. */
   recordLeaving(): void {
     const {placed, context} = this;
-    if (placed === undefined) return;
-    const {replica, connectionPool, publisher, log} = context;
-    const {id, bornMs = 0} = placed.choice.upstream;
-    if (!replica.upstreams.leaving.record(id, bornMs)) return;
-    connectionPool.closeIdle(id);
-    publisher.publishLeaving(id, bornMs);
-    log.info('upstream_leaving', {upstream: id});
+    if (placed !== undefined) recordLeaving(context, placed.choice.upstream);
   }
 
   /** Records a failure of an upstream, here and at the other hosts. */
--- a/packages/daemon/src/gateway/engine_reservation_client.ts
+++ b/packages/daemon/src/gateway/engine_reservation_client.ts
@@ -1,6 +1,8 @@
 import type {UpstreamEntry} from '@parsleywood/forwarding';
 import type {EventLog} from '../host/event_log.js';
+import {DEFAULT_HEADER_NAMES} from './default_header_names.js';
 import type {EngineReservations} from './engine_reservations.js';
+import type {LeavingListener} from './leaving_listener.js';
 import {ReservationOutcome} from './reservation_outcome.js';
 import {StatusClient} from './status_client.js';
 
@@ -16,7 +18,11 @@
     private readonly owner: string,
     log: EventLog,
   ) {
-    this.client = new StatusClient(log, 'reservation_call_failed');
+    this.client = new StatusClient(
+      log,
+      'reservation_call_failed',
+      DEFAULT_HEADER_NAMES.leaving,
+    );
   }
 
   async reserve(
@@ -34,6 +40,10 @@
     return isHeld ? ReservationOutcome.HELD : ReservationOutcome.REFUSED;
   }
 
+  listenForLeaving(listener: LeavingListener): void {
+    this.client.listenForLeaving(listener);
+  }
+
   async release(engine: UpstreamEntry, reservation: string): Promise<boolean> {
     const call = {
       method: 'DELETE' as const,
--- a/packages/daemon/src/gateway/engine_reservations.ts
+++ b/packages/daemon/src/gateway/engine_reservations.ts
@@ -1,4 +1,5 @@
 import type {UpstreamEntry} from '@parsleywood/forwarding';
+import type {LeavingListener} from './leaving_listener.js';
 import type {ReservationOutcome} from './reservation_outcome.js';
 
 /** Reserves engine memory under leases that expire unless renewed. */
@@ -16,4 +17,7 @@
    *     longer.
    */
   release(engine: UpstreamEntry, reservation: string): Promise<boolean>;
+
+  /** Sets what is called when an engine's response says that it leaves. */
+  listenForLeaving(listener: LeavingListener): void;
 }
--- a/packages/daemon/src/gateway/gateway_host.ts
+++ b/packages/daemon/src/gateway/gateway_host.ts
@@ -36,6 +36,7 @@
 import {UpdateApplier} from './update_applier.js';
 import {ProbeServer} from './probe_server.js';
 import type {EngineReservations} from './engine_reservations.js';
+import {recordLeaving} from './record_leaving.js';
 import {RetryBudgets} from './retry_budgets.js';
 import {SiteExchange} from './site_exchange.js';
 import {SiteWatcher} from './site_watcher.js';
@@ -193,6 +194,9 @@
       countHosts: () => this.fleet.countHosts(),
       draw,
     };
+    reservations.listenForLeaving(engine => {
+      recordLeaving(this.context, engine);
+    });
     this.server = new GatewayServer(this.context);
     this.directory = new DirectoryServer(
       dialect.directory,
--- a/packages/daemon/src/gateway/prompt_reservations.test.ts
+++ b/packages/daemon/src/gateway/prompt_reservations.test.ts
@@ -43,6 +43,10 @@
     return Promise.resolve(answer);
   }
 
+  listenForLeaving(): void {
+    // These engines stay.
+  }
+
   release({id}: UpstreamEntry): Promise<boolean> {
     this.calls.push(`release ${id}`);
     if (this.lostReleases-- > 0) return Promise.resolve(false);
--- a/packages/daemon/src/gateway/status_client.ts
+++ b/packages/daemon/src/gateway/status_client.ts
@@ -1,9 +1,11 @@
 import type {UpstreamEntry} from '@parsleywood/forwarding';
 import {Agent} from 'undici';
+import type {LeavingListener} from './leaving_listener.js';
 import type {EventLog} from '../host/event_log.js';
 
 /** Response timeout; engines respond to such calls within milliseconds. */
 const RESPONSE_TIMEOUT_MS = 400;
+const MISDIRECTED_STATUS = 421;
 
 /** A call whose result is the status code alone. */
 interface StatusRequest {
@@ -19,12 +21,22 @@
   // The abort signal does not end a request that is still connecting.
   private readonly agent = new Agent({connect: {timeout: RESPONSE_TIMEOUT_MS}});
 
-  /** @param event Name of the log event for a call without a response. */
+  private leavingListener: LeavingListener = () => undefined;
+
+  /**
+   * @param event Name of the log event for a call without a response.
+   * @param leavingHeader Name of the header by which an engine says that it leaves.
+   */
   constructor(
     private readonly log: EventLog,
     private readonly event: string,
+    private readonly leavingHeader: string,
   ) {}
 
+  listenForLeaving(listener: LeavingListener): void {
+    this.leavingListener = listener;
+  }
+
   /** @return Status code of the response; undefined without a response. */
   async send(
     engine: UpstreamEntry,
@@ -42,8 +54,13 @@
         ...(content && {body: JSON.stringify(content)}),
         signal: AbortSignal.timeout(RESPONSE_TIMEOUT_MS),
       });
+      const {statusCode, headers: answered} = response;
+      const isOwn = statusCode !== MISDIRECTED_STATUS;
+      if (isOwn && answered[this.leavingHeader] === '1') {
+        this.leavingListener(engine);
+      }
       await response.body.dump();
-      return response.statusCode;
+      return statusCode;
     } catch (error) {
       const reason = String(error);
       this.log.warn(this.event, {upstream: engine.id, reason});
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -6,6 +6,7 @@
 export type {SiteSource} from './gateway/site_source.js';
 export type {SiteSourceError} from './gateway/site_source_error.js';
 export {SiteSourceErrorKind} from './gateway/site_source_error_kind.js';
+export type {LeavingListener} from './gateway/leaving_listener.js';
 export type {EngineReservations} from './gateway/engine_reservations.js';
 export {StatusClient} from './gateway/status_client.js';
 export {ReservationOutcome} from './gateway/reservation_outcome.js';
