Keep a gateway unready that is stopped during its start

Callers were sent to a host that was stopping, when its SIGTERM had come while it started.

Cause: the end of the start set the stage to ready, whatever had come between.

Evidence: "is never ready when it is stopped during its start" on the code before: 200 from the readiness address 1.5 s after the stop began; now 503.

--- a/packages/daemon/src/gateway/gateway_host.ts
+++ b/packages/daemon/src/gateway/gateway_host.ts
@@ -247,7 +247,8 @@
     await this.probes.listenForMetrics(...at(settings.metricsAddress));
     await this.directory.listen(...at(settings.directoryAddress));
     await this.server.listen(...at(settings.callersAddress));
-    this.stage = PeerStage.READY;
+    // A stop may have begun meanwhile.
+    if (this.stopPromise === undefined) this.stage = PeerStage.READY;
     this.log.info('host_started', {peersAddress: settings.peersAddress});
     this.recordReady();
   }
