Lead callers away from a host that reaches no upstream

Cause: a host judged each upstream by itself and never its own paths. It stayed ready and named, took requests, and sent each to one sound-looking upstream after the other until its time ran out.

Change: after a silent failure a host tests new connections to a few upstreams of different failure domains and services (`ReachTracker`, `chooseReachSample`, `ReachMonitor`). One that accepts settles that the upstream was at fault; if none does, also not among up to 16 in a second round, the host is cut off. Hosts tell each other at once and in heartbeats; the others then test their own reach. While another host reaches upstreams, one that is cut off is not ready, not named, asks callers to close, and refuses at once with 503 and a short Retry-After; requests that wait for a connection or are overdue end, so that callers try elsewhere. While no host is known to reach any, all stay named and refuse at once, unless kept connections still answer. The host goes on testing, and forgets what it found silent when it is back.

Ruled out: answers on kept connections as the sign of reach (they live on while new ones are refused); standing probes (connections have a price).

Where another attempt is tried beside a silent one, neither is kept at a host that is out of service.

--- a/packages/daemon/src/gateway/attempt_placer.ts
+++ b/packages/daemon/src/gateway/attempt_placer.ts
@@ -151,6 +151,7 @@
     if (placed === undefined) return;
     const nowMs = context.clock.nowMs();
     const {choice, placement} = placed;
+    context.reach.recordAnswer();
     if (!this.isDecoding) {
       this.isDecoding = true;
       this.passMeter = new PassMeter();
@@ -228,6 +229,7 @@
       status < SERVER_ERROR_STATUS
     ) {
       context.health.recordSuccess(upstream.id);
+      context.reach.recordAnswer();
     } else if (outcome !== AttemptOutcome.REFUSED && !asksForRest) {
       const isSilent = outcome === AttemptOutcome.TIMED_OUT;
       if (isSilent) context.connectionPool.closeIdle(upstream.id);
@@ -299,10 +301,11 @@
     outcome: AttemptOutcome,
     status: number,
   ): void {
-    const {health, clock, publisher, log} = this.context;
+    const {health, clock, publisher, reach, log} = this.context;
     if (!health.recordFailure(id, isSilent, clock.nowMs())) return;
     publisher.publishFailure(id, isSilent);
     log.warn('upstream_avoided', {upstream: id, end: outcome, status});
+    if (isSilent) void reach.testReach();
   }
 
   private free({placement}: PlacedAttempt): void {
--- a/packages/daemon/src/gateway/decode_heartbeat.ts
+++ b/packages/daemon/src/gateway/decode_heartbeat.ts
@@ -1,12 +1,19 @@
 import {PeerStage, type PeerHeartbeat} from '@parsleywood/membership';
 import {HostStage, type HostBeat} from '@parsleywood/schema/fleet';
+import {decodeReach} from './decode_reach.js';
 
 /** Decodes a heartbeat of a host. */
 export function decodeHeartbeat(
   beat: HostBeat,
   incarnation: string,
 ): PeerHeartbeat {
-  return {...beat, incarnation, stage: decodeStage(beat.stage)};
+  const {upstreamReach, ...fields} = beat;
+  return {
+    ...fields,
+    incarnation,
+    stage: decodeStage(beat.stage),
+    reach: decodeReach(upstreamReach),
+  };
 }
 
 function decodeStage(stage: HostStage): PeerStage {
--- a/packages/daemon/src/gateway/encode_digest.ts
+++ b/packages/daemon/src/gateway/encode_digest.ts
@@ -5,6 +5,7 @@
   StoreContact,
 } from '@parsleywood/schema/fleet';
 import {HOST_STAGES} from './host_stages.js';
+import {REACH_STATES} from './reach_states.js';
 
 /**
  * Encodes what a host tells its subscribers of the hosts of the site.
@@ -25,11 +26,12 @@
       silentMs: Math.round(nowMs - heardAtMs),
     })),
     sightings: sightings.map(({beat, heardAtMs}): HostSighting => {
-      const {incarnation, stage, ...fields} = beat;
+      const {incarnation, stage, reach, ...fields} = beat;
       return {
         beat: {
           ...fields,
           stage: HOST_STAGES[stage],
+          upstreamReach: REACH_STATES[reach],
           knownAddresses: [],
           suspectsHash: 0,
         },
--- a/packages/daemon/src/gateway/fleet_membership.ts
+++ b/packages/daemon/src/gateway/fleet_membership.ts
@@ -6,6 +6,7 @@
   RelaySilence,
   type PeerHeartbeat,
   type PeerSighting,
+  type ReachState,
   type RelayChoice,
 } from '@parsleywood/membership';
 import {
@@ -22,10 +23,13 @@
 import type {SuspectSynchronizer} from '../upstreams/suspect_synchronizer.js';
 import type {UpdateRelay} from './update_relay.js';
 import type {UpdateApplier} from './update_applier.js';
+import {ConnectionResets} from './connection_resets.js';
 import {decodeHeartbeat} from './decode_heartbeat.js';
+import {decodeReach} from './decode_reach.js';
 import {encodeDigest} from './encode_digest.js';
 import {HOST_STAGES} from './host_stages.js';
 import {PeerLog} from './peer_log.js';
+import {REACH_STATES} from './reach_states.js';
 import type {SiteExchange} from './site_exchange.js';
 import type {SiteUpdater} from './site_updater.js';
 
@@ -38,8 +42,6 @@
  * seeds where relays are used.
  */
 const INTRODUCTION_INTERVALS = 4;
-/** Minimum time between two connection resets for a host. */
-const RESET_MS = 1_500;
 
 /**
  * Tracks the other hosts of the site by heartbeats, and exchanges published
@@ -51,7 +53,7 @@
   private readonly peerLog: PeerLog;
   private readonly subscriberDigests = new DigestHistory();
   private readonly relayDigests = new DigestHistory();
-  private readonly resetAtMs = new Map<string, number>();
+  private readonly connectionResets: ConnectionResets;
   private timer: NodeJS.Timeout | undefined;
   private heartbeatCount = 0;
   /** Hash of the suspects at the last interval; it takes long to compute. */
@@ -64,10 +66,11 @@
   /**
    * @param draw Returns a random number in [0, 1).
    * @param readStage Returns the stage that this host reports to its peers.
+   * @param readReach Returns whether it reaches upstreams.
    */
   constructor(
     private readonly settings: GatewaySettings,
-    private readonly transport: Pick<PeerTransport, 'reset'>,
+    transport: Pick<PeerTransport, 'reset'>,
     private readonly relay: UpdateRelay,
     private readonly applier: UpdateApplier,
     private readonly suspects: SuspectSynchronizer,
@@ -78,9 +81,11 @@
     timeline: HostTimeline,
     draw: () => number,
     private readonly readStage: () => PeerStage,
+    private readonly readReach: () => ReachState,
   ) {
     this.roster = new PeerRoster(settings.peersAddress, settings.seedPeers);
     this.relayChooser = new RelayChooser(draw);
+    this.connectionResets = new ConnectionResets(transport);
     this.peerLog = new PeerLog(log, timeline);
   }
 
@@ -106,12 +111,9 @@
     return this.livePeers.map(({peersAddress}) => peersAddress);
   }
 
-  /** Lists the other hosts that are ready, as IP:port for callers. */
-  listReadyHosts(): string[] {
-    return this.roster
-      .listAlive(this.clock.nowMs())
-      .filter(({stage}) => stage === PeerStage.READY)
-      .map(({callersAddress}) => callersAddress);
+  /** Lists the last heartbeats of the other live hosts. */
+  listHeartbeats(): PeerHeartbeat[] {
+    return this.roster.listAlive(this.clock.nowMs());
   }
 
   /** Replaces the seed addresses. */
@@ -194,7 +196,7 @@
     nowMs: number,
   ): void {
     const hearsReceiver = this.roster.hearsDirectly(address, nowMs);
-    if (!hearsReceiver) this.reconnect(address, nowMs);
+    if (!hearsReceiver) this.connectionResets.reset(address, nowMs);
     const value = this.describeSelf(nowMs, {
       hearsReceiver,
       knownAddresses,
@@ -246,7 +248,7 @@
     const nowMs = this.clock.nowMs();
     this.siteExchange.recordMessage(host, nowMs);
     this.relaySilence.recordMessage(host, nowMs);
-    if (this.applier.apply(host, message, nowMs)) {
+    if (this.applyUpdate(host, message, nowMs)) {
       this.relay.forward(host, message);
       return;
     }
@@ -260,7 +262,7 @@
         break;
       case 'relayed':
         for (const {host: origin, message: news} of body.value.news) {
-          if (news !== undefined) this.applier.apply(origin, news, nowMs);
+          if (news !== undefined) this.applyUpdate(origin, news, nowMs);
         }
         break;
       case 'suspectSummary':
@@ -281,6 +283,20 @@
     }
   }
 
+  /** Applies an update that other hosts have to learn as well, if it is one. */
+  private applyUpdate(
+    host: string,
+    message: FleetMessage,
+    nowMs: number,
+  ): boolean {
+    const {body} = message;
+    if (body?.$case !== 'upstreamReach') {
+      return this.applier.apply(host, message, nowMs);
+    }
+    this.roster.recordReach(host, decodeReach(body.value));
+    return true;
+  }
+
   private handleHeartbeat(
     incarnation: string,
     beat: HostBeat,
@@ -297,7 +313,8 @@
     if (!hearsReceiver) this.announceTo(peersAddress, nowMs);
     else if (this.knowsFarMoreThan(hosts)) this.introduceHosts(peersAddress);
     if (!hearsReceiver || replaced !== undefined) {
-      this.sendUpstreamNews(peersAddress, nowMs);
+      const news = this.applier.listUpstreamNews(nowMs);
+      for (const message of news) this.relay.send(peersAddress, message);
     }
     const isKnown = this.livePeers.some(
       one => one.peersAddress === peersAddress,
@@ -310,7 +327,7 @@
    * this one, because it may be new.
    */
   private announceTo(address: string, nowMs: number): void {
-    this.reconnect(address, nowMs);
+    this.connectionResets.reset(address, nowMs);
     if (this.relayChoice === undefined) return;
     this.sendHeartbeatTo(address, [], nowMs);
     this.introduceHosts(address);
@@ -330,13 +347,6 @@
     this.sendDigestTo([address], sightings);
   }
 
-  /** Tells a host that may be new what upstreams have said of themselves. */
-  private sendUpstreamNews(address: string, nowMs: number): void {
-    for (const message of this.applier.listUpstreamNews(nowMs)) {
-      this.relay.send(address, message);
-    }
-  }
-
   private handleDigest(
     host: string,
     {sightings, store, pulses}: HostDigest,
@@ -387,13 +397,6 @@
     });
   }
 
-  /** Resets the connection to a host out of contact, as it may be dead. */
-  private reconnect(address: string, nowMs: number): void {
-    if (nowMs - (this.resetAtMs.get(address) ?? -Infinity) < RESET_MS) return;
-    this.resetAtMs.set(address, nowMs);
-    this.transport.reset(address);
-  }
-
   private describeSelf(
     nowMs: number,
     changes: Partial<HostBeat> = {},
@@ -404,6 +407,7 @@
       callersAddress,
       failureDomain,
       stage: HOST_STAGES[this.readStage()],
+      upstreamReach: REACH_STATES[this.readReach()],
       ...this.siteUpdater.position,
       version: this.siteUpdater.version,
       hearsReceiver: false,
--- a/packages/daemon/src/gateway/forward_session.ts
+++ b/packages/daemon/src/gateway/forward_session.ts
@@ -19,6 +19,7 @@
 import type {ReceivedRequest} from './received_request.js';
 import {SessionFailures} from './session_failures.js';
 import {SessionLog} from './session_log.js';
+import {SessionRetries} from './session_retries.js';
 import {SuspectTrial} from './suspect_trial.js';
 import {SessionOutcome} from './session_outcome.js';
 import {InactivityTimer} from './inactivity_timer.js';
@@ -38,6 +39,7 @@
   private readonly response: ReceivedResponse;
   private readonly placer: AttemptPlacer;
   private readonly failures: SessionFailures;
+  private readonly retries: SessionRetries;
   private readonly log: SessionLog;
   private readonly crashDetector: CrashDetector;
   private readonly trial: SuspectTrial;
@@ -75,7 +77,11 @@
       service,
       this.deadlineMs,
     );
-    this.failures = new SessionFailures(this.placer, this.retryController);
+    this.failures = new SessionFailures(
+      this.placer,
+      this.retryController,
+      context.reach,
+    );
     this.inactivityTimer = new InactivityTimer(
       route,
       this.retryController.isRepeatable,
@@ -93,6 +99,13 @@
       this.placer,
       this.log,
     );
+    this.retries = new SessionRetries(
+      context,
+      this.placer,
+      this.retryController,
+      this.crashDetector,
+      () => this.getLeftMs(),
+    );
     this.trial = new SuspectTrial(
       context,
       this.placer,
@@ -147,6 +160,19 @@
     this.fail(this.failures.createStopping(ran));
   }
 
+  /**
+   * Ends the request if it makes no progress, after this host has found that it
+   * reaches no upstream: other hosts may serve it.
+   */
+  endStalled(): void {
+    if (this.context.reach.isOutOfService) this.holder.discard();
+    const {current} = this.sender;
+    if (this.hasEnded || this.isCheckingCrash || !current) return;
+    if (!current.wasSent) {
+      this.abortAttempt(AttemptOutcome.NOT_SENT, 'host reaches no upstream');
+    } else if (!this.inactivityTimer.isRunning) this.handleTimeout();
+  }
+
   onHead(head: ResponseHead): boolean {
     this.response.recordHead(head);
     this.log.recordHead();
@@ -193,10 +219,8 @@
     if (this.hasEnded || this.sender.current !== current) return;
     if (unreachable.length === 0) this.handleEnd(AttemptOutcome.ANSWERED, '');
     else {
-      this.handleEnd(
-        AttemptOutcome.BROKEN,
-        'upstream went down as its response without length ended',
-      );
+      const detail = 'upstream went down as its response without length ended';
+      this.handleEnd(AttemptOutcome.BROKEN, detail);
     }
   }
 
@@ -252,13 +276,7 @@
   ): void {
     const {head, isStreaming} = this.response;
     this.endAttempt();
-    const step = this.retryController.endAttempt(
-      outcome,
-      status,
-      this.getLeftMs(),
-      this.placer.hasUntriedUpstream && !this.crashDetector.shouldRefuse(),
-      () => this.context.retryBudgets.tryRetry(this.placer.service),
-    );
+    const step = this.retries.decideNext(outcome, status);
     const isUsable =
       step === NextStep.FORWARD_ANSWER &&
       status < SERVER_ERROR_STATUS &&
@@ -266,7 +284,7 @@
     if (step === NextStep.RETRY) void this.guard(() => this.sendAttempt());
     else if (this.holder.isPending && !isUsable) this.holder.resume(this);
     else if (step === NextStep.FORWARD_ANSWER && head) this.endResponse(head);
-    else this.failAfterAttempts(detail || 'upstream refused the request');
+    else this.fail(this.failures.createUnserved(detail));
   }
 
   private async sendAttempt(): Promise<void> {
@@ -326,15 +344,16 @@
   }
 
   /**
-   * Tries an unresponsive request elsewhere, at most once. A request that cannot be
-   * retried keeps waiting.
+   * Retries an unresponsive request elsewhere, at most once. A request that
+   * cannot be retried keeps waiting, unless other hosts may serve it.
    */
   private handleTimeout(): void {
-    if (this.hasEnded || !this.mayRetryElsewhere()) return;
+    if (this.hasEnded || !this.retries.mayLeaveSilent) return;
     const outcome = AttemptOutcome.TIMED_OUT;
     const detail = 'upstream did not respond in time';
     this.recordOutcome(outcome, 0, detail);
-    this.holder.hold();
+    // Here no upstream is left to go on; at another host the caller is served.
+    if (!this.context.reach.isOutOfService) this.holder.hold();
     this.concludeAttempt(outcome, 0, detail);
   }
 
@@ -351,16 +370,6 @@
     this.onEnd(outcome, detail);
   }
 
-  private mayRetryElsewhere(): boolean {
-    const {placer, retryController, context} = this;
-    return (
-      retryController.attempts === 0 &&
-      retryController.allowsRetryAfterCancel(this.getLeftMs()) &&
-      context.retryBudgets.hasRetry(placer.service) &&
-      placer.hasCapacityElsewhere
-    );
-  }
-
   private endAtDeadline(): void {
     if (this.hasEnded) return;
     const ran = this.getExecutionStatus();
@@ -390,13 +399,8 @@
     else this.fail(this.failures.createRefusal(reason));
   }
 
-  private failAfterAttempts(message: string): void {
-    this.fail(this.failures.createUnserved(message));
-  }
-
   private fail(failure: Failure): void {
-    if (this.writer.hasStarted) this.writer.abort();
-    else this.writer.fail(failure);
+    this.writer.fail(failure);
     this.finish(failure);
   }
 
--- a/packages/daemon/src/gateway/gateway_context.ts
+++ b/packages/daemon/src/gateway/gateway_context.ts
@@ -14,6 +14,7 @@
 import type {GatewayMetrics} from './gateway_metrics.js';
 import type {HeaderNames} from './header_names.js';
 import type {EngineReservations} from './engine_reservations.js';
+import type {ReachMonitor} from './reach_monitor.js';
 import type {RetryBudgets} from './retry_budgets.js';
 import type {UpstreamConnectionPool} from './upstream_connection_pool.js';
 
@@ -33,6 +34,7 @@
   readonly retryBudgets: RetryBudgets;
   readonly connectionPool: UpstreamConnectionPool;
   readonly publisher: UpdatePublisher;
+  readonly reach: ReachMonitor;
   readonly reservationClient: EngineReservations;
   readonly suspects: SuspectTracker;
   /** Returns the number of live hosts, including this one. */
--- a/packages/daemon/src/gateway/gateway_host.ts
+++ b/packages/daemon/src/gateway/gateway_host.ts
@@ -7,7 +7,11 @@
   UpstreamRests,
 } from '@parsleywood/dispatch';
 import {SiteReplica} from '@parsleywood/forwarding';
-import {PeerStage} from '@parsleywood/membership';
+import {
+  PeerStage,
+  ReachState,
+  selectReachingPeers,
+} from '@parsleywood/membership';
 import {TimelineEventName} from '@parsleywood/timeline';
 import type {GatewaySettings} from '@parsleywood/schema/gateway_settings';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
@@ -35,6 +39,7 @@
 import {UpdateRelay} from './update_relay.js';
 import {UpdateApplier} from './update_applier.js';
 import {ProbeServer} from './probe_server.js';
+import {ReachMonitor} from './reach_monitor.js';
 import type {EngineReservations} from './engine_reservations.js';
 import {recordLeaving} from './record_leaving.js';
 import {RetryBudgets} from './retry_budgets.js';
@@ -73,6 +78,7 @@
   private readonly siteWatcher: SiteWatcher;
   private readonly fleet: FleetMembership;
   private readonly upstreamProber: UpstreamProber;
+  private readonly reach: ReachMonitor;
   private readonly context: GatewayContext;
   private readonly server: GatewayServer;
   private readonly directory: DirectoryServer;
@@ -146,7 +152,26 @@
       new SuspectLog(log, metrics.host),
       () => this.fleet.countHosts(),
     );
-    this.upstreamProber = new UpstreamProber(health, replica, clock);
+    this.reach = new ReachMonitor(
+      replica,
+      health,
+      relay,
+      clock,
+      log,
+      metrics,
+      () => this.fleet.listHeartbeats(),
+      draw,
+      () => {
+        this.server.endStalled();
+      },
+    );
+    const {reach} = this;
+    this.upstreamProber = new UpstreamProber(
+      health,
+      replica,
+      clock,
+      () => reach.state === ReachState.CUT_OFF,
+    );
     this.fleet = new FleetMembership(
       settings,
       this.transport,
@@ -166,6 +191,7 @@
       timeline,
       draw,
       () => this.readStage(),
+      () => reach.state,
     );
     this.context = {
       clock,
@@ -189,6 +215,7 @@
       ),
       connectionPool: new UpstreamConnectionPool(clock),
       publisher: relay,
+      reach,
       reservationClient: reservations,
       suspects,
       countHosts: () => this.fleet.countHosts(),
@@ -205,7 +232,7 @@
     );
     this.probes = new ProbeServer(
       dialect.readinessPath,
-      () => this.readStage() === PeerStage.READY,
+      () => this.isServing(),
       metrics,
       () => {
         metrics.openRequests.set(this.server.openRequests);
@@ -241,6 +268,7 @@
     this.timeline.record(TimelineEventName.HOST_STARTED);
     this.siteWatcher.start();
     this.upstreamProber.start();
+    this.reach.start();
     await this.peers.listen(settings.peersAddress);
     this.fleet.start();
     await this.probes.listenForReadiness(...at(settings.readinessAddress));
@@ -278,6 +306,7 @@
     await server.close();
     this.siteWatcher.stop();
     this.upstreamProber.stop();
+    this.reach.stop();
     this.fleet.stop();
     this.context.connectionPool.close();
     this.transport.close();
@@ -339,13 +368,19 @@
       : PeerStage.READY;
   }
 
+  /** Whether callers may send requests to this host. */
+  private isServing(): boolean {
+    return this.readStage() === PeerStage.READY && !this.reach.isOutOfService;
+  }
+
   /** Lists the hosts that accept requests, as IP:port for callers. */
   private listHosts(): string[] {
-    const own =
-      this.readStage() === PeerStage.READY
-        ? [this.settings.callersAddress]
-        : [];
-    return [...own, ...this.fleet.listReadyHosts()];
+    const own = this.isServing() ? [this.settings.callersAddress] : [];
+    const peers = selectReachingPeers(
+      this.fleet.listHeartbeats(),
+      this.reach.state,
+    );
+    return [...own, ...peers.map(({callersAddress}) => callersAddress)];
   }
 
   private describe(): object {
--- a/packages/daemon/src/gateway/gateway_metrics.ts
+++ b/packages/daemon/src/gateway/gateway_metrics.ts
@@ -14,6 +14,7 @@
   readonly siteDeltas: Counter;
   readonly openRequests: Gauge;
   readonly droppedLogLines: Gauge;
+  readonly reachesUpstreams: Gauge;
 
   constructor(readonly host: HostMetrics) {
     const registers = [host.registry];
@@ -53,6 +54,11 @@
       help: 'Forwarded requests that have no final answer yet.',
       registers,
     });
+    this.reachesUpstreams = new Gauge({
+      name: 'parsleywood_reaches_upstreams',
+      help: '0 while no upstream accepts connections of this host, else 1.',
+      registers,
+    });
     this.droppedLogLines = new Gauge({
       name: 'parsleywood_dropped_log_lines',
       help: 'Log lines dropped to stay within the bounds of the log.',
--- a/packages/daemon/src/gateway/gateway_server.ts
+++ b/packages/daemon/src/gateway/gateway_server.ts
@@ -121,6 +121,11 @@
     for (const writer of writers) writer.closeConnectionAfter();
   }
 
+  /** Ends the requests that make no progress. */
+  endStalled(): void {
+    for (const session of [...this.sessions]) session.endStalled();
+  }
+
   /** Fails the remaining requests and closes all connections. */
   async close(): Promise<void> {
     for (const session of [...this.sessions]) session.stop();
@@ -158,7 +163,10 @@
     response.on('close', () => {
       this.writers.delete(writer);
     });
-    if (this.drainAdmission !== undefined) writer.closeConnectionAfter();
+    const {isOutOfService} = context.reach;
+    if (this.drainAdmission !== undefined || isOutOfService) {
+      writer.closeConnectionAfter();
+    }
     try {
       await this.receive(request.raw, metadata, writer, response);
     } catch (error) {
@@ -248,7 +256,8 @@
     }
     const {host, target, accountKey: key} = metadata;
     const match = matchRequest(this.context.replica.rules, host, target, key);
-    return match.isOk ? match.value : match.error;
+    if (match.isErr) return match.error;
+    return this.context.reach.findRefusal() ?? match.value;
   }
 
   private refuse(
--- a/packages/daemon/src/gateway/inactivity_timer.ts
+++ b/packages/daemon/src/gateway/inactivity_timer.ts
@@ -26,6 +26,11 @@
     private readonly onOverdue: () => void,
   ) {}
 
+  /** Whether progress is awaited, and its timeout has not passed. */
+  get isRunning(): boolean {
+    return this.timer !== undefined;
+  }
+
   /** @param plan Undefined for services without engines. */
   awaitResponse(plan: PrefillPlan | undefined): void {
     const {route} = this;
@@ -53,11 +58,18 @@
 
   stop(): void {
     clearTimeout(this.timer);
+    this.timer = undefined;
   }
 
   private arm(afterMs: number, callback: () => void): void {
     this.stop();
     if (!this.isRepeatable) return;
-    this.timer = setTimeout(callback, Math.min(afterMs, MAX_TIMER_MS));
+    this.timer = setTimeout(
+      () => {
+        this.timer = undefined;
+        callback();
+      },
+      Math.min(afterMs, MAX_TIMER_MS),
+    );
   }
 }
--- /dev/null
+++ b/packages/daemon/src/gateway/reach_monitor.ts
@@ -0,0 +1,180 @@
+import {setTimeout as pause} from 'node:timers/promises';
+import {chooseReachSample, type UpstreamHealth} from '@parsleywood/dispatch';
+import {ErrorKind, ExecutionStatus, Failure} from '@parsleywood/errors';
+import type {SiteReplica, UpstreamEntry} from '@parsleywood/forwarding';
+import {
+  PeerStage,
+  ReachState,
+  ReachTracker,
+  type PeerHeartbeat,
+} from '@parsleywood/membership';
+import type {Clock} from '../host/clock.js';
+import type {EventLog} from '../host/event_log.js';
+import {canConnect} from './can_connect.js';
+import type {GatewayMetrics} from './gateway_metrics.js';
+import type {UpdatePublisher} from './update_publisher.js';
+
+const CHECK_INTERVAL_MS = 250;
+/** Upstreams that a test tries first; one that accepts is enough. */
+const SAMPLE_SIZE = 2;
+/** Upstreams that it tries before the host counts as cut off. */
+const MAX_TESTED = 16;
+/** With fewer upstreams a failure says nothing about the host's own paths. */
+const MIN_UPSTREAMS = 2;
+/** Time between two tests that must agree, against a short disturbance. */
+const CONFIRMATION_DELAY_MS = 150;
+/** Retry-After of a host that is cut off; the others are available at once. */
+const OTHERS_SERVE_RETRY_MS = 50;
+/** Retry-After while no host is known to reach upstreams. */
+const NONE_SERVES_RETRY_MS = 500;
+
+/** Tests whether this host reaches upstreams, and tells the other hosts. */
+export class ReachMonitor {
+  private readonly tracker = new ReachTracker();
+  private timer: NodeJS.Timeout | undefined;
+  private test: Promise<boolean> | undefined;
+  private published = ReachState.UNKNOWN;
+  private wasRefusing = false;
+
+  /**
+   * @param listPeers Lists the other live hosts.
+   * @param draw Returns a random number in [0, 1).
+   * @param onRefusing Called when requests are refused from now on.
+   */
+  constructor(
+    private readonly replica: SiteReplica,
+    private readonly health: UpstreamHealth,
+    private readonly publisher: UpdatePublisher,
+    private readonly clock: Clock,
+    private readonly log: EventLog,
+    private readonly metrics: GatewayMetrics,
+    private readonly listPeers: () => readonly PeerHeartbeat[],
+    private readonly draw: () => number,
+    private readonly onRefusing: () => void,
+  ) {
+    metrics.reachesUpstreams.set(1);
+  }
+
+  start(): void {
+    this.timer = setInterval(() => {
+      this.check();
+    }, CHECK_INTERVAL_MS);
+  }
+
+  stop(): void {
+    clearInterval(this.timer);
+  }
+
+  get state(): ReachState {
+    return this.tracker.getState(this.clock.nowMs());
+  }
+
+  /** Whether this host is cut off from upstreams that other hosts reach. */
+  get isOutOfService(): boolean {
+    return (
+      this.state === ReachState.CUT_OFF &&
+      this.listPeers().some(
+        ({stage, reach}) =>
+          stage === PeerStage.READY && reach === ReachState.REACHED,
+      )
+    );
+  }
+
+  /** Returns the failure for requests that cannot be served, if they cannot. */
+  findRefusal(): Failure | undefined {
+    if (this.state !== ReachState.CUT_OFF) return undefined;
+    const message = 'host reaches no upstream';
+    const {NO} = ExecutionStatus;
+    if (this.isOutOfService) {
+      const kind = ErrorKind.HOST_UNAVAILABLE;
+      return new Failure(kind, message, NO, OTHERS_SERVE_RETRY_MS);
+    }
+    if (this.tracker.isAnswered(this.clock.nowMs())) return undefined;
+    const kind = ErrorKind.UPSTREAM_UNAVAILABLE;
+    return new Failure(kind, message, NO, NONE_SERVES_RETRY_MS);
+  }
+
+  /** Records a response of an upstream. */
+  recordAnswer(): void {
+    this.tracker.recordAnswer(this.clock.nowMs());
+  }
+
+  /** Tests, after a failure of an upstream, whether this host reaches any other. */
+  async testReach(): Promise<boolean> {
+    this.test ??= this.runTest().finally(() => {
+      this.test = undefined;
+    });
+    return this.test;
+  }
+
+  private check(): void {
+    const nowMs = this.clock.nowMs();
+    const isAnyCutOff = this.listPeers().some(
+      ({reach}) => reach === ReachState.CUT_OFF,
+    );
+    this.tracker.recordPeers(isAnyCutOff, nowMs);
+    this.publish();
+    if (this.tracker.isTestDue(nowMs)) void this.testReach();
+    const isRefusing = this.findRefusal() !== undefined;
+    if (isRefusing && !this.wasRefusing) this.onRefusing();
+    this.wasRefusing = isRefusing;
+  }
+
+  private async runTest(): Promise<boolean> {
+    const upstreams = this.replica.upstreams.list();
+    if (upstreams.length < MIN_UPSTREAMS) return this.conclude(true);
+    const isCutOff = this.state === ReachState.CUT_OFF;
+    const accepted = await this.findAccepting(upstreams, SAMPLE_SIZE);
+    if (isCutOff) return this.conclude(await this.confirm(accepted));
+    if (accepted !== undefined) return this.conclude(true);
+    await pause(CONFIRMATION_DELAY_MS);
+    const again = await this.findAccepting(upstreams, MAX_TESTED);
+    return this.conclude(again !== undefined);
+  }
+
+  /** Whether the upstream that accepted a connection accepts another one. */
+  private async confirm(accepted: UpstreamEntry | undefined): Promise<boolean> {
+    if (accepted === undefined) return false;
+    await pause(CONFIRMATION_DELAY_MS);
+    return canConnect(accepted.address);
+  }
+
+  private async findAccepting(
+    upstreams: readonly UpstreamEntry[],
+    count: number,
+  ): Promise<UpstreamEntry | undefined> {
+    const nowMs = this.clock.nowMs();
+    const sample = chooseReachSample(
+      upstreams,
+      ({id}) => this.health.isAvoided(id, nowMs),
+      count,
+      this.draw,
+    );
+    const tests = sample.map(async upstream => {
+      if (await canConnect(upstream.address)) return upstream;
+      throw new Error('no connection');
+    });
+    return Promise.any(tests).catch(() => undefined);
+  }
+
+  private conclude(hasAccepted: boolean): boolean {
+    const hasChanged = this.tracker.recordTest(hasAccepted, this.clock.nowMs());
+    if (hasChanged) {
+      this.metrics.reachesUpstreams.set(hasAccepted ? 1 : 0);
+      if (hasAccepted) {
+        // While it was cut off, this host learnt nothing of single upstreams.
+        this.health.resetUnreachable();
+        this.log.info('upstreams_reached');
+      } else this.log.warn('upstreams_cut_off');
+    }
+    this.check();
+    return hasAccepted;
+  }
+
+  private publish(): void {
+    const {state} = this;
+    if (state === this.published) return;
+    this.published = state;
+    this.publisher.publishReach(state);
+  }
+}
--- a/packages/daemon/src/gateway/response_writer.ts
+++ b/packages/daemon/src/gateway/response_writer.ts
@@ -67,8 +67,12 @@
     this.response.destroy();
   }
 
-  /** Sends an error response of this host. */
+  /** Sends an error response of this host, or ends a response that has begun. */
   fail(failure: Failure): void {
+    if (this.hasStarted) {
+      this.abort();
+      return;
+    }
     const body = Buffer.from(
       JSON.stringify(formatFailure(failure, this.requestId)),
     );
--- a/packages/daemon/src/gateway/session_failures.ts
+++ b/packages/daemon/src/gateway/session_failures.ts
@@ -7,6 +7,7 @@
 import type {AttemptPlacer} from './attempt_placer.js';
 import {createCapacityFailure} from './create_capacity_failure.js';
 import {createStoppingFailure} from './create_stopping_failure.js';
+import type {ReachMonitor} from './reach_monitor.js';
 
 /** Retry-After of a response when no upstream could be reached. */
 const UNAVAILABLE_RETRY_MS = 300;
@@ -16,6 +17,7 @@
   constructor(
     private readonly placer: AttemptPlacer,
     private readonly retryController: RetryController,
+    private readonly reach: ReachMonitor,
   ) {}
 
   /** For a request of which no attempt can be placed. */
@@ -30,11 +32,17 @@
       : this.createUnserved(failure.message);
   }
 
-  /** For a request whose attempts have all failed. */
-  createUnserved(message: string): Failure {
+  /**
+   * For a request whose attempts have all failed.
+   *
+   * @param detail How the last one ended; empty if its upstream refused it.
+   */
+  createUnserved(detail: string): Failure {
+    const message = detail || 'upstream refused the request';
     const restMs = this.placer.planReturnAfterRestMs();
-    const retryAfterMs =
-      restMs > 0 ? chooseRetryAfterMs(restMs) : UNAVAILABLE_RETRY_MS;
+    const {retryAfterMs: otherHostsMs = UNAVAILABLE_RETRY_MS} =
+      this.reach.findRefusal() ?? {};
+    const retryAfterMs = restMs > 0 ? chooseRetryAfterMs(restMs) : otherHostsMs;
     return this.retryController.createFailure(message, retryAfterMs);
   }
 
--- /dev/null
+++ b/packages/daemon/src/gateway/session_retries.ts
@@ -0,0 +1,51 @@
+import type {
+  AttemptOutcome,
+  NextStep,
+  RetryController,
+} from '@parsleywood/forwarding';
+import type {AttemptPlacer} from './attempt_placer.js';
+import type {CrashDetector} from './crash_detector.js';
+import type {GatewayContext} from './gateway_context.js';
+
+/** Decides on the retries of one request by what this host knows. */
+export class SessionRetries {
+  /** @param getLeftMs Returns the time until the deadline of the request. */
+  constructor(
+    private readonly context: GatewayContext,
+    private readonly placer: AttemptPlacer,
+    private readonly retryController: RetryController,
+    private readonly crashDetector: CrashDetector,
+    private readonly getLeftMs: () => number,
+  ) {}
+
+  /**
+   * Whether a silent attempt is to be left for another upstream, or for another host
+   * if this one reaches none.
+   */
+  get mayLeaveSilent(): boolean {
+    const {placer, retryController, context} = this;
+    if (context.reach.isOutOfService) return retryController.isRepeatable;
+    return (
+      retryController.attempts === 0 &&
+      retryController.allowsRetryAfterCancel(this.getLeftMs()) &&
+      context.retryBudgets.hasRetry(placer.service) &&
+      placer.hasCapacityElsewhere
+    );
+  }
+
+  /** Records the end of an attempt and decides the next step. */
+  decideNext(outcome: AttemptOutcome, status: number): NextStep {
+    const {context, placer, crashDetector} = this;
+    const hasUpstream =
+      placer.hasUntriedUpstream &&
+      !crashDetector.shouldRefuse() &&
+      context.reach.findRefusal() === undefined;
+    return this.retryController.endAttempt(
+      outcome,
+      status,
+      this.getLeftMs(),
+      hasUpstream,
+      () => context.retryBudgets.tryRetry(placer.service),
+    );
+  }
+}
--- a/packages/daemon/src/gateway/update_publisher.ts
+++ b/packages/daemon/src/gateway/update_publisher.ts
@@ -1,4 +1,5 @@
 import type {Placement} from '@parsleywood/dispatch';
+import type {ReachState} from '@parsleywood/membership';
 
 /** Publishes to the other hosts what this host places and learns of upstreams. */
 export interface UpdatePublisher {
@@ -18,4 +19,6 @@
   ): void;
   /** @param bornMs Time of the upstream's start; 0 when it is not known. */
   publishLeaving(upstream: string, bornMs: number): void;
+  /** Publishes whether this host reaches upstreams. */
+  publishReach(reach: ReachState): void;
 }
--- a/packages/daemon/src/gateway/update_relay.ts
+++ b/packages/daemon/src/gateway/update_relay.ts
@@ -1,4 +1,5 @@
 import type {Placement} from '@parsleywood/dispatch';
+import type {ReachState} from '@parsleywood/membership';
 import type {FleetMessage, HostNews} from '@parsleywood/schema/fleet';
 import type {
   TraitAnswerMessage,
@@ -10,6 +11,7 @@
 import type {MessageSender} from '../peers/message_sender.js';
 import type {SuspectMessenger} from '../upstreams/suspect_messenger.js';
 import type {SuspectPublisher} from '../upstreams/suspect_publisher.js';
+import {REACH_STATES} from './reach_states.js';
 import type {UpdatePublisher} from './update_publisher.js';
 
 /**
@@ -98,6 +100,11 @@
     this.publish({body: {$case: 'upstreamFailure', value: {upstream, silent}}});
   }
 
+  publishReach(reach: ReachState): void {
+    const value = REACH_STATES[reach];
+    this.publish({body: {$case: 'upstreamReach', value}});
+  }
+
   publishLimit(
     upstream: string,
     perSecond: number | undefined,
--- a/packages/daemon/src/gateway/upstream_attempt.ts
+++ b/packages/daemon/src/gateway/upstream_attempt.ts
@@ -17,7 +17,7 @@
 export class UpstreamAttempt implements Dispatcher.DispatchHandler {
   private readonly connection: UpstreamConnection;
   private controller: Dispatcher.DispatchController | undefined;
-  private wasSent = false;
+  private hasBeenSent = false;
   private hasEnded = false;
   private isRefused = false;
 
@@ -51,6 +51,11 @@
     }
   }
 
+  /** Whether any of the request may have reached the upstream. */
+  get wasSent(): boolean {
+    return this.hasBeenSent;
+  }
+
   /** Closes the connection, which upstreams treat as a cancellation. */
   cancel(): void {
     if (this.hasEnded) return;
@@ -60,7 +65,7 @@
 
   onRequestStart(controller: Dispatcher.DispatchController): void {
     this.controller = controller;
-    this.wasSent = true;
+    this.hasBeenSent = true;
   }
 
   onResponseStart(
@@ -129,7 +134,7 @@
     if (this.isRefused) this.finish(AttemptOutcome.REFUSED, code);
     else {
       this.finish(
-        this.wasSent ? AttemptOutcome.BROKEN : AttemptOutcome.NOT_SENT,
+        this.hasBeenSent ? AttemptOutcome.BROKEN : AttemptOutcome.NOT_SENT,
         code,
       );
     }
--- a/packages/daemon/src/gateway/upstream_prober.ts
+++ b/packages/daemon/src/gateway/upstream_prober.ts
@@ -13,14 +13,18 @@
 export class UpstreamProber {
   private timer: NodeJS.Timeout | undefined;
 
+  /** @param isCutOff Whether this host reaches no upstream at all. */
   constructor(
     private readonly health: UpstreamHealth,
     private readonly replica: SiteReplica,
     private readonly clock: Clock,
+    private readonly isCutOff: () => boolean,
   ) {}
 
   start(): void {
     this.timer = setInterval(() => {
+      // The host's own paths are tested instead.
+      if (this.isCutOff()) return;
       for (const id of this.health.listUnreachable()) void this.check(id);
     }, CHECK_INTERVAL_MS);
   }
--- a/packages/daemon/src/testing/virtual_fleet.ts
+++ b/packages/daemon/src/testing/virtual_fleet.ts
@@ -4,7 +4,7 @@
   UpstreamLimits,
 } from '@parsleywood/dispatch';
 import {SiteReplica} from '@parsleywood/forwarding';
-import {PeerStage} from '@parsleywood/membership';
+import {PeerStage, ReachState} from '@parsleywood/membership';
 import type {PeerMessage} from '@parsleywood/schema/peer';
 import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
@@ -193,6 +193,7 @@
       new HostTimeline(self, clock),
       draw,
       () => PeerStage.READY,
+      () => ReachState.UNKNOWN,
     );
     const host: VirtualHost = {
       address,
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -8,6 +8,7 @@
 export {MAX_PREFILL_ENGINES} from './max_prefill_engines.js';
 export {PassMeter} from './pass_meter.js';
 export {PassModel} from './pass_model.js';
+export {chooseReachSample} from './choose_reach_sample.js';
 export {pickServiceUpstream} from './pick_service_upstream.js';
 export type {Placement} from './placement.js';
 export type {PlacementPart} from './placement_part.js';
--- a/packages/dispatch/src/upstream_health.ts
+++ b/packages/dispatch/src/upstream_health.ts
@@ -64,6 +64,11 @@
     if (health !== undefined) health.isUnreachable = false;
   }
 
+  /** Forgets the failures of all upstreams that gave no response at all. */
+  resetUnreachable(): void {
+    for (const id of this.listUnreachable()) this.recordSuccess(id);
+  }
+
   /** Upstreams that gave no response at all and have not been reached since. */
   listUnreachable(): string[] {
     return [...this.byUpstream]
--- a/packages/membership/src/digest_history.ts
+++ b/packages/membership/src/digest_history.ts
@@ -42,6 +42,7 @@
  * each other theirs.
  */
 function describe(beat: PeerHeartbeat): string {
-  const {incarnation, stage, callersAddress, relays, processorShare} = beat;
-  return `${incarnation} ${stage} ${callersAddress} ${relays} ${processorShare}`;
+  const {incarnation, stage, reach, callersAddress, relays, processorShare} =
+    beat;
+  return `${incarnation} ${stage} ${reach} ${callersAddress} ${relays} ${processorShare}`;
 }
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -24,3 +24,6 @@
 export {RelayChooser} from './relay_chooser.js';
 export type {RelayChoice} from './relay_choice.js';
 export {PeerStage} from './peer_stage.js';
+export {ReachState} from './reach_state.js';
+export {ReachTracker} from './reach_tracker.js';
+export {selectReachingPeers} from './select_reaching_peers.js';
--- a/packages/membership/src/peer_heartbeat.ts
+++ b/packages/membership/src/peer_heartbeat.ts
@@ -1,4 +1,5 @@
 import type {PeerStage} from './peer_stage.js';
+import type {ReachState} from './reach_state.js';
 
 /** A heartbeat of a host. */
 export interface PeerHeartbeat {
@@ -8,6 +9,7 @@
   readonly failureDomain: string;
   readonly incarnation: string;
   readonly stage: PeerStage;
+  readonly reach: ReachState;
   /** Position of the store that the sender has applied; epoch 0 if it tells none. */
   readonly epoch: number;
   readonly revision: number;
--- a/packages/membership/src/peer_roster.ts
+++ b/packages/membership/src/peer_roster.ts
@@ -1,5 +1,6 @@
 import type {PeerHeartbeat} from './peer_heartbeat.js';
 import type {PeerSighting} from './peer_sighting.js';
+import type {ReachState} from './reach_state.js';
 
 /** Time without a heartbeat until a host counts as dead: four of 300 ms. */
 const DIRECT_PEER_TIMEOUT_MS = 1_200;
@@ -82,6 +83,13 @@
     this.addAddresses([address], heardAtMs);
   }
 
+  /** Records whether a known host reaches upstreams, before its next heartbeat. */
+  recordReach(address: string, reach: ReachState): void {
+    const known = this.peers.get(address);
+    if (known === undefined) return;
+    this.peers.set(address, {...known, beat: {...known.beat, reach}});
+  }
+
   /** Addresses to which this host sends heartbeats; drops expired addresses. */
   listTargets(nowMs: number): string[] {
     for (const [address, seenMs] of this.addressSeenMs) {
--- a/packages/membership/src/testing/create_heartbeat.ts
+++ b/packages/membership/src/testing/create_heartbeat.ts
@@ -1,5 +1,6 @@
 import type {PeerHeartbeat} from '../peer_heartbeat.js';
 import {PeerStage} from '../peer_stage.js';
+import {ReachState} from '../reach_state.js';
 
 /** Creates the heartbeat of a ready host. */
 export function createHeartbeat(
@@ -12,6 +13,7 @@
     failureDomain: 'd',
     incarnation: '1',
     stage: PeerStage.READY,
+    reach: ReachState.UNKNOWN,
     epoch: 0,
     revision: 1,
     version: 0,
