Tell other hosts of a silent upstream only where others are reached

Cause: a host published what looked silent to it before it knew whether its own paths were at fault.

Change: a silence is published once another upstream has accepted a connection of this host after it. The host itself avoids the upstream at once. Failures with a response are published as before.

--- a/packages/daemon/src/gateway/attempt_placer.ts
+++ b/packages/daemon/src/gateway/attempt_placer.ts
@@ -301,11 +301,17 @@
     outcome: AttemptOutcome,
     status: number,
   ): void {
-    const {health, clock, publisher, reach, log} = this.context;
+    const {health, clock, log} = this.context;
     if (!health.recordFailure(id, isSilent, clock.nowMs())) return;
-    publisher.publishFailure(id, isSilent);
     log.warn('upstream_avoided', {upstream: id, end: outcome, status});
-    if (isSilent) void reach.testReach();
+    void this.publishFailure(id, isSilent);
+  }
+
+  /** Tells the others of a failure, unless this host reaches no upstream at all. */
+  private async publishFailure(id: string, isSilent: boolean): Promise<void> {
+    const {reach, publisher} = this.context;
+    if (isSilent && !(await reach.testReach())) return;
+    publisher.publishFailure(id, isSilent);
   }
 
   private free({placement}: PlacedAttempt): void {
