Count no crash at a host that alone reaches no upstream

What callers saw: after a host lost its paths to all upstreams by resets, sound requests were answered 422 at all hosts, as ones that crash upstreams.

Cause: a break followed by a connection that is not accepted counted as a crash. At a host that is cut off, every request in progress ends like that.

Change: such a break counts when the host reaches another upstream, as before then. If it reaches none, it waits for a second in the background: as long as other hosts reach upstreams and it alone does not, nothing is recorded. If no host does, or the upstreams are soon back, the crash counts: a request can crash all upstreams of a site.

Ruled out: counting only where the host reaches another upstream. A request that crashed both engines of a site was then not recognised ("A large fleet on the platform hears of a crashing request at every host" failed in a run of the package, and by itself; it passes with this change).

Test: "do not make others refuse requests as crashing upstreams"; before the change five of its nine requests were answered 422 where all are sound.

--- a/packages/daemon/src/gateway/crash_detector.ts
+++ b/packages/daemon/src/gateway/crash_detector.ts
@@ -6,6 +6,7 @@
 } from '@parsleywood/requests';
 import type {Failure} from '@parsleywood/errors';
 import {createCrashFailure} from '../callers/create_crash_failure.js';
+import type {ObservedCrash} from '../upstreams/observed_crash.js';
 import {shortenHash} from '../upstreams/shorten_hash.js';
 import type {SuspectSubject} from '../upstreams/suspect_subject.js';
 import type {AttemptPlacer} from './attempt_placer.js';
@@ -108,17 +109,29 @@
       outcome === AttemptOutcome.BROKEN;
     const unreachable = await placer.findUnreachable();
     if (unreachable.length === 0) return;
-    const upstreams = unreachable.map(({id}) => id);
-    const status = context.suspects.recordCrash(this.subject, {
-      upstreams,
+    const crash: ObservedCrash = {
+      upstreams: unreachable.map(({id}) => id),
       stateBefore,
       wasIsolated,
       startedAtMs: this.startedAtMs,
-    });
+    };
+    if (await context.reach.testReach()) this.recordCrash(crash);
+    else void this.recordUnlessCutOff(crash);
+  }
+
+  /** Records a crash, unless only this host cannot reach the upstreams. */
+  private async recordUnlessCutOff(crash: ObservedCrash): Promise<void> {
+    if (await this.context.reach.staysOutOfService()) return;
+    this.recordCrash(crash);
+  }
+
+  private recordCrash(crash: ObservedCrash): void {
+    const {context} = this;
+    const status = context.suspects.recordCrash(this.subject, crash);
     this.log.logCrash({
-      upstreams: upstreams.join(' '),
-      crashes: stateBefore.crashes + 1,
-      isIsolated: wasIsolated,
+      upstreams: crash.upstreams.join(' '),
+      crashes: crash.stateBefore.crashes + 1,
+      isIsolated: crash.wasIsolated,
       isCondemned: status === CrashStatus.BLOCKED,
       fingerprint: shortenHash(
         context.suspects.computeFingerprint(this.subject),
--- a/packages/daemon/src/gateway/reach_monitor.ts
+++ b/packages/daemon/src/gateway/reach_monitor.ts
@@ -23,6 +23,9 @@
 const MIN_UPSTREAMS = 2;
 /** Time between two tests that must agree, against a short disturbance. */
 const CONFIRMATION_DELAY_MS = 150;
+/** Time in which other hosts hear that this one is cut off, test their reach and tell. */
+const SETTLE_MS = 1_000;
+const POLL_INTERVAL_MS = 50;
 /** Retry-After of a host that is cut off; the others are available at once. */
 const OTHERS_SERVE_RETRY_MS = 50;
 /** Retry-After while no host is known to reach upstreams. */
@@ -107,6 +110,19 @@
     return this.test;
   }
 
+  /**
+   * Whether this host alone stays cut off, after a failed test: the others get the
+   * time to test their reach, and upstreams that were down the time to come back.
+   */
+  async staysOutOfService(): Promise<boolean> {
+    const untilMs = this.clock.nowMs() + SETTLE_MS;
+    while (this.clock.nowMs() < untilMs) {
+      if (this.state !== ReachState.CUT_OFF) return false;
+      await pause(POLL_INTERVAL_MS);
+    }
+    return this.isOutOfService;
+  }
+
   private check(): void {
     const nowMs = this.clock.nowMs();
     const isAnyCutOff = this.listPeers().some(
