Count a connection that is reset at once as none when a host tests its reach

What callers saw: a host whose connections to all upstreams are accepted and then reset took requests again every half second, and served none of them.

Cause: the test of a host's own paths took a connection that is accepted for a path that works. Where something on the path accepts connections and resets them, the host counted as cut off and as reaching upstreams in turn.

Change: in that test a connection counts once it has stayed open for 40 ms. Other checks of a single upstream are as before.

Not covered: a path that accepts connections and then swallows all bytes.

--- a/packages/daemon/src/gateway/can_connect.ts
+++ b/packages/daemon/src/gateway/can_connect.ts
@@ -7,8 +7,16 @@
  */
 const CONNECT_TIMEOUT_MS = 300;
 
-/** Tests whether an address (IP:port) accepts TCP connections. */
-export async function canConnect(address: string): Promise<boolean> {
+/**
+ * Tests whether an address (IP:port) accepts TCP connections.
+ *
+ * @param openMs Time for which a connection must stay open to count. A path that
+ *     resets connections may accept them first.
+ */
+export async function canConnect(
+  address: string,
+  openMs = 0,
+): Promise<boolean> {
   return new Promise(resolve => {
     const socket = open(address);
     if (socket === undefined) {
@@ -21,7 +29,15 @@
     };
     socket.setTimeout(CONNECT_TIMEOUT_MS);
     socket.on('connect', () => {
-      finish(true);
+      if (openMs === 0) finish(true);
+      else {
+        setTimeout(() => {
+          finish(true);
+        }, openMs);
+      }
+    });
+    socket.on('close', () => {
+      resolve(false);
     });
     socket.on('timeout', () => {
       finish(false);
--- a/packages/daemon/src/gateway/reach_monitor.ts
+++ b/packages/daemon/src/gateway/reach_monitor.ts
@@ -21,6 +21,8 @@
 const MAX_TESTED = 16;
 /** With fewer upstreams a failure says nothing about the host's own paths. */
 const MIN_UPSTREAMS = 2;
+/** Time for which a new connection must stay open to show that the path works. */
+const OPEN_MS = 40;
 /** Time between two tests that must agree, against a short disturbance. */
 const CONFIRMATION_DELAY_MS = 150;
 /** Time in which other hosts hear that this one is cut off, test their reach and tell. */
@@ -152,7 +154,7 @@
   private async confirm(accepted: UpstreamEntry | undefined): Promise<boolean> {
     if (accepted === undefined) return false;
     await pause(CONFIRMATION_DELAY_MS);
-    return canConnect(accepted.address);
+    return canConnect(accepted.address, OPEN_MS);
   }
 
   private async findAccepting(
@@ -167,7 +169,7 @@
       this.draw,
     );
     const tests = sample.map(async upstream => {
-      if (await canConnect(upstream.address)) return upstream;
+      if (await canConnect(upstream.address, OPEN_MS)) return upstream;
       throw new Error('no connection');
     });
     return Promise.any(tests).catch(() => undefined);
