Hear of a leaving upstream in the answer of a set-aside attempt

An upstream that fell silent and then answered that it leaves was used again: the head of an attempt that is set aside is read only if it goes on.

Change: ResponseSwitch, which each attempt has, shows the head to the sender first, whoever listens then.

--- a/packages/daemon/src/gateway/attempt_placer.ts
+++ b/packages/daemon/src/gateway/attempt_placer.ts
@@ -16,7 +16,6 @@
 import type {GatewayContext} from './gateway_context.js';
 import type {PlacedAttempt} from './placed_attempt.js';
 import type {ReceivedRequest} from './received_request.js';
-import {recordLeaving} from './record_leaving.js';
 import type {SuspendedPlacement} from './suspended_placement.js';
 
 const SERVER_ERROR_STATUS = 500;
@@ -288,12 +287,6 @@
     return rests.planReturnMs(ids, clock.nowMs());
   }
 
-  /** Takes the current attempt's upstream out of use, as it leaves. */
-  recordLeaving(): void {
-    const {placed, context} = this;
-    if (placed !== undefined) recordLeaving(context, placed.choice.upstream);
-  }
-
   /** Records a failure of an upstream, here and at the other hosts. */
   penalize(
     {id}: UpstreamEntry,
--- a/packages/daemon/src/gateway/attempt_sender.ts
+++ b/packages/daemon/src/gateway/attempt_sender.ts
@@ -6,10 +6,13 @@
 import {PromptReservations} from './prompt_reservations.js';
 import type {ReceivedRequest} from './received_request.js';
 import type {ResponseListener} from './response_listener.js';
+import {recordLeaving} from './record_leaving.js';
 import {ResponseSwitch} from './response_switch.js';
 import type {SentAttempt} from './sent_attempt.js';
 import {UpstreamAttempt} from './upstream_attempt.js';
 
+const MISDIRECTED_STATUS = 421;
+
 /** Sends the attempts of one request, with engine memory reserved where needed. */
 export class AttemptSender {
   private attempt: UpstreamAttempt | undefined;
@@ -107,7 +110,11 @@
 
   private start(placed: PlacedAttempt, lastEventId: number | undefined): void {
     const {context} = this;
-    const response = new ResponseSwitch(this.listener);
+    const {upstream} = placed.choice;
+    const response = new ResponseSwitch(this.listener, head => {
+      const isOther = head.status === MISDIRECTED_STATUS;
+      if (head.isLeaving && !isOther) recordLeaving(context, upstream);
+    });
     let attempt: UpstreamAttempt;
     try {
       const request = buildUpstreamRequest(
--- a/packages/daemon/src/gateway/forward_session.ts
+++ b/packages/daemon/src/gateway/forward_session.ts
@@ -179,7 +179,6 @@
     if (head.status !== MISDIRECTED_STATUS) {
       this.placer.recordLimit(head.rateLimit);
       this.placer.recordRest(head.restMs);
-      if (head.isLeaving) this.placer.recordLeaving();
     }
     if (this.response.isStreaming) {
       this.inactivityTimer.awaitEvent();
--- a/packages/daemon/src/gateway/response_switch.ts
+++ b/packages/daemon/src/gateway/response_switch.ts
@@ -4,7 +4,11 @@
 
 /** Passes on the response of one attempt to a listener that may be replaced. */
 export class ResponseSwitch implements ResponseListener {
-  constructor(private listener: ResponseListener) {}
+  /** @param observeHead Called first with the head, whoever listens. */
+  constructor(
+    private listener: ResponseListener,
+    private readonly observeHead: (head: ResponseHead) => void,
+  ) {}
 
   /** Directs what is still to come to another listener. */
   direct(listener: ResponseListener): void {
@@ -12,6 +16,7 @@
   }
 
   onHead(head: ResponseHead): boolean {
+    this.observeHead(head);
     return this.listener.onHead(head);
   }
 
