--- a/packages/bench/src/gateway_soak/gateway_fleet.ts
+++ b/packages/bench/src/gateway_soak/gateway_fleet.ts
@@ -45,6 +45,11 @@
     return this.addresses.map(([callers = '']) => callers);
   }
 
+  /** IP:port of each gateway's directory. */
+  get directories(): string[] {
+    return this.addresses.map(([, , directory = '']) => directory);
+  }
+
   async start(count: number): Promise<void> {
     const ports = await findFreePorts(count * PORTS_PER_GATEWAY);
     this.addresses = Array.from({length: count}, (_none, at) =>
--- a/packages/bench/src/gateway_soak/soak_call.ts
+++ b/packages/bench/src/gateway_soak/soak_call.ts
@@ -5,6 +5,8 @@
   readonly id: string;
   readonly route: SoakRoute;
   readonly gateway: number;
+  /** Whether the caller uses the gateways alone that the directory names. */
+  readonly followsDirectory: boolean;
   readonly startedAtMs: number;
   readonly endedAtMs: number;
   /** Status of the answer; 0 when the connection ended without one. */
