Guard all of a request's handling, also the question whether the host is in service

The test of a handling that fails had no answer since hosts know whether they reach upstreams: its context lacks that, and what came before the guard was not caught. All of the handling is guarded now; the test's context names the state, so that it still fails where it did, in the lookup of routes.

--- a/packages/daemon/src/gateway/gateway_server.test.ts
+++ b/packages/daemon/src/gateway/gateway_server.test.ts
@@ -13,6 +13,7 @@
       clock: new SystemClock(),
       headerNames: DEFAULT_HEADER_NAMES,
       metrics: {requests: {inc: () => undefined}},
+      reach: {isOutOfService: false},
       log: {info: () => undefined, error: () => undefined},
       replica: {
         position: {},
--- a/packages/daemon/src/gateway/gateway_server.ts
+++ b/packages/daemon/src/gateway/gateway_server.ts
@@ -163,11 +163,11 @@
     response.on('close', () => {
       this.writers.delete(writer);
     });
-    const {isOutOfService} = context.reach;
-    if (this.drainAdmission !== undefined || isOutOfService) {
-      writer.closeConnectionAfter();
-    }
     try {
+      const {isOutOfService} = context.reach;
+      if (this.drainAdmission !== undefined || isOutOfService) {
+        writer.closeConnectionAfter();
+      }
       await this.receive(request.raw, metadata, writer, response);
     } catch (error) {
       const kind = ErrorKind.INTERNAL;
