End stalled requests when another host is found to serve later

Callers of the first host of a cut waited for their time limit. A host that reaches no upstream mostly refuses before another host has tested its own reach. Stalled requests were looked for at that moment alone, when they still have to wait, and not again once the others were known to serve. A request whose inactivity timeout had passed by then, or whose silent attempt had been resumed, was never ended, though other hosts would have served it.

The monitor now asks for it at both moments. The test failed before: stalled requests were ended as [false] (before any host serves), expected [false, true].

--- a/packages/daemon/src/gateway/reach_monitor.ts
+++ b/packages/daemon/src/gateway/reach_monitor.ts
@@ -40,11 +40,13 @@
   private test: Promise<boolean> | undefined;
   private published = ReachState.UNKNOWN;
   private wasRefusing = false;
+  private wasOutOfService = false;
 
   /**
    * @param listPeers Lists the other live hosts.
    * @param draw Returns a random number in [0, 1).
-   * @param onRefusing Called when requests are refused from now on.
+   * @param onRefusing Called when requests are refused from now on, and when other
+   *     hosts serve them from now on.
    */
   constructor(
     private readonly replica: SiteReplica,
@@ -134,8 +136,13 @@
     this.publish();
     if (this.tracker.isTestDue(nowMs)) void this.testReach();
     const isRefusing = this.findRefusal() !== undefined;
-    if (isRefusing && !this.wasRefusing) this.onRefusing();
+    const {isOutOfService} = this;
+    const isNew =
+      (isRefusing && !this.wasRefusing) ||
+      (isOutOfService && !this.wasOutOfService);
     this.wasRefusing = isRefusing;
+    this.wasOutOfService = isOutOfService;
+    if (isNew) this.onRefusing();
   }
 
   private async runTest(): Promise<boolean> {
