Claim no reach of upstreams by a list that is too short to test

A host with no upstream or one listed (just started, the store away, entries expired) told the others that it reaches upstreams as soon as any host was cut off, without a connection: a test of fewer than two upstreams counted as passed. Hosts that were cut off then left the directory, refused with Retry-After 50 ms and led their callers to a host that could not serve them either.

A connection that is accepted still shows reach, also with one upstream; a failure with fewer than two now tells nothing. Both tests failed before: state "reached", expected "unknown".

--- a/packages/daemon/src/gateway/reach_monitor.test.ts
+++ b/packages/daemon/src/gateway/reach_monitor.test.ts
@@ -62,4 +62,13 @@
     await pause(TEST_MS);
     expect(endings).to.deep.equal([false, true]);
   });
+
+  for (const count of [0, 1]) {
+    it(`does not claim to reach upstreams by a list of ${count}`, async () => {
+      await startMonitor(count);
+      hearOf(ReachState.CUT_OFF);
+      await pause(TEST_MS);
+      expect(monitor.state).to.equal(ReachState.UNKNOWN);
+    });
+  }
 });
--- a/packages/daemon/src/gateway/reach_monitor.ts
+++ b/packages/daemon/src/gateway/reach_monitor.ts
@@ -19,7 +19,7 @@
 const SAMPLE_SIZE = 2;
 /** Upstreams that it tries before the host counts as cut off. */
 const MAX_TESTED = 16;
-/** With fewer upstreams a failure says nothing about the host's own paths. */
+/** With fewer upstreams a failed test says nothing about the host's own paths. */
 const MIN_UPSTREAMS = 2;
 /** Time for which a new connection must stay open to show that the path works. */
 const OPEN_MS = 40;
@@ -147,9 +147,12 @@
 
   private async runTest(): Promise<boolean> {
     const upstreams = this.replica.upstreams.list();
-    if (upstreams.length < MIN_UPSTREAMS) return this.conclude(true);
     const isCutOff = this.state === ReachState.CUT_OFF;
     const accepted = await this.findAccepting(upstreams, SAMPLE_SIZE);
+    if (accepted === undefined && upstreams.length < MIN_UPSTREAMS) {
+      this.applyTest(this.tracker.recordInconclusiveTest(), true);
+      return true;
+    }
     if (isCutOff) return this.conclude(await this.confirm(accepted));
     if (accepted !== undefined) return this.conclude(true);
     await pause(CONFIRMATION_DELAY_MS);
@@ -184,16 +187,20 @@
 
   private conclude(hasAccepted: boolean): boolean {
     const hasChanged = this.tracker.recordTest(hasAccepted, this.clock.nowMs());
+    this.applyTest(hasChanged, hasAccepted);
+    return hasAccepted;
+  }
+
+  private applyTest(hasChanged: boolean, mayReach: boolean): void {
     if (hasChanged) {
-      this.metrics.reachesUpstreams.set(hasAccepted ? 1 : 0);
-      if (hasAccepted) {
+      this.metrics.reachesUpstreams.set(mayReach ? 1 : 0);
+      if (mayReach) {
         // While it was cut off, this host learnt nothing of single upstreams.
         this.health.resetUnreachable();
         this.log.info('upstreams_reached');
       } else this.log.warn('upstreams_cut_off');
     }
     this.check();
-    return hasAccepted;
   }
 
   private publish(): void {
--- a/packages/membership/src/reach_tracker.ts
+++ b/packages/membership/src/reach_tracker.ts
@@ -42,6 +42,17 @@
     return hasChanged;
   }
 
+  /**
+   * Records a failed test of too few upstreams to tell whose fault it is.
+   *
+   * @return Whether this host was cut off before.
+   */
+  recordInconclusiveTest(): boolean {
+    const hasChanged = this.isCutOff;
+    this.isCutOff = false;
+    return hasChanged;
+  }
+
   /** Records whether any other host is cut off. */
   recordPeers(isAnyCutOff: boolean, nowMs: number): void {
     this.peerCutOffMs = isAnyCutOff ? (this.peerCutOffMs ?? nowMs) : undefined;
