Hear of a rest in the answer of a set-aside attempt

An upstream that fell silent and then refused with 503 and Retry-After, while its attempt was set aside for another one, got further requests within the time that it had named: only the session that listens to an attempt recorded rests, and that of a held attempt is dropped with it. The head of every attempt is now read for it where it is read for leaving upstreams.

--- a/packages/daemon/src/gateway/attempt_placer.ts
+++ b/packages/daemon/src/gateway/attempt_placer.ts
@@ -270,16 +270,6 @@
     publisher.publishLimit(id, perSecond, nowMs - placedAtMs);
   }
 
-  /** Keeps requests from the current upstream for as long as its refusal asks. */
-  recordRest(restMs: number): void {
-    const {placed, context} = this;
-    if (placed === undefined || restMs === 0) return;
-    const {rests, clock, log} = context;
-    const {id} = placed.choice.upstream;
-    if (!rests.record(id, restMs, clock.nowMs())) return;
-    log.info('upstream_rests', {upstream: id, restMs});
-  }
-
   /** Time until the first upstream is back, if all of them rest; else 0. */
   planReturnAfterRestMs(): number {
     const {rests, clock} = this.context;
--- a/packages/daemon/src/gateway/attempt_sender.ts
+++ b/packages/daemon/src/gateway/attempt_sender.ts
@@ -7,6 +7,7 @@
 import type {ReceivedRequest} from './received_request.js';
 import type {ResponseListener} from './response_listener.js';
 import {recordLeaving} from './record_leaving.js';
+import {recordRest} from './record_rest.js';
 import {ResponseSwitch} from './response_switch.js';
 import type {SentAttempt} from './sent_attempt.js';
 import {UpstreamAttempt} from './upstream_attempt.js';
@@ -112,8 +113,9 @@
     const {context} = this;
     const {upstream} = placed.choice;
     const response = new ResponseSwitch(this.listener, head => {
-      const isOther = head.status === MISDIRECTED_STATUS;
-      if (head.isLeaving && !isOther) recordLeaving(context, upstream);
+      if (head.status === MISDIRECTED_STATUS) return;
+      recordRest(context, upstream, head.restMs);
+      if (head.isLeaving) recordLeaving(context, upstream);
     });
     let attempt: UpstreamAttempt;
     try {
--- a/packages/daemon/src/gateway/forward_session.ts
+++ b/packages/daemon/src/gateway/forward_session.ts
@@ -178,7 +178,6 @@
     this.log.recordHead();
     if (head.status !== MISDIRECTED_STATUS) {
       this.placer.recordLimit(head.rateLimit);
-      this.placer.recordRest(head.restMs);
     }
     if (this.response.isStreaming) {
       this.inactivityTimer.awaitEvent();
