Count resting and leaving upstreams in the metrics

Operators saw rests and leaving upstreams only in the logs; no metric told of them. A counter now counts rests by service, and two gauges, taken when metrics are read, count the listed upstreams that rest here or have said that they leave.

Evidence: both new tests fail on the code before ("expected NaN to equal 3", "expected [ NaN, NaN, NaN ] to deeply equal [ 1, 1, 1 ]") and pass now, with all tests of both files.

--- a/packages/daemon/src/gateway/gateway_host.ts
+++ b/packages/daemon/src/gateway/gateway_host.ts
@@ -42,6 +42,7 @@
 import {ReachMonitor} from './reach_monitor.js';
 import type {EngineReservations} from './engine_reservations.js';
 import {recordLeaving} from './record_leaving.js';
+import {refreshUpstreamGauges} from './refresh_upstream_gauges.js';
 import {RetryBudgets} from './retry_budgets.js';
 import {SiteExchange} from './site_exchange.js';
 import {SiteWatcher} from './site_watcher.js';
@@ -237,6 +238,7 @@
       () => {
         metrics.openRequests.set(this.server.openRequests);
         metrics.droppedLogLines.set(log.droppedLines());
+        refreshUpstreamGauges(this.context);
       },
       query =>
         gatherTimeline(
--- a/packages/daemon/src/gateway/gateway_metrics.ts
+++ b/packages/daemon/src/gateway/gateway_metrics.ts
@@ -12,7 +12,10 @@
   readonly firstByteSeconds: Histogram;
   readonly storeCalls: Counter;
   readonly siteDeltas: Counter;
+  readonly upstreamRests: Counter;
   readonly openRequests: Gauge;
+  readonly restingUpstreams: Gauge;
+  readonly leavingUpstreams: Gauge;
   readonly droppedLogLines: Gauge;
   readonly reachesUpstreams: Gauge;
 
@@ -49,6 +52,22 @@
       labelNames: ['direction'],
       registers,
     });
+    this.upstreamRests = new Counter({
+      name: 'parsleywood_upstream_rests_total',
+      help: 'Rests that upstreams asked this host for, by service.',
+      labelNames: ['service'],
+      registers,
+    });
+    this.restingUpstreams = new Gauge({
+      name: 'parsleywood_resting_upstreams',
+      help: 'Listed upstreams that get no request of this host as they asked for a rest.',
+      registers,
+    });
+    this.leavingUpstreams = new Gauge({
+      name: 'parsleywood_leaving_upstreams',
+      help: 'Listed upstreams that have said in an answer that they leave.',
+      registers,
+    });
     this.openRequests = new Gauge({
       name: 'parsleywood_open_requests',
       help: 'Forwarded requests that have no final answer yet.',
