Log a Retry-After that cannot be read, once an upstream

An upstream that refuses with 503 and a date, a negative number or other text in Retry-After gets its next requests at once, and nothing told its operators why.

readRestMs tells such a value (undefined) from none (0). What is asked of an upstream does not change.

No test reads the line from a whole host's log.

--- a/packages/daemon/src/gateway/attempt_sender.ts
+++ b/packages/daemon/src/gateway/attempt_sender.ts
@@ -116,6 +116,9 @@
       if (head.status === MISDIRECTED_STATUS) return;
       recordRest(context, upstream, head.restMs);
       if (head.isLeaving) recordLeaving(context, upstream);
+      if (head.unreadableRest !== undefined) {
+        context.unreadableRests.record(upstream.id, head.unreadableRest);
+      }
     });
     let attempt: UpstreamAttempt;
     try {
--- a/packages/daemon/src/gateway/gateway_context.ts
+++ b/packages/daemon/src/gateway/gateway_context.ts
@@ -16,6 +16,7 @@
 import type {EngineReservations} from './engine_reservations.js';
 import type {ReachMonitor} from './reach_monitor.js';
 import type {RetryBudgets} from './retry_budgets.js';
+import type {UnreadableRestLog} from './unreadable_rest_log.js';
 import type {UpstreamConnectionPool} from './upstream_connection_pool.js';
 
 /** Dependencies that all requests of one host share. */
@@ -30,6 +31,7 @@
   readonly health: UpstreamHealth;
   readonly limits: UpstreamLimits;
   readonly rests: UpstreamRests;
+  readonly unreadableRests: UnreadableRestLog;
   readonly chooser: UpstreamChooser;
   readonly retryBudgets: RetryBudgets;
   readonly connectionPool: UpstreamConnectionPool;
--- a/packages/daemon/src/gateway/gateway_host.ts
+++ b/packages/daemon/src/gateway/gateway_host.ts
@@ -37,6 +37,7 @@
 import type {GatewayContext} from './gateway_context.js';
 import {GatewayServer} from './gateway_server.js';
 import {UpdateRelay} from './update_relay.js';
+import {UnreadableRestLog} from './unreadable_rest_log.js';
 import {UpdateApplier} from './update_applier.js';
 import {ProbeServer} from './probe_server.js';
 import {ReachMonitor} from './reach_monitor.js';
@@ -205,6 +206,7 @@
       health,
       limits,
       rests: new UpstreamRests(draw),
+      unreadableRests: new UnreadableRestLog(log),
       chooser: new UpstreamChooser(
         settings.host,
         failureDomain,
@@ -334,6 +336,7 @@
     context.health.retain(ids);
     context.limits.retain(ids);
     context.rests.retain(ids);
+    context.unreadableRests.retain(ids);
     context.placements.retain(ids);
     context.chooser.retain(ids);
     const configuration = replica.rules?.configuration;
--- a/packages/daemon/src/gateway/response_head.ts
+++ b/packages/daemon/src/gateway/response_head.ts
@@ -18,6 +18,8 @@
   readonly rateLimit: number | undefined;
   /** Time for which a refusal asks for no more requests; 0 if it does not. */
   readonly restMs: number;
+  /** Field `Retry-After` of a refusal that names a time which cannot be read. */
+  readonly unreadableRest: string | undefined;
   /** Whether the upstream is about to stop. */
   readonly isLeaving: boolean;
 }
--- a/packages/daemon/src/gateway/upstream_attempt.test.ts
+++ b/packages/daemon/src/gateway/upstream_attempt.test.ts
@@ -82,6 +82,17 @@
     });
   }
 
+  it('ignores a rest that cannot be read, and tells of it', async () => {
+    const address = await listen(socket => {
+      socket.write(
+        'HTTP/1.1 503 Busy\r\nRetry-After: -1\r\nContent-Length: 0\r\n\r\n',
+      );
+    });
+    const {head} = await send(address);
+    expect(head?.restMs).to.equal(0);
+    expect(head?.unreadableRest).to.equal('-1');
+  });
+
   it('accepts a complete response with its headers, and reuses the connection', async () => {
     let accepted = 0;
     const address = await listen((socket, request) => {
--- a/packages/daemon/src/gateway/upstream_attempt.ts
+++ b/packages/daemon/src/gateway/upstream_attempt.ts
@@ -93,6 +93,8 @@
       namedId !== undefined,
       this.isRefused,
     );
+    const retryAfter = headers['retry-after'];
+    const restMs = readRestMs(status, retryAfter);
     const isAccepted = this.listener.onHead({
       status,
       headers: listEndToEndHeaders(readRawHeaders(controller), NO_EXCLUSIONS),
@@ -101,7 +103,8 @@
       endsWithConnection: isEndedByConnection(status, headers),
       faultyAddress: String(headers[headerNames.faultyUpstream] ?? ''),
       rateLimit: readRateLimit(headers[headerNames.rateLimit]),
-      restMs: readRestMs(status, headers['retry-after']),
+      restMs: restMs ?? 0,
+      unreadableRest: restMs === undefined ? String(retryAfter) : undefined,
       isLeaving: headers[headerNames.leaving] === '1',
     });
     if (!isAccepted) this.fail(AttemptOutcome.BROKEN, 'response rejected');
