Plan a stream that goes on elsewhere by its next event, not its first

Callers' symptom: a resumable stream that had lasted for 2 s or more was cut off when its engine broke, though three other engines were idle.

Cause: describeDemand counted the objective and the callers' patience from the arrival of the request, also when events had been passed on. With that time used up, every engine counted as too late and the attempt was refused, which breaks off the answer.

Evidence: on the code before, "go on at a third engine after callers would have given up on a first event" failed: cut after 15 of 17 events, one engine asked. By a trial of the planner, 1.1 s into a stream of 5,000 prompt tokens a backlog of 900 ms refused it as well.

Ruled out: a 421, a 503 marked as not run and refused connections after the break, at a host that serves and at one that stops within its grace. An earlier form of these six tests (one burst of events) passed on the code before.

Change: once events were passed on, the objective is that of pauses, and both it and the callers' patience run from the last event.

Result: the seven tests of stopping_streams pass, dispatch 47 of 47, resumed_streams 9, gateway_streams 10. The daemon's tests were stopped after 100 s without a failure seen, silent_servers after 60 s with 13 passed.

--- a/packages/daemon/src/gateway/attempt_placer.ts
+++ b/packages/daemon/src/gateway/attempt_placer.ts
@@ -7,12 +7,12 @@
 } from '@parsleywood/dispatch';
 import {
   AttemptOutcome,
-  attemptTimeouts,
   type RouteMatch,
   type Service,
   type UpstreamEntry,
 } from '@parsleywood/forwarding';
 import {canConnect} from './can_connect.js';
+import {describeDemand} from './describe_demand.js';
 import type {GatewayContext} from './gateway_context.js';
 import type {PlacedAttempt} from './placed_attempt.js';
 import type {ReceivedRequest} from './received_request.js';
@@ -20,11 +20,6 @@
 
 const SERVER_ERROR_STATUS = 500;
 const MISDIRECTED_STATUS = 421;
-/**
- * Upper bound of a caller's answer estimate, as a multiple of the mean answer
- * length. Estimates are often far off.
- */
-const MAX_ANSWER_FACTOR = 10;
 
 /**
  * Places the attempts of one request, publishes them to the other hosts, and
@@ -34,6 +29,8 @@
   private readonly triedUpstreams = new Set<string>();
   private placed: PlacedAttempt | undefined;
   private isDecoding = false;
+  /** Monotonic time of the last event of any attempt. */
+  private lastEventAtMs: number | undefined;
   private passMeter = new PassMeter();
 
   /**
@@ -151,6 +148,7 @@
     const nowMs = context.clock.nowMs();
     const {choice, placement} = placed;
     context.reach.recordAnswer();
+    this.lastEventAtMs = nowMs;
     if (!this.isDecoding) {
       this.isDecoding = true;
       this.passMeter = new PassMeter();
@@ -368,24 +366,15 @@
     service: Service | undefined,
     nowMs: number,
   ): PromptDemand {
-    const {metadata, receivedAtMs} = this.request;
-    const {route} = this.match;
-    const elapsedMs = nowMs - receivedAtMs;
-    const meanTokens = service?.engine?.meanAnswerTokens ?? 0;
-    const maxTokens = metadata.maxAnswerTokens || Infinity;
-    return {
-      promptTokens: metadata.promptTokens,
-      answerTokens: Math.min(
-        metadata.estimatedAnswerTokens || meanTokens,
-        maxTokens,
-        MAX_ANSWER_FACTOR * meanTokens,
-      ),
-      objectiveMs: route.latencyObjectiveMs - elapsedMs,
-      callerTimeoutMs: Math.min(
-        attemptTimeouts.getCallerTimeoutMs(route) - elapsedMs,
-        this.deadlineMs - nowMs,
-      ),
-    };
+    const {match, request, deadlineMs, lastEventAtMs} = this;
+    return describeDemand(
+      match,
+      service,
+      request,
+      deadlineMs,
+      lastEventAtMs,
+      nowMs,
+    );
   }
 
   private listUsable(): UpstreamEntry[] {
--- a/packages/dispatch/src/prompt_demand.ts
+++ b/packages/dispatch/src/prompt_demand.ts
@@ -3,8 +3,8 @@
   readonly promptTokens: number;
   /** Estimated length of the answer, in tokens. */
   readonly answerTokens: number;
-  /** Time left to the latency objective, in milliseconds; may be negative. */
+  /** Time left to the objective for the next event, in milliseconds; may be negative. */
   readonly objectiveMs: number;
-  /** Time until the caller gives up, in milliseconds. */
+  /** Time until the caller gives up waiting for it, in milliseconds. */
   readonly callerTimeoutMs: number;
 }
