Let the soak's upstreams leave, and find requests that reach them late

Upstreams of the soak now and then say upstream-leaving in all their answers and start anew, with a later start time, after 2.5 to 4 s. A check finds those that got requests which a caller sent more than 1.5 s after a gateway had passed on such an answer; impaired gateways are left out.

--- a/packages/bench/src/gateway_soak/checked_upstream.ts
+++ b/packages/bench/src/gateway_soak/checked_upstream.ts
@@ -38,7 +38,11 @@
   readonly holds: {readonly fromMs: number; readonly untilMs: number}[] = [];
   /** Times in which it lost bytes or connections. */
   readonly outages: {readonly fromMs: number; readonly untilMs: number}[] = [];
+  /** Times in which its answers said that it leaves. */
+  readonly leaves: {readonly fromMs: number; readonly untilMs: number}[] = [];
   private paths: FaultProxy[] = [];
+  private startedAtMs = Date.now();
+  private leavesFromMs: number | undefined;
   private downUntilMs = -Infinity;
   private restUntilMs = -Infinity;
 
@@ -86,6 +90,11 @@
     return `${UPSTREAM_HOSTS.listed}:${this.paths[0]?.port ?? 0}`;
   }
 
+  /** Time of its last start, in Unix milliseconds. */
+  get bornMs(): number {
+    return this.startedAtMs;
+  }
+
   /** @param gateways Number of gateways, each with a path of its own. */
   async start(gateways: number): Promise<void> {
     this.server.listen(0, LOCAL);
@@ -117,6 +126,20 @@
     this.restUntilMs = performance.now() + restMs;
   }
 
+  /** Says from now on in its answers that it leaves. */
+  leave(): void {
+    this.leavesFromMs = performance.now();
+  }
+
+  /** Ends that it leaves, as another start of it. */
+  startAnew(): void {
+    const fromMs = this.leavesFromMs;
+    if (fromMs === undefined) return;
+    this.leaves.push({fromMs, untilMs: performance.now()});
+    this.leavesFromMs = undefined;
+    this.startedAtMs = Date.now();
+  }
+
   /** Sets a fault of the path from one gateway. */
   setCut(gateway: number, fault: ProxyFault): void {
     const path = this.paths[gateway];
@@ -138,6 +161,9 @@
     if (this.perSecond !== undefined) {
       response.setHeader('upstream-rate-limit', this.perSecond);
     }
+    if (this.leavesFromMs !== undefined) {
+      response.setHeader('upstream-leaving', '1');
+    }
     const expected = request.headers['expected-upstream'];
     if (expected !== undefined && expected !== this.id) {
       response.writeHead(421, {'not-run': '1'}).end();
--- a/packages/bench/src/gateway_soak/describe_soak_site.ts
+++ b/packages/bench/src/gateway_soak/describe_soak_site.ts
@@ -39,10 +39,11 @@
     services: [{name: 'app'}, {name: 'engine', engine: ENGINE}],
     upstreams: [
       ...odd,
-      ...upstreams.map(({id, service, address}) => ({
+      ...upstreams.map(({id, service, address, bornMs}) => ({
         id,
         service,
         address,
+        bornMs,
         failureDomain: 'd0',
         stage: draining.has(id) ? 'draining' : 'ready',
         slots: 16,
--- a/packages/bench/src/gateway_soak/run_gateway_soak.ts
+++ b/packages/bench/src/gateway_soak/run_gateway_soak.ts
@@ -3,6 +3,7 @@
 import {checkCalls} from './check_calls.js';
 import {checkCrashes} from './check_crashes.js';
 import {checkCuts} from './check_cuts.js';
+import {checkLeaving} from './check_leaving.js';
 import {checkLimits} from './check_limits.js';
 import {checkLosses} from './check_losses.js';
 import {checkNewest} from './check_newest.js';
@@ -12,6 +13,7 @@
 import {GatewayFaults} from './gateway_faults.js';
 import {GatewayFleet} from './gateway_fleet.js';
 import type {GatewaySoakReport} from './gateway_soak_report.js';
+import {LeavingFaults} from './leaving_faults.js';
 import {SoakCallers} from './soak_callers.js';
 
 const UPSTREAMS = 3;
@@ -61,8 +63,14 @@
       xoroshiro128plus(seed + 1),
     );
     const faults = new GatewayFaults(fleet, gateways, upstreams, random);
+    const leaving = new LeavingFaults(
+      fleet,
+      upstreams,
+      xoroshiro128plus(seed + 2),
+    );
     callers.start();
-    await faults.run(performance.now() + seconds * MS_PER_SECOND);
+    const untilMs = performance.now() + seconds * MS_PER_SECOND;
+    await Promise.all([faults.run(untilMs), leaving.run(untilMs)]);
     callers.allowsCrashes = false;
     await pause(RECOVERY_MS);
     const calmFromMs = performance.now();
@@ -79,12 +87,13 @@
       seed,
       calls: calls.length,
       statuses,
-      faults: faults.counts,
+      faults: {...faults.counts, leave: leaving.count},
       crashes: ledger.count,
       violations: [
         ...checkCalls(calls, runs, stops, calmFromMs),
         ...checkCrashes(calls, ledger),
         ...checkLimits(upstreams, calls, [...stops, ...cuts]),
+        ...checkLeaving(upstreams, calls, [...stops, ...cuts]),
         ...checkRests(upstreams, [...stops, ...cuts]),
         ...checkLosses(calls, upstreams, stops, cuts, fleet.stopGraceMs),
         ...fleet.listExits(),
