Read a request whole before a host refuses it that reaches no upstream

Callers that were still sending a body lost the refusal: a host out of service answered 503 with "Connection: close" as soon as it had the headers, and the connection was reset under the rest of the body. A call that must run once is not repeated after that. A planned stop already reads the body first; both refusals now stand at the same place, which also judges the reach as it is once the body is there.

The test failed before: the caller got "write EPIPE" instead of the 503.

--- a/packages/daemon/src/gateway/gateway_server.ts
+++ b/packages/daemon/src/gateway/gateway_server.ts
@@ -201,8 +201,9 @@
     }
     // A connection that is closed before its request is read whole is reset, and
     // the caller may lose the refusal.
-    if (!this.mayAccept(match, receivedAtMs + limitMs)) {
-      this.refuse(metadata, writer, createStoppingFailure());
+    const refusal = this.findRefusal(match, receivedAtMs + limitMs);
+    if (refusal !== undefined) {
+      this.refuse(metadata, writer, refusal);
       return;
     }
     const headers = request.rawHeaders;
@@ -235,10 +236,16 @@
     session.start();
   }
 
-  private mayAccept({route}: RouteMatch, deadlineMs: number): boolean {
+  /** Returns the failure for a request that other hosts are to serve. */
+  private findRefusal(
+    {route}: RouteMatch,
+    deadlineMs: number,
+  ): Failure | undefined {
     const {drainAdmission, context} = this;
-    if (drainAdmission === undefined) return true;
-    return drainAdmission.mayAccept(route, deadlineMs, context.clock.nowMs());
+    const mayAccept =
+      drainAdmission?.mayAccept(route, deadlineMs, context.clock.nowMs()) ??
+      true;
+    return mayAccept ? context.reach.findRefusal() : createStoppingFailure();
   }
 
   private matchRoute(
@@ -256,8 +263,7 @@
     }
     const {host, target, accountKey: key} = metadata;
     const match = matchRequest(this.context.replica.rules, host, target, key);
-    if (match.isErr) return match.error;
-    return this.context.reach.findRefusal() ?? match.value;
+    return match.isErr ? match.error : match.value;
   }
 
   private refuse(
