Count the fewest requests that explain crashes

A part of prompts counts as proved to crash upstreams if it takes three requests to explain the crashes without it. The count took the request that explains most first, which may find more requests than are needed: for crashes under {x,z} twice, {x}, {y,z} twice and {y} it found three where x and y alone explain all. Sound prompts with such a part would then be refused.

The count now tries all requests of the first unexplained crash, up to the limit. The test failed before: 3, expected 2. Whether this occurred outside of the test is not known.

--- a/packages/requests/src/crash_evidence.ts
+++ b/packages/requests/src/crash_evidence.ts
@@ -187,7 +187,7 @@
     const proofs = [...crashes].filter(({reports}) =>
       reports.every(report => this.hasNoOtherCause(report, group)),
     );
-    if (isPart) return countCauses(proofs) >= MIN_CAUSES;
+    if (isPart) return countCauses(proofs, MIN_CAUSES) >= MIN_CAUSES;
     return countRequests(group, isPart, proofs) >= MIN_PROOFS;
   }
 
