Show on virtual time when large fleets know of hosts that reach no upstream

Callers of a cut host should go elsewhere within 4 s, of which 1 s is the directory's time to live. With relays nothing had tested the exchange.

Virtual hosts now test their reach with a ReachTracker and the timing of a ReachMonitor (virtual_reach.ts); its sockets are not run.

--- a/packages/daemon/src/testing/virtual_fleet.ts
+++ b/packages/daemon/src/testing/virtual_fleet.ts
@@ -4,7 +4,7 @@
   UpstreamLimits,
 } from '@parsleywood/dispatch';
 import {SiteReplica} from '@parsleywood/forwarding';
-import {PeerStage, ReachState} from '@parsleywood/membership';
+import {PeerStage} from '@parsleywood/membership';
 import type {PeerMessage} from '@parsleywood/schema/peer';
 import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
@@ -20,16 +20,21 @@
 import {SuspectLog} from '../upstreams/suspect_log.js';
 import {SuspectSynchronizer} from '../upstreams/suspect_synchronizer.js';
 import {SuspectTracker} from '../upstreams/suspect_tracker.js';
+import {VirtualReach} from './virtual_reach.js';
 
 const STEP_MS = 10;
 const LATENCY_MS = 10;
 const HEARTBEAT_INTERVAL_MS = 300;
+const REACH_CHECK_INTERVAL_MS = 250;
 const SEEDS = 3;
 const STRONG_SHARE = 1.35;
 const WEAK_SHARE = 0.324;
 
 interface VirtualHost {
   readonly address: string;
+  readonly failureDomain: string;
+  readonly reach: VirtualReach;
+  readonly reachPhaseMs: number;
   readonly fleet: FleetMembership;
   readonly updater: SiteUpdater;
   readonly exchange: SiteExchange;
@@ -48,7 +53,7 @@
 /** Hosts of one large site on virtual time, which exchange messages in memory. */
 export class VirtualFleet {
   readonly hosts: VirtualHost[];
-  private nowMs = 0;
+  nowMs = 0;
   private queue: Envelope[] = [];
   private readonly byAddress: ReadonlyMap<string, VirtualHost>;
 
@@ -83,6 +88,7 @@
       this.nowMs += STEP_MS;
       this.deliver();
       for (const host of this.liveHosts) {
+        host.reach.step(this.nowMs, host.reachPhaseMs);
         if (host.nextTickMs > this.nowMs) continue;
         host.nextTickMs += HEARTBEAT_INTERVAL_MS;
         host.fleet.sendHeartbeats();
@@ -193,14 +199,24 @@
       new HostTimeline(self, clock),
       draw,
       () => PeerStage.READY,
-      () => ReachState.UNKNOWN,
+      () => reach.getState(this.nowMs),
     );
+    const reach = new VirtualReach(
+      () => fleet.listHeartbeats(),
+      state => {
+        relay.publishReach(state);
+      },
+    );
+    const nextTickMs = draw() * HEARTBEAT_INTERVAL_MS;
     const host: VirtualHost = {
       address,
+      failureDomain,
+      reach,
+      reachPhaseMs: nextTickMs % REACH_CHECK_INTERVAL_MS,
       fleet,
       updater,
       exchange,
-      nextTickMs: draw() * HEARTBEAT_INTERVAL_MS,
+      nextTickMs,
       isAlive: true,
       sent: 0,
     };
