Tell peers of no suspect whose record has expired

What callers saw: nothing by itself. A host told of a suspect whose record had expired and was not yet removed, up to a second after it. The time left is then negative, which no message can carry, so that all messages to that peer of the same turn, its heartbeat among them, were lost to an uncaught exception.

The test failed before: one record listed, none expected.

--- a/packages/requests/src/crash_suspects.test.ts
+++ b/packages/requests/src/crash_suspects.test.ts
@@ -135,6 +135,23 @@
     );
   });
 
+  it('tells a peer of no record that has expired and is still kept', () => {
+    const suspects = new CrashSuspects();
+    const update = {
+      fingerprint: 'a',
+      bodyBytes: 1,
+      traits: [],
+      verdict: CrashStatus.SUSPECT,
+      generation: 1,
+      crashes: 1,
+      remainingMs: 100,
+    };
+    suspects.summarize(0);
+    suspects.applyUpdate(update, 0);
+    expect(suspects.listDifferences([], 99)).to.have.length(1);
+    expect(suspects.listDifferences([], 138)).to.eql([]);
+  });
+
   it('limits a request to two crashes and blocks no request that ran beside it', () => {
     const schedule = fc.array(fc.array(fc.nat({max: 9}), {maxLength: 6}));
     fc.assert(
--- a/packages/requests/src/crash_suspects.ts
+++ b/packages/requests/src/crash_suspects.ts
@@ -238,10 +238,13 @@
    */
   listDifferences(summary: readonly number[], nowMs: number): SuspectUpdate[] {
     const own = this.summarize(nowMs);
-    const differing = [...this.records.values()].filter(({fingerprint}) => {
-      const bucket = getBucket(fingerprint);
-      return own[bucket] !== (summary[bucket] ?? 0);
-    });
+    const differing = [...this.records.values()].filter(
+      ({fingerprint, expiresAtMs}) => {
+        const bucket = getBucket(fingerprint);
+        const isExpired = expiresAtMs <= nowMs;
+        return !isExpired && own[bucket] !== (summary[bucket] ?? 0);
+      },
+    );
     const rank = ({isBlocked}: SuspectRecord): number => (isBlocked ? 0 : 1);
     return differing
       .sort((left, right) => rank(left) - rank(right))
