--- a/packages/daemon/src/gateway/reach_monitor.ts
+++ b/packages/daemon/src/gateway/reach_monitor.ts
@@ -12,19 +12,11 @@
 import type {EventLog} from '../host/event_log.js';
 import {canConnect} from './can_connect.js';
 import type {GatewayMetrics} from './gateway_metrics.js';
+import {reachTiming} from './reach_timing.js';
 import type {UpdatePublisher} from './update_publisher.js';
 
-const CHECK_INTERVAL_MS = 250;
-/** Upstreams that a test tries first; one that accepts is enough. */
-const SAMPLE_SIZE = 2;
-/** Upstreams that it tries before the host counts as cut off. */
-const MAX_TESTED = 16;
 /** With fewer upstreams a failed test says nothing about the host's own paths. */
 const MIN_UPSTREAMS = 2;
-/** Time for which a new connection must stay open to show that the path works. */
-const OPEN_MS = 40;
-/** Time between two tests that must agree, against a short disturbance. */
-const CONFIRMATION_DELAY_MS = 150;
 /** Time in which other hosts hear that this one is cut off, test their reach and tell. */
 const SETTLE_MS = 1_000;
 const POLL_INTERVAL_MS = 50;
@@ -65,7 +57,7 @@
   start(): void {
     this.timer = setInterval(() => {
       this.check();
-    }, CHECK_INTERVAL_MS);
+    }, reachTiming.checkIntervalMs);
   }
 
   stop(): void {
@@ -148,23 +140,26 @@
   private async runTest(): Promise<boolean> {
     const upstreams = this.replica.upstreams.list();
     const isCutOff = this.state === ReachState.CUT_OFF;
-    const accepted = await this.findAccepting(upstreams, SAMPLE_SIZE);
+    const accepted = await this.findAccepting(
+      upstreams,
+      reachTiming.sampleSize,
+    );
     if (accepted === undefined && upstreams.length < MIN_UPSTREAMS) {
       this.applyTest(this.tracker.recordInconclusiveTest(), true);
       return true;
     }
     if (isCutOff) return this.conclude(await this.confirm(accepted));
     if (accepted !== undefined) return this.conclude(true);
-    await pause(CONFIRMATION_DELAY_MS);
-    const again = await this.findAccepting(upstreams, MAX_TESTED);
+    await pause(reachTiming.confirmationDelayMs);
+    const again = await this.findAccepting(upstreams, reachTiming.maxTested);
     return this.conclude(again !== undefined);
   }
 
   /** Whether the upstream that accepted a connection accepts another one. */
   private async confirm(accepted: UpstreamEntry | undefined): Promise<boolean> {
     if (accepted === undefined) return false;
-    await pause(CONFIRMATION_DELAY_MS);
-    return canConnect(accepted.address, OPEN_MS);
+    await pause(reachTiming.confirmationDelayMs);
+    return canConnect(accepted.address, reachTiming.openMs);
   }
 
   private async findAccepting(
@@ -179,7 +174,9 @@
       this.draw,
     );
     const tests = sample.map(async upstream => {
-      if (await canConnect(upstream.address, OPEN_MS)) return upstream;
+      if (await canConnect(upstream.address, reachTiming.openMs)) {
+        return upstream;
+      }
       throw new Error('no connection');
     });
     return Promise.any(tests).catch(() => undefined);
--- /dev/null
+++ b/packages/daemon/src/gateway/reach_timing.ts
@@ -0,0 +1,12 @@
+/** How a host tests whether it reaches upstreams; times in milliseconds. */
+export const reachTiming = {
+  checkIntervalMs: 250,
+  /** Upstreams that a test tries first; one that accepts is enough. */
+  sampleSize: 2,
+  /** Upstreams that it tries before the host counts as cut off. */
+  maxTested: 16,
+  /** Time for which a new connection must stay open to show that the path works. */
+  openMs: 40,
+  /** Time between two tests that must agree, against a short disturbance. */
+  confirmationDelayMs: 150,
+} as const;
--- a/packages/daemon/src/testing/virtual_reach.ts
+++ b/packages/daemon/src/testing/virtual_reach.ts
@@ -4,14 +4,11 @@
   ReachTracker,
   type PeerHeartbeat,
 } from '@parsleywood/membership';
+import {reachTiming} from '../gateway/reach_timing.js';
 
-const CHECK_INTERVAL_MS = 250;
-const SAMPLE_SIZE = 2;
-const MAX_TESTED = 16;
 /** Time of a test that finds an upstream; without an answer it takes much longer. */
 const ACCEPTED_MS = 50;
 const CONNECT_TIMEOUT_MS = 300;
-const CONFIRMATION_DELAY_MS = 150;
 const ANSWER_INTERVAL_MS = 200;
 /** Time without answers after which a host with traffic tests its reach. */
 const NOTICE_MS = 850;
@@ -58,7 +55,7 @@
       this.check(nowMs);
     }
     if (nowMs < this.nextCheckMs + phaseMs) return;
-    this.nextCheckMs += CHECK_INTERVAL_MS;
+    this.nextCheckMs += reachTiming.checkIntervalMs;
     this.check(nowMs);
   }
 
@@ -91,14 +88,14 @@
     if (this.test !== undefined) return;
     const isKnown = this.getState(nowMs) === ReachState.CUT_OFF;
     const accepts = !this.isCut;
-    this.connections += SAMPLE_SIZE;
+    this.connections += reachTiming.sampleSize;
     let durationMs = accepts ? ACCEPTED_MS : CONNECT_TIMEOUT_MS;
     if (isKnown && accepts) {
       this.connections++;
-      durationMs += CONFIRMATION_DELAY_MS + ACCEPTED_MS;
+      durationMs += reachTiming.confirmationDelayMs + ACCEPTED_MS;
     } else if (!isKnown && !accepts) {
-      this.connections += MAX_TESTED;
-      durationMs += CONFIRMATION_DELAY_MS + CONNECT_TIMEOUT_MS;
+      this.connections += reachTiming.maxTested;
+      durationMs += reachTiming.confirmationDelayMs + CONNECT_TIMEOUT_MS;
     }
     this.test = {endMs: nowMs + durationMs, accepts};
   }
