--- a/review/lib/site.mjs
+++ b/review/lib/site.mjs
@@ -191,6 +191,8 @@
     this.changes = changes;
     this.folder = mkdtempSync(join(tmpdir(), 'review-'));
     this.list = [];
+    // Also when the script is ended early.
+    process.on('exit', () => this.kill());
   }
 
   async start(count) {
@@ -270,9 +272,14 @@
     throw new CannotRun(`${host.name} did not become ready`);
   }
 
-  async stop() {
-    for (const {child, ended} of this.list)
+  kill() {
+    for (const {child, ended} of this.list) {
       if (child && !ended) child.kill('SIGKILL');
+    }
+  }
+
+  async stop() {
+    this.kill();
     await pause(300);
     rmSync(this.folder, {recursive: true, force: true});
   }
@@ -479,6 +486,9 @@
 /** Runs a case: exits with 0, 1 or 2 as the case holds, fails or cannot run. */
 export async function runCase(run) {
   let code = 2;
+  for (const signal of ['SIGTERM', 'SIGINT', 'SIGHUP']) {
+    process.once(signal, () => process.exit(code));
+  }
   try {
     code = (await run()) ? 0 : 1;
   } catch (error) {
