--- a/review/lib/engines.mjs
+++ b/review/lib/engines.mjs
@@ -97,7 +97,23 @@
     this.agent.destroy();
   }
 
-  /** Sends the long question of `ledger-audit`, of which the client waits long. */
+  /** Sends a question of `fault-digest`. */
+  digest(host) {
+    const parts = `2:40,${randomBytes(4).toString('hex')}:44960`;
+    return this.send(host, {
+      path: `/digest/${this.turn++}`,
+      deadlineMs: 10_000,
+      gapMs: 6_000,
+      body: 'x'.repeat(11_000),
+      headers: {
+        'X-Parsleywood-Model': 'm',
+        'X-Parsleywood-Token-Counts': '45000,780',
+        'X-Parsleywood-Prompt-Prefix': parts,
+      },
+    });
+  }
+
+  /** Sends a question of `ledger-audit`, whose client waits long for it. */
   audit(host) {
     const parts = `1:40,${randomBytes(4).toString('hex')}:181960`;
     return this.send(host, {
--- a/review/lib/runaway.mjs
+++ b/review/lib/runaway.mjs
@@ -9,7 +9,11 @@
 
 const EVENTS = 20;
 const EVENT_MS = 45;
-const FIRST_EVENT_MS = 60;
+/** Reading of a prompt, as the sheet of brindlecote-mill gives it. */
+const READ_TOKENS_PER_MS = 154;
+const MS_PER_MILLION_PAIRS = 0.162;
+const STEP_MS = 45;
+const FREE_TOKENS = 405_000;
 const PART_BYTES = 131_072;
 
 const [id, head, unit] = process.argv.slice(2);
@@ -37,6 +41,11 @@
       runAway(call.socket, requestId);
       return;
     }
+    if (call.url === '/order') {
+      response.writeHead(200, {'Content-Type': 'application/json'});
+      response.end(JSON.stringify({Free: FREE_TOKENS}));
+      return;
+    }
     process.send?.({ran: requestId, isSound: true});
     response.setHeader('X-Parsleywood-Response-Stamp', `stamp-${id}`);
     let sent = Number(call.headers['last-event-id'] ?? 0);
@@ -50,7 +59,7 @@
       if (sent < EVENTS) setTimeout(write, EVENT_MS);
       else response.end();
     };
-    setTimeout(write, FIRST_EVENT_MS);
+    setTimeout(write, computeReadMs(call.headers));
   });
 });
 
@@ -58,6 +67,16 @@
   process.send?.({port: sound.address().port});
 });
 
+/** Time until the first event, where a prompt is read in even parts. */
+function computeReadMs(headers) {
+  const [tokens] = (headers['x-parsleywood-token-counts'] ?? '0').split(',');
+  const helpers = headers['x-parsleywood-helpers']?.split(',').length ?? 0;
+  const millionPairs = (tokens * tokens) / 2 / 1e6;
+  const readMs =
+    tokens / READ_TOKENS_PER_MS + millionPairs * MS_PER_MILLION_PAIRS;
+  return STEP_MS + readMs / (1 + helpers);
+}
+
 /** Answers a request with bytes without end, as fast as the caller reads them. */
 function runAway(socket, requestId) {
   const write = () => {
