--- a/review/lib/engines.mjs
+++ b/review/lib/engines.mjs
@@ -130,11 +130,12 @@
     });
   }
 
-  ask(host) {
+  /** Sends a question of `shift-query`. */
+  ask(host, prefix = '/shift/') {
     const turn = this.turn++;
     const parts = `${(16 + (turn % 60)).toString(16)}:40,${randomBytes(4).toString('hex')}:4920`;
     return this.send(host, {
-      path: `/shift/${turn}`,
+      path: `${prefix}${turn}`,
       deadlineMs: 10_000,
       gapMs: GAP_MS,
       body: 'x'.repeat(1_200),
