--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -27,6 +27,7 @@
 const MARGIN_MS = 200;
 const CUT_MS = 4_000;
 const DOWN_MS = 1_000;
+const HEAR_MS = 1_500;
 /** Time after its leaving for which the server still serves. */
 const SERVES_ON_MS = 10_000;
 const SEND_INTERVAL_MS = 40;
@@ -98,7 +99,8 @@
     for (const host of [first, second]) hosts.spawn(host);
     for (const host of [first, second]) await hosts.awaitReady(host);
   }
-  await pause(leftAtMs - 1_000 + CUT_MS - now());
+  // At least as long as the host needs to hear of the others.
+  await pause(Math.max(HEAR_MS, leftAtMs - 1_000 + CUT_MS - now()));
   let healedAtMs = -Infinity;
   if (HAS_TROUBLE) {
     path.heal();
