Count callers that left by what came of their requests

The metrics of a gateway told how many callers left, not whether an upstream had the request by then, so the hypotheses on requests sent after their callers left could not be told apart. parsleywood_callers_gone_total{service,progress} says unsent, sent or answered; the delay of the loop is there already (nodejs_eventloop_lag_seconds).

--- a/packages/daemon/src/gateway/gateway_metrics.ts
+++ b/packages/daemon/src/gateway/gateway_metrics.ts
@@ -9,6 +9,7 @@
 export class GatewayMetrics {
   readonly requests: Counter;
   readonly attempts: Counter;
+  readonly callersGone: Counter;
   readonly firstByteSeconds: Histogram;
   readonly storeCalls: Counter;
   readonly siteDeltas: Counter;
@@ -33,6 +34,12 @@
       labelNames: ['service', 'end'],
       registers,
     });
+    this.callersGone = new Counter({
+      name: 'parsleywood_callers_gone_total',
+      help: 'Callers that left before their answer was whole, by service and how far it was.',
+      labelNames: ['service', 'progress'],
+      registers,
+    });
     this.firstByteSeconds = new Histogram({
       name: 'parsleywood_first_answer_seconds',
       help: 'Time from the request to the first byte of its answer.',
--- a/packages/daemon/src/gateway/session_log.ts
+++ b/packages/daemon/src/gateway/session_log.ts
@@ -5,6 +5,7 @@
 import type {GatewayContext} from './gateway_context.js';
 import type {PlacedAttempt} from './placed_attempt.js';
 import type {ReceivedRequest} from './received_request.js';
+import {RequestProgress} from './request_progress.js';
 import {SessionOutcome} from './session_outcome.js';
 
 const SERVER_ERROR_STATUS = 500;
@@ -125,6 +126,10 @@
     const failure = typeof outcome === 'string' ? undefined : outcome;
     const name = failure?.kind ?? String(outcome);
     context.metrics.requests.inc({service, outcome: name});
+    if (outcome === SessionOutcome.CALLER_GONE) {
+      const progress = this.describeProgress(attempts);
+      context.metrics.callersGone.inc({service, progress});
+    }
     this.recordEnd(outcome);
     context.log.info('request_over', {
       requestId: request.metadata.id,
@@ -146,6 +151,13 @@
     });
   }
 
+  private describeProgress(attempts: number): RequestProgress {
+    if (attempts === 0) return RequestProgress.UNSENT;
+    return this.firstMs === undefined
+      ? RequestProgress.SENT
+      : RequestProgress.ANSWERED;
+  }
+
   private recordEnd(outcome: SessionOutcome | Failure): void {
     const durationMs = this.sinceReceived();
     if (typeof outcome === 'string') {
