End all requests of a connection when its caller leaves

A caller that has sent a second request before the answer to the first, and leaves, had the second one run on: Node.js tells only the response that is assigned to the socket that it was closed. The host also counted it as open for good, so that a stop waited out its grace.

The sessions and writers of a connection are kept with it, and end with it; at the end of the stream from the caller, not only once the socket is closed.

--- /dev/null
+++ b/packages/daemon/src/gateway/caller_connection.ts
@@ -0,0 +1,18 @@
+import type {ForwardSession} from './forward_session.js';
+import type {ResponseWriter} from './response_writer.js';
+
+/**
+ * The open requests of one connection. Node.js tells only the first of them that
+ * the caller has left.
+ */
+export class CallerConnection {
+  readonly sessions = new Set<ForwardSession>();
+  /** Writers of the responses that are not handed over whole. */
+  readonly writers = new Set<ResponseWriter>();
+
+  /** Cancels all requests after the caller has closed the connection. */
+  end(): void {
+    for (const session of [...this.sessions]) session.cancel();
+    this.writers.clear();
+  }
+}
--- a/packages/daemon/src/gateway/gateway_server.ts
+++ b/packages/daemon/src/gateway/gateway_server.ts
@@ -11,6 +11,7 @@
   type RouteMatch,
 } from '@parsleywood/forwarding';
 import fastify, {type FastifyInstance, type FastifyRequest} from 'fastify';
+import {CallerConnection} from './caller_connection.js';
 import {ResponseWriter} from './response_writer.js';
 import {computeTimeLimit} from './compute_time_limit.js';
 import {createStoppingFailure} from './create_stopping_failure.js';
@@ -40,11 +41,8 @@
 /** HTTP server for callers. Each request is forwarded by a session of its own. */
 export class GatewayServer {
   private readonly server: FastifyInstance;
-  private readonly sessions = new Set<ForwardSession>();
-  private readonly sockets = new Set<Socket>();
+  private readonly connections = new Map<Socket, CallerConnection>();
   private limits: CallerLimits = DEFAULT_CALLER_LIMITS;
-  /** Writers of the responses that are not handed over whole. */
-  private readonly writers = new Set<ResponseWriter>();
   private readonly durations = new DurationHistory();
   private drainAdmission: DrainAdmission | undefined;
 
@@ -67,15 +65,24 @@
     const {server} = this.server;
     server.requestTimeout = 0;
     server.on('connection', (socket: Socket) => {
-      this.sockets.add(socket);
-      socket.on('close', () => this.sockets.delete(socket));
+      const connection = new CallerConnection();
+      this.connections.set(socket, connection);
+      socket.on('end', () => {
+        connection.end();
+      });
+      socket.on('close', () => {
+        connection.end();
+        this.connections.delete(socket);
+      });
     });
     this.applyLimits(DEFAULT_CALLER_LIMITS);
   }
 
   /** Number of requests whose response is not handed over whole. */
   get openRequests(): number {
-    return this.writers.size;
+    let count = 0;
+    for (const {writers} of this.connections.values()) count += writers.size;
+    return count;
   }
 
   async listen(host: string, port: number): Promise<void> {
@@ -91,7 +98,7 @@
       MAX_TIMER_MS,
     );
     if (limits.idleTimeoutMs > this.limits.idleTimeoutMs) {
-      for (const socket of this.sockets) {
+      for (const socket of this.connections.keys()) {
         // A socket without a timeout has a request in progress.
         if (socket.timeout) socket.setTimeout(server.keepAliveTimeout);
       }
@@ -112,23 +119,24 @@
    * @param closesAtMs Monotonic time at which the server is closed at the latest.
    */
   startDraining(refusesFromMs: number, closesAtMs: number): void {
-    const {durations, writers} = this;
     this.drainAdmission = new DrainAdmission(
-      durations,
+      this.durations,
       refusesFromMs,
       closesAtMs,
     );
-    for (const writer of writers) writer.closeConnectionAfter();
+    for (const {writers} of this.connections.values()) {
+      for (const writer of writers) writer.closeConnectionAfter();
+    }
   }
 
   /** Ends the requests that make no progress. */
   endStalled(): void {
-    for (const session of [...this.sessions]) session.endStalled();
+    for (const session of this.listSessions()) session.endStalled();
   }
 
   /** Fails the remaining requests and closes all connections. */
   async close(): Promise<void> {
-    for (const session of [...this.sessions]) session.stop();
+    for (const session of this.listSessions()) session.stop();
     const closed = this.server.close();
     await this.flush();
     this.server.server.closeAllConnections();
@@ -139,16 +147,25 @@
   private async flush(): Promise<void> {
     const {clock} = this.context;
     const untilMs = clock.nowMs() + FLUSH_TIMEOUT_MS;
-    while (this.writers.size > 0 && clock.nowMs() < untilMs) {
+    while (this.openRequests > 0 && clock.nowMs() < untilMs) {
       await pause(FLUSH_POLL_INTERVAL_MS);
     }
   }
 
+  private listSessions(): ForwardSession[] {
+    return [...this.connections.values()].flatMap(({sessions}) => [
+      ...sessions,
+    ]);
+  }
+
   private async handleRequest(
     request: FastifyRequest,
     response: ServerResponse,
   ): Promise<void> {
     const {context} = this;
+    const connection = this.connections.get(request.raw.socket);
+    // The caller has left already.
+    if (connection === undefined) return;
     const metadata = readRequestMetadata(
       request.raw,
       request.originalUrl,
@@ -159,16 +176,16 @@
       metadata.id,
       context.headerNames.requestId,
     );
-    this.writers.add(writer);
+    connection.writers.add(writer);
     response.on('close', () => {
-      this.writers.delete(writer);
+      connection.writers.delete(writer);
     });
     try {
       const {isOutOfService} = context.reach;
       if (this.drainAdmission !== undefined || isOutOfService) {
         writer.closeConnectionAfter();
       }
-      await this.receive(request.raw, metadata, writer, response);
+      await this.receive(request.raw, metadata, writer, connection);
     } catch (error) {
       const kind = ErrorKind.INTERNAL;
       const failure = new Failure(kind, FAULT_MESSAGE, ExecutionStatus.NO);
@@ -185,7 +202,7 @@
     request: IncomingMessage,
     metadata: RequestMetadata,
     writer: ResponseWriter,
-    response: ServerResponse,
+    connection: CallerConnection,
   ): Promise<void> {
     const receivedAtMs = this.context.clock.nowMs();
     const match = this.matchRoute(request, metadata);
@@ -208,14 +225,14 @@
     }
     const headers = request.rawHeaders;
     const received = {metadata, headers, body: body.value, receivedAtMs};
-    this.forward(match, received, writer, response);
+    this.forward(match, received, writer, connection);
   }
 
   private forward(
     match: RouteMatch,
     received: ConstructorParameters<typeof ForwardSession>[2],
     writer: ResponseWriter,
-    response: ServerResponse,
+    {sessions}: CallerConnection,
   ): void {
     const session = new ForwardSession(
       this.context,
@@ -223,16 +240,13 @@
       received,
       writer,
       sentAttempts => {
-        this.sessions.delete(session);
+        sessions.delete(session);
         if (sentAttempts === 0) return;
         const tookMs = this.context.clock.nowMs() - received.receivedAtMs;
         this.durations.record(match.route.name, tookMs);
       },
     );
-    this.sessions.add(session);
-    response.on('close', () => {
-      if (!response.writableFinished) session.cancel();
-    });
+    sessions.add(session);
     session.start();
   }
 
