Send no request on whose caller left before the host came to it

Callers that left still had their requests sent on, where the host was held up: one turn of the event loop hands over a request, the next one the end of its connection, and the request was sent in between.

Cause: the end of a connection counted from the moment at which it was handled, not from when it had arrived. Class: a decision that rests on input that is there and not yet read. Before each placement, and before each send that follows on a wait (memory of engines, a turn of a suspect, a new connection), what has arrived is handled first. A caller that left costs no placement then.

Ruled out: that the session is not told at all (it is, a turn later). Not shown by a test that failed before: a retry after a refusal and the wait for memory, whose tests passed before as well; the turn of a suspect, by reading.

--- a/packages/daemon/src/gateway/attempt_sender.ts
+++ b/packages/daemon/src/gateway/attempt_sender.ts
@@ -1,4 +1,5 @@
 import {AttemptOutcome, type RouteMatch} from '@parsleywood/forwarding';
+import {handlePendingInput} from '../host/handle_pending_input.js';
 import type {AttemptPlacer} from './attempt_placer.js';
 import {buildUpstreamRequest} from './build_upstream_request.js';
 import type {GatewayContext} from './gateway_context.js';
@@ -98,6 +99,7 @@
     lastEventId: number | undefined,
   ): Promise<void> {
     const unresponsive = await reserved.reserveAll();
+    await handlePendingInput();
     for (const engine of unresponsive) {
       this.placer.penalize(engine, true, AttemptOutcome.TIMED_OUT, 0);
     }
--- a/packages/daemon/src/gateway/suspect_trial.ts
+++ b/packages/daemon/src/gateway/suspect_trial.ts
@@ -1,6 +1,7 @@
 import {setTimeout as pause} from 'node:timers/promises';
 import type {CapacityShortage} from '@parsleywood/dispatch';
 import {ErrorKind, ExecutionStatus, Failure} from '@parsleywood/errors';
+import {handlePendingInput} from '../host/handle_pending_input.js';
 import type {AttemptPlacer} from './attempt_placer.js';
 import type {CrashDetector} from './crash_detector.js';
 import type {GatewayContext} from './gateway_context.js';
@@ -42,6 +43,9 @@
     const {clock, placements} = this.context;
     const untilMs = clock.nowMs() + MAX_WAIT_RATIO * leftMs;
     do {
+      // The caller may have left before this host came to its request.
+      await handlePendingInput();
+      if (this.isOver()) break;
       if (this.detector.shouldRefuse()) return this.detector.createFailure();
       const suspect = this.detector.startAttempt();
       const isBusy =
@@ -53,7 +57,7 @@
         this.placer.withdraw();
       }
       await pause(POLL_INTERVAL_MS);
-    } while (clock.nowMs() < untilMs && !this.isOver());
+    } while (clock.nowMs() < untilMs);
     return new Failure(
       ErrorKind.OVERLOADED,
       'another host is trying the same request, which may crash upstreams',
@@ -69,6 +73,7 @@
   ): Promise<boolean> {
     if (suspect === '' || !this.detector.isKnownToPeers) return true;
     await pause(SETTLE_MS);
+    await handlePendingInput();
     if (this.detector.shouldRefuse()) return false;
     return !this.context.placements.hasTrialBefore(suspect, placement.id);
   }
--- a/packages/daemon/src/gateway/upstream_connection.ts
+++ b/packages/daemon/src/gateway/upstream_connection.ts
@@ -1,5 +1,6 @@
 import type {Socket} from 'node:net';
 import {buildConnector, Client} from 'undici';
+import {handlePendingInput} from '../host/handle_pending_input.js';
 
 /**
  * Connect timeout; the round trip between hosts and upstreams is a few
@@ -42,8 +43,8 @@
       connect: (options, done) => {
         connect(options, (...result) => {
           const [error, socket] = result;
-          if (error === null) this.socket = socket as Socket;
-          done(...result);
+          if (error === null) void this.open(socket as Socket, done);
+          else done(...result);
         });
       },
     });
@@ -103,4 +104,18 @@
   close(): void {
     void this.client.destroy();
   }
+
+  /** Uses a new connection, unless it is given up or closed just then. */
+  private async open(
+    socket: Socket,
+    done: buildConnector.Callback,
+  ): Promise<void> {
+    await handlePendingInput();
+    if (socket.destroyed || socket.readableEnded) {
+      done(socket.errored ?? new Error('connection closed at once'), null);
+      return;
+    }
+    this.socket = socket;
+    done(null, socket);
+  }
 }
