Reset the connection of a cancelled request

An upstream that takes nothing for a while, or whose path is cut, got the rest of a request after its caller had left: the host closed the connection, and the kernel went on to send what it held.

A reset drops what the upstream has not taken. Test: an upstream that reads nothing until the request is cancelled got 400,090 of 400,090 bytes before, and gets less than the request now. What its own system holds already (some 128 kB) it can still read; no host can take that back.

--- a/packages/daemon/src/gateway/upstream_attempt.test.ts
+++ b/packages/daemon/src/gateway/upstream_attempt.test.ts
@@ -1,5 +1,6 @@
 import {createServer, type Server, type Socket} from 'node:net';
 import type {AddressInfo} from 'node:net';
+import {setTimeout as pause} from 'node:timers/promises';
 import {AttemptOutcome, UpstreamStage} from '@parsleywood/forwarding';
 import {expect} from 'chai';
 import {SystemClock} from '../host/system_clock.js';
@@ -8,6 +9,17 @@
 import {UpstreamAttempt} from './upstream_attempt.js';
 import {UpstreamConnectionPool} from './upstream_connection_pool.js';
 
+const UPSTREAM = {
+  id: 'u1',
+  service: 's',
+  address: '',
+  failureDomain: 'd',
+  stage: UpstreamStage.READY,
+  slots: 1,
+};
+/** More than the system holds for an upstream that reads nothing. */
+const MORE_THAN_UNREAD_BYTES = 400_000;
+
 interface AttemptResult {
   readonly outcome: AttemptOutcome;
   readonly detail: string;
@@ -50,14 +62,7 @@
     return new Promise(resolve => {
       let head: ResponseHead | undefined;
       let body = '';
-      const upstream = {
-        id: 'u1',
-        service: 's',
-        address,
-        failureDomain: 'd',
-        stage: UpstreamStage.READY,
-        slots: 1,
-      };
+      const upstream = {...UPSTREAM, address};
       const request = {
         id,
         upstream,
@@ -313,4 +318,40 @@
       });
     });
   }
+
+  it('does not deliver the rest of a cancelled request to a silent upstream', async () => {
+    let bytes = 0;
+    const sockets: Socket[] = [];
+    const server = createServer({pauseOnConnect: true}, socket => {
+      socket.on('error', () => undefined);
+      socket.on('data', chunk => (bytes += chunk.length));
+      sockets.push(socket);
+    });
+    servers.push(server);
+    await new Promise<void>(resolve => {
+      server.listen(0, '127.0.0.1', resolve);
+    });
+    const {port} = server.address() as AddressInfo;
+    const attempt = new UpstreamAttempt(
+      {
+        id: 'r1',
+        upstream: {...UPSTREAM, address: `127.0.0.1:${port}`},
+        method: 'POST',
+        target: '/',
+        headers: [],
+        body: Buffer.alloc(MORE_THAN_UNREAD_BYTES),
+        needsNewConnection: true,
+      },
+      connections,
+      DEFAULT_HEADER_NAMES,
+      {onHead: () => true, onData: () => undefined, onEnd: () => undefined},
+    );
+    attempt.start();
+    await pause(100);
+    attempt.cancel();
+    await pause(50);
+    for (const socket of sockets) socket.resume();
+    await pause(200);
+    expect(bytes).to.be.greaterThan(0).and.below(MORE_THAN_UNREAD_BYTES);
+  });
 });
--- a/packages/daemon/src/gateway/upstream_attempt.ts
+++ b/packages/daemon/src/gateway/upstream_attempt.ts
@@ -56,11 +56,11 @@
     return this.hasBeenSent;
   }
 
-  /** Closes the connection, which upstreams treat as a cancellation. */
+  /** Resets the connection, which upstreams treat as a cancellation. */
   cancel(): void {
     if (this.hasEnded) return;
     this.hasEnded = true;
-    this.connection.close();
+    this.connection.reset();
   }
 
   onRequestStart(controller: Dispatcher.DispatchController): void {
--- a/packages/daemon/src/gateway/upstream_connection.ts
+++ b/packages/daemon/src/gateway/upstream_connection.ts
@@ -105,6 +105,15 @@
     void this.client.destroy();
   }
 
+  /**
+   * Resets the connection. After a close the kernel would go on to send what the
+   * upstream has not taken yet.
+   */
+  reset(): void {
+    this.socket?.resetAndDestroy();
+    this.close();
+  }
+
   /** Uses a new connection, unless it is given up or closed just then. */
   private async open(
     socket: Socket,
