Send nothing on at the hosts' own interface once its caller has left

Requests of both kinds are handled after the input that has arrived; calls are not retried for callers that left. Orders that were sent on still run, as their caller can ask again with their key.

Not changed: a call under way at its upstream is not cancelled there.

--- a/packages/daemon/src/callers/caller_server.ts
+++ b/packages/daemon/src/callers/caller_server.ts
@@ -10,6 +10,8 @@
 import type {Caller} from './caller.js';
 import {CompletionPath} from './completion_path.js';
 import type {CompletionHandler} from './completion_handler.js';
+import {handlePendingInput} from '../host/handle_pending_input.js';
+import {hasCallerLeft} from './has_caller_left.js';
 import type {HostNaming} from '../host/host_naming.js';
 import {OpenRequests} from './open_requests.js';
 import type {ServiceHandler} from './service_handler.js';
@@ -137,7 +139,7 @@
     for (const path of Object.values(CompletionPath)) {
       server.post(path, {onRequest: this.requireAccount}, (request, reply) => {
         reply.hijack();
-        this.runHandler(request, reply.raw, (caller, body) => {
+        void this.runHandler(request, reply.raw, (caller, body) => {
           this.completions.handle(path, caller, body, request.raw, reply.raw);
         });
       });
@@ -147,7 +149,7 @@
       {onRequest: this.requireAccount},
       (request, reply) => {
         reply.hijack();
-        this.runHandler(request, reply.raw, (caller, body) => {
+        void this.runHandler(request, reply.raw, (caller, body) => {
           this.services.handle(caller, body, request.raw, reply.raw);
         });
       },
@@ -180,11 +182,13 @@
     return length > maxBytes ? this.createTooLargeFailure(maxBytes) : undefined;
   }
 
-  private runHandler(
+  private async runHandler(
     request: FastifyRequest,
     response: ServerResponse,
     handle: (caller: Caller, body: Buffer) => void,
-  ): void {
+  ): Promise<void> {
+    await handlePendingInput();
+    if (hasCallerLeft(response)) return;
     const requestId = request.id;
     const headers = this.serving.replyHead(requestId);
     const account = this.serving.site
--- a/packages/daemon/src/callers/service_session.ts
+++ b/packages/daemon/src/callers/service_session.ts
@@ -1,6 +1,8 @@
 import type {ServerResponse} from 'node:http';
 import {ErrorKind, Failure, ExecutionStatus} from '@parsleywood/errors';
 import {Result} from 'true-myth';
+import {handlePendingInput} from '../host/handle_pending_input.js';
+import {hasCallerLeft} from './has_caller_left.js';
 import type {OrderDesk} from '../control/order_desk.js';
 import {readOutcome} from '../peers/read_outcome.js';
 import type {ServiceAnswer} from '../upstreams/service_answer.js';
@@ -46,6 +48,7 @@
     for (;;) {
       const result = await this.sendToUntriedUpstream(tried);
       if (result.isOk) return result;
+      await handlePendingInput();
       mayHaveRun ||= result.error.ran !== ExecutionStatus.NO;
       if (tried.length >= MAX_ATTEMPTS || !this.mayRetry(result.error)) {
         const {kind, message, retryAfterMs} = result.error;
@@ -58,6 +61,7 @@
   private mayRetry(failure: Failure): boolean {
     if (failure.kind === ErrorKind.TIME_LIMIT) return false;
     if (failure.kind === ErrorKind.REQUEST_CRASHES_UPSTREAM) return false;
+    if (hasCallerLeft(this.response)) return false;
     if (!this.hasUntriedUpstream) return false;
     return this.serving.retries.tryRetry();
   }
