Copy the pieces of a response into blocks

Cause: ResponseBuffer kept each chunk as a Buffer of its own until its bytes passed 16 MB. undici hands over each chunk by itself, and a Buffer of a byte costs some 120 bytes of heap, so the heap of 192 MB was full after 1.6 million letters.

Ruled out: the parser (it keeps no chunk) and the writer (nothing is written before the response is complete).

Change: PieceBuffer copies pieces into blocks of at most 64 KB, which are joined at the end. A bound on the number of chunks was weighed: it would refuse long answers of sound servers that write small chunks.

--- a/packages/daemon/src/gateway/response_buffer.ts
+++ b/packages/daemon/src/gateway/response_buffer.ts
@@ -1,22 +1,21 @@
+import {PieceBuffer} from '@parsleywood/forwarding';
 import {MAX_RESPONSE_BYTES} from '../upstreams/max_response_bytes.js';
 
 /** Buffers a response that is not streamed until it is complete. */
 export class ResponseBuffer {
-  private readonly chunks: Buffer[] = [];
-  private bytes = 0;
+  private readonly received = new PieceBuffer();
 
   /** Set when the response is too large. */
   get fault(): string | undefined {
-    if (this.bytes <= MAX_RESPONSE_BYTES) return undefined;
+    if (this.received.length <= MAX_RESPONSE_BYTES) return undefined;
     return `response body exceeds ${MAX_RESPONSE_BYTES} bytes`;
   }
 
   append(chunk: Buffer): void {
-    this.chunks.push(chunk);
-    this.bytes += chunk.length;
+    this.received.append(chunk);
   }
 
   join(): Buffer {
-    return Buffer.concat(this.chunks);
+    return this.received.join();
   }
 }
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -19,6 +19,7 @@
 export {LeavingUpstreams} from './leaving_upstreams.js';
 export {matchRequest} from './match_request.js';
 export {NextStep} from './next_step.js';
+export {PieceBuffer} from './piece_buffer.js';
 export {RequestKind} from './request_kind.js';
 export {RetryController} from './retry_controller.js';
 export type {Route} from './route.js';
