--- a/packages/forwarding/src/event_cursor.test.ts
+++ b/packages/forwarding/src/event_cursor.test.ts
@@ -2,6 +2,10 @@
 import fc from 'fast-check';
 import {EventCursor} from './event_cursor.js';
 
+const CHUNKS = 50_000;
+/** After half a second of silence the users' rules count a call as late. */
+const MAX_BLOCK_MS = 500;
+
 function makeEvent(id: number, lineEnd = '\n'): string {
   return `id: ${id}${lineEnd}data: text ${id}${lineEnd}${lineEnd}`;
 }
@@ -47,6 +51,33 @@
     );
   });
 
+  // Guards against hosts that are blocked for seconds, with all that they serve.
+  it('reads an event in 50,000 chunks within half a second', () => {
+    const cursor = new EventCursor();
+    const line = Buffer.from('data: x\n');
+    const before = process.cpuUsage();
+    for (let count = 0; count < CHUNKS; count++) cursor.append(line);
+    const {user} = process.cpuUsage(before);
+    expect(user / 1_000).to.be.below(MAX_BLOCK_MS);
+    expect(cursor.append(Buffer.from('\n'))).to.have.length(
+      CHUNKS * line.length + 1,
+    );
+  }).timeout(60_000);
+
+  it('goes on with an event that ends between two bytes of its blank line', () => {
+    for (const event of ['data: a\n\n', 'data: a\r\n\r\n', 'data: a\n\r\n']) {
+      for (let split = 1; split < event.length; split++) {
+        const earlier = new EventCursor();
+        earlier.append(Buffer.from(event.slice(0, split)));
+        const cursor = new EventCursor();
+        cursor.restore(earlier.partialEvent);
+        const rest = cursor.append(Buffer.from(event.slice(split)));
+        expect(rest.toString()).to.equal(event);
+        expect(cursor.hasPartialEvent).to.equal(false);
+      }
+    }
+  });
+
   it('resumes after a break without missing, repeated or partial events', () => {
     fc.assert(
       fc.property(
