Read what upstreams send in small steps

Calls beside answers in small pieces had no answer for seconds, also once pieces were joined and each byte was looked at once: events that are passed on, comments and blank events in a chunk each blocked a host for over a second, and its memory grew by 170 to 240 MB.

Cause: Node.js hands over up to 2 MB of a socket in one turn of the event loop (32 reads of 64 KB, as undici empties the buffer after each one and so starts the next read). That is some 300,000 chunks of a byte, each of which costs 2 to 5 us whatever its length. Header lines behind the limit of a head cost an Error each, as undici parses on after it has destroyed the socket.

A profile shows the time in the callbacks of a chunk and in the Errors of header lines.

Ruled out: a bound on what is kept (events that are passed on are not kept), and controller.pause() of undici (it knows no header lines, and a slab of 64 KB that is parsed already is handed over all the same).

Change: SocketReader hands over 512 bytes at once and 8 KB a turn. ReadMeter counts chunks, heads and lines of events; after 256 of them the connection waits until ReadBudget, which all connections of a host share, has room (64 a millisecond). An attempt that is set aside is not read on.

--- a/packages/daemon/src/gateway/held_attempt.ts
+++ b/packages/daemon/src/gateway/held_attempt.ts
@@ -1,4 +1,4 @@
-import {AttemptOutcome} from '@parsleywood/forwarding';
+import {AttemptOutcome, PieceBuffer} from '@parsleywood/forwarding';
 import type {ReceivedPart} from './received_part.js';
 import type {ResponseHead} from './response_head.js';
 import type {ResponseListener} from './response_listener.js';
@@ -13,7 +13,7 @@
  */
 export class HeldAttempt implements ResponseListener {
   private head: ResponseHead | undefined;
-  private readonly chunks: Buffer[] = [];
+  private readonly arrived = new PieceBuffer();
   private end: {outcome: AttemptOutcome; detail: string} | undefined;
 
   /** @param onChange Called whenever more has arrived, and at the attempt's end. */
@@ -35,7 +35,7 @@
 
   /** Whether more of a usable response has arrived. */
   get hasProgressed(): boolean {
-    const hasMore = this.chunks.length > 0 || this.end !== undefined;
+    const hasMore = this.arrived.length > 0 || this.end !== undefined;
     return hasMore && this.isPending;
   }
 
@@ -46,7 +46,8 @@
   }
 
   onData(chunk: Buffer): void {
-    this.chunks.push(chunk);
+    this.arrived.append(chunk);
+    this.sent.attempt.hold();
     this.onChange();
   }
 
@@ -61,10 +62,11 @@
    * @param isCurrent Whether the listener still takes the attempt's response.
    */
   replay(listener: ResponseListener, isCurrent: () => boolean): void {
-    const {head, chunks, end, sent} = this;
+    const {head, arrived, end, sent} = this;
     sent.response.direct(listener);
+    sent.attempt.release();
     if (head !== undefined) listener.onHead(head);
-    if (chunks.length > 0) listener.onData(Buffer.concat(chunks));
+    if (arrived.length > 0) listener.onData(arrived.join());
     if (end !== undefined && isCurrent()) {
       listener.onEnd(end.outcome, end.detail);
     }
--- a/packages/daemon/src/gateway/upstream_attempt.ts
+++ b/packages/daemon/src/gateway/upstream_attempt.ts
@@ -1,10 +1,11 @@
 import {AttemptOutcome} from '@parsleywood/forwarding';
 import type {Dispatcher} from 'undici';
+import {countLines} from './count_lines.js';
 import type {ResponseListener} from './response_listener.js';
 import type {HeaderNames} from './header_names.js';
 import {readRestMs} from './read_rest_ms.js';
 import {listEndToEndHeaders} from './list_end_to_end_headers.js';
-import {UpstreamConnection} from './upstream_connection.js';
+import type {UpstreamConnection} from './upstream_connection.js';
 import type {UpstreamConnectionPool} from './upstream_connection_pool.js';
 import type {UpstreamRequest} from './upstream_request.js';
 
@@ -20,6 +21,7 @@
   private hasBeenSent = false;
   private hasEnded = false;
   private isRefused = false;
+  private isEventStream = false;
 
   constructor(
     private readonly request: UpstreamRequest,
@@ -29,7 +31,7 @@
   ) {
     const {upstream, needsNewConnection} = request;
     this.connection = needsNewConnection
-      ? new UpstreamConnection(upstream.address)
+      ? connectionPool.open(upstream.address)
       : connectionPool.acquire(upstream.id, upstream.address, request.id);
   }
 
@@ -63,6 +65,21 @@
     this.connection.reset();
   }
 
+  /** Whether the response is not read. */
+  get isHeld(): boolean {
+    return this.connection.reader.isHeld;
+  }
+
+  /** Stops reading the response, so that the upstream is held up as well. */
+  hold(): void {
+    this.connection.reader.hold();
+  }
+
+  /** Goes on after `hold`. */
+  release(): void {
+    this.connection.reader.release();
+  }
+
   onRequestStart(controller: Dispatcher.DispatchController): void {
     this.controller = controller;
     this.hasBeenSent = true;
@@ -73,8 +90,10 @@
     status: number,
     headers: Record<string, string | string[] | undefined>,
   ): void {
-    if (this.hasEnded || status < 200) return;
     const {headerNames, request, connection} = this;
+    connection.reader.record(1);
+    if (this.hasEnded || status < 200) return;
+    this.isEventStream = isEventStream(headers['content-type']);
     const echoedId = headers[headerNames.requestId];
     const namedId = echoedId === undefined ? undefined : String(echoedId);
     this.isRefused =
@@ -98,7 +117,7 @@
     const isAccepted = this.listener.onHead({
       status,
       headers: listEndToEndHeaders(readRawHeaders(controller), NO_EXCLUSIONS),
-      isEventStream: isEventStream(headers['content-type']),
+      isEventStream: this.isEventStream,
       isNotRun: this.isRefused,
       endsWithConnection: isEndedByConnection(status, headers),
       faultyAddress: String(headers[headerNames.faultyUpstream] ?? ''),
@@ -111,6 +130,8 @@
   }
 
   onResponseData(_controller: unknown, chunk: Buffer): void {
+    const lines = this.isEventStream ? countLines(chunk) : 0;
+    this.connection.reader.record(1 + lines);
     if (!this.hasEnded) this.listener.onData(chunk);
   }
 
@@ -122,6 +143,7 @@
       return;
     }
     this.hasEnded = true;
+    this.release();
     // The connection is free only after undici has left this callback.
     setImmediate(() => {
       this.connectionPool.release(this.request.upstream.id, this.connection);
--- a/packages/daemon/src/gateway/upstream_connection.ts
+++ b/packages/daemon/src/gateway/upstream_connection.ts
@@ -1,6 +1,7 @@
 import type {Socket} from 'node:net';
 import {buildConnector, Client} from 'undici';
 import {handlePendingInput} from '../host/handle_pending_input.js';
+import type {SocketReader} from './socket_reader.js';
 
 /**
  * Connect timeout; the round trip between hosts and upstreams is a few
@@ -28,7 +29,10 @@
   private namesRequests = false;
   private readonly refusedIds = new Set<string>();
 
-  constructor(address: string) {
+  constructor(
+    address: string,
+    readonly reader: SocketReader,
+  ) {
     const connect = buildConnector({
       timeout: CONNECT_TIMEOUT_MS,
       keepAlive: true,
@@ -125,6 +129,7 @@
       return;
     }
     this.socket = socket;
+    this.reader.attach(socket);
     done(null, socket);
   }
 }
--- a/packages/daemon/src/gateway/upstream_connection_pool.ts
+++ b/packages/daemon/src/gateway/upstream_connection_pool.ts
@@ -1,4 +1,6 @@
+import {ReadBudget} from '@parsleywood/forwarding';
 import type {Clock} from '../host/clock.js';
+import {SocketReader} from './socket_reader.js';
 import {UpstreamConnection} from './upstream_connection.js';
 
 /** Maximum number of idle connections kept for each upstream. */
@@ -8,10 +10,13 @@
  * unnoticed.
  */
 const MAX_IDLE_MS = 8_000;
+/** Bytes of a response that are read at once: 2,000 header lines of the shortest form. */
+const TURN_BYTES = 8_192;
 
 /** Pool of idle connections to upstreams, by the upstream's id. */
 export class UpstreamConnectionPool {
   private readonly idle = new Map<string, UpstreamConnection[]>();
+  private readonly budget = new ReadBudget();
 
   constructor(private readonly clock: Clock) {}
 
@@ -31,7 +36,13 @@
       if (one.isOpen && isFresh && !one.hasRefused(requestId)) return one;
       one.close();
     }
-    return new UpstreamConnection(address);
+    return this.open(address);
+  }
+
+  /** Returns a connection that is not yet connected. */
+  open(address: string): UpstreamConnection {
+    const reader = new SocketReader(TURN_BYTES, this.budget, this.clock);
+    return new UpstreamConnection(address, reader);
   }
 
   /** Returns a connection to the pool after a complete response. */
