Hold a stream up while its caller reads too slowly

Callers that fell behind had long streams cut: a caller that read nothing for half a second got 245 of 1,000 events.

Cause: ResponseWriter handed each event to Node.js as a write of its own, whoever read, and closed the connection once 4 MB were unsent. That bounded the bytes and not the writes, of which each costs some hundred bytes while it waits.

Change: what waits is joined and written once the caller has read. From 1 MB of it the upstream's connection is not read, so that the upstream is held up too, and the timer for missing events stands still. The request's deadline bounds it.

--- a/packages/daemon/src/gateway/forward_session.ts
+++ b/packages/daemon/src/gateway/forward_session.ts
@@ -21,6 +21,7 @@
 import {SessionLog} from './session_log.js';
 import {SessionRetries} from './session_retries.js';
 import {SuspectTrial} from './suspect_trial.js';
+import {StreamFlow} from './stream_flow.js';
 import {SessionOutcome} from './session_outcome.js';
 import {InactivityTimer} from './inactivity_timer.js';
 import {AttemptHolder} from './attempt_holder.js';
@@ -48,6 +49,7 @@
   private deadlineTimer: NodeJS.Timeout | undefined;
   private readonly inactivityTimer: InactivityTimer;
   private readonly holder: AttemptHolder;
+  private readonly flow: StreamFlow;
   private isPlacing = false;
   private isCheckingCrash = false;
   private hasEnded = false;
@@ -131,6 +133,7 @@
         this.handleHeldProgress();
       },
     );
+    this.flow = new StreamFlow(writer, this.sender, this.inactivityTimer);
   }
 
   start(): void {
@@ -167,7 +170,8 @@
   endStalled(): void {
     if (this.context.reach.isOutOfService) this.holder.discard();
     const {current} = this.sender;
-    if (this.hasEnded || this.isCheckingCrash || !current) return;
+    if (this.hasEnded || this.isCheckingCrash) return;
+    if (!current || current.isHeld) return;
     if (!current.wasSent) {
       this.abortAttempt(AttemptOutcome.NOT_SENT, 'host reaches no upstream');
     } else if (!this.inactivityTimer.isRunning) this.handleTimeout();
@@ -215,11 +219,9 @@
     this.inactivityTimer.stop();
     const unreachable = await this.placer.findUnreachable();
     if (this.hasEnded || this.sender.current !== current) return;
+    const detail = 'upstream went down as its response without length ended';
     if (unreachable.length === 0) this.handleEnd(AttemptOutcome.ANSWERED, '');
-    else {
-      const detail = 'upstream went down as its response without length ended';
-      this.handleEnd(AttemptOutcome.BROKEN, detail);
-    }
+    else this.handleEnd(AttemptOutcome.BROKEN, detail);
   }
 
   private handleEnd(outcome: AttemptOutcome, detail: string): void {
@@ -240,10 +242,9 @@
     status: number,
     detail: string,
   ): void {
-    const {placer, response} = this;
-    const {head} = response;
-    this.log.logAttemptEnd(outcome, status, detail, placer.currentAttempt);
-    placer.recordOutcome(
+    const {head} = this.response;
+    this.log.logAttemptEnd(outcome, status, detail, this.placer.currentAttempt);
+    this.placer.recordOutcome(
       outcome,
       head?.status ?? 0,
       head?.faultyAddress ?? '',
@@ -326,7 +327,7 @@
     this.log.recordEvents();
     const {head} = this.response;
     if (!this.writer.hasStarted && head) this.writer.start(head);
-    this.writer.write(events);
+    this.flow.write(events);
   }
 
   /** Retries the request elsewhere when one of its engines is unreachable. */
@@ -407,10 +408,10 @@
     clearTimeout(this.deadlineTimer);
     this.inactivityTimer.stop();
     this.holder.discard();
-    const {sender, response} = this;
-    const {head, eventCount} = response;
-    this.log.logEnd(outcome, head?.status, sender.sentAttempts, eventCount);
-    this.onEnded(sender.sentAttempts);
+    const {sentAttempts} = this.sender;
+    const {head, eventCount} = this.response;
+    this.log.logEnd(outcome, head?.status, sentAttempts, eventCount);
+    this.onEnded(sentAttempts);
   }
 
   /**
--- a/packages/daemon/src/gateway/response_writer.ts
+++ b/packages/daemon/src/gateway/response_writer.ts
@@ -4,19 +4,29 @@
   formatFailure,
   type Failure,
 } from '@parsleywood/errors';
+import {PieceBuffer} from '@parsleywood/forwarding';
 import type {ResponseHead} from './response_head.js';
 
-/** Maximum number of unsent bytes for a caller that reads too slowly. */
-const MAX_UNSENT_BYTES = 4_194_304;
+/** Unsent bytes from which no more is to be written. */
+const MAX_UNSENT_BYTES = 1_048_576;
 const MS_PER_SECOND = 1_000;
 
 /** Writes the response to one caller. */
 export class ResponseWriter {
+  /** What waits until the caller reads, as each write that waits has a cost. */
+  private readonly unsent = new PieceBuffer();
+  private drainListener: () => void = () => undefined;
+
   constructor(
     private readonly response: ServerResponse,
     private readonly requestId: string,
     private readonly requestIdHeader: string,
-  ) {}
+  ) {
+    response.on('drain', () => {
+      this.flush();
+      this.drainListener();
+    });
+  }
 
   get hasStarted(): boolean {
     return this.response.headersSent;
@@ -49,13 +59,25 @@
     this.response.end(body);
   }
 
+  /** Whether the caller reads too slowly for more to be written. */
+  get isFull(): boolean {
+    const {response, unsent} = this;
+    return response.writableLength + unsent.length > MAX_UNSENT_BYTES;
+  }
+
+  /** @param listener Called each time that the caller has read what was written. */
+  listenForDrain(listener: () => void): void {
+    this.drainListener = listener;
+  }
+
   write(chunk: Buffer): void {
     if (chunk.length === 0) return;
-    this.response.write(chunk);
-    if (this.response.writableLength > MAX_UNSENT_BYTES) this.abort();
+    if (this.response.writableNeedDrain) this.unsent.append(chunk);
+    else this.response.write(chunk);
   }
 
   end(): void {
+    this.flush();
     this.response.end();
   }
 
@@ -90,6 +112,10 @@
     });
     this.response.end(body);
   }
+
+  private flush(): void {
+    if (this.unsent.length > 0) this.response.write(this.unsent.take());
+  }
 }
 
 function dropContentLength(headers: readonly string[]): string[] {
