Tell peers all upstreams where a change does not lead on from theirs

Cause: a host that loads a list tells its peers the difference from what it knew, as a delta that "contains all that was published" since its own revision. The difference lists no entry that was added and removed in between, nor, where the host has just started and knew nothing, any removal at all. SiteDeltaLog gave it to peers at any later revision; a peer moved on without the removal, and its watch starts after it.

Ruled out: the 1.5 s for entries that may have expired (the entry was never told as removed), and the watch (it lists each removal).

Change: a difference says so, and leads on from exactly its revision; others ask and get the whole list. A delta from revision 0, as hosts of earlier versions send, is applied as the list that it is. Hosts of earlier versions ignore the new field. What they tell of a list that was loaded later in their life can't be told apart and keeps the fault while they run.

--- a/packages/daemon/src/gateway/site_exchange.ts
+++ b/packages/daemon/src/gateway/site_exchange.ts
@@ -91,7 +91,7 @@
 
   handleDelta(host: string, message: SiteDeltaMessage, nowMs: number): void {
     this.metrics.siteDeltas.inc({direction: 'received'});
-    const isApplied = this.updater.applyDelta(decodeDelta(message));
+    const isApplied = this.updater.applyDelta(decodeDelta(message), host);
     if (isApplied || nowMs - this.queriedAtMs < GAP_QUERY_INTERVAL_MS) return;
     this.log.info('site_delta_missed', {
       from: host,
--- a/packages/daemon/src/gateway/site_updater.ts
+++ b/packages/daemon/src/gateway/site_updater.ts
@@ -1,6 +1,7 @@
 import {
   comparePositions,
   compareSnapshots,
+  leadsOn,
   type SiteChange,
   type SiteDelta,
   type SiteReplica,
@@ -65,10 +66,17 @@
    * @return Whether it is as late as what was known.
    */
   applySnapshot(snapshot: SiteSnapshot, origin: string): boolean {
+    return this.replaceAll(snapshot, origin, this.mayHaveExpired());
+  }
+
+  private replaceAll(
+    snapshot: SiteSnapshot,
+    origin: string,
+    mayHaveExpired: boolean,
+  ): boolean {
     const {replica} = this;
     const known = replica.createSnapshot();
     const before = replica.position;
-    const mayHaveExpired = this.mayHaveExpired();
     const isNew = replica.applySnapshot(
       snapshot,
       this.clock.nowMs(),
@@ -91,6 +99,7 @@
         ...compareSnapshots(known, snapshot),
         fromRevision: before.revision,
         mayHaveExpired,
+        isDifference: true,
       });
     }
     return comparePositions(snapshot, before) >= 0;
@@ -99,13 +108,20 @@
   /**
    * Applies a change that a peer passed on.
    *
+   * @param origin Peer that passed it on, for the log.
    * @return Whether it leads on from what is known, or is known already.
    */
-  applyDelta(delta: SiteDelta): boolean {
-    const {epoch, revision} = this.replica.position;
-    if (comparePositions(delta, {epoch, revision}) <= 0) return true;
-    if (delta.epoch !== epoch || delta.fromRevision > revision) return false;
-    this.apply(delta, delta.mayHaveExpired || this.mayHaveExpired());
+  applyDelta(delta: SiteDelta, origin: string): boolean {
+    const {position} = this.replica;
+    if (comparePositions(delta, position) <= 0) return true;
+    const mayHaveExpired = delta.mayHaveExpired || this.mayHaveExpired();
+    if (delta.epoch === position.epoch && delta.fromRevision === 0) {
+      // A host that has just started knew of nothing that it could call removed.
+      const snapshot = {...delta, upstreams: delta.updated};
+      return this.replaceAll(snapshot, origin, mayHaveExpired);
+    }
+    if (!leadsOn(delta, position)) return false;
+    this.apply(delta, mayHaveExpired);
     return true;
   }
 
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -16,6 +16,7 @@
 export type {EngineProfile} from './engine_profile.js';
 export {EventCursor} from './event_cursor.js';
 export {KeyTable} from './key_table.js';
+export {leadsOn} from './leads_on.js';
 export {LeavingUpstreams} from './leaving_upstreams.js';
 export {matchRequest} from './match_request.js';
 export {NextStep} from './next_step.js';
--- a/packages/forwarding/src/site_delta.ts
+++ b/packages/forwarding/src/site_delta.ts
@@ -8,4 +8,10 @@
    * Whether removed upstreams may have expired while the store was unavailable.
    */
   readonly mayHaveExpired: boolean;
+  /**
+   * Whether the change is the difference of two lists. It leads on from exactly
+   * `fromRevision`: what was added after it and removed before `revision` is in
+   * neither list.
+   */
+  readonly isDifference?: boolean;
 }
--- a/packages/forwarding/src/site_delta_log.ts
+++ b/packages/forwarding/src/site_delta_log.ts
@@ -1,3 +1,4 @@
+import {leadsOn} from './leads_on.js';
 import type {SiteDelta} from './site_delta.js';
 import type {StorePosition} from './store_position.js';
 
@@ -18,8 +19,7 @@
    */
   add(delta: SiteDelta): void {
     const last = this.deltas.at(-1);
-    const follows =
-      last?.epoch === delta.epoch && last.revision >= delta.fromRevision;
+    const follows = last !== undefined && leadsOn(delta, last);
     const earlier = follows ? this.deltas : [];
     const kept = delta.configuration ? earlier.map(dropConfiguration) : earlier;
     this.deltas = [...kept, delta].slice(-MAX_DELTAS);
@@ -29,10 +29,12 @@
    * Returns the deltas that lead from a position to the latest one, or undefined
    * when the log does not reach back so far.
    */
-  listSince({epoch, revision}: StorePosition): SiteDelta[] | undefined {
-    const missing = this.deltas.filter(delta => delta.revision > revision);
+  listSince(position: StorePosition): SiteDelta[] | undefined {
+    const missing = this.deltas.filter(
+      delta => delta.revision > position.revision,
+    );
     const [first] = missing;
-    const reaches = first?.epoch === epoch && first.fromRevision <= revision;
+    const reaches = first !== undefined && leadsOn(first, position);
     return reaches ? missing : undefined;
   }
 }
