Bound what buffered responses take together

Three answers without end took 60 to 68 MB of a host, as each may take 16 MB until it is given up, and nothing bounded their number.

Change: all responses that are passed on whole share 8 MB (BufferBudget); 64 KB of each are free of it. One that finds no room is given up as broken, as one that was too large before. A response of the gateway of more than 8 MB is refused now (16 MB before). Passing long responses on before they are complete was weighed: a retry would not be possible any more.

--- a/packages/daemon/src/gateway/attempt_holder.ts
+++ b/packages/daemon/src/gateway/attempt_holder.ts
@@ -57,6 +57,7 @@
     this.held = undefined;
     sender.discard(held.sent);
     placer.discard(held.placement);
+    held.received.buffer.discard();
   }
 
   private handleChange(): void {
--- a/packages/daemon/src/gateway/forward_session.ts
+++ b/packages/daemon/src/gateway/forward_session.ts
@@ -68,7 +68,7 @@
     const {route} = match;
     const {metadata, receivedAtMs} = request;
     this.retryController = new RetryController(route);
-    this.response = new ReceivedResponse(route, metadata.lastEventId);
+    this.response = new ReceivedResponse(route, metadata, context);
     const service = drawService(route, context.draw());
     this.log = new SessionLog(context, match, request, service);
     this.deadlineMs = receivedAtMs + computeTimeLimit(metadata, route);
@@ -408,6 +408,7 @@
     clearTimeout(this.deadlineTimer);
     this.inactivityTimer.stop();
     this.holder.discard();
+    this.response.discardBody();
     const {sentAttempts} = this.sender;
     const {head, eventCount} = this.response;
     this.log.logEnd(outcome, head?.status, sentAttempts, eventCount);
--- a/packages/daemon/src/gateway/gateway_context.ts
+++ b/packages/daemon/src/gateway/gateway_context.ts
@@ -5,7 +5,7 @@
   UpstreamLimits,
   UpstreamRests,
 } from '@parsleywood/dispatch';
-import type {SiteReplica} from '@parsleywood/forwarding';
+import type {BufferBudget, SiteReplica} from '@parsleywood/forwarding';
 import type {Clock} from '../host/clock.js';
 import type {EventLog} from '../host/event_log.js';
 import type {HostTimeline} from '../host/host_timeline.js';
@@ -35,6 +35,7 @@
   readonly chooser: UpstreamChooser;
   readonly retryBudgets: RetryBudgets;
   readonly connectionPool: UpstreamConnectionPool;
+  readonly bufferBudget: BufferBudget;
   readonly publisher: UpdatePublisher;
   readonly reach: ReachMonitor;
   readonly reservationClient: EngineReservations;
--- a/packages/daemon/src/gateway/gateway_host.ts
+++ b/packages/daemon/src/gateway/gateway_host.ts
@@ -6,7 +6,7 @@
   UpstreamLimits,
   UpstreamRests,
 } from '@parsleywood/dispatch';
-import {SiteReplica} from '@parsleywood/forwarding';
+import {BufferBudget, SiteReplica} from '@parsleywood/forwarding';
 import {
   PeerStage,
   ReachState,
@@ -217,6 +217,7 @@
         this.fleet.countHosts(),
       ),
       connectionPool: new UpstreamConnectionPool(clock),
+      bufferBudget: new BufferBudget(),
       publisher: relay,
       reach,
       reservationClient: reservations,
--- a/packages/daemon/src/gateway/received_response.ts
+++ b/packages/daemon/src/gateway/received_response.ts
@@ -1,5 +1,7 @@
 import {EventCursor, RequestKind, type Route} from '@parsleywood/forwarding';
+import type {GatewayContext} from './gateway_context.js';
 import type {ReceivedPart} from './received_part.js';
+import type {RequestMetadata} from './request_metadata.js';
 import {ResponseBuffer} from './response_buffer.js';
 import type {ResponseHead} from './response_head.js';
 
@@ -10,13 +12,15 @@
 export class ReceivedResponse {
   private readonly cursor: EventCursor;
   private currentHead: ResponseHead | undefined;
-  private buffer = new ResponseBuffer();
+  private buffer: ResponseBuffer;
 
-  /** @param lastEventId Last event that the caller has from an earlier response. */
+  /** @param metadata Tells the last event of an earlier response, if there is one. */
   constructor(
     private readonly route: Route,
-    lastEventId: number | undefined,
+    {lastEventId}: RequestMetadata,
+    private readonly context: GatewayContext,
   ) {
+    this.buffer = new ResponseBuffer(context.bufferBudget);
     this.cursor = new EventCursor(lastEventId);
   }
 
@@ -58,7 +62,7 @@
   /** Prepares for the response to a further attempt. */
   restart(): void {
     this.currentHead = undefined;
-    this.buffer = new ResponseBuffer();
+    this.discardBody();
     this.cursor.resume();
   }
 
@@ -78,15 +82,22 @@
     return this.buffer.join();
   }
 
-  /** Returns what is needed to go on with the attempt in progress later. */
+  /** Gives up the body of a response that is not streamed. */
+  discardBody(): void {
+    this.buffer.discard();
+  }
+
+  /** Hands over what is needed to go on with the attempt in progress later. */
   capture(): ReceivedPart {
     const {currentHead: head, buffer, cursor} = this;
+    this.buffer = new ResponseBuffer(this.context.bufferBudget);
     return {head, buffer, partialEvent: cursor.partialEvent};
   }
 
   /** Goes on with an earlier attempt. */
   restore({head, buffer, partialEvent}: ReceivedPart): void {
     this.currentHead = head;
+    this.discardBody();
     this.buffer = buffer;
     this.cursor.restore(partialEvent);
   }
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -5,6 +5,7 @@
 export type {Account} from './account.js';
 export {AttemptOutcome} from './attempt_outcome.js';
 export {attemptTimeouts} from './attempt_timeouts.js';
+export {BufferBudget} from './buffer_budget.js';
 export type {CallerLimits} from './caller_limits.js';
 export {chooseRetryAfterMs} from './choose_retry_after_ms.js';
 export {comparePositions} from './compare_positions.js';
