--- a/packages/daemon/src/gateway/status_client.ts
+++ b/packages/daemon/src/gateway/status_client.ts
@@ -1,5 +1,6 @@
 import type {UpstreamEntry} from '@parsleywood/forwarding';
 import {Agent} from 'undici';
+import {createPacedConnector} from './create_paced_connector.js';
 import type {LeavingListener} from './leaving_listener.js';
 import type {EventLog} from '../host/event_log.js';
 
@@ -19,7 +20,9 @@
 /** Sends short control calls to engines, beside the requests in progress. */
 export class StatusClient {
   // The abort signal does not end a request that is still connecting.
-  private readonly agent = new Agent({connect: {timeout: RESPONSE_TIMEOUT_MS}});
+  private readonly agent = new Agent({
+    connect: createPacedConnector(RESPONSE_TIMEOUT_MS),
+  });
 
   private leavingListener: LeavingListener = () => undefined;
 
