--- a/packages/daemon/src/host/create_paced_connector.ts
+++ b/packages/daemon/src/host/create_paced_connector.ts
@@ -7,7 +7,7 @@
 /** Bytes that are read of a connection at once. */
 const TURN_BYTES = 16_384;
 
-/** Creates a connector whose connections, together, are read no faster than others. */
+/** Creates a connector whose connections are read in small steps and share a budget. */
 export function createPacedConnector(
   timeoutMs: number,
 ): buildConnector.connector {
--- a/packages/forwarding/src/buffer_budget.ts
+++ b/packages/forwarding/src/buffer_budget.ts
@@ -1,5 +1,5 @@
 /** Bytes that the responses of a host may take together until they are complete. */
-const MAX_BYTES = 8_388_608;
+const MAX_BYTES = 16_777_216;
 /** Bytes that a response may take whatever others do. */
 const FREE_BYTES = 65_536;
 
