--- a/packages/daemon/src/gateway/gateway_server.ts
+++ b/packages/daemon/src/gateway/gateway_server.ts
@@ -39,7 +39,7 @@
 const FLUSH_POLL_INTERVAL_MS = 20;
 
 /** Bytes of a caller that are read at once. */
-const TURN_BYTES = 16_384;
+const TURN_BYTES = 8_192;
 
 const FAULT_MESSAGE = 'host could not handle the request';
 
