Hold no connection up for an attempt that has ended

By reading: an attempt that was set aside may have ended, and its connection carry another request, when its response is handed over; a caller that reads too slowly then held that connection up, and with it the other request until its deadline.

Change: only an attempt that goes on is held up.

--- a/packages/daemon/src/gateway/upstream_attempt.ts
+++ b/packages/daemon/src/gateway/upstream_attempt.ts
@@ -72,7 +72,8 @@
 
   /** Stops reading the response, so that the upstream is held up as well. */
   hold(): void {
-    this.connection.reader.hold();
+    // After its end the connection may carry another request.
+    if (!this.hasEnded) this.connection.reader.hold();
   }
 
   /** Goes on after `hold`. */
