Remember an upstream whose entry lapsed, over a copy of the store

Cause: within 8 s of a failed call a removal may be a lapse, and the upstream stays in use for 1.5 s. It was not recorded among those that left, also when that time was over, so the copy's list was believed. Ruled out: copies by themselves; without an outage before, what left is held.

Each removal is a departure now. One that may be a lapse is held only from the end of its grace on; a live server writes its entry again as the store is back, which ends the hold at once. What is held gets no second grace.

The test failed before: a was usable 1.9 s after its entry lapsed.

--- a/packages/forwarding/src/departures.ts
+++ b/packages/forwarding/src/departures.ts
@@ -13,6 +13,8 @@
 
 interface Departure {
   readonly atMs: number;
+  /** Time until which the upstream may be in use, as it may still be there. */
+  readonly graceUntilMs: number;
   /** Time until which the entry is not used; -Infinity before the store came back. */
   readonly heldUntilMs: number;
 }
@@ -22,9 +24,14 @@
   /** The upstream that left first comes first. */
   private readonly byId = new Map<string, Departure>();
 
-  record(id: string, nowMs: number): void {
+  /** @param graceMs Time for which the upstream is still used. */
+  record(id: string, nowMs: number, graceMs = 0): void {
     this.byId.delete(id);
-    this.byId.set(id, {atMs: nowMs, heldUntilMs: -Infinity});
+    this.byId.set(id, {
+      atMs: nowMs,
+      graceUntilMs: nowMs + graceMs,
+      heldUntilMs: -Infinity,
+    });
     for (const [oldest, {atMs}] of this.byId) {
       if (nowMs - atMs < MEMORY_MS && this.byId.size <= MAX_RECORDS) break;
       this.byId.delete(oldest);
@@ -42,14 +49,17 @@
 
   /** Holds all upstreams that left lately, as the store came back from a copy. */
   hold(nowMs: number): void {
-    for (const [id, {atMs}] of this.byId) {
-      if (nowMs - atMs >= MEMORY_MS) continue;
-      this.byId.set(id, {atMs, heldUntilMs: nowMs + HOLD_MS});
+    for (const [id, departure] of this.byId) {
+      if (nowMs - departure.atMs >= MEMORY_MS) continue;
+      this.byId.set(id, {...departure, heldUntilMs: nowMs + HOLD_MS});
     }
   }
 
   /** Whether an entry of the upstream is not to be used. */
   isHeld(id: string, nowMs: number): boolean {
-    return (this.byId.get(id)?.heldUntilMs ?? -Infinity) > nowMs;
+    const departure = this.byId.get(id);
+    if (departure === undefined) return false;
+    const {graceUntilMs, heldUntilMs} = departure;
+    return nowMs >= graceUntilMs && nowMs < heldUntilMs;
   }
 }
--- a/packages/forwarding/src/site_replica.test.ts
+++ b/packages/forwarding/src/site_replica.test.ts
@@ -194,6 +194,25 @@
     expect(listUsableIds(replica, 0)).to.deep.equal(['b']);
   });
 
+  // Guards against upstreams that left soon after an outage and are used again.
+  it('uses no upstream of a copy whose entry lapsed, once its grace is over', () => {
+    const replica = new SiteReplica();
+    const upstreams = [makeUpstream('a'), makeUpstream('b')];
+    replica.applySnapshot({epoch: 1, revision: 9, upstreams}, 0, false);
+    const change = {epoch: 1, revision: 10, updated: [], removed: ['a']};
+    replica.applyChange(change, 0, true);
+    replica.applySnapshot({epoch: 2, revision: 4, upstreams}, 1_000, false);
+    expect(listUsableIds(replica, 1_000)).to.have.members(['a', 'b']);
+    expect(listUsableIds(replica, 1_900)).to.deep.equal(['b']);
+    const lapsed = {epoch: 2, revision: 5, updated: [], removed: ['a']};
+    replica.applyChange(lapsed, 2_000, true);
+    expect(listUsableIds(replica, 2_000)).to.deep.equal(['b']);
+    const updated = [makeUpstream('a')];
+    const again = {epoch: 2, revision: 6, updated, removed: []};
+    replica.applyChange(again, 3_000, false);
+    expect(listUsableIds(replica, 3_000)).to.have.members(['a', 'b']);
+  });
+
   it('neither goes back nor stays behind, however often the store comes back from copies', () => {
     const step = fc.record({
       kind: fc.constantFrom(...Object.values(StoreStep)),
--- a/packages/forwarding/src/upstream_registry.ts
+++ b/packages/forwarding/src/upstream_registry.ts
@@ -37,6 +37,11 @@
     return this.entries.get(id);
   }
 
+  /** Finds the upstream that is listed at an address (IP:port). */
+  findByAddress(address: string): UpstreamEntry | undefined {
+    return this.list().find(entry => entry.address === address);
+  }
+
   /** Upstreams of a service that may receive new work. */
   usable(service: string, nowMs: number): UpstreamEntry[] {
     const expired = [...this.expired.values()]
@@ -56,9 +61,9 @@
     nowMs: number,
     mayHaveExpired: boolean,
   ): void {
-    this.removeOthers(entries, nowMs, () =>
-      mayHaveExpired ? EXPIRY_GRACE_MS : 0,
-    );
+    for (const {id} of this.listOthers(entries)) {
+      this.remove(id, nowMs, mayHaveExpired);
+    }
     for (const entry of entries) {
       this.put(entry);
       if (entry.stage === UpstreamStage.READY) {
@@ -73,9 +78,10 @@
    */
   rebase(entries: readonly UpstreamEntry[], nowMs: number): void {
     const copied = this.findCopiedRevision(entries);
-    this.removeOthers(entries, nowMs, ({revision = 0}) =>
-      revision <= copied ? 0 : RESTORE_GRACE_MS,
-    );
+    for (const {id, revision = 0} of this.listOthers(entries)) {
+      if (revision <= copied) this.remove(id, nowMs, false);
+      else this.lapse(id, nowMs + RESTORE_GRACE_MS, nowMs);
+    }
     this.departures.hold(nowMs);
     for (const entry of entries) {
       this.put(entry);
@@ -94,7 +100,11 @@
 
   /** @param mayHaveExpired Whether the store was unavailable recently. */
   remove(id: string, nowMs: number, mayHaveExpired: boolean): void {
-    this.removeEntry(id, nowMs, mayHaveExpired ? EXPIRY_GRACE_MS : 0);
+    const mayBeLive = mayHaveExpired && !this.departures.isHeld(id, nowMs);
+    const graceMs = mayBeLive ? EXPIRY_GRACE_MS : 0;
+    this.lapse(id, nowMs + graceMs, nowMs);
+    // Only a store that came back from a copy lists again what has left.
+    this.departures.record(id, nowMs, graceMs);
   }
 
   /**
@@ -118,26 +128,19 @@
     return Math.max(...unchanged.map(({revision = -1}) => revision), -1);
   }
 
-  private removeOthers(
-    entries: readonly UpstreamEntry[],
-    nowMs: number,
-    chooseGraceMs: (entry: UpstreamEntry) => number,
-  ): void {
+  private listOthers(entries: readonly UpstreamEntry[]): UpstreamEntry[] {
     const kept = new Set(entries.map(({id}) => id));
-    for (const entry of [...this.entries.values()]) {
-      if (kept.has(entry.id)) continue;
-      this.removeEntry(entry.id, nowMs, chooseGraceMs(entry));
-    }
+    return this.list().filter(({id}) => !kept.has(id));
   }
 
-  private removeEntry(id: string, nowMs: number, graceMs: number): void {
+  /** Drops an entry whose upstream is used until a time. */
+  private lapse(id: string, untilMs: number, nowMs: number): void {
     const entry = this.entries.get(id);
     this.entries.delete(id);
-    for (const [expiredId, {untilMs}] of this.expired) {
-      if (untilMs <= nowMs) this.expired.delete(expiredId);
+    for (const [expiredId, {untilMs: endMs}] of this.expired) {
+      if (endMs <= nowMs) this.expired.delete(expiredId);
     }
-    if (graceMs === 0) this.departures.record(id, nowMs);
-    else if (entry) this.expired.set(id, {entry, untilMs: nowMs + graceMs});
+    if (entry && untilMs > nowMs) this.expired.set(id, {entry, untilMs});
   }
 
   private put(entry: UpstreamEntry): void {
