End a request whose server has left and is gone

Cause, from the log of one of them: the server fell silent at 21.3 s, and its entry was removed at 24.8 s. An attempt that is silent is left only if another upstream has room, and none had; a removal ended nothing, and a dead machine ends no connection. Ruled out: the reservation; it is released as soon as its attempt ends.

With each change of the list, attempts whose upstream is not listed are checked, and once a second from then on: an upstream is gone if another one has its address, or if it takes no connections while others do. Its attempt is broken then, and the request goes on elsewhere or is refused. A request that may not be repeated is left only in the first case. A server that ends its work in peace keeps its requests.

--- a/packages/daemon/src/gateway/attempt_sender.ts
+++ b/packages/daemon/src/gateway/attempt_sender.ts
@@ -1,7 +1,13 @@
-import {AttemptOutcome, type RouteMatch} from '@parsleywood/forwarding';
+import {setTimeout as pause} from 'node:timers/promises';
+import {
+  AttemptOutcome,
+  type RetryController,
+  type RouteMatch,
+} from '@parsleywood/forwarding';
 import {handlePendingInput} from '../host/handle_pending_input.js';
 import type {AttemptPlacer} from './attempt_placer.js';
 import {buildUpstreamRequest} from './build_upstream_request.js';
+import {DepartureCheck} from './departure_check.js';
 import type {GatewayContext} from './gateway_context.js';
 import type {PlacedAttempt} from './placed_attempt.js';
 import {PromptReservations} from './prompt_reservations.js';
@@ -14,6 +20,8 @@
 import {UpstreamAttempt} from './upstream_attempt.js';
 
 const MISDIRECTED_STATUS = 421;
+/** Interval at which an upstream is checked that has left and ends its work. */
+const DEPARTURE_INTERVAL_MS = 1_000;
 
 /** Sends the attempts of one request, with engine memory reserved where needed. */
 export class AttemptSender {
@@ -21,6 +29,8 @@
   private response: ResponseSwitch | undefined;
   private reservations: PromptReservations | undefined;
   private sent = 0;
+  private isChecking = false;
+  private readonly departureCheck: DepartureCheck;
 
   /**
    * @param listener Called until the attempt ends, also when it is not sent.
@@ -35,7 +45,9 @@
     private readonly listener: ResponseListener,
     private readonly onSent: (placed: PlacedAttempt) => void,
     private readonly getLeftMs: () => number,
-  ) {}
+  ) {
+    this.departureCheck = new DepartureCheck(context);
+  }
 
   /** The attempt that is sent and has not ended. */
   get current(): UpstreamAttempt | undefined {
@@ -71,6 +83,30 @@
     this.reservations = undefined;
   }
 
+  /**
+   * Ends the attempt once its upstream has left and is gone. One that may not be
+   * repeated waits for an upstream that may be back.
+   */
+  async checkDeparture({isRepeatable}: RetryController): Promise<void> {
+    const {attempt, departureCheck} = this;
+    const upstream = this.placer.currentAttempt?.choice.upstream;
+    if (this.isChecking || !attempt || !upstream) return;
+    this.isChecking = true;
+    const isOpen = (): boolean => this.attempt === attempt && !attempt.isOver;
+    while (isOpen() && departureCheck.hasLeft(upstream)) {
+      // What is not read may be a whole response.
+      const isGone =
+        !attempt.isHeld &&
+        (await departureCheck.isGone(upstream, !isRepeatable));
+      if (isGone && isOpen()) {
+        attempt.cancel();
+        const detail = 'upstream has left and is gone';
+        this.listener.onEnd(AttemptOutcome.BROKEN, detail);
+      } else await pause(DEPARTURE_INTERVAL_MS, undefined, {ref: false});
+    }
+    this.isChecking = false;
+  }
+
   /** Sets the attempt that is sent aside, so that another one can be sent. */
   suspend(): SentAttempt | undefined {
     const {attempt, response, reservations} = this;
--- a/packages/daemon/src/gateway/forward_session.ts
+++ b/packages/daemon/src/gateway/forward_session.ts
@@ -177,15 +177,18 @@
     } else if (!this.inactivityTimer.isRunning) this.handleTimeout();
   }
 
+  /** Ends the attempt in progress if its upstream has left and is gone. */
+  checkDeparture(): void {
+    void this.guard(() => this.sender.checkDeparture(this.retryController));
+  }
+
   onHead(head: ResponseHead): boolean {
     this.response.recordHead(head);
     this.log.recordHead();
     if (head.status !== MISDIRECTED_STATUS) {
       this.placer.recordLimit(head.rateLimit);
     }
-    if (this.response.isStreaming) {
-      this.inactivityTimer.awaitEvent();
-    }
+    if (this.response.isStreaming) this.inactivityTimer.awaitEvent();
     return true;
   }
 
@@ -415,10 +418,7 @@
     this.onEnded(sentAttempts);
   }
 
-  /**
-   * Whether an upstream may have executed the request, in this or an earlier
-   * attempt.
-   */
+  /** Whether an upstream may have executed the request, in any attempt. */
   private getExecutionStatus(): ExecutionStatus {
     return this.sender.current === undefined
       ? this.retryController.ran
--- a/packages/daemon/src/gateway/gateway_host.ts
+++ b/packages/daemon/src/gateway/gateway_host.ts
@@ -340,6 +340,7 @@
     context.unreadableRests.retain(ids);
     context.placements.retain(ids);
     context.chooser.retain(ids);
+    this.server.checkDepartures();
     const configuration = replica.rules?.configuration;
     if (configuration === undefined || configuration.version === this.version) {
       return;
--- a/packages/daemon/src/gateway/gateway_server.ts
+++ b/packages/daemon/src/gateway/gateway_server.ts
@@ -146,6 +146,11 @@
     for (const session of this.listSessions()) session.endStalled();
   }
 
+  /** Ends what runs at upstreams that have left and are gone. */
+  checkDepartures(): void {
+    for (const session of this.listSessions()) session.checkDeparture();
+  }
+
   /** Fails the remaining requests and closes all connections. */
   async close(): Promise<void> {
     for (const session of this.listSessions()) session.stop();
--- a/packages/daemon/src/gateway/upstream_attempt.ts
+++ b/packages/daemon/src/gateway/upstream_attempt.ts
@@ -65,6 +65,11 @@
     this.connection.reset();
   }
 
+  /** Whether the attempt has ended, or was cancelled. */
+  get isOver(): boolean {
+    return this.hasEnded;
+  }
+
   /** Whether the response is not read. */
   get isHeld(): boolean {
     return this.connection.reader.isHeld;
