Read lines that the parser tells nothing of in small steps

Cause: a reader counted the pieces that its parser reports. undici reports no line of a head or of trailers until they are complete, so that some 2,000 of them made a turn of 8 KB; and behind its limit it creates an Error for each line of the 512 bytes that it got at once, 256 with two letters a line. Ruled out: the meter alone; this turn lasted 51.9 ms and used as much.

What a parser got without reporting a piece is counted in lines, and amid lines shorter than 16 bytes it gets 64 bytes at once.

--- a/packages/daemon/src/gateway/upstream_attempt.ts
+++ b/packages/daemon/src/gateway/upstream_attempt.ts
@@ -1,6 +1,6 @@
 import {AttemptOutcome} from '@parsleywood/forwarding';
 import type {Dispatcher} from 'undici';
-import {countLines} from './count_lines.js';
+import {countLines} from '../host/count_lines.js';
 import type {ResponseListener} from './response_listener.js';
 import type {HeaderNames} from './header_names.js';
 import {readRestMs} from './read_rest_ms.js';
--- a/packages/daemon/src/host/socket_reader.ts
+++ b/packages/daemon/src/host/socket_reader.ts
@@ -1,10 +1,15 @@
 import type {Socket} from 'node:net';
 import type {ReadBudget} from '@parsleywood/forwarding';
 import type {Clock} from './clock.js';
+import {countLines} from './count_lines.js';
 import {ReadMeter} from './read_meter.js';
 
 /** Bytes that the parser gets at once. */
 const MAX_READ_BYTES = 512;
+/** Bytes that the parser gets at once amid lines that are shorter than those of a head. */
+const MAX_SHORT_LINES_BYTES = 64;
+/** Mean length of a short line, in bytes. */
+const SHORT_LINE_BYTES = 16;
 
 /**
  * Reads a socket in small steps for a parser that would read all that has arrived.
@@ -14,6 +19,10 @@
   private readonly meter: ReadMeter;
   private socket: Socket | undefined;
   private hasHold = false;
+  /** What the parser got last, until it asks for more. */
+  private last: Buffer | undefined;
+  private hasRecorded = false;
+  private maxReadBytes = MAX_READ_BYTES;
 
   /** @param turnBytes Bytes after which other connections get their turn. */
   constructor(turnBytes: number, budget: ReadBudget, clock: Clock) {
@@ -33,6 +42,7 @@
     const read = socket.read.bind(socket) as (size?: number) => Buffer | null;
     socket.read = (size?: number): Buffer | null => {
       if (size === 0) return read(0);
+      this.recordLast();
       // What a connection brought that is closed already would still be parsed.
       if (socket.destroyed || this.hasHold || !this.meter.mayRead()) {
         return null;
@@ -63,7 +73,8 @@
 
   /** Counts pieces that the parser has found in what it got. */
   record(pieces: number): void {
-    this.meter.record(pieces);
+    this.hasRecorded = true;
+    this.meter.recordPieces(pieces);
   }
 
   /** Stops reading, so that the sender is held up as well. */
@@ -84,12 +95,28 @@
     {readableLength}: Socket,
     read: (size?: number) => Buffer | null,
   ): Buffer | null {
-    const isMore = readableLength > MAX_READ_BYTES;
-    const bytes = isMore ? read(MAX_READ_BYTES) : read();
-    if (bytes !== null) this.meter.recordBytes(bytes.length);
+    const {maxReadBytes} = this;
+    this.hasRecorded = false;
+    const bytes = readableLength > maxReadBytes ? read(maxReadBytes) : read();
+    if (bytes === null) return null;
+    this.meter.recordBytes(bytes.length);
+    this.last = bytes;
     return bytes;
   }
 
+  /** Counts the lines of a head or of trailers, of which the parser tells nothing. */
+  private recordLast(): void {
+    const {last, hasRecorded} = this;
+    this.last = undefined;
+    if (last === undefined) return;
+    const lines = hasRecorded ? 0 : countLines(last);
+    this.meter.recordPieces(lines);
+    this.maxReadBytes =
+      lines * SHORT_LINE_BYTES > last.length
+        ? MAX_SHORT_LINES_BYTES
+        : MAX_READ_BYTES;
+  }
+
   /** Lets the parser read what it was not given. */
   private continue(): void {
     const {socket} = this;
