Read large pieces in larger steps

Ruled out: backpressure; callers that read all along took as long.

What a parser gets grows up to 4 KB while it finds pieces of 512 bytes or more, and is 512 bytes again after the first others (ReadSize).

--- a/packages/daemon/src/host/socket_reader.ts
+++ b/packages/daemon/src/host/socket_reader.ts
@@ -1,16 +1,9 @@
 import type {Socket} from 'node:net';
-import type {ReadBudget} from '@parsleywood/forwarding';
+import {type ReadBudget, ReadSize} from '@parsleywood/forwarding';
 import type {Clock} from './clock.js';
 import {countLines} from './count_lines.js';
 import {ReadMeter} from './read_meter.js';
 
-/** Bytes that the parser gets at once. */
-const MAX_READ_BYTES = 512;
-/** Bytes that the parser gets at once amid lines that are shorter than those of a head. */
-const MAX_SHORT_LINES_BYTES = 64;
-/** Mean length of a short line, in bytes. */
-const SHORT_LINE_BYTES = 16;
-
 /**
  * Reads a socket in small steps for a parser that would read all that has arrived.
  * Node.js hands over up to 2 MB in one turn of the event loop.
@@ -21,8 +14,9 @@
   private hasHold = false;
   /** What the parser got last, until it asks for more. */
   private last: Buffer | undefined;
-  private hasRecorded = false;
-  private maxReadBytes = MAX_READ_BYTES;
+  /** Pieces that the parser found there. */
+  private lastPieces = 0;
+  private readonly size = new ReadSize();
 
   /** @param turnBytes Bytes after which other connections get their turn. */
   constructor(turnBytes: number, budget: ReadBudget, clock: Clock) {
@@ -73,7 +67,7 @@
 
   /** Counts pieces that the parser has found in what it got. */
   record(pieces: number): void {
-    this.hasRecorded = true;
+    this.lastPieces += pieces;
     this.meter.recordPieces(pieces);
   }
 
@@ -95,9 +89,9 @@
     {readableLength}: Socket,
     read: (size?: number) => Buffer | null,
   ): Buffer | null {
-    const {maxReadBytes} = this;
-    this.hasRecorded = false;
-    const bytes = readableLength > maxReadBytes ? read(maxReadBytes) : read();
+    const {bytes: maxBytes} = this.size;
+    this.lastPieces = 0;
+    const bytes = readableLength > maxBytes ? read(maxBytes) : read();
     if (bytes === null) return null;
     this.meter.recordBytes(bytes.length);
     this.last = bytes;
@@ -106,15 +100,16 @@
 
   /** Counts the lines of a head or of trailers, of which the parser tells nothing. */
   private recordLast(): void {
-    const {last, hasRecorded} = this;
+    const {last, lastPieces, size} = this;
     this.last = undefined;
     if (last === undefined) return;
-    const lines = hasRecorded ? 0 : countLines(last);
+    if (lastPieces > 0) {
+      size.recordPieces(last.length, lastPieces);
+      return;
+    }
+    const lines = countLines(last);
     this.meter.recordPieces(lines);
-    this.maxReadBytes =
-      lines * SHORT_LINE_BYTES > last.length
-        ? MAX_SHORT_LINES_BYTES
-        : MAX_READ_BYTES;
+    size.recordLines(last.length, lines);
   }
 
   /** Lets the parser read what it was not given. */
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -23,6 +23,7 @@
 export {NextStep} from './next_step.js';
 export {PieceBuffer} from './piece_buffer.js';
 export {ReadBudget} from './read_budget.js';
+export {ReadSize} from './read_size.js';
 export {ReadTurn} from './read_turn.js';
 export {RequestKind} from './request_kind.js';
 export {RetryController} from './retry_controller.js';
