Share the tests of upstreams that have left

By reading, before it was seen: a request checked its upstream by a connection of its own, each second, so that a site whose entries all lapse after an outage would have opened a connection for each open request, and a server that drains one for each request that it ends.

All requests at an upstream share one test a second now, and none is made while its entry may just have lapsed.

--- a/packages/daemon/src/gateway/attempt_sender.ts
+++ b/packages/daemon/src/gateway/attempt_sender.ts
@@ -7,7 +7,6 @@
 import {handlePendingInput} from '../host/handle_pending_input.js';
 import type {AttemptPlacer} from './attempt_placer.js';
 import {buildUpstreamRequest} from './build_upstream_request.js';
-import {DepartureCheck} from './departure_check.js';
 import type {GatewayContext} from './gateway_context.js';
 import type {PlacedAttempt} from './placed_attempt.js';
 import {PromptReservations} from './prompt_reservations.js';
@@ -30,7 +29,6 @@
   private reservations: PromptReservations | undefined;
   private sent = 0;
   private isChecking = false;
-  private readonly departureCheck: DepartureCheck;
 
   /**
    * @param listener Called until the attempt ends, also when it is not sent.
@@ -45,9 +43,7 @@
     private readonly listener: ResponseListener,
     private readonly onSent: (placed: PlacedAttempt) => void,
     private readonly getLeftMs: () => number,
-  ) {
-    this.departureCheck = new DepartureCheck(context);
-  }
+  ) {}
 
   /** The attempt that is sent and has not ended. */
   get current(): UpstreamAttempt | undefined {
@@ -88,12 +84,13 @@
    * repeated waits for an upstream that may be back.
    */
   async checkDeparture({isRepeatable}: RetryController): Promise<void> {
-    const {attempt, departureCheck} = this;
+    const {attempt} = this;
+    const {departureCheck} = this.context;
     const upstream = this.placer.currentAttempt?.choice.upstream;
     if (this.isChecking || !attempt || !upstream) return;
     this.isChecking = true;
     const isOpen = (): boolean => this.attempt === attempt && !attempt.isOver;
-    while (isOpen() && departureCheck.hasLeft(upstream)) {
+    while (isOpen() && !departureCheck.isListed(upstream)) {
       // What is not read may be a whole response.
       const isGone =
         !attempt.isHeld &&
--- a/packages/daemon/src/gateway/departure_check.ts
+++ b/packages/daemon/src/gateway/departure_check.ts
@@ -1,6 +1,15 @@
-import type {UpstreamEntry} from '@parsleywood/forwarding';
+import type {SiteReplica, UpstreamEntry} from '@parsleywood/forwarding';
+import type {Clock} from '../host/clock.js';
 import {canConnect} from './can_connect.js';
-import type {GatewayContext} from './gateway_context.js';
+import type {ReachMonitor} from './reach_monitor.js';
+
+/** Time for which all requests at an upstream share one test of its address. */
+const TEST_SHARE_MS = 1_000;
+
+interface AddressTest {
+  readonly startedAtMs: number;
+  readonly hasFailed: Promise<boolean>;
+}
 
 /**
  * Finds out whether upstreams have gone that may still have open connections. Load
@@ -8,26 +17,47 @@
  * others get.
  */
 export class DepartureCheck {
-  constructor(private readonly context: GatewayContext) {}
+  private readonly tests = new Map<string, AddressTest>();
+
+  constructor(
+    private readonly replica: SiteReplica,
+    private readonly reach: ReachMonitor,
+    private readonly clock: Clock,
+  ) {}
 
-  /** Whether an upstream is no longer listed. */
-  hasLeft({id}: UpstreamEntry): boolean {
-    return this.context.replica.upstreams.find(id) === undefined;
+  /** Whether an upstream is listed. */
+  isListed({id}: UpstreamEntry): boolean {
+    return this.replica.upstreams.find(id) !== undefined;
   }
 
   /**
-   * Whether an upstream that has left is gone.
+   * Whether an upstream that is not listed is gone.
    *
    * @param mayReturn Whether one that takes no connections may be back later.
    */
-  async isGone(
-    {id, address}: UpstreamEntry,
-    mayReturn: boolean,
-  ): Promise<boolean> {
-    const {replica, reach} = this.context;
-    const owner = replica.upstreams.findByAddress(address);
+  async isGone(upstream: UpstreamEntry, mayReturn: boolean): Promise<boolean> {
+    const {id, address} = upstream;
+    const {upstreams} = this.replica;
+    const owner = upstreams.findByAddress(address);
     if (owner !== undefined && owner.id !== id) return true;
-    if (mayReturn || (await canConnect(address))) return false;
-    return reach.testReach();
+    if (mayReturn || upstreams.has(id, this.clock.nowMs())) return false;
+    return this.testAddress(upstream);
+  }
+
+  private testAddress({id, address}: UpstreamEntry): Promise<boolean> {
+    const nowMs = this.clock.nowMs();
+    for (const [other, {startedAtMs}] of this.tests) {
+      if (nowMs - startedAtMs >= TEST_SHARE_MS) this.tests.delete(other);
+    }
+    const known = this.tests.get(id);
+    if (known !== undefined) return known.hasFailed;
+    const hasFailed = this.isUnreachable(address);
+    this.tests.set(id, {startedAtMs: nowMs, hasFailed});
+    return hasFailed;
+  }
+
+  /** Whether an address takes no connections, while others do. */
+  private async isUnreachable(address: string): Promise<boolean> {
+    return !(await canConnect(address)) && (await this.reach.testReach());
   }
 }
--- a/packages/daemon/src/gateway/gateway_context.ts
+++ b/packages/daemon/src/gateway/gateway_context.ts
@@ -11,6 +11,7 @@
 import type {HostTimeline} from '../host/host_timeline.js';
 import type {SuspectTracker} from '../upstreams/suspect_tracker.js';
 import type {UpdatePublisher} from './update_publisher.js';
+import type {DepartureCheck} from './departure_check.js';
 import type {GatewayMetrics} from './gateway_metrics.js';
 import type {HeaderNames} from './header_names.js';
 import type {EngineReservations} from './engine_reservations.js';
@@ -38,6 +39,7 @@
   readonly bufferBudget: BufferBudget;
   readonly publisher: UpdatePublisher;
   readonly reach: ReachMonitor;
+  readonly departureCheck: DepartureCheck;
   readonly reservationClient: EngineReservations;
   readonly suspects: SuspectTracker;
   /** Returns the number of live hosts, including this one. */
--- a/packages/daemon/src/gateway/gateway_host.ts
+++ b/packages/daemon/src/gateway/gateway_host.ts
@@ -29,6 +29,7 @@
 import {SuspectSynchronizer} from '../upstreams/suspect_synchronizer.js';
 import {SuspectTracker} from '../upstreams/suspect_tracker.js';
 import {SystemClock} from '../host/system_clock.js';
+import {DepartureCheck} from './departure_check.js';
 import {DirectoryServer} from './directory_server.js';
 import {PeerCallHandler} from './peer_call_handler.js';
 import {FleetMembership} from './fleet_membership.js';
@@ -220,6 +221,7 @@
       bufferBudget: new BufferBudget(),
       publisher: relay,
       reach,
+      departureCheck: new DepartureCheck(replica, reach, clock),
       reservationClient: reservations,
       suspects,
       countHosts: () => this.fleet.countHosts(),
--- a/packages/forwarding/src/upstream_registry.ts
+++ b/packages/forwarding/src/upstream_registry.ts
@@ -37,6 +37,12 @@
     return this.entries.get(id);
   }
 
+  /** Whether an upstream is listed, or is used although its entry may have lapsed. */
+  has(id: string, nowMs: number): boolean {
+    const {untilMs = -Infinity} = this.expired.get(id) ?? {};
+    return this.entries.has(id) || untilMs > nowMs;
+  }
+
   /** Finds the upstream that is listed at an address (IP:port). */
   findByAddress(address: string): UpstreamEntry | undefined {
     return this.list().find(entry => entry.address === address);
