--- a/packages/daemon/src/gateway/upstream_connection_pool.ts
+++ b/packages/daemon/src/gateway/upstream_connection_pool.ts
@@ -10,7 +10,7 @@
  * unnoticed.
  */
 const MAX_IDLE_MS = 8_000;
-/** Bytes of a response that are read at once: 2,000 header lines of the shortest form. */
+/** Bytes of a response that are read at once. */
 const TURN_BYTES = 8_192;
 
 /** Pool of idle connections to upstreams, by the upstream's id. */
