Count no crash where a server has left and is gone

Cause: since the attempt at a server that lost power and left the list ended as broken, and a break of an upstream that takes no connection counts as a crash by the request. All requests at a dead server were suspects at once, with their parts. A silent attempt counts as none.

Such an attempt ends as a silent one now. The test failed before: one change of a crash status, and none now.

--- a/packages/daemon/src/gateway/attempt_sender.ts
+++ b/packages/daemon/src/gateway/attempt_sender.ts
@@ -98,7 +98,8 @@
       if (isGone && isOpen()) {
         attempt.cancel();
         const detail = 'upstream has left and is gone';
-        this.listener.onEnd(AttemptOutcome.BROKEN, detail);
+        // That a server lost power is no evidence against the request.
+        this.listener.onEnd(AttemptOutcome.TIMED_OUT, detail);
       } else await pause(DEPARTURE_INTERVAL_MS, undefined, {ref: false});
     }
     this.isChecking = false;
