Decide what a list says of an upstream apart from testing its address

What stops a reader: DepartureCheck decided and connected in one place, while decisions stand apart from input and output here. What the list says (listed, lapsed, not listed, another at the address) is UpstreamRegistry.findPresence now, with the load pattern that it answers; DepartureCheck tests addresses.

--- a/packages/daemon/src/gateway/departure_check.ts
+++ b/packages/daemon/src/gateway/departure_check.ts
@@ -1,4 +1,8 @@
-import type {SiteReplica, UpstreamEntry} from '@parsleywood/forwarding';
+import {
+  UpstreamPresence,
+  type SiteReplica,
+  type UpstreamEntry,
+} from '@parsleywood/forwarding';
 import type {Clock} from '../host/clock.js';
 import {canConnect} from './can_connect.js';
 import type {ReachMonitor} from './reach_monitor.js';
@@ -11,11 +15,7 @@
   readonly hasFailed: Promise<boolean>;
 }
 
-/**
- * Finds out whether upstreams have gone that may still have open connections. Load
- * pattern: servers that lose power while they run long prompts, and whose addresses
- * others get.
- */
+/** Tests whether upstreams have gone that may still have open connections. */
 export class DepartureCheck {
   private readonly tests = new Map<string, AddressTest>();
 
@@ -25,23 +25,25 @@
     private readonly clock: Clock,
   ) {}
 
-  /** Whether an upstream is listed. */
-  isListed({id}: UpstreamEntry): boolean {
-    return this.replica.upstreams.find(id) !== undefined;
+  isListed(upstream: UpstreamEntry): boolean {
+    return this.findPresence(upstream) === UpstreamPresence.LISTED;
   }
 
-  /**
-   * Whether an upstream that is not listed is gone.
-   *
-   * @param mayReturn Whether one that takes no connections may be back later.
-   */
+  /** @param mayReturn Whether one that takes no connections may be back later. */
   async isGone(upstream: UpstreamEntry, mayReturn: boolean): Promise<boolean> {
-    const {id, address} = upstream;
-    const {upstreams} = this.replica;
-    const owner = upstreams.findByAddress(address);
-    if (owner !== undefined && owner.id !== id) return true;
-    if (mayReturn || upstreams.has(id, this.clock.nowMs())) return false;
-    return this.testAddress(upstream);
+    switch (this.findPresence(upstream)) {
+      case UpstreamPresence.REPLACED:
+        return true;
+      case UpstreamPresence.UNLISTED:
+        return !mayReturn && (await this.testAddress(upstream));
+      default:
+        return false;
+    }
+  }
+
+  private findPresence(upstream: UpstreamEntry): UpstreamPresence {
+    const {replica, clock} = this;
+    return replica.upstreams.findPresence(upstream, clock.nowMs());
   }
 
   private testAddress({id, address}: UpstreamEntry): Promise<boolean> {
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -43,5 +43,6 @@
 export type {StorePosition} from './store_position.js';
 export type {UpstreamEntry} from './upstream_entry.js';
 export {UpstreamRegistry} from './upstream_registry.js';
+export {UpstreamPresence} from './upstream_presence.js';
 export {UpstreamStage} from './upstream_stage.js';
 export {WatchDuty} from './watch_duty.js';
--- a/packages/forwarding/src/site_replica.test.ts
+++ b/packages/forwarding/src/site_replica.test.ts
@@ -5,6 +5,7 @@
 import {SiteReplica} from './site_replica.js';
 import type {SiteSnapshot} from './site_snapshot.js';
 import type {UpstreamEntry} from './upstream_entry.js';
+import {UpstreamPresence} from './upstream_presence.js';
 import {UpstreamStage} from './upstream_stage.js';
 
 function makeConfiguration(version: number): Configuration {
@@ -213,6 +214,24 @@
     expect(listUsableIds(replica, 3_000)).to.have.members(['a', 'b']);
   });
 
+  it('tells what has left from what may have lapsed or was replaced', () => {
+    const {upstreams} = new SiteReplica();
+    const entries = ['a', 'b', 'c'].map(id => ({
+      ...makeUpstream(id),
+      address: `${id}:1`,
+    }));
+    for (const entry of entries) upstreams.write(entry, 0);
+    upstreams.remove('a', 0, true);
+    upstreams.remove('b', 0, false);
+    const listPresence = (nowMs: number): UpstreamPresence[] =>
+      entries.map(entry => upstreams.findPresence(entry, nowMs));
+    const {LISTED, LAPSED, UNLISTED, REPLACED} = UpstreamPresence;
+    expect(listPresence(0)).to.deep.equal([LAPSED, UNLISTED, LISTED]);
+    expect(listPresence(2_000)).to.deep.equal([UNLISTED, UNLISTED, LISTED]);
+    upstreams.write({...makeUpstream('d'), address: 'b:1'}, 0);
+    expect(listPresence(0)).to.deep.equal([LAPSED, REPLACED, LISTED]);
+  });
+
   it('neither goes back nor stays behind, however often the store comes back from copies', () => {
     const step = fc.record({
       kind: fc.constantFrom(...Object.values(StoreStep)),
--- a/packages/forwarding/src/upstream_registry.ts
+++ b/packages/forwarding/src/upstream_registry.ts
@@ -1,6 +1,7 @@
 import {Departures} from './departures.js';
 import {LeavingUpstreams} from './leaving_upstreams.js';
 import type {UpstreamEntry} from './upstream_entry.js';
+import {UpstreamPresence} from './upstream_presence.js';
 import {UpstreamStage} from './upstream_stage.js';
 
 /**
@@ -37,15 +38,20 @@
     return this.entries.get(id);
   }
 
-  /** Whether an upstream is listed, or is used although its entry may have lapsed. */
-  has(id: string, nowMs: number): boolean {
+  /**
+   * What the list says of an upstream at which work is open. Load pattern: servers that
+   * lose power while they run long prompts, whose addresses others get, and entries
+   * that all lapse at once after an outage of the store.
+   */
+  findPresence({id, address}: UpstreamEntry, nowMs: number): UpstreamPresence {
+    if (this.entries.has(id)) return UpstreamPresence.LISTED;
+    for (const entry of this.entries.values()) {
+      if (entry.address === address) return UpstreamPresence.REPLACED;
+    }
     const {untilMs = -Infinity} = this.expired.get(id) ?? {};
-    return this.entries.has(id) || untilMs > nowMs;
-  }
-
-  /** Finds the upstream that is listed at an address (IP:port). */
-  findByAddress(address: string): UpstreamEntry | undefined {
-    return this.list().find(entry => entry.address === address);
+    return untilMs > nowMs
+      ? UpstreamPresence.LAPSED
+      : UpstreamPresence.UNLISTED;
   }
 
   /** Upstreams of a service that may receive new work. */
