--- a/packages/daemon/src/gateway/attempt_placer.test.ts
+++ b/packages/daemon/src/gateway/attempts/attempt_placer.test.ts
@@ -7,8 +7,8 @@
   type RouteMatch,
 } from '@parsleywood/forwarding';
 import {AttemptPlacer} from './attempt_placer.js';
-import type {GatewayContext} from './gateway_context.js';
-import type {ReceivedRequest} from './received_request.js';
+import type {GatewayContext} from '../gateway_context.js';
+import type {ReceivedRequest} from '../callers/received_request.js';
 
 const UPSTREAM = {
   id: 'u',
--- a/packages/daemon/src/gateway/attempt_placer.ts
+++ b/packages/daemon/src/gateway/attempts/attempt_placer.ts
@@ -11,11 +11,11 @@
   type Service,
   type UpstreamEntry,
 } from '@parsleywood/forwarding';
-import {canConnect} from './can_connect.js';
+import {canConnect} from '../upstreams/can_connect.js';
 import {describeDemand} from './describe_demand.js';
-import type {GatewayContext} from './gateway_context.js';
+import type {GatewayContext} from '../gateway_context.js';
 import type {PlacedAttempt} from './placed_attempt.js';
-import type {ReceivedRequest} from './received_request.js';
+import type {ReceivedRequest} from '../callers/received_request.js';
 import type {SuspendedPlacement} from './suspended_placement.js';
 
 const SERVER_ERROR_STATUS = 500;
--- a/packages/daemon/src/gateway/attempt_sender.ts
+++ b/packages/daemon/src/gateway/attempts/attempt_sender.ts
@@ -4,19 +4,19 @@
   type RetryController,
   type RouteMatch,
 } from '@parsleywood/forwarding';
-import {handlePendingInput} from '../host/handle_pending_input.js';
+import {handlePendingInput} from '../../host/handle_pending_input.js';
 import type {AttemptPlacer} from './attempt_placer.js';
 import {buildUpstreamRequest} from './build_upstream_request.js';
-import type {GatewayContext} from './gateway_context.js';
+import type {GatewayContext} from '../gateway_context.js';
 import type {PlacedAttempt} from './placed_attempt.js';
 import {PromptReservations} from './prompt_reservations.js';
-import type {ReceivedRequest} from './received_request.js';
+import type {ReceivedRequest} from '../callers/received_request.js';
 import type {ResponseListener} from './response_listener.js';
-import {recordLeaving} from './record_leaving.js';
-import {recordRest} from './record_rest.js';
+import {recordLeaving} from '../upstreams/record_leaving.js';
+import {recordRest} from '../upstreams/record_rest.js';
 import {ResponseSwitch} from './response_switch.js';
 import type {SentAttempt} from './sent_attempt.js';
-import {UpstreamAttempt} from './upstream_attempt.js';
+import {UpstreamAttempt} from '../upstreams/upstream_attempt.js';
 
 const MISDIRECTED_STATUS = 421;
 /** Interval at which an upstream is checked that has left and ends its work. */
--- a/packages/daemon/src/gateway/build_attempt_headers.ts
+++ b/packages/daemon/src/gateway/attempts/build_attempt_headers.ts
@@ -1,6 +1,6 @@
 import type {AttemptHeaderValues} from './attempt_header_values.js';
-import type {HeaderNames} from './header_names.js';
-import {listEndToEndHeaders} from './list_end_to_end_headers.js';
+import type {HeaderNames} from '../header_names.js';
+import {listEndToEndHeaders} from '../upstreams/list_end_to_end_headers.js';
 
 /**
  * Builds the headers of an attempt: the caller's end-to-end headers, without
--- a/packages/daemon/src/gateway/build_upstream_request.ts
+++ b/packages/daemon/src/gateway/attempts/build_upstream_request.ts
@@ -1,10 +1,10 @@
 import type {RouteMatch} from '@parsleywood/forwarding';
 import {buildAttemptHeaders} from './build_attempt_headers.js';
-import type {HeaderNames} from './header_names.js';
+import type {HeaderNames} from '../header_names.js';
 import type {PlacedAttempt} from './placed_attempt.js';
 import type {PromptReservations} from './prompt_reservations.js';
-import type {ReceivedRequest} from './received_request.js';
-import type {UpstreamRequest} from './upstream_request.js';
+import type {ReceivedRequest} from '../callers/received_request.js';
+import type {UpstreamRequest} from '../upstreams/upstream_request.js';
 
 const MAX_RANK = 9;
 
--- a/packages/daemon/src/gateway/crash_detector.ts
+++ b/packages/daemon/src/gateway/attempts/crash_detector.ts
@@ -5,13 +5,13 @@
   type SuspectState,
 } from '@parsleywood/requests';
 import type {Failure} from '@parsleywood/errors';
-import {createCrashFailure} from '../callers/create_crash_failure.js';
-import type {ObservedCrash} from '../upstreams/observed_crash.js';
-import {shortenHash} from '../upstreams/shorten_hash.js';
-import type {SuspectSubject} from '../upstreams/suspect_subject.js';
+import {createCrashFailure} from '../../callers/create_crash_failure.js';
+import type {ObservedCrash} from '../../upstreams/observed_crash.js';
+import {shortenHash} from '../../upstreams/shorten_hash.js';
+import type {SuspectSubject} from '../../upstreams/suspect_subject.js';
 import type {AttemptPlacer} from './attempt_placer.js';
-import type {GatewayContext} from './gateway_context.js';
-import type {ReceivedRequest} from './received_request.js';
+import type {GatewayContext} from '../gateway_context.js';
+import type {ReceivedRequest} from '../callers/received_request.js';
 import type {SessionLog} from './session_log.js';
 
 /**
--- a/packages/daemon/src/gateway/describe_demand.ts
+++ b/packages/daemon/src/gateway/attempts/describe_demand.ts
@@ -4,7 +4,7 @@
   type RouteMatch,
   type Service,
 } from '@parsleywood/forwarding';
-import type {ReceivedRequest} from './received_request.js';
+import type {ReceivedRequest} from '../callers/received_request.js';
 
 /**
  * Upper bound of a caller's answer estimate, as a multiple of the mean answer
--- a/packages/daemon/src/gateway/forward_session.ts
+++ b/packages/daemon/src/gateway/attempts/forward_session.ts
@@ -6,17 +6,17 @@
   RetryController,
   type RouteMatch,
 } from '@parsleywood/forwarding';
-import type {ResponseHead} from './response_head.js';
+import type {ResponseHead} from '../upstreams/response_head.js';
 import type {ResponseListener} from './response_listener.js';
-import type {ResponseWriter} from './response_writer.js';
+import type {ResponseWriter} from '../callers/response_writer.js';
 import {CrashDetector} from './crash_detector.js';
 import {drawService} from './draw_service.js';
-import {endResponse} from './end_response.js';
-import {computeTimeLimit} from './compute_time_limit.js';
-import type {GatewayContext} from './gateway_context.js';
+import {endResponse} from '../callers/end_response.js';
+import {computeTimeLimit} from '../callers/compute_time_limit.js';
+import type {GatewayContext} from '../gateway_context.js';
 import type {PlacedAttempt} from './placed_attempt.js';
 import {ReceivedResponse} from './received_response.js';
-import type {ReceivedRequest} from './received_request.js';
+import type {ReceivedRequest} from '../callers/received_request.js';
 import {SessionFailures} from './session_failures.js';
 import {SessionLog} from './session_log.js';
 import {SessionRetries} from './session_retries.js';
--- a/packages/daemon/src/gateway/held_attempt.ts
+++ b/packages/daemon/src/gateway/attempts/held_attempt.ts
@@ -1,6 +1,6 @@
 import {AttemptOutcome, PieceBuffer} from '@parsleywood/forwarding';
 import type {ReceivedPart} from './received_part.js';
-import type {ResponseHead} from './response_head.js';
+import type {ResponseHead} from '../upstreams/response_head.js';
 import type {ResponseListener} from './response_listener.js';
 import type {SentAttempt} from './sent_attempt.js';
 import type {SuspendedPlacement} from './suspended_placement.js';
--- a/packages/daemon/src/gateway/prompt_reservations.test.ts
+++ b/packages/daemon/src/gateway/attempts/prompt_reservations.test.ts
@@ -2,10 +2,10 @@
 import type {UpstreamEntry} from '@parsleywood/forwarding';
 import {createUpstream} from '@parsleywood/forwarding/testing';
 import {expect} from 'chai';
-import {EventLog} from '../host/event_log.js';
-import type {EngineReservations} from './engine_reservations.js';
+import {EventLog} from '../../host/event_log.js';
+import type {EngineReservations} from '../upstreams/engine_reservations.js';
 import {PromptReservations} from './prompt_reservations.js';
-import {ReservationOutcome} from './reservation_outcome.js';
+import {ReservationOutcome} from '../upstreams/reservation_outcome.js';
 
 const ENGINES = ['e0', 'e1', 'e2'].map(id => createUpstream(id));
 
--- a/packages/daemon/src/gateway/prompt_reservations.ts
+++ b/packages/daemon/src/gateway/attempts/prompt_reservations.ts
@@ -1,8 +1,8 @@
 import type {UpstreamChoice} from '@parsleywood/dispatch';
 import type {UpstreamEntry} from '@parsleywood/forwarding';
-import type {EventLog} from '../host/event_log.js';
-import type {EngineReservations} from './engine_reservations.js';
-import {ReservationOutcome} from './reservation_outcome.js';
+import type {EventLog} from '../../host/event_log.js';
+import type {EngineReservations} from '../upstreams/engine_reservations.js';
+import {ReservationOutcome} from '../upstreams/reservation_outcome.js';
 
 /**
  * Lease duration. It is below the 4 s within which memory must be free again
--- a/packages/daemon/src/gateway/received_part.ts
+++ b/packages/daemon/src/gateway/attempts/received_part.ts
@@ -1,5 +1,5 @@
 import type {ResponseBuffer} from './response_buffer.js';
-import type {ResponseHead} from './response_head.js';
+import type {ResponseHead} from '../upstreams/response_head.js';
 
 /** What has arrived of the response to an attempt, beyond complete events. */
 export interface ReceivedPart {
--- a/packages/daemon/src/gateway/received_response.ts
+++ b/packages/daemon/src/gateway/attempts/received_response.ts
@@ -1,9 +1,9 @@
 import {EventCursor, RequestKind, type Route} from '@parsleywood/forwarding';
-import type {GatewayContext} from './gateway_context.js';
+import type {GatewayContext} from '../gateway_context.js';
 import type {ReceivedPart} from './received_part.js';
-import type {RequestMetadata} from './request_metadata.js';
+import type {RequestMetadata} from '../callers/request_metadata.js';
 import {ResponseBuffer} from './response_buffer.js';
-import type {ResponseHead} from './response_head.js';
+import type {ResponseHead} from '../upstreams/response_head.js';
 
 const OK_STATUS = 200;
 const NO_EVENTS = Buffer.alloc(0);
--- a/packages/daemon/src/gateway/response_listener.ts
+++ b/packages/daemon/src/gateway/attempts/response_listener.ts
@@ -1,5 +1,5 @@
 import type {AttemptOutcome} from '@parsleywood/forwarding';
-import type {ResponseHead} from './response_head.js';
+import type {ResponseHead} from '../upstreams/response_head.js';
 
 /** Receives the response to one attempt. */
 export interface ResponseListener {
--- a/packages/daemon/src/gateway/response_switch.ts
+++ b/packages/daemon/src/gateway/attempts/response_switch.ts
@@ -1,5 +1,5 @@
 import type {AttemptOutcome} from '@parsleywood/forwarding';
-import type {ResponseHead} from './response_head.js';
+import type {ResponseHead} from '../upstreams/response_head.js';
 import type {ResponseListener} from './response_listener.js';
 
 /** Passes on the response of one attempt to a listener that may be replaced. */
--- a/packages/daemon/src/gateway/retry_budgets.ts
+++ b/packages/daemon/src/gateway/attempts/retry_budgets.ts
@@ -1,6 +1,6 @@
 import {SharedRetryBudget} from '@parsleywood/forwarding';
 import type {GatewaySettings} from '@parsleywood/schema/gateway_settings';
-import type {Clock} from '../host/clock.js';
+import type {Clock} from '../../host/clock.js';
 
 /** This host's share of the site's retry budgets, by service. */
 export class RetryBudgets {
--- a/packages/daemon/src/gateway/session_failures.ts
+++ b/packages/daemon/src/gateway/attempts/session_failures.ts
@@ -6,8 +6,8 @@
 } from '@parsleywood/forwarding';
 import type {AttemptPlacer} from './attempt_placer.js';
 import {createCapacityFailure} from './create_capacity_failure.js';
-import {createStoppingFailure} from './create_stopping_failure.js';
-import type {ReachMonitor} from './reach_monitor.js';
+import {createStoppingFailure} from '../callers/create_stopping_failure.js';
+import type {ReachMonitor} from '../upstreams/reach_monitor.js';
 
 /** Retry-After of a response when no upstream could be reached. */
 const UNAVAILABLE_RETRY_MS = 300;
--- a/packages/daemon/src/gateway/session_log.ts
+++ b/packages/daemon/src/gateway/attempts/session_log.ts
@@ -2,10 +2,10 @@
 import {AttemptOutcome, type RouteMatch} from '@parsleywood/forwarding';
 import {TimelineEventName, type TimelineFields} from '@parsleywood/timeline';
 import type {CrashFields} from './crash_fields.js';
-import type {GatewayContext} from './gateway_context.js';
+import type {GatewayContext} from '../gateway_context.js';
 import type {PlacedAttempt} from './placed_attempt.js';
-import type {ReceivedRequest} from './received_request.js';
-import {RequestProgress} from './request_progress.js';
+import type {ReceivedRequest} from '../callers/received_request.js';
+import {RequestProgress} from '../callers/request_progress.js';
 import {SessionOutcome} from './session_outcome.js';
 
 const SERVER_ERROR_STATUS = 500;
--- a/packages/daemon/src/gateway/session_retries.ts
+++ b/packages/daemon/src/gateway/attempts/session_retries.ts
@@ -5,7 +5,7 @@
 } from '@parsleywood/forwarding';
 import type {AttemptPlacer} from './attempt_placer.js';
 import type {CrashDetector} from './crash_detector.js';
-import type {GatewayContext} from './gateway_context.js';
+import type {GatewayContext} from '../gateway_context.js';
 
 /** Decides on the retries of one request by what this host knows. */
 export class SessionRetries {
--- a/packages/daemon/src/gateway/stream_flow.ts
+++ b/packages/daemon/src/gateway/attempts/stream_flow.ts
@@ -1,6 +1,6 @@
 import type {AttemptSender} from './attempt_sender.js';
 import type {InactivityTimer} from './inactivity_timer.js';
-import type {ResponseWriter} from './response_writer.js';
+import type {ResponseWriter} from '../callers/response_writer.js';
 
 /** Holds a stream up at its upstream while the caller reads too slowly. */
 export class StreamFlow {
--- a/packages/daemon/src/gateway/suspect_trial.ts
+++ b/packages/daemon/src/gateway/attempts/suspect_trial.ts
@@ -1,10 +1,10 @@
 import {setTimeout as pause} from 'node:timers/promises';
 import type {CapacityShortage} from '@parsleywood/dispatch';
 import {ErrorKind, ExecutionStatus, Failure} from '@parsleywood/errors';
-import {handlePendingInput} from '../host/handle_pending_input.js';
+import {handlePendingInput} from '../../host/handle_pending_input.js';
 import type {AttemptPlacer} from './attempt_placer.js';
 import type {CrashDetector} from './crash_detector.js';
-import type {GatewayContext} from './gateway_context.js';
+import type {GatewayContext} from '../gateway_context.js';
 import type {PlacedAttempt} from './placed_attempt.js';
 
 /**
--- a/packages/daemon/src/gateway/caller_connection.ts
+++ b/packages/daemon/src/gateway/callers/caller_connection.ts
@@ -1,6 +1,6 @@
-import type {ForwardSession} from './forward_session.js';
+import type {ForwardSession} from '../attempts/forward_session.js';
 import type {ResponseWriter} from './response_writer.js';
-import type {SocketReader} from '../host/socket_reader.js';
+import type {SocketReader} from '../../host/socket_reader.js';
 
 /**
  * The open requests of one connection. Node.js tells only the first of them that
--- a/packages/daemon/src/gateway/end_response.ts
+++ b/packages/daemon/src/gateway/callers/end_response.ts
@@ -1,5 +1,5 @@
-import type {ReceivedResponse} from './received_response.js';
-import type {ResponseHead} from './response_head.js';
+import type {ReceivedResponse} from '../attempts/received_response.js';
+import type {ResponseHead} from '../upstreams/response_head.js';
 import type {ResponseWriter} from './response_writer.js';
 
 /** Writes the rest of a complete response to the caller. */
--- a/packages/daemon/src/gateway/gateway_server.test.ts
+++ b/packages/daemon/src/gateway/callers/gateway_server.test.ts
@@ -1,9 +1,9 @@
 import {expect} from 'chai';
 import {request} from 'undici';
-import {SystemClock} from '../host/system_clock.js';
+import {SystemClock} from '../../host/system_clock.js';
 import {findFreePorts} from '@parsleywood/stand-ins';
-import {DEFAULT_HEADER_NAMES} from './default_header_names.js';
-import type {GatewayContext} from './gateway_context.js';
+import {DEFAULT_HEADER_NAMES} from '../default_header_names.js';
+import type {GatewayContext} from '../gateway_context.js';
 import {GatewayServer} from './gateway_server.js';
 
 describe('GatewayServer', () => {
--- a/packages/daemon/src/gateway/gateway_server.ts
+++ b/packages/daemon/src/gateway/callers/gateway_server.ts
@@ -16,12 +16,12 @@
 import {ResponseWriter} from './response_writer.js';
 import {computeTimeLimit} from './compute_time_limit.js';
 import {createStoppingFailure} from './create_stopping_failure.js';
-import {ForwardSession} from './forward_session.js';
-import type {GatewayContext} from './gateway_context.js';
+import {ForwardSession} from '../attempts/forward_session.js';
+import type {GatewayContext} from '../gateway_context.js';
 import {readBody} from './read_body.js';
 import {readRequestMetadata} from './read_request_metadata.js';
 import type {RequestMetadata} from './request_metadata.js';
-import {SocketReader} from '../host/socket_reader.js';
+import {SocketReader} from '../../host/socket_reader.js';
 
 /** Header size limit of the HTTP parser, above the configured limit. */
 const MAX_HEADER_BYTES = 262_144;
--- a/packages/daemon/src/gateway/probe_server.ts
+++ b/packages/daemon/src/gateway/callers/probe_server.ts
@@ -2,9 +2,9 @@
 import type {TimelineQuery} from '@parsleywood/schema/timeline';
 import type {TimelineEntry} from '@parsleywood/timeline';
 import fastify, {type FastifyInstance} from 'fastify';
-import {readTimelineQuery} from '../host/read_timeline_query.js';
-import {answerFailures} from '../operators/answer_failures.js';
-import type {GatewayMetrics} from './gateway_metrics.js';
+import {readTimelineQuery} from '../../host/read_timeline_query.js';
+import {answerFailures} from '../../operators/answer_failures.js';
+import type {GatewayMetrics} from '../gateway_metrics.js';
 
 const READY_STATUS = 200;
 const NOT_READY_STATUS = 503;
--- a/packages/daemon/src/gateway/read_body.ts
+++ b/packages/daemon/src/gateway/callers/read_body.ts
@@ -2,7 +2,7 @@
 import {ErrorKind, Failure} from '@parsleywood/errors';
 import {PieceBuffer} from '@parsleywood/forwarding';
 import {Result} from 'true-myth';
-import type {SocketReader} from '../host/socket_reader.js';
+import type {SocketReader} from '../../host/socket_reader.js';
 
 /** What a chunk costs, compared with an event that is passed on. */
 const PIECES_PER_CHUNK = 0.5;
--- a/packages/daemon/src/gateway/read_request_metadata.ts
+++ b/packages/daemon/src/gateway/callers/read_request_metadata.ts
@@ -1,5 +1,5 @@
 import type {IncomingMessage} from 'node:http';
-import type {HeaderNames} from './header_names.js';
+import type {HeaderNames} from '../header_names.js';
 import type {RequestMetadata} from './request_metadata.js';
 
 /** Parts after the first ones are not told apart. */
--- a/packages/daemon/src/gateway/response_writer.ts
+++ b/packages/daemon/src/gateway/callers/response_writer.ts
@@ -5,7 +5,7 @@
   type Failure,
 } from '@parsleywood/errors';
 import {PieceBuffer} from '@parsleywood/forwarding';
-import type {ResponseHead} from './response_head.js';
+import type {ResponseHead} from '../upstreams/response_head.js';
 
 /** Unsent bytes from which no more is to be written. */
 const MAX_UNSENT_BYTES = 1_048_576;
--- a/packages/daemon/src/gateway/status_client.ts
+++ b/packages/daemon/src/gateway/callers/status_client.ts
@@ -1,8 +1,8 @@
 import type {UpstreamEntry} from '@parsleywood/forwarding';
 import {Agent} from 'undici';
-import {createPacedConnector} from '../host/create_paced_connector.js';
-import type {LeavingListener} from './leaving_listener.js';
-import type {EventLog} from '../host/event_log.js';
+import {createPacedConnector} from '../../host/create_paced_connector.js';
+import type {LeavingListener} from '../upstreams/leaving_listener.js';
+import type {EventLog} from '../../host/event_log.js';
 
 /** Response timeout; engines respond to such calls within milliseconds. */
 const RESPONSE_TIMEOUT_MS = 400;
--- a/packages/daemon/src/gateway/connection_resets.ts
+++ b/packages/daemon/src/gateway/fleet/connection_resets.ts
@@ -1,4 +1,4 @@
-import type {PeerTransport} from '../peers/peer_transport.js';
+import type {PeerTransport} from '../../peers/peer_transport.js';
 
 /** Minimum time between two connection resets for a host. */
 const RESET_MS = 1_500;
--- a/packages/daemon/src/gateway/fleet_membership.test.ts
+++ b/packages/daemon/src/gateway/fleet/fleet_membership.test.ts
@@ -1,6 +1,6 @@
 import {gzipSync} from 'node:zlib';
 import {expect} from 'chai';
-import {VirtualFleet} from '../testing/virtual_fleet.js';
+import {VirtualFleet} from '../../testing/virtual_fleet.js';
 
 const HOSTS = 195;
 const DOMAINS = 5;
--- a/packages/daemon/src/gateway/fleet_membership.ts
+++ b/packages/daemon/src/gateway/fleet/fleet_membership.ts
@@ -16,11 +16,11 @@
 } from '@parsleywood/schema/fleet';
 import type {Delivery} from '@parsleywood/schema/peer';
 import type {GatewaySettings} from '@parsleywood/schema/gateway_settings';
-import type {Clock} from '../host/clock.js';
-import type {EventLog} from '../host/event_log.js';
-import type {HostTimeline} from '../host/host_timeline.js';
-import type {PeerTransport} from '../peers/peer_transport.js';
-import type {SuspectSynchronizer} from '../upstreams/suspect_synchronizer.js';
+import type {Clock} from '../../host/clock.js';
+import type {EventLog} from '../../host/event_log.js';
+import type {HostTimeline} from '../../host/host_timeline.js';
+import type {PeerTransport} from '../../peers/peer_transport.js';
+import type {SuspectSynchronizer} from '../../upstreams/suspect_synchronizer.js';
 import type {UpdateRelay} from './update_relay.js';
 import type {UpdateApplier} from './update_applier.js';
 import {ConnectionResets} from './connection_resets.js';
@@ -30,8 +30,8 @@
 import {HOST_STAGES} from './host_stages.js';
 import {PeerLog} from './peer_log.js';
 import {REACH_STATES} from './reach_states.js';
-import type {SiteExchange} from './site_exchange.js';
-import type {SiteUpdater} from './site_updater.js';
+import type {SiteExchange} from '../site/site_exchange.js';
+import type {SiteUpdater} from '../site/site_updater.js';
 
 /** Heartbeat interval when hosts send heartbeats to each other directly. */
 const HEARTBEAT_INTERVAL_MS = 300;
--- a/packages/daemon/src/gateway/fleet_reach.test.ts
+++ b/packages/daemon/src/gateway/fleet/fleet_reach.test.ts
@@ -1,7 +1,7 @@
 import {mock} from 'node:test';
 import {expect} from 'chai';
 import {selectReachingPeers} from '@parsleywood/membership';
-import {VirtualFleet} from '../testing/virtual_fleet.js';
+import {VirtualFleet} from '../../testing/virtual_fleet.js';
 
 const DOMAINS = 5;
 const STEP_MS = 10;
--- a/packages/daemon/src/gateway/peer_call_handler.ts
+++ b/packages/daemon/src/gateway/fleet/peer_call_handler.ts
@@ -1,8 +1,8 @@
 import {ErrorKind, Failure} from '@parsleywood/errors';
 import type {Delivery, OrderOutcome} from '@parsleywood/schema/peer';
 import type {TimelinePage, TimelineQuery} from '@parsleywood/schema/timeline';
-import type {HostTimeline} from '../host/host_timeline.js';
-import type {PeerListener} from '../peers/peer_listener.js';
+import type {HostTimeline} from '../../host/host_timeline.js';
+import type {PeerListener} from '../../peers/peer_listener.js';
 import type {FleetMembership} from './fleet_membership.js';
 
 /** Handles the calls of peers to a gateway. */
--- a/packages/daemon/src/gateway/peer_log.ts
+++ b/packages/daemon/src/gateway/fleet/peer_log.ts
@@ -1,8 +1,8 @@
 import type {PeerHeartbeat} from '@parsleywood/membership';
 import type {FleetMessage} from '@parsleywood/schema/fleet';
 import {TimelineEventName} from '@parsleywood/timeline';
-import type {EventLog} from '../host/event_log.js';
-import type {HostTimeline} from '../host/host_timeline.js';
+import type {EventLog} from '../../host/event_log.js';
+import type {HostTimeline} from '../../host/host_timeline.js';
 
 /** Logs which other hosts are heard and which no longer. */
 export class PeerLog {
--- a/packages/daemon/src/gateway/update_applier.ts
+++ b/packages/daemon/src/gateway/fleet/update_applier.ts
@@ -5,7 +5,7 @@
 } from '@parsleywood/dispatch';
 import type {LeavingUpstreams} from '@parsleywood/forwarding';
 import type {FleetMessage} from '@parsleywood/schema/fleet';
-import type {SuspectTracker} from '../upstreams/suspect_tracker.js';
+import type {SuspectTracker} from '../../upstreams/suspect_tracker.js';
 
 /** Applies updates of other hosts on placements, upstreams and suspects. */
 export class UpdateApplier {
--- a/packages/daemon/src/gateway/update_relay.ts
+++ b/packages/daemon/src/gateway/fleet/update_relay.ts
@@ -8,9 +8,9 @@
   SuspectRecords,
   SuspectSummary,
 } from '@parsleywood/schema/suspects';
-import type {MessageSender} from '../peers/message_sender.js';
-import type {SuspectMessenger} from '../upstreams/suspect_messenger.js';
-import type {SuspectPublisher} from '../upstreams/suspect_publisher.js';
+import type {MessageSender} from '../../peers/message_sender.js';
+import type {SuspectMessenger} from '../../upstreams/suspect_messenger.js';
+import type {SuspectPublisher} from '../../upstreams/suspect_publisher.js';
 import {REACH_STATES} from './reach_states.js';
 import type {UpdatePublisher} from './update_publisher.js';
 
--- a/packages/daemon/src/gateway/gateway_context.ts
+++ b/packages/daemon/src/gateway/gateway_context.ts
@@ -10,15 +10,15 @@
 import type {EventLog} from '../host/event_log.js';
 import type {HostTimeline} from '../host/host_timeline.js';
 import type {SuspectTracker} from '../upstreams/suspect_tracker.js';
-import type {UpdatePublisher} from './update_publisher.js';
-import type {DepartureCheck} from './departure_check.js';
+import type {UpdatePublisher} from './fleet/update_publisher.js';
+import type {DepartureCheck} from './upstreams/departure_check.js';
 import type {GatewayMetrics} from './gateway_metrics.js';
 import type {HeaderNames} from './header_names.js';
-import type {EngineReservations} from './engine_reservations.js';
-import type {ReachMonitor} from './reach_monitor.js';
-import type {RetryBudgets} from './retry_budgets.js';
-import type {UnreadableRestLog} from './unreadable_rest_log.js';
-import type {UpstreamConnectionPool} from './upstream_connection_pool.js';
+import type {EngineReservations} from './upstreams/engine_reservations.js';
+import type {ReachMonitor} from './upstreams/reach_monitor.js';
+import type {RetryBudgets} from './attempts/retry_budgets.js';
+import type {UnreadableRestLog} from './upstreams/unreadable_rest_log.js';
+import type {UpstreamConnectionPool} from './upstreams/upstream_connection_pool.js';
 
 /** Dependencies that all requests of one host share. */
 export interface GatewayContext {
--- a/packages/daemon/src/gateway/gateway_dialect.ts
+++ b/packages/daemon/src/gateway/gateway_dialect.ts
@@ -1,4 +1,4 @@
-import type {DirectoryDialect} from './directory_dialect.js';
+import type {DirectoryDialect} from './callers/directory_dialect.js';
 import type {HeaderNames} from './header_names.js';
 
 /**
--- a/packages/daemon/src/gateway/gateway_host.ts
+++ b/packages/daemon/src/gateway/gateway_host.ts
@@ -29,29 +29,29 @@
 import {SuspectSynchronizer} from '../upstreams/suspect_synchronizer.js';
 import {SuspectTracker} from '../upstreams/suspect_tracker.js';
 import {SystemClock} from '../host/system_clock.js';
-import {DepartureCheck} from './departure_check.js';
-import {DirectoryServer} from './directory_server.js';
-import {PeerCallHandler} from './peer_call_handler.js';
-import {FleetMembership} from './fleet_membership.js';
+import {DepartureCheck} from './upstreams/departure_check.js';
+import {DirectoryServer} from './callers/directory_server.js';
+import {PeerCallHandler} from './fleet/peer_call_handler.js';
+import {FleetMembership} from './fleet/fleet_membership.js';
 import type {GatewayDialect} from './gateway_dialect.js';
 import {GatewayMetrics} from './gateway_metrics.js';
 import type {GatewayContext} from './gateway_context.js';
-import {GatewayServer} from './gateway_server.js';
-import {UpdateRelay} from './update_relay.js';
-import {UnreadableRestLog} from './unreadable_rest_log.js';
-import {UpdateApplier} from './update_applier.js';
-import {ProbeServer} from './probe_server.js';
-import {ReachMonitor} from './reach_monitor.js';
-import type {EngineReservations} from './engine_reservations.js';
-import {recordLeaving} from './record_leaving.js';
-import {refreshUpstreamGauges} from './refresh_upstream_gauges.js';
-import {RetryBudgets} from './retry_budgets.js';
-import {SiteExchange} from './site_exchange.js';
-import {SiteWatcher} from './site_watcher.js';
-import {SiteUpdater} from './site_updater.js';
-import type {SiteSource} from './site_source.js';
-import {UpstreamConnectionPool} from './upstream_connection_pool.js';
-import {UpstreamProber} from './upstream_prober.js';
+import {GatewayServer} from './callers/gateway_server.js';
+import {UpdateRelay} from './fleet/update_relay.js';
+import {UnreadableRestLog} from './upstreams/unreadable_rest_log.js';
+import {UpdateApplier} from './fleet/update_applier.js';
+import {ProbeServer} from './callers/probe_server.js';
+import {ReachMonitor} from './upstreams/reach_monitor.js';
+import type {EngineReservations} from './upstreams/engine_reservations.js';
+import {recordLeaving} from './upstreams/record_leaving.js';
+import {refreshUpstreamGauges} from './upstreams/refresh_upstream_gauges.js';
+import {RetryBudgets} from './attempts/retry_budgets.js';
+import {SiteExchange} from './site/site_exchange.js';
+import {SiteWatcher} from './site/site_watcher.js';
+import {SiteUpdater} from './site/site_updater.js';
+import type {SiteSource} from './site/site_source.js';
+import {UpstreamConnectionPool} from './upstreams/upstream_connection_pool.js';
+import {UpstreamProber} from './upstreams/upstream_prober.js';
 
 /**
  * Constant peer key: hosts of one site trust their network, and the key adds no
@@ -334,7 +334,8 @@
 
   private applySite(): void {
     const {replica, context} = this;
-    const ids = new Set(replica.upstreams.list().map(({id}) => id));
+    const upstreams = replica.upstreams.listInUse(context.clock.nowMs());
+    const ids = new Set(upstreams.map(({id}) => id));
     context.connectionPool.retain(ids);
     context.health.retain(ids);
     context.limits.retain(ids);
--- a/packages/daemon/src/gateway/site_exchange.test.ts
+++ b/packages/daemon/src/gateway/site/site_exchange.test.ts
@@ -3,11 +3,11 @@
 import type {FleetMessage} from '@parsleywood/schema/fleet';
 import {expect} from 'chai';
 import fc from 'fast-check';
-import type {EventLog} from '../host/event_log.js';
-import type {GatewayMetrics} from './gateway_metrics.js';
+import type {EventLog} from '../../host/event_log.js';
+import type {GatewayMetrics} from '../gateway_metrics.js';
 import {SiteExchange} from './site_exchange.js';
 import {SiteUpdater} from './site_updater.js';
-import type {UpdateRelay} from './update_relay.js';
+import type {UpdateRelay} from '../fleet/update_relay.js';
 
 const EPOCH = 0;
 const HOSTS = 3;
--- a/packages/daemon/src/gateway/site_exchange.ts
+++ b/packages/daemon/src/gateway/site/site_exchange.ts
@@ -15,11 +15,11 @@
   SiteState,
   StoreContact,
 } from '@parsleywood/schema/fleet';
-import type {Clock} from '../host/clock.js';
-import type {EventLog} from '../host/event_log.js';
-import type {GatewayMetrics} from './gateway_metrics.js';
+import type {Clock} from '../../host/clock.js';
+import type {EventLog} from '../../host/event_log.js';
+import type {GatewayMetrics} from '../gateway_metrics.js';
 import type {SiteUpdater} from './site_updater.js';
-import type {UpdateRelay} from './update_relay.js';
+import type {UpdateRelay} from '../fleet/update_relay.js';
 
 /**
  * Time for which a host waits for the store, or for its relay, before it queries a
--- a/packages/daemon/src/gateway/site_updater.ts
+++ b/packages/daemon/src/gateway/site/site_updater.ts
@@ -8,8 +8,8 @@
   type SiteSnapshot,
   type StorePosition,
 } from '@parsleywood/forwarding';
-import type {Clock} from '../host/clock.js';
-import type {EventLog} from '../host/event_log.js';
+import type {Clock} from '../../host/clock.js';
+import type {EventLog} from '../../host/event_log.js';
 
 /**
  * Time after a failed store call within which a missing entry may have
--- a/packages/daemon/src/gateway/site_watcher.ts
+++ b/packages/daemon/src/gateway/site/site_watcher.ts
@@ -1,7 +1,7 @@
 import {setTimeout as pause} from 'node:timers/promises';
 import {comparePositions, type StorePosition} from '@parsleywood/forwarding';
-import type {EventLog} from '../host/event_log.js';
-import type {GatewayMetrics} from './gateway_metrics.js';
+import type {EventLog} from '../../host/event_log.js';
+import type {GatewayMetrics} from '../gateway_metrics.js';
 import type {SiteUpdater} from './site_updater.js';
 import type {SiteSource} from './site_source.js';
 import {SiteSourceErrorKind} from './site_source_error_kind.js';
--- a/packages/daemon/src/gateway/can_connect.ts
+++ b/packages/daemon/src/gateway/upstreams/can_connect.ts
@@ -1,5 +1,5 @@
 import {connect, type Socket} from 'node:net';
-import {parseAddress} from '../host/parse_address.js';
+import {parseAddress} from '../../host/parse_address.js';
 
 /**
  * Connect timeout; the round trip between hosts and upstreams is a few
--- a/packages/daemon/src/gateway/departure_check.ts
+++ b/packages/daemon/src/gateway/upstreams/departure_check.ts
@@ -3,7 +3,7 @@
   type SiteReplica,
   type UpstreamEntry,
 } from '@parsleywood/forwarding';
-import type {Clock} from '../host/clock.js';
+import type {Clock} from '../../host/clock.js';
 import {canConnect} from './can_connect.js';
 import type {ReachMonitor} from './reach_monitor.js';
 
--- a/packages/daemon/src/gateway/engine_reservation_client.ts
+++ b/packages/daemon/src/gateway/upstreams/engine_reservation_client.ts
@@ -1,10 +1,10 @@
 import type {UpstreamEntry} from '@parsleywood/forwarding';
-import type {EventLog} from '../host/event_log.js';
-import {DEFAULT_HEADER_NAMES} from './default_header_names.js';
+import type {EventLog} from '../../host/event_log.js';
+import {DEFAULT_HEADER_NAMES} from '../default_header_names.js';
 import type {EngineReservations} from './engine_reservations.js';
 import type {LeavingListener} from './leaving_listener.js';
 import {ReservationOutcome} from './reservation_outcome.js';
-import {StatusClient} from './status_client.js';
+import {StatusClient} from '../callers/status_client.js';
 
 const OK_STATUS = 200;
 const CREATED_STATUS = 201;
--- a/packages/daemon/src/gateway/odd_upstreams.test.ts
+++ b/packages/daemon/src/gateway/upstreams/odd_upstreams.test.ts
@@ -11,11 +11,11 @@
 import {expect} from 'chai';
 import {Result} from 'true-myth';
 import {request} from 'undici';
-import {EventLog} from '../host/event_log.js';
-import {DEFAULT_DIALECT} from './default_dialect.js';
+import {EventLog} from '../../host/event_log.js';
+import {DEFAULT_DIALECT} from '../default_dialect.js';
 import {EngineReservationClient} from './engine_reservation_client.js';
-import {GatewayHost} from './gateway_host.js';
-import type {SiteSource} from './site_source.js';
+import {GatewayHost} from '../gateway_host.js';
+import type {SiteSource} from '../site/site_source.js';
 
 const LOCAL = '127.0.0.1';
 const ODD_ADDRESSES = ['127.0.0.1:70000', '127.0.0.999:80', 'name:80', ''];
--- a/packages/daemon/src/gateway/reach_monitor.test.ts
+++ b/packages/daemon/src/gateway/upstreams/reach_monitor.test.ts
@@ -8,11 +8,11 @@
   type PeerHeartbeat,
 } from '@parsleywood/membership';
 import {findFreePorts} from '@parsleywood/stand-ins';
-import type {EventLog} from '../host/event_log.js';
-import {SystemClock} from '../host/system_clock.js';
-import type {GatewayMetrics} from './gateway_metrics.js';
+import type {EventLog} from '../../host/event_log.js';
+import {SystemClock} from '../../host/system_clock.js';
+import type {GatewayMetrics} from '../gateway_metrics.js';
 import {ReachMonitor} from './reach_monitor.js';
-import type {UpdatePublisher} from './update_publisher.js';
+import type {UpdatePublisher} from '../fleet/update_publisher.js';
 
 /** Longer than two tests and the interval between checks. */
 const TEST_MS = 1_000;
--- a/packages/daemon/src/gateway/reach_monitor.ts
+++ b/packages/daemon/src/gateway/upstreams/reach_monitor.ts
@@ -8,12 +8,12 @@
   ReachTracker,
   type PeerHeartbeat,
 } from '@parsleywood/membership';
-import type {Clock} from '../host/clock.js';
-import type {EventLog} from '../host/event_log.js';
+import type {Clock} from '../../host/clock.js';
+import type {EventLog} from '../../host/event_log.js';
 import {canConnect} from './can_connect.js';
-import type {GatewayMetrics} from './gateway_metrics.js';
+import type {GatewayMetrics} from '../gateway_metrics.js';
 import {reachTiming} from './reach_timing.js';
-import type {UpdatePublisher} from './update_publisher.js';
+import type {UpdatePublisher} from '../fleet/update_publisher.js';
 
 /** With fewer upstreams a failed test says nothing about the host's own paths. */
 const MIN_UPSTREAMS = 2;
--- a/packages/daemon/src/gateway/record_leaving.ts
+++ b/packages/daemon/src/gateway/upstreams/record_leaving.ts
@@ -1,5 +1,5 @@
 import type {UpstreamEntry} from '@parsleywood/forwarding';
-import type {GatewayContext} from './gateway_context.js';
+import type {GatewayContext} from '../gateway_context.js';
 
 /** Takes an upstream that leaves out of use, here and at the other hosts. */
 export function recordLeaving(
--- a/packages/daemon/src/gateway/record_rest.ts
+++ b/packages/daemon/src/gateway/upstreams/record_rest.ts
@@ -1,5 +1,5 @@
 import type {UpstreamEntry} from '@parsleywood/forwarding';
-import type {GatewayContext} from './gateway_context.js';
+import type {GatewayContext} from '../gateway_context.js';
 
 /** Keeps requests from an upstream for as long as its refusal asks. */
 export function recordRest(
--- a/packages/daemon/src/gateway/refresh_upstream_gauges.ts
+++ b/packages/daemon/src/gateway/upstreams/refresh_upstream_gauges.ts
@@ -1,4 +1,4 @@
-import type {GatewayContext} from './gateway_context.js';
+import type {GatewayContext} from '../gateway_context.js';
 
 /** Counts the listed upstreams that rest or leave, before metrics are read. */
 export function refreshUpstreamGauges({
--- a/packages/daemon/src/gateway/unreadable_rest_log.ts
+++ b/packages/daemon/src/gateway/upstreams/unreadable_rest_log.ts
@@ -1,4 +1,4 @@
-import type {EventLog} from '../host/event_log.js';
+import type {EventLog} from '../../host/event_log.js';
 
 const MAX_LOGGED_LENGTH = 64;
 
--- a/packages/daemon/src/gateway/upstream_attempt.test.ts
+++ b/packages/daemon/src/gateway/upstreams/upstream_attempt.test.ts
@@ -3,9 +3,9 @@
 import {setTimeout as pause} from 'node:timers/promises';
 import {AttemptOutcome, UpstreamStage} from '@parsleywood/forwarding';
 import {expect} from 'chai';
-import {SystemClock} from '../host/system_clock.js';
+import {SystemClock} from '../../host/system_clock.js';
 import type {ResponseHead} from './response_head.js';
-import {DEFAULT_HEADER_NAMES} from './default_header_names.js';
+import {DEFAULT_HEADER_NAMES} from '../default_header_names.js';
 import {UpstreamAttempt} from './upstream_attempt.js';
 import {UpstreamConnectionPool} from './upstream_connection_pool.js';
 
--- a/packages/daemon/src/gateway/upstream_attempt.ts
+++ b/packages/daemon/src/gateway/upstreams/upstream_attempt.ts
@@ -1,8 +1,8 @@
 import {AttemptOutcome} from '@parsleywood/forwarding';
 import type {Dispatcher} from 'undici';
-import {countLines} from '../host/count_lines.js';
-import type {ResponseListener} from './response_listener.js';
-import type {HeaderNames} from './header_names.js';
+import {countLines} from '../../host/count_lines.js';
+import type {ResponseListener} from '../attempts/response_listener.js';
+import type {HeaderNames} from '../header_names.js';
 import {readRestMs} from './read_rest_ms.js';
 import {listEndToEndHeaders} from './list_end_to_end_headers.js';
 import type {UpstreamConnection} from './upstream_connection.js';
--- a/packages/daemon/src/gateway/upstream_connection.ts
+++ b/packages/daemon/src/gateway/upstreams/upstream_connection.ts
@@ -1,7 +1,7 @@
 import type {Socket} from 'node:net';
 import {buildConnector, Client} from 'undici';
-import {handlePendingInput} from '../host/handle_pending_input.js';
-import type {SocketReader} from '../host/socket_reader.js';
+import {handlePendingInput} from '../../host/handle_pending_input.js';
+import type {SocketReader} from '../../host/socket_reader.js';
 
 /**
  * Connect timeout; the round trip between hosts and upstreams is a few
--- a/packages/daemon/src/gateway/upstream_connection_pool.ts
+++ b/packages/daemon/src/gateway/upstreams/upstream_connection_pool.ts
@@ -1,6 +1,6 @@
 import {ReadBudget} from '@parsleywood/forwarding';
-import type {Clock} from '../host/clock.js';
-import {SocketReader} from '../host/socket_reader.js';
+import type {Clock} from '../../host/clock.js';
+import {SocketReader} from '../../host/socket_reader.js';
 import {UpstreamConnection} from './upstream_connection.js';
 
 /** Maximum number of idle connections kept for each upstream. */
--- a/packages/daemon/src/gateway/upstream_prober.ts
+++ b/packages/daemon/src/gateway/upstreams/upstream_prober.ts
@@ -1,6 +1,6 @@
 import type {UpstreamHealth} from '@parsleywood/dispatch';
 import type {SiteReplica} from '@parsleywood/forwarding';
-import type {Clock} from '../host/clock.js';
+import type {Clock} from '../../host/clock.js';
 import {canConnect} from './can_connect.js';
 
 /** Interval between connection checks. */
--- a/packages/daemon/src/gateway_main.ts
+++ b/packages/daemon/src/gateway_main.ts
@@ -13,10 +13,10 @@
 import yargs from 'yargs';
 import {hideBin} from 'yargs/helpers';
 import {DEFAULT_DIALECT} from './gateway/default_dialect.js';
-import {EngineReservationClient} from './gateway/engine_reservation_client.js';
+import {EngineReservationClient} from './gateway/upstreams/engine_reservation_client.js';
 import {GatewayHost} from './gateway/gateway_host.js';
 import {runGateway} from './gateway/run_gateway.js';
-import {SiteFile} from './gateway/site_file.js';
+import {SiteFile} from './gateway/site/site_file.js';
 
 const EXIT_WRONG_SETTINGS = 2;
 
--- a/packages/daemon/src/testing/virtual_reach.ts
+++ b/packages/daemon/src/testing/virtual_reach.ts
@@ -4,7 +4,7 @@
   ReachTracker,
   type PeerHeartbeat,
 } from '@parsleywood/membership';
-import {reachTiming} from '../gateway/reach_timing.js';
+import {reachTiming} from '../gateway/upstreams/reach_timing.js';
 
 /** Time of a test that finds an upstream; without an answer it takes much longer. */
 const ACCEPTED_MS = 50;
--- a/packages/forwarding/src/upstream_registry.ts
+++ b/packages/forwarding/src/upstream_registry.ts
@@ -38,6 +38,11 @@
     return this.entries.get(id);
   }
 
+  /** Lists the upstreams that are in use, also those whose entries may have lapsed. */
+  listInUse(nowMs: number): UpstreamEntry[] {
+    return [...this.entries.values(), ...this.listLapsed(nowMs)];
+  }
+
   /**
    * What the list says of an upstream at which work is open. Load pattern: servers that
    * lose power while they run long prompts, whose addresses others get, and entries
@@ -56,10 +61,7 @@
 
   /** Upstreams of a service that may receive new work. */
   usable(service: string, nowMs: number): UpstreamEntry[] {
-    const expired = [...this.expired.values()]
-      .filter(({untilMs}) => untilMs > nowMs)
-      .map(({entry}) => entry);
-    return [...this.entries.values(), ...expired].filter(
+    return this.listInUse(nowMs).filter(
       entry =>
         entry.service === service &&
         entry.stage === UpstreamStage.READY &&
@@ -140,6 +142,12 @@
     return Math.max(...unchanged.map(({revision = -1}) => revision), -1);
   }
 
+  private listLapsed(nowMs: number): UpstreamEntry[] {
+    return [...this.expired.values()]
+      .filter(({untilMs}) => untilMs > nowMs)
+      .map(({entry}) => entry);
+  }
+
   private listOthers(entries: readonly UpstreamEntry[]): UpstreamEntry[] {
     const kept = new Set(entries.map(({id}) => id));
     return this.list().filter(({id}) => !kept.has(id));
