--- a/packages/forwarding/src/account.ts
+++ b/packages/forwarding/src/account.ts
@@ -4,4 +4,6 @@
   readonly keys: readonly string[];
   /** Priority of its requests, 0 the highest; overrides that of the route. */
   readonly priority?: number;
+  /** Regions whose upstreams may run its requests; absent for any. */
+  readonly homeRegions?: readonly string[];
 }
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -10,6 +10,7 @@
 export {chooseRetryAfterMs} from './choose_retry_after_ms.js';
 export {comparePositions} from './compare_positions.js';
 export {compareSnapshots} from './compare_snapshots.js';
+export type {ColdStart} from './cold_start.js';
 export type {Configuration} from './configuration.js';
 export {DEFAULT_CALLER_LIMITS} from './default_caller_limits.js';
 export {DrainAdmission} from './drain_admission.js';
--- a/packages/forwarding/src/route.ts
+++ b/packages/forwarding/src/route.ts
@@ -26,4 +26,6 @@
   readonly priority: number;
   /** Whether requests are accepted without an API key. */
   readonly allowsAnonymous: boolean;
+  /** Regions whose upstreams may run its requests; absent for any. */
+  readonly homeRegions?: readonly string[];
 }
--- a/packages/forwarding/src/service.ts
+++ b/packages/forwarding/src/service.ts
@@ -1,3 +1,4 @@
+import type {ColdStart} from './cold_start.js';
 import type {EngineProfile} from './engine_profile.js';
 
 /** A group of interchangeable upstreams. */
@@ -5,4 +6,6 @@
   readonly name: string;
   /** Present when the upstreams are model engines. */
   readonly engine?: EngineProfile;
+  /** Absent when its upstreams are never cold. */
+  readonly coldStart?: ColdStart;
 }
--- a/packages/forwarding/src/upstream_entry.ts
+++ b/packages/forwarding/src/upstream_entry.ts
@@ -13,6 +13,8 @@
   readonly slots: number;
   /** Time of its start in Unix milliseconds; absent if it is not known. */
   readonly bornMs?: number;
+  /** Time for which it stays cold, in milliseconds; absent if it is not cold. */
+  readonly coldRemainingMs?: number;
   /** Revision of the store at which it was written; absent if it is not known. */
   readonly revision?: number;
 }
