Read a silent store sooner after its return, and spread callers of starting hosts

What callers saw: all 77 hosts of a site lost power while the store was unavailable. The store came back at 36.9 s; every host had its configuration only from 37.36 s on, as each first load waited for the usual limit of 1 s. 259 requests were refused meanwhile, all with a Retry-After of 0.5 s: 80 of the callers came back together at 37.0 s, too early, and most come back only once.

A load without a configuration has a limit of 400 ms, each third one the usual limit. Ruled out: holding such requests; nothing tells when the store returns.

--- a/packages/daemon/src/gateway/callers/gateway_server.ts
+++ b/packages/daemon/src/gateway/callers/gateway_server.ts
@@ -298,7 +298,14 @@
       return new Failure(ErrorKind.HEADERS_TOO_LARGE, message);
     }
     const {host, target, accountKey: key} = metadata;
-    const match = matchRequest(this.context.replica.rules, host, target, key);
+    const {replica, planStartRetryMs} = this.context;
+    const match = matchRequest(
+      replica.rules,
+      host,
+      target,
+      key,
+      replica.rules ? undefined : planStartRetryMs(),
+    );
     return match.isErr ? match.error : match.value;
   }
 
--- a/packages/daemon/src/gateway/gateway_context.ts
+++ b/packages/daemon/src/gateway/gateway_context.ts
@@ -42,6 +42,8 @@
   readonly departureCheck: DepartureCheck;
   readonly reservationClient: EngineReservations;
   readonly suspects: SuspectTracker;
+  /** Returns the Retry-After of a host without a configuration; absent for the usual. */
+  readonly planStartRetryMs: () => number | undefined;
   /** Returns the number of live hosts, including this one. */
   readonly countHosts: () => number;
   /** Returns a uniform random number in [0, 1). */
--- a/packages/daemon/src/gateway/gateway_host.ts
+++ b/packages/daemon/src/gateway/gateway_host.ts
@@ -31,6 +31,7 @@
 import {SystemClock} from '../host/system_clock.js';
 import {DepartureCheck} from './upstreams/departure_check.js';
 import {DirectoryServer} from './callers/directory_server.js';
+import {planStartRetryMs} from './callers/plan_start_retry_ms.js';
 import {PeerCallHandler} from './fleet/peer_call_handler.js';
 import {FleetMembership} from './fleet/fleet_membership.js';
 import type {GatewayDialect} from './gateway_dialect.js';
@@ -224,6 +225,8 @@
       departureCheck: new DepartureCheck(replica, reach, clock),
       reservationClient: reservations,
       suspects,
+      planStartRetryMs: () =>
+        planStartRetryMs(settings, this.fleet.listHeartbeats(), draw()),
       countHosts: () => this.fleet.countHosts(),
       draw,
     };
--- a/packages/daemon/src/gateway/site/site_source.ts
+++ b/packages/daemon/src/gateway/site/site_source.ts
@@ -4,8 +4,12 @@
 
 /** Store that publishes a site's configuration and its list of upstreams. */
 export interface SiteSource {
-  /** Reads the complete published state. */
-  load(): Promise<Result<SiteSnapshot, SiteSourceError>>;
+  /**
+   * Reads the complete published state.
+   *
+   * @param limitMs Time limit of each call; the usual one where absent.
+   */
+  load(limitMs?: number): Promise<Result<SiteSnapshot, SiteSourceError>>;
 
   /**
    * Waits for changes after a revision (long poll). Without changes, returns
--- a/packages/daemon/src/gateway/site/site_watcher.test.ts
+++ b/packages/daemon/src/gateway/site/site_watcher.test.ts
@@ -169,3 +169,38 @@
     expect(source.calls).to.be.within(8, 15 + 4);
   });
 });
+
+/** Store that answers nothing until each load's time limit. */
+class SilentSource extends RestoredSource {
+  readonly limits: (number | undefined)[] = [];
+
+  override load(limitMs?: number): ReturnType<SiteSource['load']> {
+    this.limits.push(limitMs);
+    const kind = SiteSourceErrorKind.UNAVAILABLE;
+    return Promise.resolve(Result.err({kind, detail: 'silent'}));
+  }
+}
+
+describe('SiteWatcher of a host that starts before a silent store', () => {
+  it('does not wait out the usual limit before most of its loads', async () => {
+    const log = new EventLog({host: 'h', id: '1'}, 'error');
+    const source = new SilentSource();
+    const watcher = new SiteWatcher(
+      source,
+      new SiteUpdater(
+        new SiteReplica(),
+        new SystemClock(),
+        log,
+        () => undefined,
+      ),
+      log,
+      new GatewayMetrics(new HostMetrics()),
+      () => 1,
+      () => 0,
+    );
+    watcher.start();
+    await pause(600);
+    watcher.stop();
+    expect(source.limits.slice(0, 4)).to.deep.equal([400, 400, undefined, 400]);
+  });
+});
--- a/packages/daemon/src/gateway/site/site_watcher.ts
+++ b/packages/daemon/src/gateway/site/site_watcher.ts
@@ -15,6 +15,13 @@
  */
 const MAX_BACKOFF_PER_HOST_MS = 10;
 const LONGEST_BACKOFF_MS = 2_000;
+/**
+ * Time limit of a load while this host has no configuration and refuses all callers.
+ * A store that was silent is read sooner after its return. Each third load has the
+ * usual limit, as a slow store may take longer.
+ */
+const START_LOAD_LIMIT_MS = 400;
+const START_LOADS = 3;
 /** Interval at which a host without duty checks whether it has to watch. */
 const DUTY_CHECK_INTERVAL_MS = 300;
 /**
@@ -105,8 +112,15 @@
     return Math.max(MAX_BACKOFF_MS, Math.min(LONGEST_BACKOFF_MS, spreadMs));
   }
 
+  /** Undefined for the usual limit of the source. */
+  private getLoadLimitMs(): number | undefined {
+    if (this.updater.version > 0) return undefined;
+    const isLong = this.failures % START_LOADS === START_LOADS - 1;
+    return isLong ? undefined : START_LOAD_LIMIT_MS;
+  }
+
   private async load(): Promise<boolean> {
-    const result = await this.source.load();
+    const result = await this.source.load(this.getLoadLimitMs());
     if (result.isErr) {
       return this.recordFailure('load', result.error.kind, result.error.detail);
     }
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -8,6 +8,7 @@
 export {BufferBudget} from './buffer_budget.js';
 export type {CallerLimits} from './caller_limits.js';
 export {chooseRetryAfterMs} from './choose_retry_after_ms.js';
+export {chooseStartRetryAfterMs} from './choose_start_retry_after_ms.js';
 export {comparePositions} from './compare_positions.js';
 export {compareSnapshots} from './compare_snapshots.js';
 export type {ColdStart} from './cold_start.js';
--- a/packages/forwarding/src/match_request.ts
+++ b/packages/forwarding/src/match_request.ts
@@ -11,20 +11,18 @@
  * it.
  *
  * @param rules Active rules; undefined until a configuration has been loaded.
+ * @param startRetryAfterMs Retry delay of a host without a configuration.
  */
 export function matchRequest(
   rules: SiteRules | undefined,
   host: string,
   target: string,
   key: string | undefined,
+  startRetryAfterMs = CONFIGURATION_RETRY_AFTER_MS,
 ): Result<RouteMatch, Failure> {
   if (rules === undefined) {
     const message = 'this host has not loaded a configuration yet';
-    return reject(
-      ErrorKind.HOST_UNAVAILABLE,
-      message,
-      CONFIGURATION_RETRY_AFTER_MS,
-    );
+    return reject(ErrorKind.HOST_UNAVAILABLE, message, startRetryAfterMs);
   }
   const route = rules.routes.find(host, target);
   if (route === undefined) {
