Keep the requests of all hosts to cold upstreams within their rate

A server that has started during traffic crashes under a rate that a warm one takes. Each host placed by load alone, so that all hosts together sent a cold upstream what a warm one gets.

ColdRates lets a few hosts own each cold upstream, by rendezvous hashing over the hosts heard from, with a bucket of one token each. A host that hears part of the site takes that part of the owners and of the rate, so that the sides of a partition that lasts longer than the 30 s for which silent hosts count stay within the bound as well. The bucket is shared with UpstreamLimits, as is the schedule of returns.

--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -1,10 +1,16 @@
 /** Chooses the upstreams of each request from the placements of all hosts. */
 export {canFitPrompt} from './can_fit_prompt.js';
 export type {CapacityShortage} from './capacity_shortage.js';
+export type {ColdBounds} from './cold_bounds.js';
+export type {ColdChange} from './cold_change.js';
+export {ColdRates} from './cold_rates.js';
+export {ColdSource} from './cold_source.js';
+export {ColdUse} from './cold_use.js';
 export type {DecodeRequest} from './decode_request.js';
 export type {EngineForecast} from './engine_forecast.js';
 export {estimateLatenessLoss} from './estimate_lateness_loss.js';
 export {forecastEngine} from './forecast_engine.js';
+export type {HeardHost} from './heard_host.js';
 export {MAX_PREFILL_ENGINES} from './max_prefill_engines.js';
 export {PassMeter} from './pass_meter.js';
 export {PassModel} from './pass_model.js';
--- a/packages/dispatch/src/upstream_limits.ts
+++ b/packages/dispatch/src/upstream_limits.ts
@@ -1,4 +1,6 @@
 import type {Placement} from './placement.js';
+import {ReturnSchedule} from './return_schedule.js';
+import {TokenBucket} from './token_bucket.js';
 import type {UpstreamLimit} from './upstream_limit.js';
 
 const MS_PER_SECOND = 1_000;
@@ -14,10 +16,9 @@
 interface Limit {
   perSecond: number;
   /** Requests that may be sent now; below 0 if hosts sent at the same time. */
-  tokens: number;
+  readonly bucket: TokenBucket;
   /** Tokens at which this host sends its next request. */
   threshold: number;
-  refilledAtMs: number;
 }
 
 /**
@@ -29,7 +30,7 @@
   private readonly byUpstream = new Map<string, Limit>();
   /** Start of the latest attempt that told whether an upstream has a limit. */
   private readonly toldAtMs = new Map<string, number>();
-  private nextReturnMs = -Infinity;
+  private readonly returns = new ReturnSchedule();
 
   /** @param draw Returns a random number in [0, 1). */
   constructor(private readonly draw: () => number) {}
@@ -55,14 +56,13 @@
     this.toldAtMs.set(upstream, startedAtMs);
     if (known?.perSecond === perSecond) return false;
     if (perSecond === undefined) this.byUpstream.delete(upstream);
-    else {
-      const {
-        tokens = 0,
-        threshold = this.drawThreshold(),
-        refilledAtMs = nowMs,
-      } = known ?? {};
-      const limit = {perSecond, tokens, threshold, refilledAtMs};
-      this.byUpstream.set(upstream, limit);
+    else if (known === undefined) {
+      const bucket = new TokenBucket(perSecond, toBurst(perSecond), nowMs);
+      const threshold = this.drawThreshold();
+      this.byUpstream.set(upstream, {perSecond, bucket, threshold});
+    } else {
+      known.perSecond = perSecond;
+      known.bucket.setRate(perSecond, toBurst(perSecond), nowMs);
     }
     return true;
   }
@@ -79,17 +79,17 @@
   /** Counts an attempt of any host at all its upstreams. */
   recordPlacement({parts}: Placement, nowMs: number): void {
     for (const upstream of new Set(parts.map(part => part.upstream))) {
-      const limit = this.refill(upstream, nowMs);
+      const limit = this.byUpstream.get(upstream);
       if (limit === undefined) continue;
-      limit.tokens--;
+      limit.bucket.take(nowMs);
       limit.threshold = this.drawThreshold();
     }
   }
 
   /** Whether an upstream may be sent a request now. */
   mayTake(upstream: string, nowMs: number): boolean {
-    const limit = this.refill(upstream, nowMs);
-    return limit === undefined || limit.tokens >= limit.threshold;
+    const limit = this.byUpstream.get(upstream);
+    return limit === undefined || limit.bucket.read(nowMs) >= limit.threshold;
   }
 
   /**
@@ -105,18 +105,16 @@
     hosts: number,
     nowMs: number,
   ): number {
-    const limits = upstreams.flatMap(id => this.refill(id, nowMs) ?? []);
+    const limits = upstreams.flatMap(id => this.byUpstream.get(id) ?? []);
     const rate = limits.reduce((sum, {perSecond}) => sum + perSecond, 0);
     if (rate <= 0) return 0;
     const firstMs = Math.min(
-      ...limits.map(
-        ({tokens, threshold, perSecond}) =>
-          ((threshold - tokens) / perSecond) * MS_PER_SECOND,
+      ...limits.map(({bucket, threshold}) =>
+        bucket.getWaitMs(threshold, nowMs),
       ),
     );
-    const atMs = Math.max(nowMs + firstMs, this.nextReturnMs);
-    this.nextReturnMs = atMs + (hosts / rate) * MS_PER_SECOND;
-    return atMs - nowMs;
+    const stepMs = (hosts / rate) * MS_PER_SECOND;
+    return this.returns.plan(firstMs, stepMs, nowMs);
   }
 
   /** Drops the limits of upstreams that are no longer listed. */
@@ -131,15 +129,9 @@
   private drawThreshold(): number {
     return 1 + SPREAD_TOKENS * this.draw();
   }
+}
 
-  private refill(upstream: string, nowMs: number): Limit | undefined {
-    const limit = this.byUpstream.get(upstream);
-    if (limit === undefined) return undefined;
-    const {perSecond, tokens, refilledAtMs} = limit;
-    const gained = ((nowMs - refilledAtMs) / MS_PER_SECOND) * perSecond;
-    const burst = Math.max(MIN_BURST, (BURST_MS / MS_PER_SECOND) * perSecond);
-    limit.tokens = Math.min(burst, tokens + gained);
-    limit.refilledAtMs = nowMs;
-    return limit;
-  }
+/** Returns the requests that an upstream takes at once after a time without any. */
+function toBurst(perSecond: number): number {
+  return Math.max(MIN_BURST, (BURST_MS / MS_PER_SECOND) * perSecond);
 }
