Ask the rate limit of cold upstreams before each attempt

AttemptPlacer leaves out upstreams that this host may not send to now, and a request that finds only such ones is refused with 503 and the time of its turn. An attempt that waited for reservations is asked for again before it is sent. ColdRateMonitor feeds the limit with list, services and hosts, and notices holds of the event loop, also before the timers run. Without a service with a cold start nothing of it runs.

An entry from a copy of the store shortens nothing.

Measured: tests of forwarding (65) and dispatch (50) pass, as do those of the site exchange, the fleet and the upstreams of the daemon.

--- a/packages/daemon/src/gateway/attempts/attempt_placer.ts
+++ b/packages/daemon/src/gateway/attempts/attempt_placer.ts
@@ -134,6 +134,7 @@
     };
     context.placements.add(placement, nowMs);
     context.limits.recordPlacement(placement, nowMs);
+    context.coldRates.recordPlacement(upstream, nowMs);
     context.publisher.publishStart(placement);
     this.triedUpstreams.add(upstream.id);
     this.isDecoding = false;
@@ -163,6 +164,11 @@
     context.health.recordPassTimeRatio(choice.upstream.id, ratio);
   }
 
+  /** Whether the attempt may be sent now, which was placed some time ago. */
+  confirmSend({choice, placedAtMs}: PlacedAttempt): boolean {
+    return this.context.coldRates.confirmSend(choice.upstream, placedAtMs);
+  }
+
   /** Ends an attempt that was not sent; its upstream counts as untried. */
   withdraw(): void {
     const id = this.placed?.choice.upstream.id ?? '';
@@ -306,17 +312,19 @@
     shortage: CapacityShortage,
     nowMs: number,
   ): CapacityShortage {
-    const {limits, rests, countHosts} = this.context;
+    const {limits, coldRates, rests, countHosts} = this.context;
     const restMs = this.planReturnAfterRestMs();
     if (restMs > 0) return {waitMs: restMs};
-    const ids = this.listUsable()
-      .map(({id}) => id)
-      .filter(
-        id => !this.triedUpstreams.has(id) && !rests.isResting(id, nowMs),
-      );
-    const areLimited =
-      ids.length > 0 && !ids.some(id => limits.mayTake(id, nowMs));
-    if (!areLimited) return shortage;
+    const awake = this.listUsable().filter(
+      ({id}) => !this.triedUpstreams.has(id) && !rests.isResting(id, nowMs),
+    );
+    const free = awake.filter(({id}) => limits.mayTake(id, nowMs));
+    if (free.length > 0) {
+      const coldMs = coldRates.planReturnMs(free, nowMs);
+      return coldMs > 0 ? {waitMs: coldMs} : shortage;
+    }
+    if (awake.length === 0) return shortage;
+    const ids = awake.map(({id}) => id);
     return {waitMs: limits.planReturnMs(ids, countHosts(), nowMs)};
   }
 
@@ -326,12 +334,13 @@
     nowMs: number,
     suspect: string,
   ): UpstreamChoice | CapacityShortage {
-    const {chooser, limits, rests} = this.context;
-    // A limited or resting upstream must not hide those that are avoided.
+    const {chooser, limits, coldRates, rests} = this.context;
+    const free = this.listUsable().filter(
+      ({id}) => limits.mayTake(id, nowMs) && !rests.isResting(id, nowMs),
+    );
+    // A limited, cold or resting upstream must not hide those that are avoided.
     const candidates = chooser.listCandidates(
-      this.listUsable().filter(
-        ({id}) => limits.mayTake(id, nowMs) && !rests.isResting(id, nowMs),
-      ),
+      coldRates.filter(free, nowMs),
       this.triedUpstreams,
       nowMs,
     );
--- a/packages/daemon/src/gateway/attempts/attempt_sender.ts
+++ b/packages/daemon/src/gateway/attempts/attempt_sender.ts
@@ -147,6 +147,11 @@
 
   private start(placed: PlacedAttempt, lastEventId: number | undefined): void {
     const {context} = this;
+    if (!this.placer.confirmSend(placed)) {
+      const detail = 'upstream is cold, and the attempt waited for too long';
+      this.listener.onEnd(AttemptOutcome.REFUSED, detail);
+      return;
+    }
     const {upstream} = placed.choice;
     const response = new ResponseSwitch(this.listener, head => {
       if (head.status === MISDIRECTED_STATUS) return;
--- a/packages/daemon/src/gateway/gateway_context.ts
+++ b/packages/daemon/src/gateway/gateway_context.ts
@@ -11,6 +11,7 @@
 import type {HostTimeline} from '../host/host_timeline.js';
 import type {SuspectTracker} from '../upstreams/suspect_tracker.js';
 import type {UpdatePublisher} from './fleet/update_publisher.js';
+import type {ColdRateMonitor} from './upstreams/cold_rate_monitor.js';
 import type {DepartureCheck} from './upstreams/departure_check.js';
 import type {GatewayMetrics} from './gateway_metrics.js';
 import type {HeaderNames} from './header_names.js';
@@ -31,6 +32,7 @@
   readonly placements: PlacementRegistry;
   readonly health: UpstreamHealth;
   readonly limits: UpstreamLimits;
+  readonly coldRates: ColdRateMonitor;
   readonly rests: UpstreamRests;
   readonly unreadableRests: UnreadableRestLog;
   readonly chooser: UpstreamChooser;
--- a/packages/daemon/src/gateway/gateway_host.ts
+++ b/packages/daemon/src/gateway/gateway_host.ts
@@ -41,6 +41,7 @@
 import {UnreadableRestLog} from './upstreams/unreadable_rest_log.js';
 import {UpdateApplier} from './fleet/update_applier.js';
 import {ProbeServer} from './callers/probe_server.js';
+import {createColdRates} from './upstreams/create_cold_rates.js';
 import {ReachMonitor} from './upstreams/reach_monitor.js';
 import type {EngineReservations} from './upstreams/engine_reservations.js';
 import {recordLeaving} from './upstreams/record_leaving.js';
@@ -105,9 +106,8 @@
       {...incarnation, host: settings.host},
       settings.logLevel ?? 'info',
     );
-    const {log} = this;
     this.timeline = new HostTimeline(incarnation, clock);
-    const {timeline} = this;
+    const {log, timeline} = this;
     this.transport = new PeerTransport(
       incarnation,
       PEER_KEY,
@@ -141,7 +141,7 @@
     const siteExchange = new SiteExchange(
       this.siteUpdater,
       relay,
-      () => replica.createSnapshot(),
+      () => replica.createSnapshot(clock.nowMs()),
       clock,
       log,
       metrics,
@@ -206,6 +206,11 @@
       placements,
       health,
       limits,
+      coldRates: createColdRates(
+        {settings, replica, clock, log, metrics},
+        () => this.fleet.listSightings(),
+        () => this.readStage(),
+      ),
       rests: new UpstreamRests(draw),
       unreadableRests: new UnreadableRestLog(log),
       chooser: new UpstreamChooser(
@@ -314,6 +319,7 @@
     this.siteWatcher.stop();
     this.upstreamProber.stop();
     this.reach.stop();
+    this.context.coldRates.stop();
     this.fleet.stop();
     this.context.connectionPool.close();
     this.transport.close();
@@ -328,8 +334,7 @@
   reload(settings: GatewaySettings): void {
     this.fleet.setSeeds(settings.seedPeers);
     this.context.retryBudgets.setBounds(settings.bounds);
-    const seeds = settings.seedPeers.join(' ');
-    this.log.info('settings_reloaded', {seeds});
+    this.log.info('settings_reloaded', {seeds: settings.seedPeers.join(' ')});
   }
 
   private applySite(): void {
@@ -343,6 +348,7 @@
     context.unreadableRests.retain(ids);
     context.placements.retain(ids);
     context.chooser.retain(ids);
+    context.coldRates.applySite();
     this.server.checkDepartures();
     const configuration = replica.rules?.configuration;
     if (configuration === undefined || configuration.version === this.version) {
--- a/packages/daemon/src/gateway/site/site_exchange.test.ts
+++ b/packages/daemon/src/gateway/site/site_exchange.test.ts
@@ -104,7 +104,7 @@
     const exchange: SiteExchange = new SiteExchange(
       updater,
       relay,
-      () => replica.createSnapshot(),
+      () => replica.createSnapshot(clock.nowMs()),
       clock,
       log,
       {siteDeltas: {inc: () => undefined}} as unknown as GatewayMetrics,
@@ -142,7 +142,7 @@
   check(): void {
     this.nowMs += STEP_MS;
     for (const {replica} of this.hosts.values()) {
-      const known = replica.createSnapshot();
+      const known = replica.createSnapshot(this.nowMs);
       const listed = this.store.list(known.revision).upstreams;
       const toIds = (entries: readonly UpstreamEntry[]): string[] =>
         entries.map(({id, revision = 0}) => `${id}@${revision}`).sort();
--- a/packages/daemon/src/gateway/site/site_exchange.ts
+++ b/packages/daemon/src/gateway/site/site_exchange.ts
@@ -81,7 +81,7 @@
 
   /** Passes a change on that this host has applied. */
   publish(delta: SiteDelta): void {
-    this.deltas.add(delta);
+    this.deltas.add(delta, this.clock.nowMs());
     const subscribers = this.relay.listSubscribers(this.clock.nowMs());
     if (subscribers.length === 0) return;
     const message = encodeDelta(delta);
@@ -112,7 +112,9 @@
     const isAhead = comparePositions(snapshot, query) > 0;
     const hasNewerVersion = updater.version > query.version;
     if (!isAhead && !hasNewerVersion) return;
-    const deltas = isAhead ? this.deltas.listSince(query) : undefined;
+    const deltas = isAhead
+      ? this.deltas.listSince(query, this.clock.nowMs())
+      : undefined;
     // A version that the store lost with its history is in no delta.
     const suffices =
       deltas !== undefined &&
--- a/packages/daemon/src/gateway/site/site_updater.ts
+++ b/packages/daemon/src/gateway/site/site_updater.ts
@@ -75,7 +75,7 @@
     mayHaveExpired: boolean,
   ): boolean {
     const {replica} = this;
-    const known = replica.createSnapshot();
+    const known = replica.createSnapshot(this.clock.nowMs());
     const before = replica.position;
     const isNew = replica.applySnapshot(
       snapshot,
--- a/packages/daemon/src/gateway/upstreams/refresh_upstream_gauges.ts
+++ b/packages/daemon/src/gateway/upstreams/refresh_upstream_gauges.ts
@@ -1,16 +1,21 @@
 import type {GatewayContext} from '../gateway_context.js';
 
-/** Counts the listed upstreams that rest or leave, before metrics are read. */
+/** Counts the listed upstreams that rest, leave or are cold, before metrics are read. */
 export function refreshUpstreamGauges({
   metrics,
   replica: {upstreams},
   rests,
+  coldRates,
   clock,
-}: Pick<GatewayContext, 'metrics' | 'replica' | 'rests' | 'clock'>): void {
+}: Pick<
+  GatewayContext,
+  'metrics' | 'replica' | 'rests' | 'coldRates' | 'clock'
+>): void {
   const listed = upstreams.list();
   const nowMs = clock.nowMs();
   const resting = listed.filter(({id}) => rests.isResting(id, nowMs));
   const leaving = listed.filter(entry => upstreams.leaving.has(entry));
   metrics.restingUpstreams.set(resting.length);
   metrics.leavingUpstreams.set(leaving.length);
+  coldRates.refreshGauges();
 }
--- a/packages/daemon/src/testing/virtual_fleet.ts
+++ b/packages/daemon/src/testing/virtual_fleet.ts
@@ -151,7 +151,7 @@
     const exchange = new SiteExchange(
       updater,
       relay,
-      () => replica.createSnapshot(),
+      () => replica.createSnapshot(clock.nowMs()),
       clock,
       log,
       metrics,
--- a/packages/forwarding/src/site_delta_log.test.ts
+++ b/packages/forwarding/src/site_delta_log.test.ts
@@ -38,16 +38,16 @@
       [5, 6],
       [6, 9],
     ] as const) {
-      log.add(buildDelta(from, to));
+      log.add(buildDelta(from, to), 0);
     }
     const list = (revision: number): number[] | undefined =>
-      log.listSince({epoch: 1, revision})?.map(delta => delta.revision);
+      log.listSince({epoch: 1, revision}, 0)?.map(delta => delta.revision);
     expect(list(2)).to.equal(undefined);
     expect(list(3)).to.deep.equal([5, 6, 9]);
     expect(list(5)).to.deep.equal([6, 9]);
     expect(list(7)).to.deep.equal([9]);
     expect(list(9)).to.equal(undefined);
-    expect(log.listSince({epoch: 0, revision: 5})).to.equal(undefined);
+    expect(log.listSince({epoch: 0, revision: 5}, 0)).to.equal(undefined);
   });
 
   it('keeps the newest configuration alone, which every lagging peer gets', () => {
@@ -66,13 +66,16 @@
         services: [],
         limits,
       };
-      log.add({
-        ...buildDelta(revision - 1, revision),
-        ...(isPublished && {configuration}),
-      });
+      log.add(
+        {
+          ...buildDelta(revision - 1, revision),
+          ...(isPublished && {configuration}),
+        },
+        0,
+      );
     }
-    log.add(buildDelta(9, 10));
-    const deltas = log.listSince({epoch: 1, revision: 0}) ?? [];
+    log.add(buildDelta(9, 10), 0);
+    const deltas = log.listSince({epoch: 1, revision: 0}, 0) ?? [];
     expect(
       deltas.flatMap(({configuration}) => configuration?.version ?? []),
     ).to.deep.equal([9]);
@@ -84,10 +87,10 @@
 
   it('starts anew after a gap', () => {
     const log = new SiteDeltaLog();
-    log.add(buildDelta(1, 2));
-    log.add(buildDelta(5, 6));
-    expect(log.listSince({epoch: 1, revision: 1})).to.equal(undefined);
-    expect(log.listSince({epoch: 1, revision: 5})).to.have.length(1);
+    log.add(buildDelta(1, 2), 0);
+    log.add(buildDelta(5, 6), 0);
+    expect(log.listSince({epoch: 1, revision: 1}, 0)).to.equal(undefined);
+    expect(log.listSince({epoch: 1, revision: 5}, 0)).to.have.length(1);
   });
 
   it('brings a peer to the state of the host, however many changes it missed', () => {
@@ -114,15 +117,18 @@
             const snapshot = {epoch: 0, revision, upstreams};
             if (position === joinsAt) peer.applySnapshot(snapshot, 0, false);
             if (!isRead && position !== joinsAt) return;
-            const known = host.createSnapshot();
+            const known = host.createSnapshot(0);
             host.applySnapshot(snapshot, 0, false);
-            log.add({
-              ...compareSnapshots(known, snapshot),
-              fromRevision: known.revision,
-              mayHaveExpired: false,
-            });
+            log.add(
+              {
+                ...compareSnapshots(known, snapshot),
+                fromRevision: known.revision,
+                mayHaveExpired: false,
+              },
+              0,
+            );
           });
-          for (const delta of log.listSince(peer.position) ?? []) {
+          for (const delta of log.listSince(peer.position, 0) ?? []) {
             peer.applyChange(delta, 0, false);
           }
           const sort = (replica: SiteReplica): UpstreamEntry[] =>
--- a/packages/forwarding/src/site_replica.test.ts
+++ b/packages/forwarding/src/site_replica.test.ts
@@ -142,7 +142,7 @@
       false,
     );
     replica.applySnapshot({epoch: 0, revision: 2, upstreams: []}, 0, false);
-    expect(replica.createSnapshot().configuration?.version).to.equal(4);
+    expect(replica.createSnapshot(0).configuration?.version).to.equal(4);
   });
 
   it('starts anew with the revisions of a store that came back from a copy', () => {
--- a/packages/forwarding/src/site_replica.ts
+++ b/packages/forwarding/src/site_replica.ts
@@ -81,13 +81,13 @@
     return this.adoptIfNewer(change.configuration);
   }
 
-  /** Snapshot with which a peer reaches this position. */
-  createSnapshot(): SiteSnapshot {
+  /** Snapshot with which a peer reaches this position; cold times are those left. */
+  createSnapshot(nowMs: number): SiteSnapshot {
     const configuration = this.activeRules?.configuration;
     return {
       ...this.currentPosition,
       ...(configuration && {configuration}),
-      upstreams: this.upstreams.list(),
+      upstreams: this.upstreams.listAged(nowMs),
     };
   }
 
--- a/packages/forwarding/src/upstream_registry.ts
+++ b/packages/forwarding/src/upstream_registry.ts
@@ -1,3 +1,4 @@
+import {ColdTimes} from './cold_times.js';
 import {Departures} from './departures.js';
 import {LeavingUpstreams} from './leaving_upstreams.js';
 import type {UpstreamEntry} from './upstream_entry.js';
@@ -29,11 +30,17 @@
     {entry: UpstreamEntry; untilMs: number}
   >();
   private readonly departures = new Departures();
+  private readonly coldTimes = new ColdTimes();
 
   list(): UpstreamEntry[] {
     return [...this.entries.values()];
   }
 
+  /** Lists the upstreams with the cold time that each has left. */
+  listAged(nowMs: number): UpstreamEntry[] {
+    return this.list().map(entry => this.coldTimes.age(entry, nowMs));
+  }
+
   find(id: string): UpstreamEntry | undefined {
     return this.entries.get(id);
   }
@@ -79,7 +86,7 @@
       this.remove(id, nowMs, mayHaveExpired);
     }
     for (const entry of entries) {
-      this.put(entry);
+      this.put(entry, nowMs);
       if (entry.stage === UpstreamStage.READY) {
         this.departures.forgetUnlessHeld(entry.id);
       } else this.departures.record(entry.id, nowMs);
@@ -98,7 +105,7 @@
     }
     this.departures.hold(nowMs);
     for (const entry of entries) {
-      this.put(entry);
+      this.put(entry, nowMs, true);
       if (entry.stage !== UpstreamStage.READY) {
         this.departures.record(entry.id, nowMs);
       }
@@ -107,7 +114,7 @@
 
   /** Applies a change of an entry. */
   write(entry: UpstreamEntry, nowMs: number): void {
-    this.put(entry);
+    this.put(entry, nowMs);
     if (entry.stage === UpstreamStage.READY) this.departures.forget(entry.id);
     else this.departures.record(entry.id, nowMs);
   }
@@ -163,7 +170,9 @@
     if (entry && untilMs > nowMs) this.expired.set(id, {entry, untilMs});
   }
 
-  private put(entry: UpstreamEntry): void {
+  private put(entry: UpstreamEntry, nowMs: number, mayBeOld = false): void {
+    const known = this.entries.get(entry.id);
+    this.coldTimes.record(entry, known, nowMs, mayBeOld);
     this.entries.set(entry.id, entry);
     this.expired.delete(entry.id);
   }
