--- a/packages/daemon/src/gateway/upstreams/hold_detector.ts
+++ b/packages/daemon/src/gateway/upstreams/hold_detector.ts
@@ -31,8 +31,8 @@
   readHoldMs(): number {
     const elapsedMs = this.clock.nowMs() - this.tickedAtMs;
     const wallMs = this.clock.wallMs() - this.tickedAtWallMs;
-    // A wall clock that is set is not told from a suspension, and costs as little.
-    const jumpMs = Math.abs(wallMs - elapsedMs);
+    // A wall clock that is set forward is not told from a suspension.
+    const jumpMs = wallMs - elapsedMs;
     const heldMs = Math.max(elapsedMs - this.intervalMs, jumpMs);
     return heldMs > this.minHoldMs ? heldMs : 0;
   }
--- a/packages/dispatch/src/cold_rates.test.ts
+++ b/packages/dispatch/src/cold_rates.test.ts
@@ -1,3 +1,4 @@
+import {createUpstream} from '@parsleywood/forwarding/testing';
 import {expect} from 'chai';
 import fc from 'fast-check';
 import {ColdRates} from './cold_rates.js';
@@ -86,6 +87,45 @@
     }
   });
 
+  // Failure: requests that waited for memory arrive together, long after their time.
+  it('counts a request again that waited for long, or was placed before the cold', () => {
+    const rates = new ColdRates('self', [], BOUNDS, 0);
+    const coldStart = {durationMs: 8_000, requestsPerSecond: 1};
+    rates.setServices([{name: 's', coldStart}], 0);
+    rates.update([createUpstream('u')], 0);
+    rates.update([createUpstream('u', {coldRemainingMs: 60_000})], 1_000);
+    expect(rates.mayTake('u', 2_000)).to.equal(true);
+    rates.recordSend('u', 2_000);
+    expect(rates.confirmSend('u', 2_000, 2_150)).to.equal(true);
+    expect(rates.confirmSend('u', 2_000, 2_300)).to.equal(false);
+    expect(rates.confirmSend('u', 900, 2_300)).to.equal(false);
+    expect(rates.planReturnMs(['u'], 2_300)).to.be.closeTo(700, 1e-6);
+    expect(rates.planReturnMs(['u'], 2_300)).to.be.closeTo(1_700, 1e-6);
+    expect(rates.confirmSend('u', 900, 3_000.1)).to.equal(true);
+    expect(rates.mayTake('u', 3_000.1)).to.equal(false);
+  });
+
+  // Failure: an upstream that has just started, but states no cold time, is overrun;
+  // or all upstreams count as new after an outage of the store.
+  it('takes an upstream for cold that is new or has started again, but not one that was listed before', () => {
+    const rates = new ColdRates('self', [], BOUNDS, 0);
+    const coldStart = {durationMs: 8_000, requestsPerSecond: 1};
+    rates.setServices([{name: 's', coldStart}], 0);
+    const list = (ids: string[], bornMs: number, nowMs: number): string[] => {
+      rates.update(
+        ids.map(id => createUpstream(id, {bornMs})),
+        nowMs,
+      );
+      rates.retain(new Set(ids), nowMs);
+      return ids.filter(id => rates.getUse(id, nowMs) !== undefined);
+    };
+    expect(list(['a', 'b'], 5, 2_000)).to.deep.equal([]);
+    expect(list(['a', 'c'], 5, 3_000)).to.deep.equal(['c']);
+    expect(list(['a', 'b', 'c'], 5, 4_000)).to.deep.equal(['c']);
+    expect(list(['a', 'b'], 6, 12_000)).to.deep.equal(['a', 'b']);
+    expect(list(['a', 'b'], 4, 20_000)).to.deep.equal([]);
+  });
+
   it('is needed: hosts that each keep the rate alone exceed the bound', () => {
     const property = keepsBound((address, _seeds, nowMs) => {
       const rates = new ColdRates(address, [], BOUNDS, nowMs);
--- a/packages/dispatch/src/testing/cold_fleet.ts
+++ b/packages/dispatch/src/testing/cold_fleet.ts
@@ -125,12 +125,13 @@
       }
       return;
     }
+    const isTogether = this.draw() < 0.5;
     for (const host of this.hosts) {
       if (this.draw() >= share || host.downUntilMs > this.nowMs) continue;
       if (kind === 'partition') host.side = 1 + Math.floor(this.draw() * 2);
       if (kind === 'freeze') {
         host.frozenFromMs = Math.min(host.frozenFromMs, this.nowMs);
-        const untilMs = this.nowMs + forMs * this.draw();
+        const untilMs = this.nowMs + forMs * (isTogether ? 1 : this.draw());
         host.frozenUntilMs = Math.max(host.frozenUntilMs, untilMs);
       }
       if (kind === 'stop') host.stopsAtMs = this.nowMs;
