Count a path to an upstream as working only once something comes back

A host whose paths to all upstreams accept connections and discard all bytes never counted as cut off, because its test only opened connections. Requests waited there in vain while other hosts served theirs.

The test now sends a GET of the service's health path (HealthPath, decoded as Service.healthPath) unless answers came within 500 ms. A request that has no answer 700 ms after the expected time, while no upstream answered since, starts a test too. Silence counts only if none of up to 16 upstreams and no other connection answered; such a host leaves only while another one says that it reaches upstreams, and refuses nothing while none does.

--- a/packages/bench/src/gateway_soak/checked_upstream.ts
+++ b/packages/bench/src/gateway_soak/checked_upstream.ts
@@ -9,6 +9,7 @@
 import type {CrashLedger} from './crash_ledger.js';
 import {FaultProxy} from './fault_proxy.js';
 import type {GatewaySpan} from './gateway_span.js';
+import {HEALTH_PATH} from './health_path.js';
 import {ProxyFault} from './proxy_fault.js';
 import type {UpstreamArrival} from './upstream_arrival.js';
 import {UPSTREAM_HOSTS} from './upstream_hosts.js';
@@ -153,6 +154,10 @@
   }
 
   private take(request: IncomingMessage, response: ServerResponse): void {
+    if (request.url === HEALTH_PATH) {
+      response.end();
+      return;
+    }
     const id = String(request.headers['request-id']);
     response.setHeader('request-id', id);
     const gateway = UPSTREAM_HOSTS.getGateway(request.socket.remoteAddress);
--- a/packages/bench/src/gateway_soak/describe_soak_site.ts
+++ b/packages/bench/src/gateway_soak/describe_soak_site.ts
@@ -1,5 +1,6 @@
 import type {CheckedUpstream} from './checked_upstream.js';
 import {describeNewestRoute} from './describe_newest_route.js';
+import {HEALTH_PATH} from './health_path.js';
 import {SOAK_ROUTES} from './soak_routes.js';
 
 const ENGINE = {
@@ -36,7 +37,10 @@
         ...(kind === 'stream' && {resumable: true, pauseObjectiveMs: 250}),
       }),
     ),
-    services: [{name: 'app'}, {name: 'engine', engine: ENGINE}],
+    services: [
+      {name: 'app', healthPath: HEALTH_PATH},
+      {name: 'engine', healthPath: HEALTH_PATH, engine: ENGINE},
+    ],
     upstreams: [
       ...odd,
       ...upstreams.map(({id, service, address, bornMs}) => ({
--- a/packages/daemon/src/gateway/attempts/attempt_sender.ts
+++ b/packages/daemon/src/gateway/attempts/attempt_sender.ts
@@ -149,6 +149,7 @@
     const {context} = this;
     const {upstream} = placed.choice;
     const response = new ResponseSwitch(this.listener, head => {
+      context.reach.recordAnswer();
       if (head.status === MISDIRECTED_STATUS) return;
       recordRest(context, upstream, head.restMs);
       if (head.isLeaving) recordLeaving(context, upstream);
@@ -181,6 +182,7 @@
     this.response = response;
     this.attempt = attempt;
     this.sent++;
+    context.reach.recordSend(placed.choice.plan?.expectedMs ?? 0);
     this.onSent(placed);
     attempt.start();
   }
--- a/packages/daemon/src/gateway/gateway_host.ts
+++ b/packages/daemon/src/gateway/gateway_host.ts
@@ -43,6 +43,7 @@
 import {ProbeServer} from './callers/probe_server.js';
 import {ReachMonitor} from './upstreams/reach_monitor.js';
 import type {EngineReservations} from './upstreams/engine_reservations.js';
+import {createPathTester} from './upstreams/create_path_tester.js';
 import {recordLeaving} from './upstreams/record_leaving.js';
 import {refreshUpstreamGauges} from './upstreams/refresh_upstream_gauges.js';
 import {RetryBudgets} from './attempts/retry_budgets.js';
@@ -158,12 +159,12 @@
     this.reach = new ReachMonitor(
       replica,
       health,
+      createPathTester(replica, metrics, () => this.context, draw),
       relay,
       clock,
       log,
       metrics,
       () => this.fleet.listHeartbeats(),
-      draw,
       () => {
         this.server.endStalled();
       },
--- a/packages/daemon/src/gateway/gateway_metrics.ts
+++ b/packages/daemon/src/gateway/gateway_metrics.ts
@@ -14,6 +14,7 @@
   readonly storeCalls: Counter;
   readonly siteDeltas: Counter;
   readonly upstreamRests: Counter;
+  readonly pathTests: Counter;
   readonly openRequests: Gauge;
   readonly restingUpstreams: Gauge;
   readonly leavingUpstreams: Gauge;
@@ -65,6 +66,12 @@
       labelNames: ['service'],
       registers,
     });
+    this.pathTests = new Counter({
+      name: 'parsleywood_path_tests_total',
+      help: 'Requests for the health path of an upstream by which this host tested its paths, by result.',
+      labelNames: ['result'],
+      registers,
+    });
     this.restingUpstreams = new Gauge({
       name: 'parsleywood_resting_upstreams',
       help: 'Listed upstreams that get no request of this host as they asked for a rest.',
@@ -82,7 +89,7 @@
     });
     this.reachesUpstreams = new Gauge({
       name: 'parsleywood_reaches_upstreams',
-      help: '0 while no upstream accepts connections of this host, else 1.',
+      help: '0 while no upstream accepts connections of this host, or answers on them, else 1.',
       registers,
     });
     this.droppedLogLines = new Gauge({
--- a/packages/daemon/src/gateway/upstreams/reach_monitor.ts
+++ b/packages/daemon/src/gateway/upstreams/reach_monitor.ts
@@ -1,7 +1,7 @@
 import {setTimeout as pause} from 'node:timers/promises';
-import {chooseReachSample, type UpstreamHealth} from '@parsleywood/dispatch';
+import type {UpstreamHealth} from '@parsleywood/dispatch';
 import {ErrorKind, ExecutionStatus, Failure} from '@parsleywood/errors';
-import type {SiteReplica, UpstreamEntry} from '@parsleywood/forwarding';
+import type {SiteReplica} from '@parsleywood/forwarding';
 import {
   PeerStage,
   ReachState,
@@ -10,8 +10,10 @@
 } from '@parsleywood/membership';
 import type {Clock} from '../../host/clock.js';
 import type {EventLog} from '../../host/event_log.js';
-import {canConnect} from './can_connect.js';
 import type {GatewayMetrics} from '../gateway_metrics.js';
+import {PathResult} from './path_result.js';
+import type {PathSample} from './path_sample.js';
+import type {PathTester} from './path_tester.js';
 import {reachTiming} from './reach_timing.js';
 import type {UpdatePublisher} from '../fleet/update_publisher.js';
 
@@ -36,19 +38,18 @@
 
   /**
    * @param listPeers Lists the other live hosts.
-   * @param draw Returns a random number in [0, 1).
    * @param onRefusing Called when requests are refused from now on, and when other
    *     hosts serve them from now on.
    */
   constructor(
     private readonly replica: SiteReplica,
     private readonly health: UpstreamHealth,
+    private readonly paths: PathTester,
     private readonly publisher: UpdatePublisher,
     private readonly clock: Clock,
     private readonly log: EventLog,
     private readonly metrics: GatewayMetrics,
     private readonly listPeers: () => readonly PeerHeartbeat[],
-    private readonly draw: () => number,
     private readonly onRefusing: () => void,
   ) {
     metrics.reachesUpstreams.set(1);
@@ -88,14 +89,26 @@
       const kind = ErrorKind.HOST_UNAVAILABLE;
       return new Failure(kind, message, NO, OTHERS_SERVE_RETRY_MS);
     }
+    // Upstreams that are only silent may be busy; requests wait for them.
+    if (this.tracker.isCutOffBySilence) return undefined;
     if (this.tracker.isAnswered(this.clock.nowMs())) return undefined;
     const kind = ErrorKind.UPSTREAM_UNAVAILABLE;
     return new Failure(kind, message, NO, NONE_SERVES_RETRY_MS);
   }
 
+  /**
+   * Records a request that is sent to an upstream.
+   *
+   * @param expectedMs Time after which its answer is expected to begin.
+   */
+  recordSend(expectedMs: number): void {
+    this.tracker.recordSend(expectedMs, this.clock.nowMs());
+  }
+
   /** Records a response of an upstream. */
   recordAnswer(): void {
-    this.tracker.recordAnswer(this.clock.nowMs());
+    const hasChanged = this.tracker.recordAnswer(this.clock.nowMs());
+    if (hasChanged) this.applyTest(true, true);
   }
 
   /** Tests, after a failure of an upstream, whether this host reaches any other. */
@@ -126,7 +139,8 @@
     );
     this.tracker.recordPeers(isAnyCutOff, nowMs);
     this.publish();
-    if (this.tracker.isTestDue(nowMs)) void this.testReach();
+    const isInDoubt = this.tracker.isInDoubt(nowMs) && this.paths.canAsk;
+    if (isInDoubt || this.tracker.isTestDue(nowMs)) void this.testReach();
     const isRefusing = this.findRefusal() !== undefined;
     const {isOutOfService} = this;
     const isNew =
@@ -138,48 +152,58 @@
   }
 
   private async runTest(): Promise<boolean> {
+    const {tracker, paths} = this;
+    const startedAtMs = this.clock.nowMs();
     const upstreams = this.replica.upstreams.list();
     const isCutOff = this.state === ReachState.CUT_OFF;
-    const accepted = await this.findAccepting(
-      upstreams,
-      reachTiming.sampleSize,
-    );
-    if (accepted === undefined && upstreams.length < MIN_UPSTREAMS) {
-      this.applyTest(this.tracker.recordInconclusiveTest(), true);
+    // Upstreams are not asked while answers come anyway.
+    const needsAnswer = isCutOff || !tracker.isReturning(startedAtMs);
+    const first = await paths.testSome(reachTiming.sampleSize, needsAnswer);
+    if (first.working === undefined && upstreams.length < MIN_UPSTREAMS) {
+      this.applyTest(tracker.recordInconclusiveTest(), true);
       return true;
     }
-    if (isCutOff) return this.conclude(await this.confirm(accepted));
-    if (accepted !== undefined) return this.conclude(true);
+    if (isCutOff) return this.confirm(first, startedAtMs);
+    if (first.working !== undefined) return this.conclude(true);
+    // Waiting for an answer has taken longer than the pause.
+    if (first.silent === 0) await pause(reachTiming.confirmationDelayMs);
+    const again = await paths.testSome(reachTiming.maxTested, needsAnswer);
+    if (again.working !== undefined) return this.conclude(true);
+    return this.concludeFailure(again, startedAtMs);
+  }
+
+  /** Whether the upstream that a host that is cut off has reached is reached again. */
+  private async confirm(
+    first: PathSample,
+    startedAtMs: number,
+  ): Promise<boolean> {
+    if (first.working === undefined) {
+      return this.concludeFailure(first, startedAtMs);
+    }
     await pause(reachTiming.confirmationDelayMs);
-    const again = await this.findAccepting(upstreams, reachTiming.maxTested);
-    return this.conclude(again !== undefined);
+    const result = await this.paths.test(first.working, true);
+    if (result === PathResult.SILENT) {
+      return this.concludeSilence(startedAtMs, first.tested);
+    }
+    return this.conclude(result === PathResult.WORKING);
   }
 
-  /** Whether the upstream that accepted a connection accepts another one. */
-  private async confirm(accepted: UpstreamEntry | undefined): Promise<boolean> {
-    if (accepted === undefined) return false;
-    await pause(reachTiming.confirmationDelayMs);
-    return canConnect(accepted.address, reachTiming.openMs);
+  private concludeFailure(
+    {silent, tested}: PathSample,
+    startedAtMs: number,
+  ): boolean {
+    if (silent === 0) return this.conclude(false);
+    return this.concludeSilence(startedAtMs, tested);
   }
 
-  private async findAccepting(
-    upstreams: readonly UpstreamEntry[],
-    count: number,
-  ): Promise<UpstreamEntry | undefined> {
+  /** Concludes a test in which upstreams accepted connections and none answered. */
+  private concludeSilence(startedAtMs: number, tested: number): boolean {
     const nowMs = this.clock.nowMs();
-    const sample = chooseReachSample(
-      upstreams,
-      ({id}) => this.health.isAvoided(id, nowMs),
-      count,
-      this.draw,
-    );
-    const tests = sample.map(async upstream => {
-      if (await canConnect(upstream.address, reachTiming.openMs)) {
-        return upstream;
-      }
-      throw new Error('no connection');
-    });
-    return Promise.any(tests).catch(() => undefined);
+    const hasChanged = this.tracker.recordSilence(startedAtMs, nowMs);
+    const isCutOff = this.tracker.isCutOffBySilence;
+    if (hasChanged && isCutOff) this.log.warn('paths_silent', {tested});
+    this.applyTest(hasChanged, !isCutOff);
+    return !isCutOff;
   }
 
   private conclude(hasAccepted: boolean): boolean {
--- a/packages/daemon/src/gateway/upstreams/reach_timing.ts
+++ b/packages/daemon/src/gateway/upstreams/reach_timing.ts
@@ -7,6 +7,8 @@
   maxTested: 16,
   /** Time for which a new connection must stay open to show that the path works. */
   openMs: 40,
+  /** Time in which something must come back of an upstream that is asked. */
+  answerMs: 400,
   /** Time between two tests that must agree, against a short disturbance. */
   confirmationDelayMs: 150,
 } as const;
--- a/packages/membership/src/reach_tracker.test.ts
+++ b/packages/membership/src/reach_tracker.test.ts
@@ -74,6 +74,40 @@
   });
 });
 
+describe('ReachTracker whose upstreams accept connections and do not answer', () => {
+  it('is cut off unless an upstream answers on another connection meanwhile', () => {
+    const property = fc.property(fc.nat(1_000), fc.nat(1_000), (a, b) => {
+      const tracker = new ReachTracker();
+      tracker.recordAnswer(a);
+      const hasChanged = tracker.recordSilence(b, 1_000);
+      expect(hasChanged).to.equal(a < b);
+      expect(tracker.isCutOffBySilence).to.equal(a < b);
+      expect(tracker.recordAnswer(1_000)).to.equal(a < b);
+      expect(tracker.getState(1_000)).to.equal(ReachState.UNKNOWN);
+    });
+    fc.assert(property, {seed: 1, numRuns: 200});
+  });
+
+  it('is in doubt only as a request has no answer in time and none came since', () => {
+    const tracker = new ReachTracker();
+    tracker.recordSend(300, 0);
+    expect(tracker.isInDoubt(999)).to.equal(false);
+    expect(tracker.isInDoubt(1_000)).to.equal(true);
+    tracker.recordAnswer(1_000);
+    expect(tracker.isInDoubt(5_000)).to.equal(false);
+    tracker.recordSend(0, 5_000);
+    tracker.recordTest(true, 5_800);
+    expect(tracker.isInDoubt(9_000)).to.equal(false);
+  });
+
+  it('keeps answers on kept connections from ending a cut that refuses new ones', () => {
+    const tracker = new ReachTracker();
+    tracker.recordTest(false, 0);
+    expect(tracker.recordAnswer(1)).to.equal(false);
+    expect(tracker.getState(1)).to.equal(ReachState.CUT_OFF);
+  });
+});
+
 describe('selectReachingPeers', () => {
   const cut = createHeartbeat('a', {reach: ReachState.CUT_OFF});
   const unknown = createHeartbeat('b');
