Choose with care while a host that has started does not know the engines' load

A host that starts knows no placements, so it takes all engines for idle. After a loss of power all hosts do so at once, while engines are still busy with what the failed hosts sent; a host that is restarted alone does so too.

Peers now tell a host that starts the placements in progress and how long they have heard of them (PlacementsInProgress, ignored by earlier builds). A host that has heard of placements for less than 3 s (StartView) reads the reports of four engines of a service, twice at most, prefers engines that are known to be free, sends very large prompts to engines of known load only or refuses them with the time until a report is due, and logs chosen_without_view. It is used for services with a cold start, or where pacesNewUpstreams is set.

--- a/packages/daemon/src/gateway/attempts/attempt_placer.ts
+++ b/packages/daemon/src/gateway/attempts/attempt_placer.ts
@@ -16,6 +16,7 @@
 import type {GatewayContext} from '../gateway_context.js';
 import type {PlacedAttempt} from './placed_attempt.js';
 import type {ReceivedRequest} from '../callers/received_request.js';
+import {recordChoiceWithoutView} from './record_choice_without_view.js';
 import type {SuspendedPlacement} from './suspended_placement.js';
 
 const SERVER_ERROR_STATUS = 500;
@@ -110,6 +111,9 @@
     const service = this.match.rules.findService(this.service);
     const demand = this.describeDemand(service, nowMs);
     const choice = this.chooseUpstream(service, demand, nowMs, suspect);
+    const chosen = 'upstream' in choice ? choice.upstream.id : undefined;
+    const {id} = request.metadata;
+    recordChoiceWithoutView(context, service, id, chosen, nowMs);
     if (!('upstream' in choice)) return this.planReturn(choice, nowMs);
     const {upstream, plan} = choice;
     const {pauseObjectiveMs} = this.match.route;
--- a/packages/daemon/src/gateway/fleet/fleet_membership.ts
+++ b/packages/daemon/src/gateway/fleet/fleet_membership.ts
@@ -26,10 +26,9 @@
 import {ConnectionResets} from './connection_resets.js';
 import {decodeHeartbeat} from './decode_heartbeat.js';
 import {decodeReach} from './decode_reach.js';
+import {describeHost} from './describe_host.js';
 import {encodeDigest} from './encode_digest.js';
-import {HOST_STAGES} from './host_stages.js';
 import {PeerLog} from './peer_log.js';
-import {REACH_STATES} from './reach_states.js';
 import type {SiteExchange} from '../site/site_exchange.js';
 import type {SiteUpdater} from '../site/site_updater.js';
 
@@ -271,6 +270,9 @@
       case 'suspectRecords':
         this.suspects.handleRecords(body.value);
         break;
+      case 'placementsInProgress':
+        this.applier.exchange?.apply(body.value, nowMs);
+        break;
       case 'siteQuery':
         this.siteExchange.answerQuery(host, body.value);
         break;
@@ -316,6 +318,8 @@
       const news = this.applier.listUpstreamNews(nowMs);
       for (const message of news) this.relay.send(peersAddress, message);
     }
+    const relays = this.relayChoice?.relays;
+    this.applier.exchange?.tell(beat, incarnation, relays, nowMs);
     const isKnown = this.livePeers.some(
       one => one.peersAddress === peersAddress,
     );
@@ -401,23 +405,17 @@
     nowMs: number,
     changes: Partial<HostBeat> = {},
   ): HostBeat {
-    const {peersAddress, callersAddress, failureDomain} = this.settings;
-    return {
-      peersAddress,
-      callersAddress,
-      failureDomain,
-      stage: HOST_STAGES[this.readStage()],
-      upstreamReach: REACH_STATES[this.readReach()],
-      ...this.siteUpdater.position,
-      version: this.siteUpdater.version,
-      hearsReceiver: false,
-      knownAddresses: [],
-      processorShare: this.settings.processorShare ?? 1,
-      subscribes: false,
-      relays: this.relay.isRelaying(nowMs),
-      suspectsHash: this.suspectsHash,
-      hosts: this.countHosts(),
-      ...changes,
-    };
+    return describeHost(
+      this.settings,
+      this.readStage(),
+      this.readReach(),
+      this.siteUpdater,
+      {
+        relays: this.relay.isRelaying(nowMs),
+        suspectsHash: this.suspectsHash,
+        hosts: this.countHosts(),
+        ...changes,
+      },
+    );
   }
 }
--- a/packages/daemon/src/gateway/fleet/update_applier.ts
+++ b/packages/daemon/src/gateway/fleet/update_applier.ts
@@ -5,16 +5,19 @@
 } from '@parsleywood/dispatch';
 import type {LeavingUpstreams} from '@parsleywood/forwarding';
 import type {FleetMessage} from '@parsleywood/schema/fleet';
+import type {PlacementExchange} from './placement_exchange.js';
 import type {SuspectTracker} from '../../upstreams/suspect_tracker.js';
 
 /** Applies updates of other hosts on placements, upstreams and suspects. */
 export class UpdateApplier {
+  /** @param exchange Tells new hosts of placements; absent where none is told. */
   constructor(
     private readonly placements: PlacementRegistry,
     private readonly health: UpstreamHealth,
     private readonly limits: UpstreamLimits,
     private readonly suspects: SuspectTracker,
     private readonly leaving: LeavingUpstreams,
+    readonly exchange?: PlacementExchange,
   ) {}
 
   /**
--- a/packages/daemon/src/gateway/fleet/update_relay.ts
+++ b/packages/daemon/src/gateway/fleet/update_relay.ts
@@ -11,6 +11,7 @@
 import type {MessageSender} from '../../peers/message_sender.js';
 import type {SuspectMessenger} from '../../upstreams/suspect_messenger.js';
 import type {SuspectPublisher} from '../../upstreams/suspect_publisher.js';
+import {encodePlacement} from './encode_placement.js';
 import {REACH_STATES} from './reach_states.js';
 import type {UpdatePublisher} from './update_publisher.js';
 
@@ -23,8 +24,6 @@
 const BATCH_WINDOW_MS = 30;
 /** Time after which a subscription expires: five heartbeats of 600 ms. */
 const SUBSCRIPTION_MS = 3_000;
-/** Largest number of tokens that a message can carry. */
-const MAX_TOKENS = 4_294_967_295;
 
 /**
  * Publishes this host's updates, and forwards the updates of others to
@@ -70,22 +69,8 @@
   }
 
   publishStart(placement: Placement): void {
-    const parts = placement.parts.map(part => ({...part}));
-    const answerTokens = Math.min(
-      MAX_TOKENS,
-      Math.max(0, Math.round(placement.answerTokens)),
-    );
-    this.publish({
-      body: {
-        $case: 'placementStart',
-        value: {
-          ...placement,
-          answerTokens,
-          parts,
-          suspect: placement.suspect ?? '',
-        },
-      },
-    });
+    const value = encodePlacement(placement);
+    this.publish({body: {$case: 'placementStart', value}});
   }
 
   publishDecodeStart(id: string): void {
--- a/packages/daemon/src/gateway/gateway_context.ts
+++ b/packages/daemon/src/gateway/gateway_context.ts
@@ -1,5 +1,6 @@
 import type {
   PlacementRegistry,
+  StartView,
   UpstreamChooser,
   UpstreamHealth,
   UpstreamLimits,
@@ -34,6 +35,7 @@
   readonly rests: UpstreamRests;
   readonly unreadableRests: UnreadableRestLog;
   readonly chooser: UpstreamChooser;
+  readonly startView: StartView;
   readonly retryBudgets: RetryBudgets;
   readonly connectionPool: UpstreamConnectionPool;
   readonly bufferBudget: BufferBudget;
--- a/packages/daemon/src/gateway/gateway_host.ts
+++ b/packages/daemon/src/gateway/gateway_host.ts
@@ -21,7 +21,7 @@
 import {HostMetrics} from '../host/host_metrics.js';
 import {HostTimeline} from '../host/host_timeline.js';
 import {nameIncarnation} from '../host/name_incarnation.js';
-import {parseAddress} from '../host/parse_address.js';
+import {splitAddress} from '../host/split_address.js';
 import {gatherTimeline} from '../peers/gather_timeline.js';
 import {PeerServer} from '../peers/peer_server.js';
 import {PeerTransport} from '../peers/peer_transport.js';
@@ -31,6 +31,8 @@
 import {SystemClock} from '../host/system_clock.js';
 import {DepartureCheck} from './upstreams/departure_check.js';
 import {DirectoryServer} from './callers/directory_server.js';
+import {PlacementExchange} from './fleet/placement_exchange.js';
+import {describeGateway} from './describe_gateway.js';
 import {PeerCallHandler} from './fleet/peer_call_handler.js';
 import {FleetMembership} from './fleet/fleet_membership.js';
 import type {GatewayDialect} from './gateway_dialect.js';
@@ -44,8 +46,13 @@
 import {ReachMonitor} from './upstreams/reach_monitor.js';
 import type {EngineReservations} from './upstreams/engine_reservations.js';
 import {createPathTester} from './upstreams/create_path_tester.js';
+import type {LoadReports} from './upstreams/load_reports.js';
+import {pacesAny} from './upstreams/paces_any.js';
+import {StartReports} from './upstreams/start_reports.js';
+import {createStartView} from './upstreams/create_start_view.js';
 import {recordLeaving} from './upstreams/record_leaving.js';
 import {refreshUpstreamGauges} from './upstreams/refresh_upstream_gauges.js';
+import {retainUpstreams} from './upstreams/retain_upstreams.js';
 import {RetryBudgets} from './attempts/retry_budgets.js';
 import {SiteExchange} from './site/site_exchange.js';
 import {SiteWatcher} from './site/site_watcher.js';
@@ -84,6 +91,7 @@
   private readonly upstreamProber: UpstreamProber;
   private readonly reach: ReachMonitor;
   private readonly context: GatewayContext;
+  private readonly startReports: StartReports;
   private readonly server: GatewayServer;
   private readonly directory: DirectoryServer;
   private readonly probes: ProbeServer;
@@ -98,6 +106,7 @@
     source: SiteSource,
     reservations: EngineReservations,
     dialect: GatewayDialect,
+    loadReports?: LoadReports,
   ) {
     const {clock, replica, metrics} = this;
     const {peersAddress, bounds, failureDomain} = settings;
@@ -148,6 +157,7 @@
       metrics,
     );
     const placements = new PlacementRegistry();
+    const startView = createStartView(settings, clock);
     const health = new UpstreamHealth();
     const limits = new UpstreamLimits(draw);
     const suspects = new SuspectTracker(
@@ -186,6 +196,9 @@
         limits,
         suspects,
         replica.upstreams.leaving,
+        new PlacementExchange(placements, startView, peersAddress, relay, () =>
+          pacesAny(settings, replica),
+        ),
       ),
       new SuspectSynchronizer(suspects, relay),
       this.siteUpdater,
@@ -214,7 +227,9 @@
         failureDomain,
         placements,
         health,
+        startView,
       ),
+      startView,
       retryBudgets: new RetryBudgets(bounds, clock, () =>
         this.fleet.countHosts(),
       ),
@@ -231,6 +246,7 @@
     reservations.listenForLeaving(engine => {
       recordLeaving(this.context, engine);
     });
+    this.startReports = new StartReports(this.context, loadReports);
     this.server = new GatewayServer(this.context);
     this.directory = new DirectoryServer(
       dialect.directory,
@@ -254,12 +270,13 @@
           query,
         ),
     );
+    const {fleet, siteUpdater} = this;
     this.peers = new PeerServer(
       PEER_KEY,
       new PeerCallHandler(
-        this.fleet,
+        fleet,
         timeline,
-        () => this.describe(),
+        () => describeGateway(settings, this.readStage(), siteUpdater, fleet),
         () => {
           void this.stop();
         },
@@ -269,20 +286,20 @@
 
   async start(): Promise<void> {
     const {settings} = this;
-    const at = (address: string): [string, number] => {
-      const {host, port} = parseAddress(address);
-      return [host, port];
-    };
     this.timeline.record(TimelineEventName.HOST_STARTED);
     this.siteWatcher.start();
     this.upstreamProber.start();
     this.reach.start();
     await this.peers.listen(settings.peersAddress);
     this.fleet.start();
-    await this.probes.listenForReadiness(...at(settings.readinessAddress));
-    await this.probes.listenForMetrics(...at(settings.metricsAddress));
-    await this.directory.listen(...at(settings.directoryAddress));
-    await this.server.listen(...at(settings.callersAddress));
+    await this.probes.listenForReadiness(
+      ...splitAddress(settings.readinessAddress),
+    );
+    await this.probes.listenForMetrics(
+      ...splitAddress(settings.metricsAddress),
+    );
+    await this.directory.listen(...splitAddress(settings.directoryAddress));
+    await this.server.listen(...splitAddress(settings.callersAddress));
     // A stop may have begun meanwhile.
     if (this.stopPromise === undefined) this.stage = PeerStage.READY;
     this.log.info('host_started', {peersAddress: settings.peersAddress});
@@ -315,6 +332,7 @@
     this.siteWatcher.stop();
     this.upstreamProber.stop();
     this.reach.stop();
+    this.startReports.stop();
     this.fleet.stop();
     this.context.connectionPool.close();
     this.transport.close();
@@ -337,13 +355,7 @@
     const {replica, context} = this;
     const upstreams = replica.upstreams.listInUse(context.clock.nowMs());
     const ids = new Set(upstreams.map(({id}) => id));
-    context.connectionPool.retain(ids);
-    context.health.retain(ids);
-    context.limits.retain(ids);
-    context.rests.retain(ids);
-    context.unreadableRests.retain(ids);
-    context.placements.retain(ids);
-    context.chooser.retain(ids);
+    retainUpstreams(context, ids);
     this.server.checkDepartures();
     const configuration = replica.rules?.configuration;
     if (configuration === undefined || configuration.version === this.version) {
@@ -363,6 +375,7 @@
   private recordReady(): void {
     if (this.wasReady || this.readStage() !== PeerStage.READY) return;
     this.wasReady = true;
+    this.startReports.start();
     this.timeline.record(TimelineEventName.HOST_SERVING);
     this.log.info('host_ready', {
       version: this.version,
@@ -393,16 +406,4 @@
     );
     return [...own, ...peers.map(({callersAddress}) => callersAddress)];
   }
-
-  private describe(): object {
-    return {
-      name: this.settings.host,
-      failureDomain: this.settings.failureDomain,
-      state: this.readStage(),
-      ...this.replica.position,
-      version: this.version,
-      storeAgeMs: this.siteUpdater.getStoreAgeMs(),
-      hosts: this.fleet.countHosts(),
-    };
-  }
 }
--- a/packages/daemon/src/gateway/gateway_metrics.ts
+++ b/packages/daemon/src/gateway/gateway_metrics.ts
@@ -15,6 +15,9 @@
   readonly siteDeltas: Counter;
   readonly upstreamRests: Counter;
   readonly pathTests: Counter;
+  readonly loadReports: Counter;
+  readonly choicesWithoutView: Counter;
+  readonly missingViews: Gauge;
   readonly openRequests: Gauge;
   readonly restingUpstreams: Gauge;
   readonly leavingUpstreams: Gauge;
@@ -72,6 +75,23 @@
       labelNames: ['result'],
       registers,
     });
+    this.loadReports = new Counter({
+      name: 'parsleywood_load_reports_total',
+      help: 'Reports of engines that this host asked for after its start, by result.',
+      labelNames: ['result'],
+      registers,
+    });
+    this.choicesWithoutView = new Counter({
+      name: 'parsleywood_choices_without_view_total',
+      help: 'Choices among engines whose load this host did not know as a whole, by service and outcome.',
+      labelNames: ['service', 'outcome'],
+      registers,
+    });
+    this.missingViews = new Gauge({
+      name: 'parsleywood_missing_views',
+      help: 'Services whose load this host does not know as a whole since its start.',
+      registers,
+    });
     this.restingUpstreams = new Gauge({
       name: 'parsleywood_resting_upstreams',
       help: 'Listed upstreams that get no request of this host as they asked for a rest.',
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -7,6 +7,7 @@
 export type {SiteSourceError} from './gateway/site/site_source_error.js';
 export {SiteSourceErrorKind} from './gateway/site/site_source_error_kind.js';
 export type {LeavingListener} from './gateway/upstreams/leaving_listener.js';
+export type {LoadReports} from './gateway/upstreams/load_reports.js';
 export type {EngineReservations} from './gateway/upstreams/engine_reservations.js';
 export {createPacedConnector} from './host/create_paced_connector.js';
 export {StatusClient} from './gateway/callers/status_client.js';
--- a/packages/daemon/src/testing/virtual_fleet.ts
+++ b/packages/daemon/src/testing/virtual_fleet.ts
@@ -1,5 +1,6 @@
 import {
   PlacementRegistry,
+  StartView,
   UpstreamHealth,
   UpstreamLimits,
 } from '@parsleywood/dispatch';
@@ -10,6 +11,7 @@
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {FleetMembership} from '../gateway/fleet/fleet_membership.js';
 import {GatewayMetrics} from '../gateway/gateway_metrics.js';
+import {PlacementExchange} from '../gateway/fleet/placement_exchange.js';
 import {SiteExchange} from '../gateway/site/site_exchange.js';
 import {SiteUpdater} from '../gateway/site/site_updater.js';
 import {UpdateApplier} from '../gateway/fleet/update_applier.js';
@@ -38,6 +40,9 @@
   readonly fleet: FleetMembership;
   readonly updater: SiteUpdater;
   readonly exchange: SiteExchange;
+  readonly relay: UpdateRelay;
+  readonly placements: PlacementRegistry;
+  readonly view: StartView;
   nextTickMs: number;
   isAlive: boolean;
   sent: number;
@@ -97,6 +102,13 @@
     }
   }
 
+  /** Starts a host that was not alive. */
+  join(host: VirtualHost): void {
+    host.isAlive = true;
+    host.nextTickMs = this.nowMs;
+    host.view.begin(this.nowMs);
+  }
+
   /** Lets the store answer all watchers, with a change up to a revision. */
   answerWatches(revision: number): void {
     for (const {updater} of this.watchers) {
@@ -157,6 +169,8 @@
       metrics,
     );
     const limits = new UpstreamLimits(draw);
+    const placements = new PlacementRegistry();
+    const view = new StartView(0, () => true);
     const suspects: SuspectTracker = new SuspectTracker(
       clock,
       relay,
@@ -185,11 +199,12 @@
       {reset: () => undefined},
       relay,
       new UpdateApplier(
-        new PlacementRegistry(),
+        placements,
         new UpstreamHealth(),
         limits,
         suspects,
         replica.upstreams.leaving,
+        new PlacementExchange(placements, view, address, relay, () => true),
       ),
       new SuspectSynchronizer(suspects, relay),
       updater,
@@ -216,6 +231,9 @@
       fleet,
       updater,
       exchange,
+      relay,
+      placements,
+      view,
       nextTickMs,
       isAlive: true,
       sent: 0,
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -2,6 +2,7 @@
 export {canFitPrompt} from './can_fit_prompt.js';
 export type {CapacityShortage} from './capacity_shortage.js';
 export type {DecodeRequest} from './decode_request.js';
+export type {EngineLoad} from './engine_load.js';
 export type {EngineForecast} from './engine_forecast.js';
 export {estimateLatenessLoss} from './estimate_lateness_loss.js';
 export {forecastEngine} from './forecast_engine.js';
@@ -20,6 +21,7 @@
 export {PrefillPlanner} from './prefill_planner.js';
 export type {PrefillRequest} from './prefill_request.js';
 export type {PromptDemand} from './prompt_demand.js';
+export {StartView} from './start_view.js';
 export type {UpstreamChoice} from './upstream_choice.js';
 export {UpstreamChooser} from './upstream_chooser.js';
 export {UpstreamHealth} from './upstream_health.js';
--- a/packages/dispatch/src/placement_registry.ts
+++ b/packages/dispatch/src/placement_registry.ts
@@ -21,11 +21,17 @@
     return this.records.size;
   }
 
-  add(placement: Placement, nowMs: number): void {
+  /** Lists the attempts of all hosts that have not ended. */
+  list(): PlacementRecord[] {
+    return [...this.records.values()];
+  }
+
+  /** @param placedAtMs Time of the placement, of which a peer may have told later. */
+  add(placement: Placement, nowMs: number, placedAtMs = nowMs): void {
     if (this.records.has(placement.id)) return;
     const record: PlacementRecord = {
       placement,
-      placedAtMs: nowMs,
+      placedAtMs,
       phase: PlacementPhase.PREFILL,
       hasMissedPauseObjective: false,
       hasMetSuspect: false,
--- a/packages/dispatch/src/upstream_chooser.ts
+++ b/packages/dispatch/src/upstream_chooser.ts
@@ -8,6 +8,7 @@
 import type {PlacementRegistry} from './placement_registry.js';
 import {PrefillPlanner} from './prefill_planner.js';
 import type {PromptDemand} from './prompt_demand.js';
+import type {StartView} from './start_view.js';
 import type {UpstreamChoice} from './upstream_choice.js';
 import type {UpstreamHealth} from './upstream_health.js';
 
@@ -22,12 +23,14 @@
    * @param host Name of this host. It seeds the order of preference, so that hosts
    *     without placement updates, such as after a fleet restart, choose different
    *     engines.
+   * @param view Decides while the load of engines is not known.
    */
   constructor(
     private readonly host: string,
     private readonly failureDomain: string,
     private readonly placements: PlacementRegistry,
     private readonly health: UpstreamHealth,
+    private readonly view?: StartView,
   ) {}
 
   /**
@@ -71,7 +74,14 @@
   ): UpstreamChoice | CapacityShortage {
     const model = this.getModel(service);
     if (model === undefined) return {waitMs: 0};
-    const engines = this.forecastEngines(candidates, model, nowMs);
+    const {view} = this;
+    const {promptTokens} = demand;
+    const selected =
+      view?.select(candidates, service, promptTokens, nowMs) ?? candidates;
+    if (view && selected.length < Math.min(1, candidates.length)) {
+      return {waitMs: view.planReturnMs(service, nowMs)};
+    }
+    const engines = this.forecastEngines(selected, model, nowMs);
     const plan = new PrefillPlanner(model).plan(demand, engines);
     if (!('parts' in plan)) return plan;
     const byId = new Map(candidates.map(entry => [entry.id, entry]));
@@ -86,15 +96,16 @@
     model: PassModel,
     nowMs: number,
   ): EngineForecast[] {
-    return engines.map(({id}) =>
-      forecastEngine(
+    return engines.map(({id}) => {
+      const forecast = forecastEngine(
         id,
         this.placements.getUpstreamPlacements(id, nowMs),
         model,
         this.health.getSlowdownFactor(id),
         nowMs,
-      ),
-    );
+      );
+      return this.view?.adjust(forecast, model, nowMs) ?? forecast;
+    });
   }
 
   /** Forgets upstreams that are no longer listed. */
