--- a/packages/dispatch/src/start_view.ts
+++ b/packages/dispatch/src/start_view.ts
@@ -41,6 +41,7 @@
 export class StartView {
   private viewSinceMs = Infinity;
   private readonly reports = new Map<string, Report>();
+  private readonly asked = new Set<string>();
   /** Rounds of questions and the time of the last one, by service. */
   private readonly rounds = new Map<string, {count: number; atMs: number}>();
 
@@ -97,11 +98,12 @@
       .filter(engine => this.isOlder(engine))
       .map(engine => ({
         engine,
-        rank: draw() + (this.reports.has(engine.id) ? 1 : 0),
+        rank: draw() + (this.asked.has(engine.id) ? 1 : 0),
       }))
       .sort((a, b) => a.rank - b.rank)
       .slice(0, ENGINES_PER_ROUND)
       .map(({engine}) => engine);
+    for (const {id} of chosen) this.asked.add(id);
     if (chosen.length > 0) {
       this.rounds.set(service.name, {count: count + 1, atMs: nowMs});
     }
@@ -191,8 +193,10 @@
 
   /** Drops the reports of upstreams that are no longer listed. */
   retain(upstreams: ReadonlySet<string>): void {
-    for (const id of this.reports.keys()) {
-      if (!upstreams.has(id)) this.reports.delete(id);
+    for (const id of this.asked) {
+      if (upstreams.has(id)) continue;
+      this.asked.delete(id);
+      this.reports.delete(id);
     }
   }
 
