--- a/packages/daemon/src/gateway/gateway_metrics.ts
+++ b/packages/daemon/src/gateway/gateway_metrics.ts
@@ -14,6 +14,10 @@
   readonly storeCalls: Counter;
   readonly siteDeltas: Counter;
   readonly upstreamRests: Counter;
+  readonly pathTests: Counter;
+  readonly loadReports: Counter;
+  readonly choicesWithoutView: Counter;
+  readonly missingViews: Gauge;
   readonly openRequests: Gauge;
   readonly restingUpstreams: Gauge;
   readonly leavingUpstreams: Gauge;
@@ -65,6 +69,29 @@
       labelNames: ['service'],
       registers,
     });
+    this.pathTests = new Counter({
+      name: 'parsleywood_path_tests_total',
+      help: 'Requests for the health path of an upstream by which this host tested its paths, by result.',
+      labelNames: ['result'],
+      registers,
+    });
+    this.loadReports = new Counter({
+      name: 'parsleywood_load_reports_total',
+      help: 'Reports of engines that this host asked for after its start, by result.',
+      labelNames: ['result'],
+      registers,
+    });
+    this.choicesWithoutView = new Counter({
+      name: 'parsleywood_choices_without_view_total',
+      help: 'Choices among engines whose load this host did not know as a whole, by service and outcome.',
+      labelNames: ['service', 'outcome'],
+      registers,
+    });
+    this.missingViews = new Gauge({
+      name: 'parsleywood_missing_views',
+      help: 'Services whose load this host does not know as a whole since its start.',
+      registers,
+    });
     this.restingUpstreams = new Gauge({
       name: 'parsleywood_resting_upstreams',
       help: 'Listed upstreams that get no request of this host as they asked for a rest.',
@@ -82,7 +109,7 @@
     });
     this.reachesUpstreams = new Gauge({
       name: 'parsleywood_reaches_upstreams',
-      help: '0 while no upstream accepts connections of this host, else 1.',
+      help: '0 while no upstream accepts connections of this host, or answers on them, else 1.',
       registers,
     });
     this.droppedLogLines = new Gauge({
