Send nothing new to evacuated failure domains

Operators empty a failure domain by a key of the store, which nothing read. Evacuated domains are part of the published state now: lists, changes, and what hosts tell each other. What waits for a reservation or a connection is withdrawn and placed again.

Hosts of earlier versions pass on changes without evacuations, so these have a position of their own: a host that is behind watches the store from there, asks peers, or loads.

Without the key no draw is made and no decision changes.

--- a/packages/daemon/src/gateway/attempts/attempt_placer.ts
+++ b/packages/daemon/src/gateway/attempts/attempt_placer.ts
@@ -13,6 +13,8 @@
 } from '@parsleywood/forwarding';
 import {canConnect} from '../upstreams/can_connect.js';
 import {describeDemand} from './describe_demand.js';
+import {EligibleUpstreams} from './eligible_upstreams.js';
+import type {ExclusionReason} from './exclusion_reason.js';
 import type {GatewayContext} from '../gateway_context.js';
 import type {PlacedAttempt} from './placed_attempt.js';
 import type {ReceivedRequest} from '../callers/received_request.js';
@@ -32,6 +34,7 @@
   /** Monotonic time of the last event of any attempt. */
   private lastEventAtMs: number | undefined;
   private passMeter = new PassMeter();
+  private readonly eligible: EligibleUpstreams;
 
   /**
    * @param service Name of the service that the request goes to.
@@ -43,13 +46,25 @@
     private readonly request: ReceivedRequest,
     readonly service: string,
     private readonly deadlineMs: number,
-  ) {}
+  ) {
+    this.eligible = new EligibleUpstreams(context, service);
+  }
 
   /** Whether any upstream of the service accepts new requests. */
   get hasUpstreams(): boolean {
     return this.listUsable().length > 0;
   }
 
+  /** Why the request may use no upstream, if others may. */
+  get exclusion(): ExclusionReason | undefined {
+    return this.eligible.findExclusion();
+  }
+
+  /** Whether an attempt must not be sent, as one of its upstreams was evacuated. */
+  isEvacuated({choice: {upstream, helpers}}: PlacedAttempt): boolean {
+    return this.eligible.isAnyEvacuated([upstream, ...helpers]);
+  }
+
   /**
    * Whether the prompt exceeds the memory of the largest possible set of
    * engines.
@@ -227,7 +242,7 @@
     ) {
       context.health.recordSuccess(upstream.id);
       context.reach.recordAnswer();
-    } else if (outcome !== AttemptOutcome.REFUSED && !asksForRest) {
+    } else if (mayBeFault(outcome) && !asksForRest) {
       const isSilent = outcome === AttemptOutcome.TIMED_OUT;
       if (isSilent) context.connectionPool.closeIdle(upstream.id);
       this.penalize(
@@ -378,7 +393,12 @@
   }
 
   private listUsable(): UpstreamEntry[] {
-    const {replica, clock} = this.context;
-    return replica.upstreams.usable(this.service, clock.nowMs());
+    return this.eligible.list();
   }
 }
+
+/** Whether an attempt that got no sound answer ended through its upstream. */
+function mayBeFault(outcome: AttemptOutcome): boolean {
+  const {REFUSED, WITHDRAWN} = AttemptOutcome;
+  return outcome !== REFUSED && outcome !== WITHDRAWN;
+}
--- a/packages/daemon/src/gateway/attempts/attempt_sender.ts
+++ b/packages/daemon/src/gateway/attempts/attempt_sender.ts
@@ -57,6 +57,10 @@
   /** @param lastEventId Event after which the response goes on. */
   send(placed: PlacedAttempt, lastEventId: number | undefined): void {
     const {context} = this;
+    if (this.placer.isEvacuated(placed)) {
+      this.withdraw();
+      return;
+    }
     const reservations = new PromptReservations(
       placed.placement.id,
       placed.choice,
@@ -138,6 +142,7 @@
       this.placer.penalize(engine, true, AttemptOutcome.TIMED_OUT, 0);
     }
     if (this.reservations !== reserved) reserved.release();
+    else if (this.placer.isEvacuated(placed)) this.withdraw();
     else if (reserved.isComplete) this.start(placed, lastEventId);
     else {
       const detail = 'engine memory could not be reserved';
@@ -172,6 +177,7 @@
         context.connectionPool,
         context.headerNames,
         response,
+        () => this.mayStillSend(placed),
       );
     } catch (error) {
       // The entry names no address, so nothing was sent.
@@ -184,4 +190,16 @@
     this.onSent(placed);
     attempt.start();
   }
+
+  /** Whether an attempt whose connection is open may be sent. */
+  private mayStillSend(placed: PlacedAttempt): boolean {
+    if (!this.placer.isEvacuated(placed)) return true;
+    this.sent--;
+    return false;
+  }
+
+  /** Ends an attempt whose upstream was evacuated before it was sent. */
+  private withdraw(): void {
+    this.listener.onEnd(AttemptOutcome.WITHDRAWN, 'upstream was evacuated');
+  }
 }
--- a/packages/daemon/src/gateway/attempts/create_capacity_failure.ts
+++ b/packages/daemon/src/gateway/attempts/create_capacity_failure.ts
@@ -8,7 +8,7 @@
  * @param waitMs Time until capacity is expected; 0 or below when unknown.
  */
 export function createCapacityFailure(
-  {isPromptTooLong, service, hasUpstreams}: AttemptPlacer,
+  {isPromptTooLong, service, hasUpstreams, exclusion}: AttemptPlacer,
   waitMs: number,
 ): Failure {
   if (isPromptTooLong) {
@@ -17,6 +17,15 @@
       'prompt exceeds the memory of every possible set of engines',
     );
   }
+  if (exclusion !== undefined) {
+    return new Failure(
+      ErrorKind.UPSTREAM_UNAVAILABLE,
+      `no upstream available for service ${service}: ${exclusion}`,
+      ExecutionStatus.NO,
+      // Capacity that becomes free does not end an evacuation.
+      chooseRetryAfterMs(Infinity),
+    );
+  }
   const [kind, message] = hasUpstreams
     ? [ErrorKind.OVERLOADED, `no capacity at service ${service}`]
     : [
--- a/packages/daemon/src/gateway/attempts/forward_session.ts
+++ b/packages/daemon/src/gateway/attempts/forward_session.ts
@@ -290,9 +290,9 @@
   }
 
   private async sendAttempt(): Promise<void> {
-    const {attempts} = this.retryController;
+    const {placements} = this.retries;
     this.isPlacing = true;
-    const placed = await this.trial.place(attempts, this.getLeftMs());
+    const placed = await this.trial.place(placements, this.getLeftMs());
     this.isPlacing = false;
     if (this.hasEnded) this.placer.endAttempt();
     else if (this.holder.hasProgressed) {
@@ -319,8 +319,8 @@
 
   private handleSent(placed: PlacedAttempt): void {
     this.inactivityTimer.awaitResponse(placed.choice.plan);
-    const {attempts} = this.retryController;
-    this.log.logAttemptSent(attempts, placed, this.getLeftMs());
+    const {placements} = this.retries;
+    this.log.logAttemptSent(placements, placed, this.getLeftMs());
   }
 
   private relay(events: Buffer): void {
--- a/packages/daemon/src/gateway/attempts/session_retries.ts
+++ b/packages/daemon/src/gateway/attempts/session_retries.ts
@@ -1,7 +1,7 @@
-import type {
+import {
   AttemptOutcome,
   NextStep,
-  RetryController,
+  type RetryController,
 } from '@parsleywood/forwarding';
 import type {AttemptPlacer} from './attempt_placer.js';
 import type {CrashDetector} from './crash_detector.js';
@@ -9,6 +9,8 @@
 
 /** Decides on the retries of one request by what this host knows. */
 export class SessionRetries {
+  private withdrawn = 0;
+
   /** @param getLeftMs Returns the time until the deadline of the request. */
   constructor(
     private readonly context: GatewayContext,
@@ -18,6 +20,11 @@
     private readonly getLeftMs: () => number,
   ) {}
 
+  /** Number of placements that have ended, also of attempts that were not sent. */
+  get placements(): number {
+    return this.retryController.attempts + this.withdrawn;
+  }
+
   /**
    * Whether a silent attempt is to be left for another upstream, or for another host
    * if this one reaches none.
@@ -35,6 +42,11 @@
 
   /** Records the end of an attempt and decides the next step. */
   decideNext(outcome: AttemptOutcome, status: number): NextStep {
+    if (outcome === AttemptOutcome.WITHDRAWN) {
+      // Placed again at no cost; the evacuated upstream is not chosen again.
+      this.withdrawn++;
+      return NextStep.RETRY;
+    }
     const {context, placer, crashDetector} = this;
     const hasUpstream =
       placer.hasUntriedUpstream &&
--- a/packages/daemon/src/gateway/gateway_host.ts
+++ b/packages/daemon/src/gateway/gateway_host.ts
@@ -46,6 +46,7 @@
 import {recordLeaving} from './upstreams/record_leaving.js';
 import {refreshUpstreamGauges} from './upstreams/refresh_upstream_gauges.js';
 import {RetryBudgets} from './attempts/retry_budgets.js';
+import {EvacuationGauges} from './site/evacuation_gauges.js';
 import {SiteExchange} from './site/site_exchange.js';
 import {SiteWatcher} from './site/site_watcher.js';
 import {SiteUpdater} from './site/site_updater.js';
@@ -74,7 +75,7 @@
   private readonly clock = new SystemClock();
   private readonly log: EventLog;
   private readonly timeline: HostTimeline;
-  private readonly replica = new SiteReplica();
+  private readonly replica: SiteReplica;
   private readonly metrics = new GatewayMetrics(new HostMetrics());
   private readonly transport: PeerTransport;
   private readonly siteUpdater: SiteUpdater;
@@ -98,8 +99,10 @@
     reservations: EngineReservations,
     dialect: GatewayDialect,
   ) {
-    const {clock, replica, metrics} = this;
+    const {clock, metrics} = this;
     const {peersAddress, bounds, failureDomain} = settings;
+    this.replica = new SiteReplica(bounds.evacuationMs);
+    const {replica} = this;
     const incarnation = nameIncarnation(peersAddress, clock.wallMs());
     this.log = new EventLog(
       {...incarnation, host: settings.host},
@@ -236,6 +239,7 @@
       () => this.listHosts(),
       Math.min(bounds.directoryTtlMs, MAX_DIRECTORY_TTL_MS),
     );
+    const evacuationGauges = new EvacuationGauges(metrics.host.registry);
     this.probes = new ProbeServer(
       dialect.readinessPath,
       () => this.isServing(),
@@ -244,6 +248,7 @@
         metrics.openRequests.set(this.server.openRequests);
         metrics.droppedLogLines.set(log.droppedLines());
         refreshUpstreamGauges(this.context);
+        evacuationGauges.refresh(replica.evacuations, clock.nowMs());
       },
       query =>
         gatherTimeline(
--- a/packages/daemon/src/gateway/site/site_exchange.ts
+++ b/packages/daemon/src/gateway/site/site_exchange.ts
@@ -6,6 +6,7 @@
   type SiteChange,
   type SiteDelta,
   type SiteSnapshot,
+  type StorePosition,
 } from '@parsleywood/forwarding';
 import type {PeerHeartbeat} from '@parsleywood/membership';
 import type {
@@ -28,6 +29,17 @@
 const PEER_QUERY_DELAY_MS = 400;
 /** Minimum time between two queries for a gap in the deltas. */
 const GAP_QUERY_INTERVAL_MS = 200;
+/**
+ * Initial and maximum time between two queries for evacuations that older hosts do not
+ * pass on. An answer may be the whole state, and the store tells them sooner.
+ */
+const EVACUATION_QUERY_MS = 1_000;
+const MAX_EVACUATION_QUERY_MS = 32_000;
+/**
+ * Peers that a host asks, once it has started, for evacuations that a copy of the
+ * store lacks; two of them may have started as well.
+ */
+const START_QUERIES = 3;
 
 /**
  * Exchanges the published state with the other hosts: passes changes on to
@@ -39,6 +51,9 @@
   private relayAddress: string | undefined;
   private peerAheadSinceMs = Infinity;
   private queriedAtMs = -Infinity;
+  private readonly askedAtStart = new Set<string>();
+  private evacuationQueries = 0;
+  private evacuationQueryAtMs = Infinity;
 
   constructor(
     private readonly updater: SiteUpdater,
@@ -51,7 +66,8 @@
 
   /** Whether this host reads the store itself. */
   mustWatch(): boolean {
-    return this.duty.mustWatch(this.clock.nowMs());
+    const {isBehind} = this.updater.evacuations;
+    return isBehind || this.duty.mustWatch(this.clock.nowMs());
   }
 
   /** Sets the relay that passes changes on to this host, if there is one. */
@@ -84,7 +100,7 @@
     this.deltas.add(delta);
     const subscribers = this.relay.listSubscribers(this.clock.nowMs());
     if (subscribers.length === 0) return;
-    const message = encodeDelta(delta);
+    const message = encodeDelta(this.updater.evacuations.stampAge(delta));
     for (const address of subscribers) this.relay.send(address, message);
     this.metrics.siteDeltas.inc({direction: 'sent'}, subscribers.length);
   }
@@ -109,6 +125,8 @@
   answerQuery(host: string, query: SiteQuery): void {
     const {updater} = this;
     const snapshot = this.readSnapshot();
+    const held = updater.evacuations.describeHeld();
+    if (held !== undefined) this.relay.send(host, encodeDelta(held));
     const isAhead = comparePositions(snapshot, query) > 0;
     const hasNewerVersion = updater.version > query.version;
     if (!isAhead && !hasNewerVersion) return;
@@ -121,7 +139,9 @@
           ({configuration}) => configuration?.version === updater.version,
         ));
     if (suffices) {
-      for (const delta of deltas) this.relay.send(host, encodeDelta(delta));
+      for (const delta of deltas) {
+        this.relay.send(host, encodeDelta(updater.evacuations.stampAge(delta)));
+      }
       return;
     }
     const json = JSON.stringify(snapshot);
@@ -137,6 +157,8 @@
    * back from a copy may lack a configuration that some hosts have.
    */
   queryNewestPeer(peers: readonly PeerHeartbeat[], nowMs: number): void {
+    this.queryAtStart(peers, nowMs);
+    this.queryEvacuations(peers, nowMs);
     const {position, version} = this.updater;
     const ahead = peers.filter(
       peer => peer.version > version || comparePositions(peer, position) > 0,
@@ -156,15 +178,50 @@
     this.query(best.peersAddress, nowMs);
   }
 
+  private queryAtStart(peers: readonly PeerHeartbeat[], nowMs: number): void {
+    if (this.updater.position.revision === 0) return;
+    for (const {peersAddress} of peers) {
+      if (this.askedAtStart.size >= START_QUERIES) return;
+      if (this.askedAtStart.has(peersAddress)) continue;
+      this.askedAtStart.add(peersAddress);
+      this.query(peersAddress, nowMs);
+    }
+  }
+
+  /** Asks one peer after the other for evacuations that may have been missed. */
+  private queryEvacuations(
+    peers: readonly PeerHeartbeat[],
+    nowMs: number,
+  ): void {
+    if (!this.updater.evacuations.isBehind) {
+      this.evacuationQueries = 0;
+      this.evacuationQueryAtMs = Infinity;
+      return;
+    }
+    if (this.evacuationQueryAtMs === Infinity) {
+      this.evacuationQueryAtMs = nowMs + EVACUATION_QUERY_MS;
+    }
+    const peer = peers[this.evacuationQueries % peers.length];
+    if (nowMs < this.evacuationQueryAtMs || peer === undefined) return;
+    const delayMs = EVACUATION_QUERY_MS * 2 ** this.evacuationQueries++;
+    this.evacuationQueryAtMs =
+      nowMs + Math.min(delayMs, MAX_EVACUATION_QUERY_MS);
+    this.query(peer.peersAddress, nowMs, this.updater.evacuations.position);
+  }
+
   private preferRelay(left: PeerHeartbeat, right: PeerHeartbeat): number {
     const isRelay = ({peersAddress}: PeerHeartbeat): number =>
       peersAddress === this.relayAddress ? 1 : 0;
     return isRelay(right) - isRelay(left);
   }
 
-  private query(host: string, nowMs: number): void {
+  private query(
+    host: string,
+    nowMs: number,
+    position: StorePosition = this.updater.position,
+  ): void {
     this.queriedAtMs = nowMs;
-    const {position, version} = this.updater;
+    const {version} = this.updater;
     this.relay.send(host, {
       body: {$case: 'siteQuery', value: {...position, version}},
     });
--- a/packages/daemon/src/gateway/site/site_file.ts
+++ b/packages/daemon/src/gateway/site/site_file.ts
@@ -30,6 +30,7 @@
   readonly revision?: number;
   readonly limits?: Partial<Configuration['limits']>;
   readonly upstreams: readonly UpstreamEntry[];
+  readonly evacuatedDomains: readonly string[];
 };
 
 /**
@@ -42,6 +43,7 @@
   );
   private knownEpoch = 0;
   private knownUpstreams: ReadonlySet<string> = new Set();
+  private knownEvacuations: readonly string[] = [];
   private lastModifiedMs = NaN;
   private isClosed = false;
 
@@ -61,21 +63,39 @@
       await pause(POLL_INTERVAL_MS);
       if (!(await this.hasChanged())) continue;
       const [epoch, previous] = [this.knownEpoch, this.knownUpstreams];
+      const earlier = this.knownEvacuations;
       const site = this.read();
       if (site.isErr) {
         this.lastModifiedMs = NaN;
         return Result.err(site.error);
       }
       if (site.value.epoch !== epoch || site.value.revision > revision) {
-        const {upstreams, ...rest} = site.value;
+        const {
+          upstreams,
+          evacuatedDomains: evacuated = [],
+          ...rest
+        } = site.value;
         const removed = [...previous].filter(
           id => !this.knownUpstreams.has(id),
         );
-        return Result.ok({...rest, updated: upstreams, removed});
+        return Result.ok({
+          ...rest,
+          updated: upstreams,
+          removed,
+          evacuated,
+          restored: earlier.filter(domain => !evacuated.includes(domain)),
+        });
       }
     }
     const {knownEpoch: epoch} = this;
-    return Result.ok({epoch, revision, updated: [], removed: []});
+    return Result.ok({
+      epoch,
+      revision,
+      updated: [],
+      removed: [],
+      evacuated: [],
+      restored: [],
+    });
   }
 
   close(): void {
@@ -119,15 +139,18 @@
     limits,
     epoch,
     revision,
+    evacuatedDomains,
     ...rest
   }: PublishedSite): SiteSnapshot {
     this.knownEpoch = epoch;
     this.knownUpstreams = new Set(upstreams.map(({id}) => id));
+    this.knownEvacuations = evacuatedDomains;
     return {
       epoch,
       revision: revision ?? rest.version,
       configuration: {...rest, limits: {...DEFAULT_CALLER_LIMITS, ...limits}},
       upstreams,
+      evacuatedDomains,
     };
   }
 }
--- a/packages/daemon/src/gateway/site/site_updater.ts
+++ b/packages/daemon/src/gateway/site/site_updater.ts
@@ -10,17 +10,18 @@
 } from '@parsleywood/forwarding';
 import type {Clock} from '../../host/clock.js';
 import type {EventLog} from '../../host/event_log.js';
+import {EvacuationSync} from './evacuation_sync.js';
 
 /**
  * Time after a failed store call within which a missing entry may have
  * expired because of the outage instead of having been removed.
  */
 const EXPIRY_WINDOW_MS = 8_000;
-
 /** Applies published state from store and peers to the replica. */
 export class SiteUpdater {
   private storeFailedAtMs = -Infinity;
   private storeRespondedAtMs = -Infinity;
+  readonly evacuations: EvacuationSync;
 
   /**
    * @param onChanged Called after upstreams or configuration may have changed.
@@ -33,7 +34,9 @@
     private readonly log: EventLog,
     private readonly onChanged: () => void,
     private readonly onAdvanced: (delta: SiteDelta) => void = () => undefined,
-  ) {}
+  ) {
+    this.evacuations = new EvacuationSync(replica, clock, log);
+  }
 
   get position(): StorePosition {
     return this.replica.position;
@@ -55,8 +58,14 @@
   }
 
   recordStoreCall(hasResponded: boolean): void {
-    if (hasResponded) this.storeRespondedAtMs = this.clock.nowMs();
-    else this.storeFailedAtMs = this.clock.nowMs();
+    const nowMs = this.clock.nowMs();
+    if (!hasResponded) {
+      this.storeFailedAtMs = nowMs;
+      return;
+    }
+    const gapMs = nowMs - this.storeRespondedAtMs;
+    this.evacuations.recordResponse(gapMs, !this.isStoreReachable);
+    this.storeRespondedAtMs = nowMs;
   }
 
   /**
@@ -77,8 +86,9 @@
     const {replica} = this;
     const known = replica.createSnapshot();
     const before = replica.position;
+    const completed = this.evacuations.completeSnapshot(snapshot, origin);
     const isNew = replica.applySnapshot(
-      snapshot,
+      completed,
       this.clock.nowMs(),
       mayHaveExpired,
     );
@@ -90,13 +100,14 @@
       ...replica.position,
       upstreams,
     });
+    this.evacuations.recordChanges(origin);
     this.notifyChanged(isNew);
     if (
       snapshot.epoch === before.epoch &&
       snapshot.revision > before.revision
     ) {
       this.onAdvanced({
-        ...compareSnapshots(known, snapshot),
+        ...compareSnapshots(known, completed),
         fromRevision: before.revision,
         mayHaveExpired,
         isDifference: true,
@@ -113,31 +124,53 @@
    */
   applyDelta(delta: SiteDelta, origin: string): boolean {
     const {position} = this.replica;
-    if (comparePositions(delta, position) <= 0) return true;
+    if (comparePositions(delta, position) <= 0) {
+      this.applyEvacuations(delta, origin);
+      return true;
+    }
     const mayHaveExpired = delta.mayHaveExpired || this.mayHaveExpired();
     if (delta.epoch === position.epoch && delta.fromRevision === 0) {
       // A host that has just started knew of nothing that it could call removed.
-      const snapshot = {...delta, upstreams: delta.updated};
+      const {evacuated, updated: upstreams} = delta;
+      const snapshot = {
+        ...delta,
+        upstreams,
+        ...(evacuated && {evacuatedDomains: evacuated}),
+      };
       return this.replaceAll(snapshot, origin, mayHaveExpired);
     }
-    if (!leadsOn(delta, position)) return false;
-    this.apply(delta, mayHaveExpired);
+    if (!leadsOn(delta, position)) {
+      this.applyEvacuations(delta, origin);
+      return false;
+    }
+    this.apply({...delta, mayHaveExpired}, origin);
     return true;
   }
 
-  /** Applies all that the store has published since the known position. */
+  /** Applies all that the store has published since the position of the watch. */
   applyChange(change: SiteChange): void {
-    if (comparePositions(change, this.replica.position) <= 0) return;
-    this.apply(change, this.mayHaveExpired());
+    const delta = this.evacuations.completeChange(
+      change,
+      this.mayHaveExpired(),
+    );
+    const isLater = comparePositions(change, this.replica.position) > 0;
+    if (isLater) this.apply(delta, 'store');
+    else this.applyEvacuations(delta, 'store');
+  }
+
+  /** Applies the evacuations alone of a delta, and passes on what was not known. */
+  private applyEvacuations(delta: SiteDelta, origin: string): void {
+    if (this.evacuations.applyDelta(delta, origin)) this.onAdvanced(delta);
   }
 
-  private apply(change: SiteChange, mayHaveExpired: boolean): void {
+  private apply(change: SiteDelta, origin: string): void {
     const {replica} = this;
     const before = replica.position;
+    this.evacuations.applyDelta(change, origin);
     const isNew = replica.applyChange(
       change,
       this.clock.nowMs(),
-      mayHaveExpired,
+      change.mayHaveExpired,
     );
     for (const {id, stage, service} of change.updated) {
       this.log.info('upstream_listed', {
@@ -152,11 +185,7 @@
     }
     this.notifyChanged(isNew);
     if (change.epoch !== before.epoch) return;
-    this.onAdvanced({
-      ...change,
-      fromRevision: before.revision,
-      mayHaveExpired,
-    });
+    this.onAdvanced(change);
   }
 
   private notifyChanged(isNewConfiguration: boolean): void {
--- a/packages/daemon/src/gateway/site/site_watcher.ts
+++ b/packages/daemon/src/gateway/site/site_watcher.ts
@@ -32,6 +32,11 @@
  */
 const RELOAD_SPREAD_PER_HOST_MS = 6;
 const MAX_RELOAD_SPREAD_MS = 1_800;
+/**
+ * Time for which a host waits for a peer to tell the evacuations that a peer of an
+ * earlier version left out, before it loads all. Peers are asked after 1 s.
+ */
+const EVACUATION_WAIT_MS = 1_500;
 
 /**
  * Loads the published state and then watches it while that is this host's duty,
@@ -41,6 +46,7 @@
   private failures = 0;
   private needsLoad = true;
   private isStopped = false;
+  private listDelayMs: number | undefined;
 
   /**
    * @param countHosts Returns the number of hosts that read the same store.
@@ -90,6 +96,7 @@
    */
   private async runOnce(): Promise<boolean> {
     try {
+      this.needsLoad ||= this.isListDue();
       return await (this.needsLoad ? this.load() : this.watch());
     } catch (error) {
       const reason = error instanceof Error ? error.stack : String(error);
@@ -117,7 +124,7 @@
   }
 
   private async watch(): Promise<boolean> {
-    const before = this.updater.position;
+    const before = this.updater.evacuations.watchPosition;
     // A store that was away may have come back from a copy, and a waiting watch
     // does not tell that until something changes.
     const isProbe = this.failures > 0;
@@ -139,7 +146,8 @@
       await this.planReload(before);
       return true;
     }
-    const hasChanges = comparePositions(change, this.updater.position) > 0;
+    const hasChanges =
+      comparePositions(change, this.updater.evacuations.watchPosition) > 0;
     this.updater.applyChange(change);
     if (hasChanges) {
       await pause(
@@ -158,12 +166,28 @@
    * @param lostAt Position after which the changes cannot be read.
    */
   private async planReload(lostAt: StorePosition): Promise<void> {
+    await pause(this.drawReloadDelayMs());
+    this.needsLoad =
+      comparePositions(this.updater.evacuations.watchPosition, lostAt) <= 0;
+  }
+
+  private drawReloadDelayMs(): number {
     const spreadMs = Math.min(
       MAX_RELOAD_SPREAD_MS,
       this.countHosts() * RELOAD_SPREAD_PER_HOST_MS,
     );
-    await pause(spreadMs * Math.cbrt(this.draw()));
-    this.needsLoad = comparePositions(this.updater.position, lostAt) <= 0;
+    return spreadMs * Math.cbrt(this.draw());
+  }
+
+  /** Whether this host loads all anew, as no peer has told it the evacuations. */
+  private isListDue(): boolean {
+    const lackMs = this.updater.evacuations.measureListLackMs();
+    if (lackMs === undefined) {
+      this.listDelayMs = undefined;
+      return false;
+    }
+    this.listDelayMs ??= EVACUATION_WAIT_MS + this.drawReloadDelayMs();
+    return lackMs >= this.listDelayMs;
   }
 
   /** @param isProgress Whether failures before are over with this response. */
--- a/packages/daemon/src/gateway/upstreams/upstream_attempt.test.ts
+++ b/packages/daemon/src/gateway/upstreams/upstream_attempt.test.ts
@@ -354,4 +354,32 @@
     await pause(200);
     expect(bytes).to.be.greaterThan(0).and.below(MORE_THAN_UNREAD_BYTES);
   });
+
+  // Guards against requests that reach an upstream that was evacuated as they waited.
+  it('sends nothing over a connection that opens too late', async () => {
+    let bytes = 0;
+    const address = await listen((_socket, request) => {
+      bytes += request.length;
+    });
+    const outcome = await new Promise<AttemptOutcome>(resolve => {
+      new UpstreamAttempt(
+        {
+          id: 'r1',
+          upstream: {...UPSTREAM, address},
+          method: 'POST',
+          target: '/',
+          headers: [],
+          body: Buffer.alloc(9),
+          needsNewConnection: false,
+        },
+        connections,
+        DEFAULT_HEADER_NAMES,
+        {onHead: () => true, onData: () => undefined, onEnd: resolve},
+        () => false,
+      ).start();
+    });
+    expect(outcome).to.equal(AttemptOutcome.WITHDRAWN);
+    await pause(50);
+    expect(bytes).to.equal(0);
+  });
 });
--- a/packages/daemon/src/gateway/upstreams/upstream_attempt.ts
+++ b/packages/daemon/src/gateway/upstreams/upstream_attempt.ts
@@ -23,11 +23,16 @@
   private isRefused = false;
   private isEventStream = false;
 
+  /**
+   * @param mayStillSend Asked once the connection is open, before anything is sent;
+   *     otherwise the attempt ends as withdrawn.
+   */
   constructor(
     private readonly request: UpstreamRequest,
     private readonly connectionPool: UpstreamConnectionPool,
     private readonly headerNames: HeaderNames,
     private readonly listener: ResponseListener,
+    private readonly mayStillSend: () => boolean = () => true,
   ) {
     const {upstream, needsNewConnection} = request;
     this.connection = needsNewConnection
@@ -88,6 +93,14 @@
 
   onRequestStart(controller: Dispatcher.DispatchController): void {
     this.controller = controller;
+    if (!this.hasEnded && !this.mayStillSend()) {
+      const detail = 'upstream was evacuated';
+      this.hasEnded = true;
+      controller.abort(new Error(detail));
+      this.connection.close();
+      this.listener.onEnd(AttemptOutcome.WITHDRAWN, detail);
+      return;
+    }
     this.hasBeenSent = true;
   }
 
--- a/packages/forwarding/src/attempt_outcome.ts
+++ b/packages/forwarding/src/attempt_outcome.ts
@@ -4,6 +4,8 @@
   ANSWERED = 'answered',
   /** The connection could not be established, so nothing was sent. */
   NOT_SENT = 'not_sent',
+  /** Nothing was sent, as an upstream was evacuated while the attempt waited. */
+  WITHDRAWN = 'withdrawn',
   /** The upstream reported that it did not run the request. */
   REFUSED = 'refused',
   /** The connection broke, or the answer was incomplete or malformed. */
--- a/packages/forwarding/src/compare_snapshots.ts
+++ b/packages/forwarding/src/compare_snapshots.ts
@@ -21,6 +21,22 @@
       entry => !isSameWrite(known.get(entry.id), entry),
     ),
     removed: [...known.keys()].filter(id => !kept.has(id)),
+    ...compareEvacuations(before, after),
+  };
+}
+
+/** Tells nothing where one of the snapshots does not know all evacuations. */
+function compareEvacuations(
+  before: SiteSnapshot,
+  after: SiteSnapshot,
+): Pick<SiteChange, 'evacuated' | 'restored'> {
+  const {evacuatedDomains: earlier, evacuationRevision} = before;
+  const {evacuatedDomains: later} = after;
+  if (!earlier || !later) return {};
+  if ((evacuationRevision ?? after.evacuationRevision) !== undefined) return {};
+  return {
+    evacuated: later.filter(domain => !earlier.includes(domain)),
+    restored: earlier.filter(domain => !later.includes(domain)),
   };
 }
 
--- a/packages/forwarding/src/site_change.ts
+++ b/packages/forwarding/src/site_change.ts
@@ -13,4 +13,8 @@
   readonly updated: readonly UpstreamEntry[];
   /** Ids of upstreams whose entry was deleted or is no longer readable. */
   readonly removed: readonly string[];
+  /** Failure domains whose evacuation began; absent if the sender cannot tell. */
+  readonly evacuated?: readonly string[];
+  /** Failure domains whose evacuation was withdrawn; absent as above. */
+  readonly restored?: readonly string[];
 }
--- a/packages/forwarding/src/site_delta.ts
+++ b/packages/forwarding/src/site_delta.ts
@@ -1,3 +1,4 @@
+import type {HeldEvacuation} from './held_evacuation.js';
 import type {SiteChange} from './site_change.js';
 
 /** A change of the published state, with the position that it starts from. */
@@ -14,4 +15,11 @@
    * neither list.
    */
   readonly isDifference?: boolean;
+  /**
+   * Time since the store confirmed the evacuations in it, in milliseconds, at most;
+   * absent if it is not known.
+   */
+  readonly evacuationAgeMs?: number;
+  /** Evacuations in force that a copy of the store lacks. */
+  readonly heldEvacuations?: readonly HeldEvacuation[];
 }
--- a/packages/forwarding/src/site_replica.ts
+++ b/packages/forwarding/src/site_replica.ts
@@ -1,5 +1,8 @@
 import {comparePositions} from './compare_positions.js';
+import {EvacuatedDomains} from './evacuated_domains.js';
+import {leadsOn} from './leads_on.js';
 import type {SiteChange} from './site_change.js';
+import type {SiteDelta} from './site_delta.js';
 import {SiteRules} from './site_rules.js';
 import type {SiteSnapshot} from './site_snapshot.js';
 import type {StorePosition} from './store_position.js';
@@ -15,9 +18,18 @@
  */
 export class SiteReplica {
   readonly upstreams = new UpstreamRegistry();
+  readonly evacuations: EvacuatedDomains;
   private activeRules: SiteRules | undefined;
   private currentPosition: StorePosition = {epoch: 0, revision: 0};
 
+  /**
+   * @param evacuationMs Time after which nothing more may reach an evacuated failure
+   *     domain; absent for the default.
+   */
+  constructor(evacuationMs?: number) {
+    this.evacuations = new EvacuatedDomains(evacuationMs);
+  }
+
   /** Latest state of the store that has been applied; all 0 for none. */
   get position(): StorePosition {
     return this.currentPosition;
@@ -35,7 +47,7 @@
 
   /**
    * Applies a snapshot. Of one that is older than the current position, only a
-   * newer configuration counts.
+   * newer configuration counts, and evacuations that are not known yet.
    *
    * @param mayHaveExpired Whether the store was unavailable recently, so that
    *     missing entries may have expired.
@@ -53,6 +65,7 @@
       if (epoch > before.epoch) this.upstreams.rebase(upstreams, nowMs);
       else this.upstreams.replace(upstreams, nowMs, mayHaveExpired);
     }
+    this.applyEvacuatedDomains(snapshot, nowMs);
     return this.adoptIfNewer(snapshot.configuration);
   }
 
@@ -81,6 +94,33 @@
     return this.adoptIfNewer(change.configuration);
   }
 
+  /**
+   * Applies the evacuations of a delta, whatever the current position. Those of a
+   * delta that does not follow what is known begin, but none ends by it.
+   */
+  applyEvacuations(delta: SiteDelta, nowMs: number): void {
+    const {epoch, revision, evacuated, restored, evacuationAgeMs} = delta;
+    const {evacuations} = this;
+    if (comparePositions(delta, evacuations.position) >= 0) {
+      evacuations.hold(delta.heldEvacuations ?? [], nowMs);
+    }
+    if (evacuated === undefined || restored === undefined) return;
+    if (comparePositions(delta, evacuations.position) <= 0) return;
+    const followsKnown = leadsOn(delta, evacuations.position);
+    const position = {epoch, revision};
+    for (const domain of evacuated) {
+      evacuations.add(domain, position, evacuationAgeMs ?? Infinity, nowMs);
+    }
+    if (!followsKnown) return;
+    for (const domain of restored) evacuations.remove(domain);
+    evacuations.advance(position);
+  }
+
+  /** Whether evacuations may have begun or ended up to the position unnoticed. */
+  get lacksEvacuations(): boolean {
+    return comparePositions(this.evacuations.position, this.position) < 0;
+  }
+
   /** Snapshot with which a peer reaches this position. */
   createSnapshot(): SiteSnapshot {
     const configuration = this.activeRules?.configuration;
@@ -88,7 +128,33 @@
       ...this.currentPosition,
       ...(configuration && {configuration}),
       upstreams: this.upstreams.list(),
+      ...this.describeEvacuations(),
+    };
+  }
+
+  private describeEvacuations(): Partial<SiteSnapshot> {
+    const {evacuations, position} = this;
+    const {epoch, revision} = evacuations.position;
+    if (epoch !== position.epoch) return {};
+    return {
+      evacuatedDomains: evacuations.list(),
+      ...(revision !== position.revision && {evacuationRevision: revision}),
+    };
+  }
+
+  private applyEvacuatedDomains(snapshot: SiteSnapshot, nowMs: number): void {
+    const {evacuations} = this;
+    const {epoch, evacuatedDomains, evacuationRevision} = snapshot;
+    if (evacuatedDomains === undefined) return;
+    const position = {
+      epoch,
+      revision: evacuationRevision ?? snapshot.revision,
     };
+    const known = evacuations.position;
+    if (comparePositions(position, known) < 0) return;
+    const isCopy = epoch > known.epoch && known.revision > 0;
+    if (isCopy) evacuations.rebase(evacuatedDomains, position, nowMs);
+    else evacuations.replace(evacuatedDomains, position, nowMs);
   }
 
   private adoptIfNewer(configuration: SiteSnapshot['configuration']): boolean {
