Keep an upstream in use that refuses one caller's expected version

A 421 takes an upstream out of use, as its address belongs to another one. One that follows from the caller's own X-Parsleywood-Expect-Version, which is passed on, took all upstreams of a service out of use for all callers of the host. Only a 421 without that header evicts now.

--- a/packages/daemon/src/gateway/attempts/attempt_placer.ts
+++ b/packages/daemon/src/gateway/attempts/attempt_placer.ts
@@ -12,6 +12,7 @@
   type UpstreamEntry,
 } from '@parsleywood/forwarding';
 import {canConnect} from '../upstreams/can_connect.js';
+import {forwardsHeader} from '../upstreams/forwards_header.js';
 import {describeDemand} from './describe_demand.js';
 import {EligibleUpstreams} from './eligible_upstreams.js';
 import type {ExclusionReason} from './exclusion_reason.js';
@@ -235,7 +236,11 @@
       this.triedUpstreams.delete(upstream.id);
       this.penalize(faultyHelper, true, outcome, status);
     } else if (status === MISDIRECTED_STATUS) {
-      context.replica.upstreams.evict(upstream.id, context.clock.nowMs());
+      // The caller may expect what no upstream, or another one, is.
+      const {headerNames, replica, clock} = context;
+      const expectation = headerNames.callersExpectation;
+      if (forwardsHeader(this.request.headers, expectation)) return;
+      replica.upstreams.evict(upstream.id, clock.nowMs());
     } else if (
       outcome === AttemptOutcome.ANSWERED &&
       status < SERVER_ERROR_STATUS
--- a/packages/daemon/src/gateway/default_header_names.ts
+++ b/packages/daemon/src/gateway/default_header_names.ts
@@ -11,6 +11,7 @@
   promptParts: 'prompt-parts',
   lastEventId: 'last-event-id',
   expectedUpstream: 'expected-upstream',
+  callersExpectation: 'expected-version',
   rank: 'request-rank',
   helpers: 'prompt-helpers',
   notRun: 'not-run',
--- a/packages/daemon/src/gateway/header_names.ts
+++ b/packages/daemon/src/gateway/header_names.ts
@@ -18,6 +18,8 @@
   readonly lastEventId: string;
   /** Id of the only upstream that may execute the request. */
   readonly expectedUpstream: string;
+  /** What the caller itself expects of the upstream; passed on as it is. */
+  readonly callersExpectation: string;
   /** Scheduling rank at the engine, 0 to 9; 0 is served first. */
   readonly rank: string;
   /** Engines that prefill parts of the prompt: IP:port or IP:port/reservation. */
