Keep requests in their home regions

Routes and accounts name regions in which their requests may run, which nothing read. Where none is left the answer is 503 at once, with the reason in the log and a metric. The directory takes name, region and failure domain of the caller, and names hosts at home or in the caller's region while there are any.

With no home regions no decision changes.

--- a/packages/daemon/src/gateway/attempts/attempt_placer.ts
+++ b/packages/daemon/src/gateway/attempts/attempt_placer.ts
@@ -48,7 +48,7 @@
     readonly service: string,
     private readonly deadlineMs: number,
   ) {
-    this.eligible = new EligibleUpstreams(context, service);
+    this.eligible = new EligibleUpstreams(context, match, service);
   }
 
   /** Whether any upstream of the service accepts new requests. */
@@ -326,7 +326,12 @@
     shortage: CapacityShortage,
     nowMs: number,
   ): CapacityShortage {
-    const {limits, rests, countHosts} = this.context;
+    const {limits, rests, countHosts, metrics} = this.context;
+    const {exclusion: reason, service} = this;
+    if (reason !== undefined) {
+      metrics.excludedRequests.inc({service, reason});
+      return shortage;
+    }
     const restMs = this.planReturnAfterRestMs();
     if (restMs > 0) return {waitMs: restMs};
     const ids = this.listUsable()
--- a/packages/daemon/src/gateway/attempts/create_capacity_failure.ts
+++ b/packages/daemon/src/gateway/attempts/create_capacity_failure.ts
@@ -1,6 +1,12 @@
 import {ErrorKind, ExecutionStatus, Failure} from '@parsleywood/errors';
 import {chooseRetryAfterMs} from '@parsleywood/forwarding';
 import type {AttemptPlacer} from './attempt_placer.js';
+import {ExclusionReason} from './exclusion_reason.js';
+
+const EXCLUSIONS: Readonly<Record<ExclusionReason, string>> = {
+  [ExclusionReason.HOME_REGIONS]: 'none is in a home region of the request',
+  [ExclusionReason.EVACUATED]: 'all are in evacuated failure domains',
+};
 
 /**
  * Creates the failure of a request that no upstream can accept.
@@ -20,9 +26,9 @@
   if (exclusion !== undefined) {
     return new Failure(
       ErrorKind.UPSTREAM_UNAVAILABLE,
-      `no upstream available for service ${service}: ${exclusion}`,
+      `no upstream available for service ${service}: ${EXCLUSIONS[exclusion]}`,
       ExecutionStatus.NO,
-      // Capacity that becomes free does not end an evacuation.
+      // Capacity that becomes free elsewhere is of no use to the request.
       chooseRetryAfterMs(Infinity),
     );
   }
--- a/packages/daemon/src/gateway/attempts/eligible_upstreams.test.ts
+++ b/packages/daemon/src/gateway/attempts/eligible_upstreams.test.ts
@@ -1,5 +1,10 @@
-import {SiteReplica, type UpstreamEntry} from '@parsleywood/forwarding';
-import {createUpstream} from '@parsleywood/forwarding/testing';
+import {
+  HomeRegions,
+  SiteReplica,
+  type RouteMatch,
+  type UpstreamEntry,
+} from '@parsleywood/forwarding';
+import {createRoute, createUpstream} from '@parsleywood/forwarding/testing';
 import {expect} from 'chai';
 import {EligibleUpstreams} from './eligible_upstreams.js';
 import {ExclusionReason} from './exclusion_reason.js';
@@ -9,6 +14,8 @@
 describe('EligibleUpstreams', () => {
   let nowMs = 0;
   let draws = 0;
+  let match: RouteMatch;
+  const homeRegions = new HomeRegions({a: 'north'});
   const entries: UpstreamEntry[] = ['a', 'b'].map(failureDomain =>
     createUpstream(failureDomain, {failureDomain}),
   );
@@ -19,7 +26,8 @@
       draws++;
       return draw;
     };
-    return new EligibleUpstreams({replica, clock, draw: drawNext}, 's');
+    const context = {replica, homeRegions, clock, draw: drawNext};
+    return new EligibleUpstreams(context, match, 's');
   }
 
   function listIds(replica: SiteReplica, draw: number): string[] {
@@ -31,6 +39,7 @@
   beforeEach(() => {
     nowMs = 0;
     draws = 0;
+    match = {route: createRoute({})} as RouteMatch;
   });
 
   it('does not move all requests away at once, nor any back', () => {
@@ -58,4 +67,16 @@
     replica.applySnapshot({...POSITION, ...domains}, 0, false);
     expect(evacuated.findExclusion()).to.equal(ExclusionReason.EVACUATED);
   });
+
+  it('finds no upstream outside of the home regions, nor in a domain without region', () => {
+    const replica = new SiteReplica();
+    replica.applySnapshot({...POSITION, upstreams: entries}, 0, false);
+    match = {...match, route: createRoute({homeRegions: ['north', 'south']})};
+    expect(listIds(replica, 0)).to.deep.equal(['a']);
+    const account = {name: 'mill', keys: [], homeRegions: ['south']};
+    match = {...match, account};
+    expect(listIds(replica, 0)).to.deep.equal([]);
+    const {HOME_REGIONS} = ExclusionReason;
+    expect(create(replica, 0).findExclusion()).to.equal(HOME_REGIONS);
+  });
 });
--- a/packages/daemon/src/gateway/attempts/exclusion_reason.ts
+++ b/packages/daemon/src/gateway/attempts/exclusion_reason.ts
@@ -1,5 +1,7 @@
 /** Why a request may use none of the upstreams that accept others. */
 export enum ExclusionReason {
-  EVACUATED = 'all are in evacuated failure domains',
-  HOME_REGIONS = 'none is in a home region',
+  /** None is in a home region of the request. */
+  HOME_REGIONS = 'home_regions',
+  /** All in its home regions are in evacuated failure domains. */
+  EVACUATED = 'evacuated',
 }
--- a/packages/daemon/src/gateway/callers/directory_server.ts
+++ b/packages/daemon/src/gateway/callers/directory_server.ts
@@ -1,3 +1,4 @@
+import type {DirectoryQuery} from '@parsleywood/forwarding';
 import fastify, {type FastifyInstance, type FastifyReply} from 'fastify';
 import type {DirectoryDialect} from './directory_dialect.js';
 
@@ -9,17 +10,17 @@
 
   /**
    * @param listHosts Lists, as IP:port for callers, the hosts that accept
-   *     requests.
+   *     requests of a caller.
    */
   constructor(
-    dialect: DirectoryDialect,
-    listHosts: () => readonly string[],
+    private readonly dialect: DirectoryDialect,
+    listHosts: (query: DirectoryQuery) => readonly string[],
     ttlMs: number,
   ) {
     this.server.get(
       dialect.path,
-      async (_request, reply): Promise<FastifyReply> => {
-        const hosts = listHosts();
+      async ({query}, reply): Promise<FastifyReply> => {
+        const hosts = listHosts(this.decodeQuery(query));
         const status = hosts.length > 0 ? 200 : NO_HOSTS_STATUS;
         return reply.status(status).send(dialect.encode(hosts, ttlMs));
       },
@@ -34,4 +35,19 @@
     this.server.server.closeAllConnections();
     await this.server.close();
   }
+
+  /** Of a parameter that is given more than once, the first counts. */
+  private decodeQuery(query: unknown): DirectoryQuery {
+    const {name, region, failureDomain} = this.dialect.query;
+    const values = query as Record<string, string | string[] | undefined>;
+    const read = (parameter: string): string | undefined => {
+      const [first] = [values[parameter]].flat();
+      return first === '' ? undefined : first;
+    };
+    return {
+      name: read(name),
+      region: read(region),
+      failureDomain: read(failureDomain),
+    };
+  }
 }
--- a/packages/daemon/src/gateway/default_dialect.ts
+++ b/packages/daemon/src/gateway/default_dialect.ts
@@ -6,6 +6,7 @@
   headers: DEFAULT_HEADER_NAMES,
   directory: {
     path: '/v1/hosts',
+    query: {name: 'host', region: 'region', failureDomain: 'failureDomain'},
     encode: (hosts, ttlMs) => ({hosts, ttlMs}),
   },
   readinessPath: '/readyz',
--- a/packages/daemon/src/gateway/gateway_context.ts
+++ b/packages/daemon/src/gateway/gateway_context.ts
@@ -5,7 +5,11 @@
   UpstreamLimits,
   UpstreamRests,
 } from '@parsleywood/dispatch';
-import type {BufferBudget, SiteReplica} from '@parsleywood/forwarding';
+import type {
+  BufferBudget,
+  HomeRegions,
+  SiteReplica,
+} from '@parsleywood/forwarding';
 import type {Clock} from '../host/clock.js';
 import type {EventLog} from '../host/event_log.js';
 import type {HostTimeline} from '../host/host_timeline.js';
@@ -28,6 +32,7 @@
   readonly metrics: GatewayMetrics;
   readonly headerNames: HeaderNames;
   readonly replica: SiteReplica;
+  readonly homeRegions: HomeRegions;
   readonly placements: PlacementRegistry;
   readonly health: UpstreamHealth;
   readonly limits: UpstreamLimits;
--- a/packages/daemon/src/gateway/gateway_host.ts
+++ b/packages/daemon/src/gateway/gateway_host.ts
@@ -6,12 +6,8 @@
   UpstreamLimits,
   UpstreamRests,
 } from '@parsleywood/dispatch';
-import {BufferBudget, SiteReplica} from '@parsleywood/forwarding';
-import {
-  PeerStage,
-  ReachState,
-  selectReachingPeers,
-} from '@parsleywood/membership';
+import {BufferBudget, HomeRegions, SiteReplica} from '@parsleywood/forwarding';
+import {PeerStage, ReachState} from '@parsleywood/membership';
 import {TimelineEventName} from '@parsleywood/timeline';
 import type {GatewaySettings} from '@parsleywood/schema/gateway_settings';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
@@ -31,6 +27,7 @@
 import {SystemClock} from '../host/system_clock.js';
 import {DepartureCheck} from './upstreams/departure_check.js';
 import {DirectoryServer} from './callers/directory_server.js';
+import {HostDirectory} from './callers/host_directory.js';
 import {PeerCallHandler} from './fleet/peer_call_handler.js';
 import {FleetMembership} from './fleet/fleet_membership.js';
 import type {GatewayDialect} from './gateway_dialect.js';
@@ -206,6 +203,7 @@
       metrics,
       headerNames: dialect.headers,
       replica,
+      homeRegions: new HomeRegions(settings.regions),
       placements,
       health,
       limits,
@@ -234,9 +232,17 @@
       recordLeaving(this.context, engine);
     });
     this.server = new GatewayServer(this.context);
+    const hosts = new HostDirectory(
+      settings,
+      replica,
+      this.context.homeRegions,
+      () => this.isServing(),
+      () => this.fleet.listHeartbeats(),
+      () => reach.state,
+    );
     this.directory = new DirectoryServer(
       dialect.directory,
-      () => this.listHosts(),
+      query => hosts.list(query),
       Math.min(bounds.directoryTtlMs, MAX_DIRECTORY_TTL_MS),
     );
     const evacuationGauges = new EvacuationGauges(metrics.host.registry);
@@ -358,6 +364,10 @@
       revision: replica.position.revision,
     });
     this.recordReady();
+    const unknown = context.homeRegions.listUnknown(configuration);
+    if (unknown.length > 0) {
+      this.log.warn('home_regions_unknown', {regions: unknown.join(' ')});
+    }
     const {limits, routes} = configuration;
     this.server.applyLimits(limits);
     this.server.retainRoutes(new Set(routes.map(({name}) => name)));
@@ -388,16 +398,6 @@
     return this.readStage() === PeerStage.READY && !this.reach.isOutOfService;
   }
 
-  /** Lists the hosts that accept requests, as IP:port for callers. */
-  private listHosts(): string[] {
-    const own = this.isServing() ? [this.settings.callersAddress] : [];
-    const peers = selectReachingPeers(
-      this.fleet.listHeartbeats(),
-      this.reach.state,
-    );
-    return [...own, ...peers.map(({callersAddress}) => callersAddress)];
-  }
-
   private describe(): object {
     return {
       name: this.settings.host,
--- a/packages/daemon/src/gateway/gateway_metrics.ts
+++ b/packages/daemon/src/gateway/gateway_metrics.ts
@@ -10,6 +10,7 @@
   readonly requests: Counter;
   readonly attempts: Counter;
   readonly callersGone: Counter;
+  readonly excludedRequests: Counter;
   readonly firstByteSeconds: Histogram;
   readonly storeCalls: Counter;
   readonly siteDeltas: Counter;
@@ -40,6 +41,12 @@
       labelNames: ['service', 'progress'],
       registers,
     });
+    this.excludedRequests = new Counter({
+      name: 'parsleywood_excluded_requests_total',
+      help: 'Placements refused as all upstreams are evacuated or in other regions, by service and reason.',
+      labelNames: ['service', 'reason'],
+      registers,
+    });
     this.firstByteSeconds = new Histogram({
       name: 'parsleywood_first_answer_seconds',
       help: 'Time from the request to the first byte of its answer.',
--- a/packages/forwarding/src/route_table.ts
+++ b/packages/forwarding/src/route_table.ts
@@ -1,3 +1,4 @@
+import {normalizeHost} from './normalize_host.js';
 import type {Route} from './route.js';
 
 /** Finds routes by host name and path; the longest prefix wins. */
@@ -31,7 +32,3 @@
     return undefined;
   }
 }
-
-function normalizeHost(host: string): string {
-  return host.replace(/:\d*$/, '').toLowerCase();
-}
