--- a/packages/daemon/src/testing/virtual_fleet.ts
+++ b/packages/daemon/src/testing/virtual_fleet.ts
@@ -54,6 +54,8 @@
 export class VirtualFleet {
   readonly hosts: VirtualHost[];
   nowMs = 0;
+  /** Whether messages from one address to another are lost. */
+  isCut: (from: string, to: string) => boolean = () => false;
   private queue: Envelope[] = [];
   private readonly byAddress: ReadonlyMap<string, VirtualHost>;
 
@@ -110,7 +112,7 @@
     this.queue = this.queue.filter(({atMs}) => atMs > this.nowMs);
     for (const {from, to, message} of due) {
       const host = this.byAddress.get(to);
-      if (!host?.isAlive) continue;
+      if (!host?.isAlive || this.isCut(from, to)) continue;
       host.fleet.handleDelivery({
         from,
         fromIncarnation: '1',
