--- a/packages/daemon/src/gateway/site/site_exchange.ts
+++ b/packages/daemon/src/gateway/site/site_exchange.ts
@@ -19,6 +19,7 @@
 import type {Clock} from '../../host/clock.js';
 import type {EventLog} from '../../host/event_log.js';
 import type {GatewayMetrics} from '../gateway_metrics.js';
+import {EvacuationQueries} from './evacuation_queries.js';
 import type {SiteUpdater} from './site_updater.js';
 import type {UpdateRelay} from '../fleet/update_relay.js';
 
@@ -29,18 +30,6 @@
 const PEER_QUERY_DELAY_MS = 400;
 /** Minimum time between two queries for a gap in the deltas. */
 const GAP_QUERY_INTERVAL_MS = 200;
-/**
- * Initial and maximum time between two queries for evacuations that older hosts do not
- * pass on. An answer may be the whole state, and the store tells them sooner.
- */
-const EVACUATION_QUERY_MS = 1_000;
-const MAX_EVACUATION_QUERY_MS = 32_000;
-/**
- * Peers that a host asks, once it has started, for evacuations that a copy of the
- * store lacks; two of them may have started as well.
- */
-const START_QUERIES = 3;
-
 /**
  * Exchanges the published state with the other hosts: passes changes on to
  * subscribers, and asks peers for what was missed.
@@ -51,9 +40,7 @@
   private relayAddress: string | undefined;
   private peerAheadSinceMs = Infinity;
   private queriedAtMs = -Infinity;
-  private readonly askedAtStart = new Set<string>();
-  private evacuationQueries = 0;
-  private evacuationQueryAtMs = Infinity;
+  private readonly evacuationQueries = new EvacuationQueries();
 
   constructor(
     private readonly updater: SiteUpdater,
@@ -107,7 +94,11 @@
 
   handleDelta(host: string, message: SiteDeltaMessage, nowMs: number): void {
     this.metrics.siteDeltas.inc({direction: 'received'});
-    const isApplied = this.updater.applyDelta(decodeDelta(message), host);
+    const delta = decodeDelta(message);
+    const tells = delta.evacuated !== undefined;
+    if (tells) this.evacuationQueries.recordTeller(host);
+    const isApplied = this.updater.applyDelta(delta, host);
+    if (isApplied && tells) this.queryMissedEvacuations(host, nowMs);
     if (isApplied || nowMs - this.queriedAtMs < GAP_QUERY_INTERVAL_MS) return;
     this.log.info('site_delta_missed', {
       from: host,
@@ -157,9 +148,14 @@
    * back from a copy may lack a configuration that some hosts have.
    */
   queryNewestPeer(peers: readonly PeerHeartbeat[], nowMs: number): void {
-    this.queryAtStart(peers, nowMs);
-    this.queryEvacuations(peers, nowMs);
-    const {position, version} = this.updater;
+    const {position, version, evacuations} = this.updater;
+    const asked = this.evacuationQueries.choose(
+      peers.map(({peersAddress}) => peersAddress),
+      position.revision > 0,
+      evacuations.isBehind,
+      nowMs,
+    );
+    for (const peer of asked) this.query(peer, nowMs, evacuations.position);
     const ahead = peers.filter(
       peer => peer.version > version || comparePositions(peer, position) > 0,
     );
@@ -178,35 +174,11 @@
     this.query(best.peersAddress, nowMs);
   }
 
-  private queryAtStart(peers: readonly PeerHeartbeat[], nowMs: number): void {
-    if (this.updater.position.revision === 0) return;
-    for (const {peersAddress} of peers) {
-      if (this.askedAtStart.size >= START_QUERIES) return;
-      if (this.askedAtStart.has(peersAddress)) continue;
-      this.askedAtStart.add(peersAddress);
-      this.query(peersAddress, nowMs);
-    }
-  }
-
-  /** Asks one peer after the other for evacuations that may have been missed. */
-  private queryEvacuations(
-    peers: readonly PeerHeartbeat[],
-    nowMs: number,
-  ): void {
-    if (!this.updater.evacuations.isBehind) {
-      this.evacuationQueries = 0;
-      this.evacuationQueryAtMs = Infinity;
-      return;
-    }
-    if (this.evacuationQueryAtMs === Infinity) {
-      this.evacuationQueryAtMs = nowMs + EVACUATION_QUERY_MS;
-    }
-    const peer = peers[this.evacuationQueries % peers.length];
-    if (nowMs < this.evacuationQueryAtMs || peer === undefined) return;
-    const delayMs = EVACUATION_QUERY_MS * 2 ** this.evacuationQueries++;
-    this.evacuationQueryAtMs =
-      nowMs + Math.min(delayMs, MAX_EVACUATION_QUERY_MS);
-    this.query(peer.peersAddress, nowMs, this.updater.evacuations.position);
+  /** Asks a peer that knows the evacuations before those that it has just told. */
+  private queryMissedEvacuations(host: string, nowMs: number): void {
+    const {isBehind, position} = this.updater.evacuations;
+    if (!isBehind || nowMs - this.queriedAtMs < GAP_QUERY_INTERVAL_MS) return;
+    this.query(host, nowMs, position);
   }
 
   private preferRelay(left: PeerHeartbeat, right: PeerHeartbeat): number {
