--- a/packages/daemon/src/testing/evacuating_host.ts
+++ b/packages/daemon/src/testing/evacuating_host.ts
@@ -106,9 +106,7 @@
   /** A host of an earlier version passes on what peers tell, and no more. */
   private forget(delta: SiteDelta): SiteDelta {
     const isOwn = this.isReadingStore || delta.isDifference === true;
-    if (!this.isOld || !isOwn) return delta;
-    const {evacuated: _began, restored: _ended, ...rest} = delta;
-    return rest;
+    return this.isOld && isOwn ? dropEvacuations(delta) : delta;
   }
 
   private describe(): SiteSnapshot {
@@ -118,3 +116,11 @@
     return {epoch, revision, upstreams};
   }
 }
+
+function dropEvacuations({
+  evacuated: _evacuated,
+  restored: _restored,
+  ...delta
+}: SiteDelta): SiteDelta {
+  return delta;
+}
