--- a/packages/daemon/src/gateway/attempts/attempt_placer.ts
+++ b/packages/daemon/src/gateway/attempts/attempt_placer.ts
@@ -12,7 +12,10 @@
   type UpstreamEntry,
 } from '@parsleywood/forwarding';
 import {canConnect} from '../upstreams/can_connect.js';
+import {forwardsHeader} from '../upstreams/forwards_header.js';
 import {describeDemand} from './describe_demand.js';
+import {EligibleUpstreams} from './eligible_upstreams.js';
+import type {ExclusionReason} from './exclusion_reason.js';
 import type {GatewayContext} from '../gateway_context.js';
 import type {PlacedAttempt} from './placed_attempt.js';
 import type {ReceivedRequest} from '../callers/received_request.js';
@@ -33,6 +36,7 @@
   /** Monotonic time of the last event of any attempt. */
   private lastEventAtMs: number | undefined;
   private passMeter = new PassMeter();
+  private readonly eligible: EligibleUpstreams;
 
   /**
    * @param service Name of the service that the request goes to.
@@ -44,13 +48,25 @@
     private readonly request: ReceivedRequest,
     readonly service: string,
     private readonly deadlineMs: number,
-  ) {}
+  ) {
+    this.eligible = new EligibleUpstreams(context, match, service);
+  }
 
   /** Whether any upstream of the service accepts new requests. */
   get hasUpstreams(): boolean {
     return this.listUsable().length > 0;
   }
 
+  /** Why the request may use no upstream, if others may. */
+  get exclusion(): ExclusionReason | undefined {
+    return this.eligible.findExclusion();
+  }
+
+  /** Whether an attempt must not be sent, as one of its upstreams was evacuated. */
+  isEvacuated({choice: {upstream, helpers}}: PlacedAttempt): boolean {
+    return this.eligible.isAnyEvacuated([upstream, ...helpers]);
+  }
+
   /**
    * Whether the prompt exceeds the memory of the largest possible set of
    * engines.
@@ -230,14 +246,18 @@
       this.triedUpstreams.delete(upstream.id);
       this.penalize(faultyHelper, true, outcome, status);
     } else if (status === MISDIRECTED_STATUS) {
-      context.replica.upstreams.evict(upstream.id, context.clock.nowMs());
+      // The caller may expect what no upstream, or another one, is.
+      const {headerNames, replica, clock} = context;
+      const expectation = headerNames.callersExpectation;
+      if (forwardsHeader(this.request.headers, expectation)) return;
+      replica.upstreams.evict(upstream.id, clock.nowMs());
     } else if (
       outcome === AttemptOutcome.ANSWERED &&
       status < SERVER_ERROR_STATUS
     ) {
       context.health.recordSuccess(upstream.id);
       context.reach.recordAnswer();
-    } else if (outcome !== AttemptOutcome.REFUSED && !asksForRest) {
+    } else if (mayBeFault(outcome) && !asksForRest) {
       const isSilent = outcome === AttemptOutcome.TIMED_OUT;
       if (isSilent) context.connectionPool.closeIdle(upstream.id);
       this.penalize(
@@ -316,7 +336,12 @@
     shortage: CapacityShortage,
     nowMs: number,
   ): CapacityShortage {
-    const {limits, coldRates, rests, countHosts} = this.context;
+    const {limits, coldRates, rests, countHosts, metrics} = this.context;
+    const {exclusion: reason, service} = this;
+    if (reason !== undefined) {
+      metrics.excludedRequests.inc({service, reason});
+      return shortage;
+    }
     const restMs = this.planReturnAfterRestMs();
     if (restMs > 0) return {waitMs: restMs};
     const awake = this.listUsable().filter(
@@ -391,7 +416,12 @@
   }
 
   private listUsable(): UpstreamEntry[] {
-    const {replica, clock} = this.context;
-    return replica.upstreams.usable(this.service, clock.nowMs());
+    return this.eligible.list();
   }
 }
+
+/** Whether an attempt that got no sound answer ended through its upstream. */
+function mayBeFault(outcome: AttemptOutcome): boolean {
+  const {REFUSED, WITHDRAWN} = AttemptOutcome;
+  return outcome !== REFUSED && outcome !== WITHDRAWN;
+}
--- a/packages/daemon/src/gateway/attempts/attempt_sender.ts
+++ b/packages/daemon/src/gateway/attempts/attempt_sender.ts
@@ -57,6 +57,10 @@
   /** @param lastEventId Event after which the response goes on. */
   send(placed: PlacedAttempt, lastEventId: number | undefined): void {
     const {context} = this;
+    if (this.placer.isEvacuated(placed)) {
+      this.withdraw();
+      return;
+    }
     const reservations = new PromptReservations(
       placed.placement.id,
       placed.choice,
@@ -138,6 +142,7 @@
       this.placer.penalize(engine, true, AttemptOutcome.TIMED_OUT, 0);
     }
     if (this.reservations !== reserved) reserved.release();
+    else if (this.placer.isEvacuated(placed)) this.withdraw();
     else if (reserved.isComplete) this.start(placed, lastEventId);
     else {
       const detail = 'engine memory could not be reserved';
@@ -149,7 +154,7 @@
     const {context} = this;
     if (!this.placer.confirmSend(placed)) {
       const detail = 'upstream is cold, and the attempt waited for too long';
-      this.listener.onEnd(AttemptOutcome.REFUSED, detail);
+      this.listener.onEnd(AttemptOutcome.WITHDRAWN, detail);
       return;
     }
     const {upstream} = placed.choice;
@@ -178,6 +183,7 @@
         context.connectionPool,
         context.headerNames,
         response,
+        () => this.mayStillSend(placed),
       );
     } catch (error) {
       // The entry names no address, so nothing was sent.
@@ -191,4 +197,16 @@
     this.onSent(placed);
     attempt.start();
   }
+
+  /** Whether an attempt whose connection is open may be sent. */
+  private mayStillSend(placed: PlacedAttempt): boolean {
+    if (!this.placer.isEvacuated(placed)) return true;
+    this.sent--;
+    return false;
+  }
+
+  /** Ends an attempt whose upstream was evacuated before it was sent. */
+  private withdraw(): void {
+    this.listener.onEnd(AttemptOutcome.WITHDRAWN, 'upstream was evacuated');
+  }
 }
--- a/packages/daemon/src/gateway/gateway_host.ts
+++ b/packages/daemon/src/gateway/gateway_host.ts
@@ -6,12 +6,8 @@
   UpstreamLimits,
   UpstreamRests,
 } from '@parsleywood/dispatch';
-import {BufferBudget, SiteReplica} from '@parsleywood/forwarding';
-import {
-  PeerStage,
-  ReachState,
-  selectReachingPeers,
-} from '@parsleywood/membership';
+import {BufferBudget, HomeRegions, SiteReplica} from '@parsleywood/forwarding';
+import {PeerStage, ReachState} from '@parsleywood/membership';
 import {TimelineEventName} from '@parsleywood/timeline';
 import type {GatewaySettings} from '@parsleywood/schema/gateway_settings';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
@@ -34,6 +30,7 @@
 import {planStartRetryMs} from './callers/plan_start_retry_ms.js';
 import {PlacementExchange} from './fleet/placement_exchange.js';
 import {describeGateway} from './describe_gateway.js';
+import {HostDirectory} from './callers/host_directory.js';
 import {PeerCallHandler} from './fleet/peer_call_handler.js';
 import {FleetMembership} from './fleet/fleet_membership.js';
 import type {GatewayDialect} from './gateway_dialect.js';
@@ -56,6 +53,7 @@
 import {refreshUpstreamGauges} from './upstreams/refresh_upstream_gauges.js';
 import {retainUpstreams} from './upstreams/retain_upstreams.js';
 import {RetryBudgets} from './attempts/retry_budgets.js';
+import {EvacuationGauges} from './site/evacuation_gauges.js';
 import {SiteExchange} from './site/site_exchange.js';
 import {SiteWatcher} from './site/site_watcher.js';
 import {SiteUpdater} from './site/site_updater.js';
@@ -84,7 +82,7 @@
   private readonly clock = new SystemClock();
   private readonly log: EventLog;
   private readonly timeline: HostTimeline;
-  private readonly replica = new SiteReplica();
+  private readonly replica: SiteReplica;
   private readonly metrics = new GatewayMetrics(new HostMetrics());
   private readonly transport: PeerTransport;
   private readonly siteUpdater: SiteUpdater;
@@ -110,8 +108,10 @@
     dialect: GatewayDialect,
     loadReports?: LoadReports,
   ) {
-    const {clock, replica, metrics} = this;
+    const {clock, metrics} = this;
     const {peersAddress, bounds, failureDomain} = settings;
+    this.replica = new SiteReplica(bounds.evacuationMs);
+    const {replica} = this;
     const incarnation = nameIncarnation(peersAddress, clock.wallMs());
     this.log = new EventLog(
       {...incarnation, host: settings.host},
@@ -218,6 +218,7 @@
       metrics,
       headerNames: dialect.headers,
       replica,
+      homeRegions: new HomeRegions(settings.regions),
       placements,
       health,
       limits,
@@ -256,11 +257,20 @@
     });
     this.startReports = new StartReports(this.context, loadReports);
     this.server = new GatewayServer(this.context);
+    const hosts = new HostDirectory(
+      settings,
+      replica,
+      this.context.homeRegions,
+      () => this.isServing(),
+      () => this.fleet.listHeartbeats(),
+      () => reach.state,
+    );
     this.directory = new DirectoryServer(
       dialect.directory,
-      () => this.listHosts(),
+      query => hosts.list(query),
       Math.min(bounds.directoryTtlMs, MAX_DIRECTORY_TTL_MS),
     );
+    const evacuationGauges = new EvacuationGauges(metrics.host.registry);
     this.probes = new ProbeServer(
       dialect.readinessPath,
       () => this.isServing(),
@@ -269,6 +279,7 @@
         metrics.openRequests.set(this.server.openRequests);
         metrics.droppedLogLines.set(log.droppedLines());
         refreshUpstreamGauges(this.context);
+        evacuationGauges.refresh(replica.evacuations, clock.nowMs());
       },
       query =>
         gatherTimeline(
@@ -375,6 +386,10 @@
       revision: replica.position.revision,
     });
     this.recordReady();
+    const unknown = context.homeRegions.listUnknown(configuration);
+    if (unknown.length > 0) {
+      this.log.warn('home_regions_unknown', {regions: unknown.join(' ')});
+    }
     const {limits, routes} = configuration;
     this.server.applyLimits(limits);
     this.server.retainRoutes(new Set(routes.map(({name}) => name)));
@@ -405,14 +420,4 @@
   private isServing(): boolean {
     return this.readStage() === PeerStage.READY && !this.reach.isOutOfService;
   }
-
-  /** Lists the hosts that accept requests, as IP:port for callers. */
-  private listHosts(): string[] {
-    const own = this.isServing() ? [this.settings.callersAddress] : [];
-    const peers = selectReachingPeers(
-      this.fleet.listHeartbeats(),
-      this.reach.state,
-    );
-    return [...own, ...peers.map(({callersAddress}) => callersAddress)];
-  }
 }
--- a/packages/daemon/src/gateway/site/site_exchange.ts
+++ b/packages/daemon/src/gateway/site/site_exchange.ts
@@ -6,6 +6,7 @@
   type SiteChange,
   type SiteDelta,
   type SiteSnapshot,
+  type StorePosition,
 } from '@parsleywood/forwarding';
 import type {PeerHeartbeat} from '@parsleywood/membership';
 import type {
@@ -18,6 +19,7 @@
 import type {Clock} from '../../host/clock.js';
 import type {EventLog} from '../../host/event_log.js';
 import type {GatewayMetrics} from '../gateway_metrics.js';
+import {EvacuationQueries} from './evacuation_queries.js';
 import type {SiteUpdater} from './site_updater.js';
 import type {UpdateRelay} from '../fleet/update_relay.js';
 
@@ -28,7 +30,6 @@
 const PEER_QUERY_DELAY_MS = 400;
 /** Minimum time between two queries for a gap in the deltas. */
 const GAP_QUERY_INTERVAL_MS = 200;
-
 /**
  * Exchanges the published state with the other hosts: passes changes on to
  * subscribers, and asks peers for what was missed.
@@ -39,6 +40,7 @@
   private relayAddress: string | undefined;
   private peerAheadSinceMs = Infinity;
   private queriedAtMs = -Infinity;
+  private readonly evacuationQueries = new EvacuationQueries();
 
   constructor(
     private readonly updater: SiteUpdater,
@@ -51,7 +53,8 @@
 
   /** Whether this host reads the store itself. */
   mustWatch(): boolean {
-    return this.duty.mustWatch(this.clock.nowMs());
+    const {isBehind} = this.updater.evacuations;
+    return isBehind || this.duty.mustWatch(this.clock.nowMs());
   }
 
   /** Sets the relay that passes changes on to this host, if there is one. */
@@ -84,14 +87,18 @@
     this.deltas.add(delta, this.clock.nowMs());
     const subscribers = this.relay.listSubscribers(this.clock.nowMs());
     if (subscribers.length === 0) return;
-    const message = encodeDelta(delta);
+    const message = encodeDelta(this.updater.evacuations.stampAge(delta));
     for (const address of subscribers) this.relay.send(address, message);
     this.metrics.siteDeltas.inc({direction: 'sent'}, subscribers.length);
   }
 
   handleDelta(host: string, message: SiteDeltaMessage, nowMs: number): void {
     this.metrics.siteDeltas.inc({direction: 'received'});
-    const isApplied = this.updater.applyDelta(decodeDelta(message), host);
+    const delta = decodeDelta(message);
+    const tells = delta.evacuated !== undefined;
+    if (tells) this.evacuationQueries.recordTeller(host);
+    const isApplied = this.updater.applyDelta(delta, host);
+    if (isApplied && tells) this.queryMissedEvacuations(host, nowMs);
     if (isApplied || nowMs - this.queriedAtMs < GAP_QUERY_INTERVAL_MS) return;
     this.log.info('site_delta_missed', {
       from: host,
@@ -109,6 +116,8 @@
   answerQuery(host: string, query: SiteQuery): void {
     const {updater} = this;
     const snapshot = this.readSnapshot();
+    const held = updater.evacuations.describeHeld();
+    if (held !== undefined) this.relay.send(host, encodeDelta(held));
     const isAhead = comparePositions(snapshot, query) > 0;
     const hasNewerVersion = updater.version > query.version;
     if (!isAhead && !hasNewerVersion) return;
@@ -123,7 +132,9 @@
           ({configuration}) => configuration?.version === updater.version,
         ));
     if (suffices) {
-      for (const delta of deltas) this.relay.send(host, encodeDelta(delta));
+      for (const delta of deltas) {
+        this.relay.send(host, encodeDelta(updater.evacuations.stampAge(delta)));
+      }
       return;
     }
     const json = JSON.stringify(snapshot);
@@ -139,7 +150,14 @@
    * back from a copy may lack a configuration that some hosts have.
    */
   queryNewestPeer(peers: readonly PeerHeartbeat[], nowMs: number): void {
-    const {position, version} = this.updater;
+    const {position, version, evacuations} = this.updater;
+    const asked = this.evacuationQueries.choose(
+      peers.map(({peersAddress}) => peersAddress),
+      position.revision > 0,
+      evacuations.isBehind,
+      nowMs,
+    );
+    for (const peer of asked) this.query(peer, nowMs, evacuations.position);
     const ahead = peers.filter(
       peer => peer.version > version || comparePositions(peer, position) > 0,
     );
@@ -158,15 +176,26 @@
     this.query(best.peersAddress, nowMs);
   }
 
+  /** Asks a peer that knows the evacuations before those that it has just told. */
+  private queryMissedEvacuations(host: string, nowMs: number): void {
+    const {isBehind, position} = this.updater.evacuations;
+    if (!isBehind || nowMs - this.queriedAtMs < GAP_QUERY_INTERVAL_MS) return;
+    this.query(host, nowMs, position);
+  }
+
   private preferRelay(left: PeerHeartbeat, right: PeerHeartbeat): number {
     const isRelay = ({peersAddress}: PeerHeartbeat): number =>
       peersAddress === this.relayAddress ? 1 : 0;
     return isRelay(right) - isRelay(left);
   }
 
-  private query(host: string, nowMs: number): void {
+  private query(
+    host: string,
+    nowMs: number,
+    position: StorePosition = this.updater.position,
+  ): void {
     this.queriedAtMs = nowMs;
-    const {position, version} = this.updater;
+    const {version} = this.updater;
     this.relay.send(host, {
       body: {$case: 'siteQuery', value: {...position, version}},
     });
