Pace upstreams that have just started or recovered

Upstreams that start or come back under load get a full load at once, as they hold nothing and are forecast at their published speed. UpstreamPace limits what all hosts hold there by how first events compare with the forecast. Off unless a service has a cold start or pacesNewUpstreams is set.

--- a/packages/daemon/src/gateway/attempts/attempt_placer.test.ts
+++ b/packages/daemon/src/gateway/attempts/attempt_placer.test.ts
@@ -1,6 +1,6 @@
 import {setImmediate as pause} from 'node:timers/promises';
 import {expect} from 'chai';
-import {UpstreamHealth} from '@parsleywood/dispatch';
+import {UpstreamHealth, UpstreamPace} from '@parsleywood/dispatch';
 import {
   AttemptOutcome,
   UpstreamStage,
@@ -27,6 +27,7 @@
   const published: string[] = [];
   const context = {
     health: new UpstreamHealth(),
+    pacing: {pace: new UpstreamPace()},
     clock: {nowMs: () => 0, wallMs: () => 0},
     log: {warn: () => undefined},
     publisher: {
--- a/packages/daemon/src/gateway/attempts/attempt_placer.ts
+++ b/packages/daemon/src/gateway/attempts/attempt_placer.ts
@@ -110,6 +110,9 @@
     const service = this.match.rules.findService(this.service);
     const demand = this.describeDemand(service, nowMs);
     const choice = this.chooseUpstream(service, demand, nowMs, suspect);
+    if ('isPaced' in choice) {
+      context.metrics.pacedRefusals.inc({service: this.service});
+    }
     if (!('upstream' in choice)) return this.planReturn(choice, nowMs);
     const {upstream, plan} = choice;
     const {pauseObjectiveMs} = this.match.route;
@@ -132,6 +135,7 @@
         },
       ],
     };
+    context.pacing.recordStart(placement, nowMs);
     context.placements.add(placement, nowMs);
     context.limits.recordPlacement(placement, nowMs);
     context.publisher.publishStart(placement);
@@ -153,6 +157,7 @@
       this.isDecoding = true;
       this.passMeter = new PassMeter();
       context.placements.startDecode(placement.id, nowMs);
+      context.pacing.pace.recordFirstEvent(placement.id, nowMs);
       context.publisher.publishDecodeStart(placement.id);
     }
     const passMs = this.passMeter.recordEvent(nowMs);
@@ -161,6 +166,7 @@
     const {stepMs, stepsPerPass} = service.engine;
     const ratio = passMs / (stepMs * stepsPerPass);
     context.health.recordPassTimeRatio(choice.upstream.id, ratio);
+    context.pacing.pace.recordPassTimeRatio(choice.upstream.id, ratio);
   }
 
   /** Ends an attempt that was not sent; its upstream counts as untried. */
@@ -214,6 +220,10 @@
     const {placed, context} = this;
     if (placed === undefined) return;
     const {upstream, helpers} = placed.choice;
+    if (outcome !== AttemptOutcome.ANSWERED || status >= SERVER_ERROR_STATUS) {
+      const {pacing, clock} = context;
+      pacing.pace.recordEnd(placed.placement.id, true, clock.nowMs());
+    }
     const faultyHelper = helpers.find(({address}) => address === faultyAddress);
     if (faultyHelper !== undefined) {
       // The upstream itself is healthy and may receive the request again.
@@ -282,7 +292,8 @@
     outcome: AttemptOutcome,
     status: number,
   ): void {
-    const {health, clock, log} = this.context;
+    const {health, clock, log, pacing} = this.context;
+    pacing.pace.recordFailure(id);
     if (!health.recordFailure(id, isSilent, clock.nowMs())) return;
     log.warn('upstream_avoided', {upstream: id, end: outcome, status});
     void this.publishFailure(id, isSilent);
@@ -296,8 +307,9 @@
   }
 
   private free({placement}: PlacedAttempt): void {
-    const {placements, publisher} = this.context;
+    const {placements, publisher, pacing, clock} = this.context;
     placements.end(placement.id);
+    pacing.pace.recordEnd(placement.id, false, clock.nowMs());
     publisher.publishEnd(placement.id);
   }
 
@@ -326,7 +338,8 @@
     nowMs: number,
     suspect: string,
   ): UpstreamChoice | CapacityShortage {
-    const {chooser, limits, rests} = this.context;
+    const {chooser, limits, rests, pacing} = this.context;
+    pacing.advance(nowMs);
     // A limited or resting upstream must not hide those that are avoided.
     const candidates = chooser.listCandidates(
       this.listUsable().filter(
--- a/packages/daemon/src/gateway/fleet/update_applier.ts
+++ b/packages/daemon/src/gateway/fleet/update_applier.ts
@@ -6,6 +6,7 @@
 import type {LeavingUpstreams} from '@parsleywood/forwarding';
 import type {FleetMessage} from '@parsleywood/schema/fleet';
 import type {SuspectTracker} from '../../upstreams/suspect_tracker.js';
+import type {UpstreamPacing} from '../upstreams/upstream_pacing.js';
 
 /** Applies updates of other hosts on placements, upstreams and suspects. */
 export class UpdateApplier {
@@ -15,6 +16,7 @@
     private readonly limits: UpstreamLimits,
     private readonly suspects: SuspectTracker,
     private readonly leaving: LeavingUpstreams,
+    private readonly pacing: UpstreamPacing,
   ) {}
 
   /**
@@ -27,19 +29,23 @@
     switch (body?.$case) {
       case 'placementStart': {
         const placement = {...body.value, host};
+        this.pacing.recordStart(placement, nowMs);
         this.placements.add(placement, nowMs);
         this.limits.recordPlacement(placement, nowMs);
         return true;
       }
       case 'placementWriting':
         this.placements.startDecode(body.value, nowMs);
+        this.pacing.pace.recordFirstEvent(body.value, nowMs);
         return true;
       case 'placementEnd':
         this.placements.end(body.value);
+        this.pacing.pace.recordEnd(body.value, false, nowMs);
         return true;
       case 'upstreamFailure': {
         const {upstream, silent} = body.value;
         this.health.recordFailure(upstream, silent, nowMs);
+        this.pacing.pace.recordFailure(upstream);
         return true;
       }
       case 'suspect':
--- a/packages/daemon/src/gateway/gateway_context.ts
+++ b/packages/daemon/src/gateway/gateway_context.ts
@@ -17,6 +17,7 @@
 import type {EngineReservations} from './upstreams/engine_reservations.js';
 import type {ReachMonitor} from './upstreams/reach_monitor.js';
 import type {RetryBudgets} from './attempts/retry_budgets.js';
+import type {UpstreamPacing} from './upstreams/upstream_pacing.js';
 import type {UnreadableRestLog} from './upstreams/unreadable_rest_log.js';
 import type {UpstreamConnectionPool} from './upstreams/upstream_connection_pool.js';
 
@@ -31,6 +32,7 @@
   readonly placements: PlacementRegistry;
   readonly health: UpstreamHealth;
   readonly limits: UpstreamLimits;
+  readonly pacing: UpstreamPacing;
   readonly rests: UpstreamRests;
   readonly unreadableRests: UnreadableRestLog;
   readonly chooser: UpstreamChooser;
--- a/packages/daemon/src/gateway/gateway_host.ts
+++ b/packages/daemon/src/gateway/gateway_host.ts
@@ -51,6 +51,7 @@
 import {SiteUpdater} from './site/site_updater.js';
 import type {SiteSource} from './site/site_source.js';
 import {UpstreamConnectionPool} from './upstreams/upstream_connection_pool.js';
+import {UpstreamPacing} from './upstreams/upstream_pacing.js';
 import {UpstreamProber} from './upstreams/upstream_prober.js';
 
 /**
@@ -105,9 +106,8 @@
       {...incarnation, host: settings.host},
       settings.logLevel ?? 'info',
     );
-    const {log} = this;
     this.timeline = new HostTimeline(incarnation, clock);
-    const {timeline} = this;
+    const {log, timeline} = this;
     this.transport = new PeerTransport(
       incarnation,
       PEER_KEY,
@@ -149,6 +149,8 @@
     const placements = new PlacementRegistry();
     const health = new UpstreamHealth();
     const limits = new UpstreamLimits(draw);
+    const view = {placements, health, replica, log};
+    const pacing = new UpstreamPacing(view, settings);
     const suspects = new SuspectTracker(
       clock,
       relay,
@@ -185,6 +187,7 @@
         limits,
         suspects,
         replica.upstreams.leaving,
+        pacing,
       ),
       new SuspectSynchronizer(suspects, relay),
       this.siteUpdater,
@@ -206,6 +209,7 @@
       placements,
       health,
       limits,
+      pacing,
       rests: new UpstreamRests(draw),
       unreadableRests: new UnreadableRestLog(log),
       chooser: new UpstreamChooser(
@@ -213,6 +217,7 @@
         failureDomain,
         placements,
         health,
+        pacing.pace,
       ),
       retryBudgets: new RetryBudgets(bounds, clock, () =>
         this.fleet.countHosts(),
@@ -338,6 +343,7 @@
     const ids = new Set(upstreams.map(({id}) => id));
     context.connectionPool.retain(ids);
     context.health.retain(ids);
+    context.pacing.applySite(upstreams, context.clock.nowMs());
     context.limits.retain(ids);
     context.rests.retain(ids);
     context.unreadableRests.retain(ids);
--- a/packages/daemon/src/gateway/gateway_metrics.ts
+++ b/packages/daemon/src/gateway/gateway_metrics.ts
@@ -15,8 +15,11 @@
   readonly siteDeltas: Counter;
   readonly upstreamRests: Counter;
   readonly openRequests: Gauge;
+  readonly pacedRefusals: Counter;
   readonly restingUpstreams: Gauge;
   readonly leavingUpstreams: Gauge;
+  readonly pacedUpstreams: Gauge;
+  readonly paceWindow: Gauge;
   readonly droppedLogLines: Gauge;
   readonly reachesUpstreams: Gauge;
 
@@ -65,6 +68,22 @@
       labelNames: ['service'],
       registers,
     });
+    this.pacedRefusals = new Counter({
+      name: 'parsleywood_paced_refusals_total',
+      help: 'Attempts not placed as upstreams that just started or recovered may hold no more, by service.',
+      labelNames: ['service'],
+      registers,
+    });
+    this.pacedUpstreams = new Gauge({
+      name: 'parsleywood_paced_upstreams',
+      help: 'Upstreams on probation since they started or recovered.',
+      registers,
+    });
+    this.paceWindow = new Gauge({
+      name: 'parsleywood_pace_window_requests',
+      help: 'Requests that all hosts may hold at the upstreams on probation together.',
+      registers,
+    });
     this.restingUpstreams = new Gauge({
       name: 'parsleywood_resting_upstreams',
       help: 'Listed upstreams that get no request of this host as they asked for a rest.',
--- a/packages/daemon/src/testing/virtual_fleet.ts
+++ b/packages/daemon/src/testing/virtual_fleet.ts
@@ -13,6 +13,7 @@
 import {SiteExchange} from '../gateway/site/site_exchange.js';
 import {SiteUpdater} from '../gateway/site/site_updater.js';
 import {UpdateApplier} from '../gateway/fleet/update_applier.js';
+import {UpstreamPacing} from '../gateway/upstreams/upstream_pacing.js';
 import {UpdateRelay} from '../gateway/fleet/update_relay.js';
 import {EventLog} from '../host/event_log.js';
 import {HostMetrics} from '../host/host_metrics.js';
@@ -157,6 +158,8 @@
       metrics,
     );
     const limits = new UpstreamLimits(draw);
+    const placements = new PlacementRegistry();
+    const health = new UpstreamHealth();
     const suspects: SuspectTracker = new SuspectTracker(
       clock,
       relay,
@@ -185,11 +188,12 @@
       {reset: () => undefined},
       relay,
       new UpdateApplier(
-        new PlacementRegistry(),
-        new UpstreamHealth(),
+        placements,
+        health,
         limits,
         suspects,
         replica.upstreams.leaving,
+        new UpstreamPacing({placements, health, replica, log}, {}),
       ),
       new SuspectSynchronizer(suspects, relay),
       updater,
--- a/packages/dispatch/src/prefill_planner.ts
+++ b/packages/dispatch/src/prefill_planner.ts
@@ -5,6 +5,7 @@
 import {estimateDecodeLoss} from './estimate_decode_loss.js';
 import {estimateLatenessLoss} from './estimate_lateness_loss.js';
 import {estimatePrefillLoss} from './estimate_prefill_loss.js';
+import {estimatePrefillTiming} from './estimate_prefill_timing.js';
 import {MAX_PREFILL_ENGINES} from './max_prefill_engines.js';
 import {PassModel} from './pass_model.js';
 import type {PrefillOption} from './prefill_option.js';
@@ -148,7 +149,12 @@
     const answering = new CheapestOptions(1);
     const helping = new CheapestOptions(count);
     engines.forEach((engine, position) => {
-      const timing = this.estimateTiming(engine, tokens, millionPairs);
+      const timing = estimatePrefillTiming(
+        engine,
+        this.model,
+        tokens,
+        millionPairs,
+      );
       const ownCost =
         lossWhenAfter(timing.finishMs) +
         COST_TOKENS_PER_MS * timing.finishMs +
@@ -217,26 +223,6 @@
     return Math.max(0, needed - Math.max(0, free)) / Math.max(needed, 1);
   }
 
-  /** Estimates when an engine would have prefilled a part, and in which pass. */
-  private estimateTiming(
-    engine: EngineForecast,
-    tokens: number,
-    millionPairs: number,
-  ): PrefillTiming {
-    const {backlogMs, passMs, slowdownFactor, decodeRequests} = engine;
-    const prefillMs =
-      slowdownFactor * this.model.estimatePrefillMs(tokens, millionPairs);
-    if (decodeRequests.length === 0) {
-      return {prefillMs, finishMs: backlogMs + prefillMs, passMs: 0};
-    }
-    const passes = Math.ceil(tokens / this.model.maxPrefillTokensPerPass);
-    return {
-      prefillMs,
-      finishMs: passMs / 2 + backlogMs + passes * passMs + prefillMs,
-      passMs: passMs + prefillMs / passes + engine.nextPassPrefillMs,
-    };
-  }
-
   /**
    * Estimates the effect of prefilling a part on an engine.
    *
--- a/packages/dispatch/src/upstream_chooser.ts
+++ b/packages/dispatch/src/upstream_chooser.ts
@@ -3,6 +3,7 @@
 import type {CapacityShortage} from './capacity_shortage.js';
 import type {EngineForecast} from './engine_forecast.js';
 import {forecastEngine} from './forecast_engine.js';
+import {PacedPlanner} from './paced_planner.js';
 import {PassModel} from './pass_model.js';
 import {pickServiceUpstream} from './pick_service_upstream.js';
 import type {PlacementRegistry} from './placement_registry.js';
@@ -10,6 +11,7 @@
 import type {PromptDemand} from './prompt_demand.js';
 import type {UpstreamChoice} from './upstream_choice.js';
 import type {UpstreamHealth} from './upstream_health.js';
+import type {UpstreamPace} from './upstream_pace.js';
 
 /** Chooses upstreams by the placements of all hosts and by upstream health. */
 export class UpstreamChooser {
@@ -22,12 +24,14 @@
    * @param host Name of this host. It seeds the order of preference, so that hosts
    *     without placement updates, such as after a fleet restart, choose different
    *     engines.
+   * @param pace Absent where upstreams that have just started are not paced.
    */
   constructor(
     private readonly host: string,
     private readonly failureDomain: string,
     private readonly placements: PlacementRegistry,
     private readonly health: UpstreamHealth,
+    private readonly pace?: UpstreamPace,
   ) {}
 
   /**
@@ -53,13 +57,17 @@
     tieBreak: number,
     nowMs: number,
   ): UpstreamChoice | CapacityShortage {
+    const open = this.listWithinPace(candidates, nowMs);
     const upstream = pickServiceUpstream(
-      candidates,
+      open,
       this.failureDomain,
-      id => this.placements.getUpstreamPlacements(id, nowMs).records.length,
+      id => this.countRequests(id, nowMs),
       tieBreak,
     );
-    return upstream ? {upstream, helpers: []} : {waitMs: 0};
+    if (upstream !== undefined) return {upstream, helpers: []};
+    if (this.pace === undefined || candidates.length === 0) return {waitMs: 0};
+    const ids = candidates.map(({id}) => id);
+    return {waitMs: this.pace.planReturnMs(ids, nowMs), isPaced: true};
   }
 
   /** Chooses the engines of a prompt, or estimates when capacity is free. */
@@ -72,7 +80,13 @@
     const model = this.getModel(service);
     if (model === undefined) return {waitMs: 0};
     const engines = this.forecastEngines(candidates, model, nowMs);
-    const plan = new PrefillPlanner(model).plan(demand, engines);
+    const plan = this.pace?.isActive
+      ? new PacedPlanner(model, this.health, this.pace).plan(
+          demand,
+          engines,
+          nowMs,
+        )
+      : new PrefillPlanner(model).plan(demand, engines);
     if (!('parts' in plan)) return plan;
     const byId = new Map(candidates.map(entry => [entry.id, entry]));
     const entries = plan.parts.flatMap(part => byId.get(part.upstream) ?? []);
@@ -91,7 +105,7 @@
         id,
         this.placements.getUpstreamPlacements(id, nowMs),
         model,
-        this.health.getSlowdownFactor(id),
+        this.getSlowdownFactor(id),
         nowMs,
       ),
     );
@@ -108,6 +122,32 @@
     return this.known.size;
   }
 
+  /** The larger of the factors: both measure the same slowness. */
+  private getSlowdownFactor(id: string): number {
+    const measured = this.health.getSlowdownFactor(id);
+    return this.pace?.isActive
+      ? Math.max(measured, this.pace.getSlowdownFactor(id))
+      : measured;
+  }
+
+  private listWithinPace(
+    candidates: readonly UpstreamEntry[],
+    nowMs: number,
+  ): readonly UpstreamEntry[] {
+    const {pace} = this;
+    if (!pace?.isActive) return candidates;
+    return candidates.filter(({id}) => {
+      if (!pace.isOnProbation(id)) return true;
+      const requests = this.countRequests(id, nowMs);
+      const held = {requests, tokens: 0, maxTokens: Infinity};
+      return pace.mayTake(id, 0, held, nowMs);
+    });
+  }
+
+  private countRequests(id: string, nowMs: number): number {
+    return this.placements.getUpstreamPlacements(id, nowMs).records.length;
+  }
+
   private getModel(service: Service): PassModel | undefined {
     if (service.engine === undefined) return undefined;
     const cached = this.models.get(service);
--- a/packages/dispatch/src/upstream_health.ts
+++ b/packages/dispatch/src/upstream_health.ts
@@ -25,6 +25,8 @@
  */
 export class UpstreamHealth {
   private readonly byUpstream = new Map<string, Health>();
+  /** Avoided upstreams whose return has not been taken. */
+  private readonly avoided = new Set<string>();
 
   /**
    * Records a failed request.
@@ -44,6 +46,7 @@
     );
     const isNewlyAvoided = health.avoidUntilMs <= nowMs;
     health.avoidUntilMs = nowMs + backoffMs;
+    this.avoided.add(upstream);
     return isNewlyAvoided;
   }
 
@@ -66,7 +69,19 @@
 
   /** Forgets the failures of all upstreams that gave no response at all. */
   resetUnreachable(): void {
-    for (const id of this.listUnreachable()) this.recordSuccess(id);
+    for (const id of this.listUnreachable()) {
+      // The paths of this host failed, and not the upstream.
+      this.avoided.delete(id);
+      this.recordSuccess(id);
+    }
+  }
+
+  /** Returns, once, the upstreams that were avoided and are no longer. */
+  takeReturned(nowMs: number): string[] {
+    if (this.avoided.size === 0) return [];
+    const returned = [...this.avoided].filter(id => !this.isAvoided(id, nowMs));
+    for (const id of returned) this.avoided.delete(id);
+    return returned;
   }
 
   /** Upstreams that gave no response at all and have not been reached since. */
@@ -102,7 +117,9 @@
   /** Drops the state of upstreams that are no longer listed. */
   retain(upstreams: ReadonlySet<string>): void {
     for (const id of this.byUpstream.keys()) {
-      if (!upstreams.has(id)) this.byUpstream.delete(id);
+      if (upstreams.has(id)) continue;
+      this.byUpstream.delete(id);
+      this.avoided.delete(id);
     }
   }
 
