Judge first events of new upstreams by their own part, and show it in tests

A small part of a split prompt is done in time however slow its engine is, and ended the probation of engines that were four times slower than stated. An early end now needs first events that such an engine could not give. The emulator plays engines that start or return and are slow at first.

--- a/packages/dispatch/src/expect_first_event.ts
+++ b/packages/dispatch/src/expect_first_event.ts
@@ -34,14 +34,21 @@
   if (model === undefined || endsWithAnswer) {
     const isUsable = objectiveMs > 0 && Number.isFinite(objectiveMs);
     const limitMs = isUsable ? objectiveMs : DEFAULT_OBJECTIVE_MS;
-    return {limitMs, endsWithAnswer};
+    return {limitMs, partsMs: new Map(), workMs: 0, endsWithAnswer};
   }
-  const partsMs = parts.map(({upstream, tokens, millionPairs}) => {
+  const timings = parts.map(({upstream, tokens, millionPairs}) => {
     const open = placements.getUpstreamPlacements(upstream, nowMs);
     const engine = forecastEngine(upstream, open, model, 1, nowMs);
-    return estimatePrefillTiming(engine, model, tokens, millionPairs).finishMs;
+    return estimatePrefillTiming(engine, model, tokens, millionPairs);
   });
-  const forecastMs = Math.max(MIN_FORECAST_MS, ...partsMs);
+  const finishesMs = timings.map(({finishMs}) => finishMs);
+  // The answer to a split prompt begins with the pass after its last part.
+  const joinMs = parts.length > 1 ? model.passMs(0, 0) : 0;
+  const forecastMs = Math.max(MIN_FORECAST_MS, ...finishesMs) + joinMs;
+  const workMs = Math.max(...timings.map(({prefillMs}) => prefillMs));
   const limitMs = IN_TIME_FACTOR * forecastMs + MESSAGE_DELAY_MS;
-  return {forecastMs, limitMs, endsWithAnswer};
+  const partsMs = new Map(
+    parts.map(({upstream}, index) => [upstream, finishesMs[index] ?? 0]),
+  );
+  return {forecastMs, limitMs, partsMs, workMs, endsWithAnswer};
 }
--- a/packages/dispatch/src/paced_planner.ts
+++ b/packages/dispatch/src/paced_planner.ts
@@ -10,6 +10,18 @@
 
 /** Wait beyond that at a warm engine that is allowed of a request that is late anyway. */
 const MIN_EXTRA_WAIT_MS = 250;
+/**
+ * The same for a request that has nowhere else to go: a caller that is refused comes
+ * back no sooner.
+ */
+const MIN_LAST_EXTRA_WAIT_MS = 500;
+
+/**
+ * Part of the objective within which a prompt must be read at the assumed slowdown, so
+ * that it may test an engine that holds nothing. It is the part up to which the planner
+ * takes a forecast for on time.
+ */
+const TRIAL_PART = 0.8;
 
 /**
  * Plans prompts while engines are on probation. A prompt goes to such an engine only
@@ -32,37 +44,45 @@
     engines: readonly EngineForecast[],
     nowMs: number,
   ): PrefillPlan | CapacityShortage {
-    const open = engines.filter(engine => this.mayTake(demand, engine, nowMs));
-    const plan = this.planner.plan(demand, open);
+    const {pace, planner} = this;
+    const open = engines.flatMap(
+      engine => this.admit(demand, engine, MIN_EXTRA_WAIT_MS, nowMs) ?? [],
+    );
+    const plan = planner.plan(demand, open);
     if ('parts' in plan) return plan;
-    const idle = engines.filter(engine => this.isIdle(engine));
-    if (idle.length > 0) {
-      const last = this.planner.plan(demand, this.assumeSpeed(engines, open));
-      if ('parts' in last) return last;
-    }
+    const last = planner.plan(
+      demand,
+      engines.flatMap(engine => this.admitLast(demand, engine, nowMs) ?? []),
+    );
+    if ('parts' in last) return last;
     if (open.length === engines.length) return plan;
-    const returnMs = this.pace.planReturnMs(
-      engines.filter(one => !open.includes(one)).map(({upstream}) => upstream),
-      nowMs,
+    const ids = new Set(open.map(({upstream}) => upstream));
+    const left = engines.flatMap(({upstream}) =>
+      ids.has(upstream) ? [] : upstream,
     );
-    const waitMs = plan.waitMs > 0 ? Math.min(plan.waitMs, returnMs) : returnMs;
-    return {waitMs, isPaced: true};
+    const returnMs = pace.planReturnMs(left, nowMs);
+    // Where others are open as well, their unknown wait may be shorter.
+    const isKnown = open.length === 0 || plan.waitMs > 0;
+    const otherMs = plan.waitMs > 0 ? plan.waitMs : Infinity;
+    return {waitMs: isKnown ? Math.min(otherMs, returnMs) : 0, isPaced: true};
   }
 
-  private mayTake(
+  /** Returns the forecast with which an engine may be planned; undefined if it may not. */
+  private admit(
     {promptTokens, objectiveMs}: PromptDemand,
     engine: EngineForecast,
+    minExtraMs: number,
     nowMs: number,
-  ): boolean {
+  ): EngineForecast | undefined {
     const {pace, model, health} = this;
     const {upstream, usedMemoryTokens, slowdownFactor} = engine;
-    if (!pace.isOnProbation(upstream)) return true;
+    if (!pace.isOnProbation(upstream)) return engine;
     const held = {
       requests: countRequests(engine),
       tokens: usedMemoryTokens,
       maxTokens: model.profile.memoryTokens,
     };
-    if (!pace.mayTake(upstream, promptTokens, held, nowMs)) return false;
+    if (!pace.mayTake(upstream, promptTokens, held, nowMs)) return undefined;
     const pairs = PassModel.countMillionPairs(promptTokens);
     const {finishMs} = estimatePrefillTiming(
       engine,
@@ -70,9 +90,14 @@
       promptTokens,
       pairs,
     );
+    const isTrial = this.isIdle(engine) && !pace.isMeasured(upstream);
+    if (isTrial && finishMs <= TRIAL_PART * objectiveMs) {
+      return this.assumeNormalSpeed(engine);
+    }
     const warmPart = health.getSlowdownFactor(upstream) / slowdownFactor;
     const extraMs = finishMs * (1 - warmPart);
-    return extraMs <= Math.max(objectiveMs, MIN_EXTRA_WAIT_MS);
+    const isShort = extraMs <= Math.max(objectiveMs, minExtraMs);
+    return isShort ? engine : undefined;
   }
 
   private isIdle(engine: EngineForecast): boolean {
@@ -82,22 +107,29 @@
   }
 
   /**
-   * Adds the engines on probation that hold nothing, at their normal speed unless they
-   * are known to be slow: a request that has nowhere else to go is better sent there
-   * than refused.
+   * The same for a request that has nowhere else to go. An engine that holds nothing
+   * takes it at its normal speed unless it is known to be slow: this is better than to
+   * refuse it.
    */
-  private assumeSpeed(
-    engines: readonly EngineForecast[],
-    open: readonly EngineForecast[],
-  ): EngineForecast[] {
-    return engines.flatMap(engine => {
-      if (!this.isIdle(engine)) return open.includes(engine) ? engine : [];
-      const {upstream, passMs} = engine;
-      if (this.pace.isMeasured(upstream)) return engine;
-      const slowdownFactor = this.health.getSlowdownFactor(upstream);
-      const change = slowdownFactor / engine.slowdownFactor;
-      return {...engine, slowdownFactor, passMs: change * passMs};
-    });
+  private admitLast(
+    demand: PromptDemand,
+    engine: EngineForecast,
+    nowMs: number,
+  ): EngineForecast | undefined {
+    if (!this.isIdle(engine)) {
+      return this.admit(demand, engine, MIN_LAST_EXTRA_WAIT_MS, nowMs);
+    }
+    return this.pace.isMeasured(engine.upstream)
+      ? engine
+      : this.assumeNormalSpeed(engine);
+  }
+
+  /** Takes the assumed slowdown from the forecast of an engine that holds nothing. */
+  private assumeNormalSpeed(engine: EngineForecast): EngineForecast {
+    const {upstream, passMs} = engine;
+    const slowdownFactor = this.health.getSlowdownFactor(upstream);
+    const change = slowdownFactor / engine.slowdownFactor;
+    return {...engine, slowdownFactor, passMs: change * passMs};
   }
 }
 
--- a/packages/dispatch/src/probation.ts
+++ b/packages/dispatch/src/probation.ts
@@ -8,6 +8,14 @@
 const MAX_SLOWDOWN_FACTOR = 10;
 /** Weight of the newest measurement where the slowdown falls. */
 const SMOOTHING_FACTOR = 0.5;
+/**
+ * Slowdown towards which first events lead that are in time but say little of this
+ * upstream, and their weight. It is too large for a probation to end early.
+ */
+const DOUBT_SLOWDOWN_FACTOR = 2;
+const DOUBT_WEIGHT = 0.2;
+/** Largest slowdown at which a probation may end early. */
+const MAX_FACTOR_TO_END = 1.5;
 /** Part of the slots that may be used at first. */
 const FIRST_WINDOW_PART = 0.5;
 /** First events in a row that must be in time before a probation ends. */
@@ -20,9 +28,23 @@
  */
 const LOSS_MARGIN_MS = 450;
 
+/** Factor of a forecast up to which a first event is in time. */
+const IN_TIME_FACTOR = 1.5;
+
+/** Shortest time of a part; shorter ones could not be told from delays. */
+const MIN_PART_MS = 20;
+
+/**
+ * Ratio of a first event's time to that of the part from which on the event shows
+ * nothing: an upstream that is as slow as assumed at first may give it as well.
+ */
+const MAX_PROOF_RATIO = 3;
+
 interface Pending {
   readonly startedAtMs: number;
   readonly expected: ExpectedEvent;
+  /** Prefill time of requests that were placed there since, in milliseconds. */
+  addedMs: number;
   isCounted: boolean;
 }
 
@@ -35,6 +57,7 @@
   private readonly pending = new Map<string, Pending>();
 
   constructor(
+    private readonly upstream: string,
     private readonly slots: number,
     readonly reason: PaceReason,
     readonly startedAtMs: number,
@@ -62,7 +85,11 @@
   }
 
   get hasProvedItself(): boolean {
-    return this.requests >= this.slots && this.eventsInTime >= EVENTS_TO_END;
+    return (
+      this.requests >= this.slots &&
+      this.eventsInTime >= EVENTS_TO_END &&
+      this.factor <= MAX_FACTOR_TO_END
+    );
   }
 
   isOver(nowMs: number): boolean {
@@ -71,28 +98,36 @@
 
   recordStart(id: string, expected: ExpectedEvent, nowMs: number): void {
     if (this.pending.has(id)) return;
-    this.pending.set(id, {startedAtMs: nowMs, expected, isCounted: false});
+    // Parts of split prompts are prefilled first, and other prompts in the same pass.
+    for (const one of this.pending.values()) one.addedMs += expected.workMs;
+    const counts = {addedMs: 0, isCounted: false};
+    this.pending.set(id, {startedAtMs: nowMs, expected, ...counts});
   }
 
   recordFirstEvent(id: string, nowMs: number): void {
     const pending = this.pending.get(id);
     if (pending === undefined) return;
     this.pending.delete(id);
-    const {startedAtMs, expected, isCounted} = pending;
+    const {startedAtMs, expected, addedMs, isCounted} = pending;
     const {forecastMs, limitMs} = expected;
     const elapsedMs = nowMs - startedAtMs;
-    if (forecastMs !== undefined) {
-      // Within the limit, the delay of messages must not look like slowness.
-      const excessMs = Math.max(0, elapsedMs - limitMs);
-      this.measure(excessMs > 0 ? elapsedMs / forecastMs : 1);
-    }
+    const extraMs = IN_TIME_FACTOR * addedMs;
     this.wasMeasured = true;
-    if (elapsedMs > limitMs) {
+    if (elapsedMs > limitMs + extraMs) {
+      if (forecastMs) this.measure(elapsedMs / (forecastMs + addedMs));
       if (!isCounted) this.recordLate();
-    } else {
-      this.eventsInTime++;
-      this.requests = Math.min(this.slots, this.requests * 2);
+      return;
     }
+    this.requests = Math.min(this.slots, this.requests * 2);
+    // The part took no longer than all: this bounds the slowdown from above. Other
+    // engines, prompts and messages may account for the rest.
+    const partMs =
+      forecastMs === undefined ? elapsedMs : this.getPartMs(expected);
+    const ratio = elapsedMs / Math.max(partMs, MIN_PART_MS);
+    this.eventsInTime++;
+    if (ratio >= MAX_PROOF_RATIO)
+      this.lower(DOUBT_SLOWDOWN_FACTOR, DOUBT_WEIGHT);
+    else this.measure(ratio <= IN_TIME_FACTOR ? MIN_SLOWDOWN_FACTOR : ratio);
   }
 
   /** @param hasFailed Whether the end is known to be a refusal or a failure. */
@@ -122,7 +157,7 @@
   /** Counts the first events that are overdue as late. */
   countOverdue(nowMs: number): void {
     for (const one of this.pending.values()) {
-      const overdueMs = nowMs - one.startedAtMs - one.expected.limitMs;
+      const overdueMs = nowMs - one.startedAtMs - getLimitMs(one);
       if (one.isCounted || overdueMs <= LOSS_MARGIN_MS) continue;
       one.isCounted = true;
       this.recordLate();
@@ -143,6 +178,10 @@
     return Math.max(1, waitMs);
   }
 
+  private getPartMs({partsMs}: ExpectedEvent): number {
+    return partsMs.get(this.upstream) ?? 0;
+  }
+
   private recordLate(): void {
     this.eventsInTime = 0;
     this.requests = Math.max(1, Math.floor(this.requests / 2));
@@ -154,6 +193,15 @@
       MAX_SLOWDOWN_FACTOR,
     );
     if (bounded >= this.factor) this.factor = bounded;
-    else this.factor += SMOOTHING_FACTOR * (bounded - this.factor);
+    else this.lower(bounded, SMOOTHING_FACTOR);
   }
+
+  private lower(target: number, weight: number): void {
+    this.factor += weight * Math.min(0, target - this.factor);
+  }
+}
+
+/** Time up to which a first event is in time, by what has been placed since. */
+function getLimitMs({expected, addedMs}: Pending): number {
+  return expected.limitMs + IN_TIME_FACTOR * addedMs;
 }
--- a/packages/dispatch/src/upstream_pace.ts
+++ b/packages/dispatch/src/upstream_pace.ts
@@ -52,7 +52,7 @@
     nowMs: number,
     reason = PaceReason.STARTED,
   ): void {
-    const probation = new Probation(slots, reason, nowMs);
+    const probation = new Probation(upstream, slots, reason, nowMs);
     this.probations.set(upstream, probation);
     this.recordChange(upstream, probation, reason, false, nowMs);
   }
--- a/packages/emulator/src/emulate.ts
+++ b/packages/emulator/src/emulate.ts
@@ -31,17 +31,20 @@
   const engines = new Map(
     entries.map(({id}) => [id, new EngineModel(model, time)]),
   );
+  const listed = [...entries];
   const results: RequestResult[] = [];
   const world = {
     time,
     hosts: Array.from(
       {length: pattern.hosts},
-      (_none, at) => new HostModel(`host-${at}`, policy),
+      (_none, at) => new HostModel(`host-${at}`, policy, model),
     ),
     engines,
-    entries,
+    entries: listed,
     service,
     newsDelayMs: pattern.newsDelayMs,
+    // Engines at their published speed need no measurement.
+    measuresPasses: hasSlowEngines(pattern),
     draw,
     record: (result: RequestResult): void => {
       results.push(result);
@@ -64,15 +67,34 @@
       ).start();
     });
   }
-  for (const {atMs, forMs, engines: count} of pattern.crashes ?? []) {
+  for (const crash of pattern.crashes ?? []) {
+    const {atMs, forMs, engines: count, slowFactor = 1, slowMs = 0} = crash;
     time.after(atMs, () => {
-      for (const {id} of entries.slice(0, count)) engines.get(id)?.crash(forMs);
+      for (const {id} of entries.slice(0, count)) {
+        engines.get(id)?.crash(forMs);
+        engines.get(id)?.slowDown(slowFactor, forMs + slowMs);
+      }
+    });
+  }
+  for (const start of pattern.starts ?? []) {
+    const {atMs, engines: count, slowFactor = 1, slowMs = 0} = start;
+    const started = listed.splice(listed.length - count);
+    time.after(atMs, () => {
+      listed.push(...started);
+      for (const {id} of started) {
+        engines.get(id)?.slowDown(slowFactor, slowMs);
+        for (const host of world.hosts) host.recordListed(id, atMs);
+      }
     });
   }
   time.runAll();
   return results;
 }
 
+function hasSlowEngines({crashes = [], starts = []}: LoadPattern): boolean {
+  return [...crashes, ...starts].some(({slowFactor = 1}) => slowFactor > 1);
+}
+
 function listEngines({engines, engine}: LoadPattern): UpstreamEntry[] {
   return Array.from({length: engines}, (_none, at) => ({
     id: `engine-${at}`,
--- a/packages/emulator/src/emulated_request.ts
+++ b/packages/emulator/src/emulated_request.ts
@@ -1,4 +1,4 @@
-import type {PlacementPart} from '@parsleywood/dispatch';
+import {PassMeter, type PlacementPart} from '@parsleywood/dispatch';
 import {
   attemptTimeouts,
   chooseRetryAfterMs,
@@ -28,6 +28,8 @@
   readonly entries: readonly UpstreamEntry[];
   readonly service: Service;
   readonly newsDelayMs: number;
+  /** Whether hosts measure the pass times of answers. */
+  readonly measuresPasses: boolean;
   readonly draw: () => number;
   readonly record: (result: RequestResult) => void;
 }
@@ -48,6 +50,8 @@
   private firstMs: number | undefined;
   private lastEventMs = 0;
   private longestPauseMs = 0;
+  private upstream = '';
+  private passMeter = new PassMeter();
 
   /** @param returns Whether the caller comes back after a refusal. */
   constructor(
@@ -78,6 +82,7 @@
     const {time, entries, service} = this.world;
     const nowMs = time.nowMs;
     const waitedMs = nowMs - this.arrivedAtMs;
+    this.host.advance(nowMs);
     const candidates = this.host.chooser.listCandidates(
       entries,
       this.tried,
@@ -117,6 +122,7 @@
     };
     this.job = job;
     this.tried.add(upstream);
+    this.upstream = upstream;
     const placement = {
       id: name,
       host: '',
@@ -128,7 +134,7 @@
       parts,
     };
     this.tell(host => {
-      host.registry.add(placement, time.nowMs);
+      host.add(placement, time.nowMs);
     });
     const first = engines.get(upstream);
     const [own] = parts;
@@ -180,10 +186,15 @@
       this.longestPauseMs = Math.max(this.longestPauseMs, pauseMs);
     }
     this.lastEventMs = nowMs;
+    if (this.writing !== name) this.passMeter = new PassMeter();
+    const passMs = this.passMeter.recordEvent(nowMs);
+    if (this.world.measuresPasses && passMs !== undefined) {
+      this.host.recordPass(this.upstream, passMs);
+    }
     if (this.writing === name) return;
     this.writing = name;
     this.tell(host => {
-      host.registry.startDecode(name, this.world.time.nowMs);
+      host.startDecode(name, this.world.time.nowMs);
     });
   }
 
@@ -193,7 +204,7 @@
     for (const engine of this.touched) engine.drop(job);
     this.touched = [];
     this.tell(host => {
-      host.registry.end(name);
+      host.end(name, this.world.time.nowMs);
     });
     if (this.isOver || this.job !== job) return;
     if (isWhole) this.end(this.judge());
@@ -263,7 +274,7 @@
   private tellFailure(upstream: string): void {
     this.tell(host => {
       const {nowMs} = this.world.time;
-      host.health.recordFailure(upstream, true, nowMs);
+      host.recordFailure(upstream, nowMs);
     });
   }
 
--- a/packages/emulator/src/engine_model.ts
+++ b/packages/emulator/src/engine_model.ts
@@ -22,6 +22,8 @@
   private readonly queue: PromptPart[] = [];
   private isWorking = false;
   private isDown = false;
+  private slowFactor = 1;
+  private slowUntilMs = 0;
 
   constructor(
     private readonly model: PassModel,
@@ -96,6 +98,12 @@
     });
   }
 
+  /** Makes passes take longer for a time. */
+  slowDown(factor: number, forMs: number): void {
+    this.slowFactor = factor;
+    this.slowUntilMs = this.time.nowMs + forMs;
+  }
+
   private work(): void {
     if (this.isWorking) return;
     if (this.parts.length + this.writers.size + this.ready.size === 0) return;
@@ -119,7 +127,9 @@
     );
     const writeMs =
       writing.length > 0 ? this.model.passMs(writing.length, context) : 0;
-    this.time.after(prefillMs + writeMs, () => {
+    const isSlow = this.time.nowMs < this.slowUntilMs;
+    const passMs = (isSlow ? this.slowFactor : 1) * (prefillMs + writeMs);
+    this.time.after(passMs, () => {
       this.endPass(writing, read);
     });
   }
--- a/packages/emulator/src/make_policy.ts
+++ b/packages/emulator/src/make_policy.ts
@@ -11,6 +11,7 @@
 ): PlacementPolicy {
   switch (name) {
     case PolicyName.PLANNED:
+    case PolicyName.PACED:
       return new PlannedReads(chooser);
     case PolicyName.LEAST_BEHIND:
       return new SingleEngine(chooser, ({backlogMs}) => backlogMs);
