--- a/packages/daemon/src/gateway/attempts/attempt_placer.ts
+++ b/packages/daemon/src/gateway/attempts/attempt_placer.ts
@@ -130,6 +130,9 @@
     const chosen = 'upstream' in choice ? choice.upstream.id : undefined;
     const {id} = request.metadata;
     recordChoiceWithoutView(context, service, id, chosen, nowMs);
+    if ('isPaced' in choice) {
+      context.metrics.pacedRefusals.inc({service: this.service});
+    }
     if (!('upstream' in choice)) return this.planReturn(choice, nowMs);
     const {upstream, plan} = choice;
     const {pauseObjectiveMs} = this.match.route;
@@ -152,6 +155,7 @@
         },
       ],
     };
+    context.pacing.recordStart(placement, nowMs);
     context.placements.add(placement, nowMs);
     context.limits.recordPlacement(placement, nowMs);
     context.coldRates.recordPlacement(upstream, nowMs);
@@ -174,6 +178,7 @@
       this.isDecoding = true;
       this.passMeter = new PassMeter();
       context.placements.startDecode(placement.id, nowMs);
+      context.pacing.pace.recordFirstEvent(placement.id, nowMs);
       context.publisher.publishDecodeStart(placement.id);
     }
     const passMs = this.passMeter.recordEvent(nowMs);
@@ -182,6 +187,7 @@
     const {stepMs, stepsPerPass} = service.engine;
     const ratio = passMs / (stepMs * stepsPerPass);
     context.health.recordPassTimeRatio(choice.upstream.id, ratio);
+    context.pacing.pace.recordPassTimeRatio(choice.upstream.id, ratio);
   }
 
   /** Whether the attempt may be sent now, which was placed some time ago. */
@@ -240,6 +246,10 @@
     const {placed, context} = this;
     if (placed === undefined) return;
     const {upstream, helpers} = placed.choice;
+    if (outcome !== AttemptOutcome.ANSWERED || status >= SERVER_ERROR_STATUS) {
+      const {pacing, clock} = context;
+      pacing.pace.recordEnd(placed.placement.id, true, clock.nowMs());
+    }
     const faultyHelper = helpers.find(({address}) => address === faultyAddress);
     if (faultyHelper !== undefined) {
       // The upstream itself is healthy and may receive the request again.
@@ -312,7 +322,8 @@
     outcome: AttemptOutcome,
     status: number,
   ): void {
-    const {health, clock, log} = this.context;
+    const {health, clock, log, pacing} = this.context;
+    pacing.pace.recordFailure(id);
     if (!health.recordFailure(id, isSilent, clock.nowMs())) return;
     log.warn('upstream_avoided', {upstream: id, end: outcome, status});
     void this.publishFailure(id, isSilent);
@@ -326,8 +337,9 @@
   }
 
   private free({placement}: PlacedAttempt): void {
-    const {placements, publisher} = this.context;
+    const {placements, publisher, pacing, clock} = this.context;
     placements.end(placement.id);
+    pacing.pace.recordEnd(placement.id, false, clock.nowMs());
     publisher.publishEnd(placement.id);
   }
 
@@ -363,7 +375,8 @@
     nowMs: number,
     suspect: string,
   ): UpstreamChoice | CapacityShortage {
-    const {chooser, limits, coldRates, rests} = this.context;
+    const {chooser, limits, coldRates, rests, pacing} = this.context;
+    pacing.advance(nowMs);
     const free = this.listUsable().filter(
       ({id}) => limits.mayTake(id, nowMs) && !rests.isResting(id, nowMs),
     );
--- a/packages/daemon/src/gateway/gateway_host.ts
+++ b/packages/daemon/src/gateway/gateway_host.ts
@@ -59,6 +59,7 @@
 import {SiteUpdater} from './site/site_updater.js';
 import type {SiteSource} from './site/site_source.js';
 import {UpstreamConnectionPool} from './upstreams/upstream_connection_pool.js';
+import {UpstreamPacing} from './upstreams/upstream_pacing.js';
 import {UpstreamProber} from './upstreams/upstream_prober.js';
 
 /**
@@ -161,6 +162,8 @@
     const startView = createStartView(settings, clock);
     const health = new UpstreamHealth();
     const limits = new UpstreamLimits(draw);
+    const view = {placements, health, replica, log};
+    const pacing = new UpstreamPacing(view, settings);
     const suspects = new SuspectTracker(
       clock,
       relay,
@@ -197,6 +200,7 @@
         limits,
         suspects,
         replica.upstreams.leaving,
+        pacing,
         new PlacementExchange(placements, startView, peersAddress, relay, () =>
           pacesAny(settings, replica),
         ),
@@ -227,6 +231,7 @@
         () => this.fleet.listSightings(),
         () => this.readStage(),
       ),
+      pacing,
       rests: new UpstreamRests(draw),
       unreadableRests: new UnreadableRestLog(log),
       chooser: new UpstreamChooser(
@@ -234,6 +239,7 @@
         failureDomain,
         placements,
         health,
+        pacing.pace,
         startView,
       ),
       startView,
@@ -375,6 +381,7 @@
     const upstreams = replica.upstreams.listInUse(context.clock.nowMs());
     const ids = new Set(upstreams.map(({id}) => id));
     retainUpstreams(context, ids);
+    context.pacing.applySite(upstreams, context.clock.nowMs());
     context.coldRates.applySite();
     this.server.checkDepartures();
     const configuration = replica.rules?.configuration;
--- a/packages/daemon/src/gateway/upstreams/refresh_upstream_gauges.ts
+++ b/packages/daemon/src/gateway/upstreams/refresh_upstream_gauges.ts
@@ -1,15 +1,16 @@
 import type {GatewayContext} from '../gateway_context.js';
 
-/** Counts the listed upstreams that rest, leave or are cold, before metrics are read. */
+/** Counts the listed upstreams that rest, leave, are cold or paced, before metrics are read. */
 export function refreshUpstreamGauges({
   metrics,
   replica: {upstreams},
   rests,
   coldRates,
+  pacing,
   clock,
 }: Pick<
   GatewayContext,
-  'metrics' | 'replica' | 'rests' | 'coldRates' | 'clock'
+  'metrics' | 'replica' | 'rests' | 'coldRates' | 'pacing' | 'clock'
 >): void {
   const listed = upstreams.list();
   const nowMs = clock.nowMs();
@@ -18,4 +19,7 @@
   metrics.restingUpstreams.set(resting.length);
   metrics.leavingUpstreams.set(leaving.length);
   coldRates.refreshGauges();
+  pacing.advance(nowMs);
+  metrics.pacedUpstreams.set(pacing.pace.size);
+  metrics.paceWindow.set(pacing.pace.totalWindow);
 }
--- a/packages/daemon/src/testing/virtual_fleet.ts
+++ b/packages/daemon/src/testing/virtual_fleet.ts
@@ -15,6 +15,7 @@
 import {SiteExchange} from '../gateway/site/site_exchange.js';
 import {SiteUpdater} from '../gateway/site/site_updater.js';
 import {UpdateApplier} from '../gateway/fleet/update_applier.js';
+import {UpstreamPacing} from '../gateway/upstreams/upstream_pacing.js';
 import {UpdateRelay} from '../gateway/fleet/update_relay.js';
 import {EventLog} from '../host/event_log.js';
 import {HostMetrics} from '../host/host_metrics.js';
@@ -173,6 +174,7 @@
     const limits = new UpstreamLimits(draw);
     const placements = new PlacementRegistry();
     const view = new StartView(0, () => true);
+    const health = new UpstreamHealth();
     const suspects: SuspectTracker = new SuspectTracker(
       clock,
       relay,
@@ -202,10 +204,11 @@
       relay,
       new UpdateApplier(
         placements,
-        new UpstreamHealth(),
+        health,
         limits,
         suspects,
         replica.upstreams.leaving,
+        new UpstreamPacing({placements, health, replica, log}, {}),
         new PlacementExchange(placements, view, address, relay, () => true),
       ),
       new SuspectSynchronizer(suspects, relay),
--- a/packages/dispatch/src/start_view.test.ts
+++ b/packages/dispatch/src/start_view.test.ts
@@ -50,6 +50,7 @@
       'd',
       this.placements,
       new UpstreamHealth(),
+      undefined,
       this.view,
     );
     this.view.begin(0);
@@ -250,6 +251,7 @@
       'd',
       host.placements,
       new UpstreamHealth(),
+      undefined,
       host.view,
     ).forecastEngines([engine], new PassModel(ENGINE_PROFILE), 1_000);
     // The report covers the older placement and two that are not known.
