--- a/packages/dispatch/src/probation.ts
+++ b/packages/dispatch/src/probation.ts
@@ -6,16 +6,14 @@
 /** Bounds of a measured slowdown, those of `UpstreamHealth`. */
 const MIN_SLOWDOWN_FACTOR = 1;
 const MAX_SLOWDOWN_FACTOR = 10;
-/** Weight of the newest measurement where the slowdown falls. */
-const SMOOTHING_FACTOR = 0.5;
 /**
- * Slowdown towards which first events lead that are in time but say little of this
- * upstream, and their weight. It is too large for a probation to end early.
+ * Part of the assumed slowdown that a first event takes away that is in time but says
+ * little of this upstream. Without it, engines that only help with split prompts keep
+ * the assumption for 10 s; at 0.4, slow engines lose it too early.
  */
-const DOUBT_SLOWDOWN_FACTOR = 2;
 const DOUBT_WEIGHT = 0.2;
 /** Largest slowdown at which a probation may end early. */
-const MAX_FACTOR_TO_END = 1.5;
+const MAX_FACTOR_TO_END = 2;
 /** Part of the slots that may be used at first. */
 const FIRST_WINDOW_PART = 0.5;
 /** First events in a row that must be in time before a probation ends. */
@@ -114,7 +112,10 @@
     const extraMs = IN_TIME_FACTOR * addedMs;
     this.wasMeasured = true;
     if (elapsedMs > limitMs + extraMs) {
-      if (forecastMs) this.measure(elapsedMs / (forecastMs + addedMs));
+      if (!this.mayBeCause(pending, elapsedMs)) return;
+      if (forecastMs !== undefined) {
+        this.measure(elapsedMs / (forecastMs + addedMs));
+      }
       if (!isCounted) this.recordLate();
       return;
     }
@@ -125,9 +126,9 @@
       forecastMs === undefined ? elapsedMs : this.getPartMs(expected);
     const ratio = elapsedMs / Math.max(partMs, MIN_PART_MS);
     this.eventsInTime++;
-    if (ratio >= MAX_PROOF_RATIO)
-      this.lower(DOUBT_SLOWDOWN_FACTOR, DOUBT_WEIGHT);
-    else this.measure(ratio <= IN_TIME_FACTOR ? MIN_SLOWDOWN_FACTOR : ratio);
+    if (ratio < MAX_PROOF_RATIO) {
+      this.measure(ratio <= IN_TIME_FACTOR ? MIN_SLOWDOWN_FACTOR : ratio);
+    } else this.factor -= DOUBT_WEIGHT * (this.factor - MIN_SLOWDOWN_FACTOR);
   }
 
   /** @param hasFailed Whether the end is known to be a refusal or a failure. */
@@ -160,7 +161,8 @@
       const overdueMs = nowMs - one.startedAtMs - getLimitMs(one);
       if (one.isCounted || overdueMs <= LOSS_MARGIN_MS) continue;
       one.isCounted = true;
-      this.recordLate();
+      const elapsedMs = nowMs - one.startedAtMs;
+      if (this.mayBeCause(one, elapsedMs)) this.recordLate();
     }
   }
 
@@ -178,6 +180,16 @@
     return Math.max(1, waitMs);
   }
 
+  /**
+   * Whether this upstream can have caused a delay. Of a split prompt it has only a
+   * part, which would have to take longer than any slowdown explains.
+   */
+  private mayBeCause({expected, addedMs}: Pending, elapsedMs: number): boolean {
+    if (expected.partsMs.size <= 1) return true;
+    const partMs = this.getPartMs(expected) + addedMs;
+    return elapsedMs <= MAX_SLOWDOWN_FACTOR * partMs;
+  }
+
   private getPartMs({partsMs}: ExpectedEvent): number {
     return partsMs.get(this.upstream) ?? 0;
   }
@@ -188,16 +200,10 @@
   }
 
   private measure(ratio: number): void {
-    const bounded = Math.min(
+    this.factor = Math.min(
       Math.max(ratio, MIN_SLOWDOWN_FACTOR),
       MAX_SLOWDOWN_FACTOR,
     );
-    if (bounded >= this.factor) this.factor = bounded;
-    else this.lower(bounded, SMOOTHING_FACTOR);
-  }
-
-  private lower(target: number, weight: number): void {
-    this.factor += weight * Math.min(0, target - this.factor);
   }
 }
 
