Drop what late deliveries tell of live hosts

Heartbeats and digests that a freeze of the receiver or a cut held up counted as heard on arrival, so that the directory named hosts killed long before. A delivery counts as late where it took over a second longer than the sender's time stamps tell, and for 2 s at most, so that a clock that was set or a slow link costs no live host for longer.

host_directory.test.ts with cuts that hold messages up: 525 histories pass; without the rule h1 names h0 in one. FleetMembership, UpdateRelay, large fleets: 80 tests pass.

--- a/packages/daemon/src/gateway/callers/host_directory.test.ts
+++ b/packages/daemon/src/gateway/callers/host_directory.test.ts
@@ -15,6 +15,7 @@
   KILL = 'kill',
   DOMAIN = 'domain without power',
   CUT = 'cut',
+  HOLD = 'cut that holds messages up',
   HEAL = 'heal',
 }
 
@@ -59,14 +60,19 @@
       for (const one of fleet.hosts) {
         if (one.failureDomain === failureDomain) this.kill(one);
       }
-    } else if (fault === Fault.HEAL) fleet.isCut = () => false;
-    else {
+    } else if (fault === Fault.HEAL) {
+      fleet.isCut = () => false;
+      fleet.isHeld = () => false;
+    } else {
       const half = new Set(
         fleet.hosts
           .filter((_one, index) => index % (2 + (at % 3)) === 0)
           .map(({address}) => address),
       );
-      fleet.isCut = (from, to) => half.has(from) !== half.has(to);
+      const isBetween = (from: string, to: string): boolean =>
+        half.has(from) !== half.has(to);
+      if (fault === Fault.HOLD) fleet.isHeld = isBetween;
+      else fleet.isCut = isBetween;
     }
   }
 
--- a/packages/daemon/src/gateway/fleet/fleet_membership.ts
+++ b/packages/daemon/src/gateway/fleet/fleet_membership.ts
@@ -25,6 +25,7 @@
 import type {UpdateApplier} from './update_applier.js';
 import {ConnectionResets} from './connection_resets.js';
 import {decodeHeartbeat} from './decode_heartbeat.js';
+import {DeliveryFilter} from './delivery_filter.js';
 import {decodeReach} from './decode_reach.js';
 import {encodeDigest} from './encode_digest.js';
 import {HOST_STAGES} from './host_stages.js';
@@ -54,6 +55,7 @@
   private readonly subscriberDigests = new DigestHistory();
   private readonly relayDigests = new DigestHistory();
   private readonly connectionResets: ConnectionResets;
+  private readonly deliveryFilter = new DeliveryFilter();
   private timer: NodeJS.Timeout | undefined;
   private heartbeatCount = 0;
   /** Hash of the suspects at the last interval; it takes long to compute. */
@@ -137,13 +139,14 @@
     this.siteExchange.queryNewestPeer(this.livePeers, nowMs);
   }
 
-  handleDelivery({from, fromIncarnation, messages}: Delivery): void {
-    for (const {body} of messages) {
-      if (body?.$case !== 'fleet') continue;
+  handleDelivery(delivery: Delivery): void {
+    const {from, fromIncarnation} = delivery;
+    const nowMs = this.clock.nowMs();
+    for (const message of this.deliveryFilter.select(delivery, nowMs)) {
       try {
-        this.handleMessage(from, fromIncarnation, body.value);
+        this.handleMessage(from, fromIncarnation, message);
       } catch (error) {
-        this.peerLog.recordFault(from, body.value, error);
+        this.peerLog.recordFault(from, message, error);
       }
     }
   }
--- a/packages/daemon/src/testing/virtual_fleet.ts
+++ b/packages/daemon/src/testing/virtual_fleet.ts
@@ -56,6 +56,8 @@
   nowMs = 0;
   /** Whether messages from one address to another are lost. */
   isCut: (from: string, to: string) => boolean = () => false;
+  /** Whether messages from one address to another arrive only later. */
+  isHeld: (from: string, to: string) => boolean = () => false;
   private queue: Envelope[] = [];
   private readonly byAddress: ReadonlyMap<string, VirtualHost>;
 
@@ -108,15 +110,17 @@
   }
 
   private deliver(): void {
-    const due = this.queue.filter(({atMs}) => atMs <= this.nowMs);
-    this.queue = this.queue.filter(({atMs}) => atMs > this.nowMs);
-    for (const {from, to, message} of due) {
+    const isDue = ({atMs, from, to}: Envelope): boolean =>
+      atMs <= this.nowMs && !this.isHeld(from, to);
+    const due = this.queue.filter(isDue);
+    this.queue = this.queue.filter(one => !isDue(one));
+    for (const {atMs, from, to, message} of due) {
       const host = this.byAddress.get(to);
       if (!host?.isAlive || this.isCut(from, to)) continue;
       host.fleet.handleDelivery({
         from,
         fromIncarnation: '1',
-        hybridTime: undefined,
+        hybridTime: {wallMs: atMs - LATENCY_MS, counter: 0},
         messages: [message],
       });
     }
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -17,6 +17,7 @@
 export {UpstreamLiveness} from './upstream_liveness.js';
 export {UpstreamState} from './upstream_state.js';
 export type {PeerHeartbeat} from './peer_heartbeat.js';
+export {DeliveryDelays} from './delivery_delays.js';
 export {DigestHistory} from './digest_history.js';
 export {RelaySilence} from './relay_silence.js';
 export {PeerRoster} from './peer_roster.js';
