--- a/packages/daemon/src/testing/virtual_fleet.ts
+++ b/packages/daemon/src/testing/virtual_fleet.ts
@@ -110,10 +110,13 @@
   }
 
   private deliver(): void {
-    const isDue = ({atMs, from, to}: Envelope): boolean =>
-      atMs <= this.nowMs && !this.isHeld(from, to);
-    const due = this.queue.filter(isDue);
-    this.queue = this.queue.filter(one => !isDue(one));
+    const due: Envelope[] = [];
+    const rest: Envelope[] = [];
+    for (const one of this.queue) {
+      const isDue = one.atMs <= this.nowMs && !this.isHeld(one.from, one.to);
+      (isDue ? due : rest).push(one);
+    }
+    this.queue = rest;
     for (const {atMs, from, to, message} of due) {
       const host = this.byAddress.get(to);
       if (!host?.isAlive || this.isCut(from, to)) continue;
