Doubt silent paths sooner, and give busy upstreams more time to answer

A test after a time-out of 400 ms still counted answers of 500 ms ago and only opened connections, which also ended the doubt: the cut was known after 2.7 s in the worst case. Answers count for 200 ms now, and only a test that asks ends a doubt. Before a host counts as cut off by silence, 16 upstreams have 800 ms to answer, as hosts short of processor time took 400 ms. A plain call is in doubt after its route's latency objective and 700 ms, and cold upstreams are not asked.

--- a/packages/daemon/src/gateway/attempts/attempt_sender.ts
+++ b/packages/daemon/src/gateway/attempts/attempt_sender.ts
@@ -182,7 +182,9 @@
     this.response = response;
     this.attempt = attempt;
     this.sent++;
-    context.reach.recordSend(placed.choice.plan?.expectedMs ?? 0);
+    const {latencyObjectiveMs} = this.match.route;
+    const {expectedMs = latencyObjectiveMs} = placed.choice.plan ?? {};
+    context.reach.recordSend(expectedMs);
     this.onSent(placed);
     attempt.start();
   }
--- a/packages/daemon/src/gateway/upstreams/path_tester.ts
+++ b/packages/daemon/src/gateway/upstreams/path_tester.ts
@@ -34,7 +34,11 @@
    * @param needsAnswer Whether a path must return something to count as working,
    *     where several upstreams can be asked.
    */
-  async testSome(count: number, needsAnswer: boolean): Promise<PathSample> {
+  async testSome(
+    count: number,
+    needsAnswer: boolean,
+    answerMs: number = reachTiming.answerMs,
+  ): Promise<PathSample> {
     const asks = needsAnswer && this.canAsk;
     const upstreams = asks ? this.listAskable() : this.replica.upstreams.list();
     const sample = chooseReachSample(
@@ -45,7 +49,7 @@
     );
     let silent = 0;
     const tests = sample.map(async upstream => {
-      const result = await this.test(upstream, asks);
+      const result = await this.test(upstream, asks, answerMs);
       if (result === PathResult.WORKING) return upstream;
       if (result === PathResult.SILENT) silent++;
       throw new Error(result);
@@ -58,21 +62,26 @@
   async test(
     {address, service}: UpstreamEntry,
     needsAnswer: boolean,
+    answerMs: number = reachTiming.answerMs,
   ): Promise<PathResult> {
     const healthPath = needsAnswer ? this.findHealthPath(service) : undefined;
     if (healthPath === undefined) {
       const isOpen = await canConnect(address, reachTiming.openMs);
       return isOpen ? PathResult.WORKING : PathResult.REFUSED;
     }
-    const result = await testPath(address, healthPath);
+    const result = await testPath(address, healthPath, answerMs);
     this.metrics.pathTests.inc({result});
     return result;
   }
 
+  /** Lists the upstreams with a health path, except cold ones, which take few requests. */
   private listAskable(): UpstreamEntry[] {
     return this.replica.upstreams
       .list()
-      .filter(({service}) => this.findHealthPath(service) !== undefined);
+      .filter(
+        ({service, coldRemainingMs = 0}) =>
+          coldRemainingMs === 0 && this.findHealthPath(service) !== undefined,
+      );
   }
 
   private findHealthPath(service: string): string | undefined {
--- a/packages/daemon/src/gateway/upstreams/reach_monitor.ts
+++ b/packages/daemon/src/gateway/upstreams/reach_monitor.ts
@@ -158,6 +158,7 @@
     const isCutOff = this.state === ReachState.CUT_OFF;
     // Upstreams are not asked while answers come anyway.
     const needsAnswer = isCutOff || !tracker.isReturning(startedAtMs);
+    if (needsAnswer) tracker.endDoubt();
     const first = await paths.testSome(reachTiming.sampleSize, needsAnswer);
     if (first.working === undefined && upstreams.length < MIN_UPSTREAMS) {
       this.applyTest(tracker.recordInconclusiveTest(), true);
@@ -167,7 +168,8 @@
     if (first.working !== undefined) return this.conclude(true);
     // Waiting for an answer has taken longer than the pause.
     if (first.silent === 0) await pause(reachTiming.confirmationDelayMs);
-    const again = await paths.testSome(reachTiming.maxTested, needsAnswer);
+    const {maxTested, lastAnswerMs} = reachTiming;
+    const again = await paths.testSome(maxTested, needsAnswer, lastAnswerMs);
     if (again.working !== undefined) return this.conclude(true);
     return this.concludeFailure(again, startedAtMs);
   }
--- a/packages/daemon/src/gateway/upstreams/reach_timing.ts
+++ b/packages/daemon/src/gateway/upstreams/reach_timing.ts
@@ -9,6 +9,8 @@
   openMs: 40,
   /** Time in which something must come back of an upstream that is asked. */
   answerMs: 400,
+  /** The same before the host counts as cut off: upstreams and hosts may be busy. */
+  lastAnswerMs: 800,
   /** Time between two tests that must agree, against a short disturbance. */
   confirmationDelayMs: 150,
 } as const;
--- a/packages/membership/src/reach_tracker.test.ts
+++ b/packages/membership/src/reach_tracker.test.ts
@@ -97,6 +97,8 @@
     expect(tracker.isInDoubt(5_000)).to.equal(false);
     tracker.recordSend(0, 5_000);
     tracker.recordTest(true, 5_800);
+    expect(tracker.isInDoubt(9_000)).to.equal(true);
+    tracker.endDoubt();
     expect(tracker.isInDoubt(9_000)).to.equal(false);
   });
 
--- a/packages/membership/src/reach_tracker.ts
+++ b/packages/membership/src/reach_tracker.ts
@@ -10,7 +10,7 @@
  * Time for which an answer on any connection shows that bytes come back. It is shorter
  * than the time-outs after which a silent upstream causes a test.
  */
-const RETURN_MS = 500;
+const RETURN_MS = 200;
 /** Time beyond the expected one after which a request without any answer is a doubt. */
 const DOUBT_MS = 700;
 /** Time between tests of a host whose paths return nothing: each asks upstreams. */
@@ -28,7 +28,7 @@
   private isCutOff = false;
   /** Whether it is cut off as nothing came back over connections that opened. */
   private isSilent = false;
-  private testedMs = -Infinity;
+  private silenceMs = -Infinity;
   /** Time from which on a request without any answer since is a doubt. */
   private doubtMs = Infinity;
   private contactMs = -Infinity;
@@ -76,7 +76,6 @@
     const hasChanged = this.isCutOff === hasAccepted;
     this.isCutOff = !hasAccepted;
     this.isSilent = false;
-    this.endTest(nowMs);
     return hasChanged;
   }
 
@@ -92,7 +91,8 @@
     const hasChanged = this.isCutOff === isBusy;
     this.isCutOff = !isBusy;
     this.isSilent = true;
-    this.endTest(nowMs);
+    this.silenceMs = nowMs;
+    this.endDoubt();
     return hasChanged;
   }
 
@@ -104,10 +104,15 @@
   recordInconclusiveTest(): boolean {
     const hasChanged = this.isCutOff;
     this.isCutOff = false;
-    this.doubtMs = Infinity;
+    this.endDoubt();
     return hasChanged;
   }
 
+  /** Records that a test asks upstreams for an answer. */
+  endDoubt(): void {
+    this.doubtMs = Infinity;
+  }
+
   /** Records whether any other host is cut off. */
   recordPeers(isAnyCutOff: boolean, nowMs: number): void {
     this.peerCutOffMs = isAnyCutOff ? (this.peerCutOffMs ?? nowMs) : undefined;
@@ -140,7 +145,7 @@
   /** Whether a test is due without a failure that asks for one. */
   isTestDue(nowMs: number): boolean {
     if (this.isCutOffBySilence) {
-      return nowMs - this.testedMs >= SILENT_RETEST_MS;
+      return nowMs - this.silenceMs >= SILENT_RETEST_MS;
     }
     if (this.isCutOff) return true;
     if (this.peerCutOffMs === undefined) return false;
@@ -152,9 +157,4 @@
   isAnswered(nowMs: number): boolean {
     return nowMs - this.answeredMs < ANSWER_MS;
   }
-
-  private endTest(nowMs: number): void {
-    this.testedMs = nowMs;
-    this.doubtMs = Infinity;
-  }
 }
