Bound what callers make a host keep, and end connections that are refused

Cause: a host kept every body that callers announced or sent, went on reading after a refusal, and paused connections of which it never saw the end. Freed buffers lie outside the heap, so that the garbage collector left them there.

Change: a memory budget derived from memoryMb grants bodies before they are read, small ones first, and refuses those that wait over 500 ms or, while room is short, made no progress. Bodies lie in memory that is freed when their request ends. After a refusal the connection is half-closed, read no more and closed within 500 ms. Connections are bounded below maxDescriptors, idle ones go first. Unread answers count against the budget, and their callers are ended when it is exceeded.

--- a/packages/daemon/src/gateway/attempts/crash_detector.ts
+++ b/packages/daemon/src/gateway/attempts/crash_detector.ts
@@ -33,7 +33,7 @@
   constructor(
     private readonly context: GatewayContext,
     match: RouteMatch,
-    request: ReceivedRequest,
+    private readonly request: ReceivedRequest,
     private readonly placer: AttemptPlacer,
     private readonly log: SessionLog,
   ) {
@@ -107,22 +107,35 @@
       placer.isIsolated &&
       !placer.hasReceivedEvents &&
       outcome === AttemptOutcome.BROKEN;
-    const unreachable = await placer.findUnreachable();
-    if (unreachable.length === 0) return;
-    const crash: ObservedCrash = {
-      upstreams: unreachable.map(({id}) => id),
-      stateBefore,
-      wasIsolated,
-      startedAtMs: this.startedAtMs,
-    };
-    if (await context.reach.testReach()) this.recordCrash(crash);
-    else void this.recordUnlessCutOff(crash);
+    // A crash is recorded with the body, also when the caller has left meanwhile.
+    const {lease} = this.request;
+    lease?.retain();
+    try {
+      const unreachable = await placer.findUnreachable();
+      if (unreachable.length === 0) return;
+      const crash: ObservedCrash = {
+        upstreams: unreachable.map(({id}) => id),
+        stateBefore,
+        wasIsolated,
+        startedAtMs: this.startedAtMs,
+      };
+      if (await context.reach.testReach()) this.recordCrash(crash);
+      else void this.recordUnlessCutOff(crash);
+    } finally {
+      lease?.release();
+    }
   }
 
   /** Records a crash, unless only this host cannot reach the upstreams. */
   private async recordUnlessCutOff(crash: ObservedCrash): Promise<void> {
-    if (await this.context.reach.staysOutOfService()) return;
-    this.recordCrash(crash);
+    const {lease} = this.request;
+    lease?.retain();
+    try {
+      if (await this.context.reach.staysOutOfService()) return;
+      this.recordCrash(crash);
+    } finally {
+      lease?.release();
+    }
   }
 
   private recordCrash(crash: ObservedCrash): void {
--- a/packages/daemon/src/gateway/callers/caller_connection.ts
+++ b/packages/daemon/src/gateway/callers/caller_connection.ts
@@ -1,5 +1,7 @@
+import type {Socket} from 'node:net';
 import type {ForwardSession} from '../attempts/forward_session.js';
 import type {ResponseWriter} from './response_writer.js';
+import {endUnread} from '../../host/end_unread.js';
 import type {SocketReader} from '../../host/socket_reader.js';
 
 /**
@@ -11,7 +13,22 @@
   /** Writers of the responses that are not handed over whole. */
   readonly writers = new Set<ResponseWriter>();
 
-  constructor(readonly reader: SocketReader) {}
+  constructor(
+    readonly reader: SocketReader,
+    private readonly socket: Socket,
+  ) {}
+
+  /** Ends the connection after a refusal whose request is not read whole. */
+  endUnread(writer: ResponseWriter): void {
+    this.reader.stop();
+    if (this.writers.size <= 1) endUnread(this.socket);
+    else {
+      // Earlier requests of the connection are answered first.
+      writer.listenForLastWrite(() => {
+        endUnread(this.socket);
+      });
+    }
+  }
 
   /** Cancels all requests after the caller has closed the connection. */
   end(): void {
--- a/packages/daemon/src/gateway/callers/directory_server.ts
+++ b/packages/daemon/src/gateway/callers/directory_server.ts
@@ -1,4 +1,5 @@
 import fastify, {type FastifyInstance, type FastifyReply} from 'fastify';
+import {boundConnections} from '../../host/bound_connections.js';
 import type {DirectoryDialect} from './directory_dialect.js';
 
 const NO_HOSTS_STATUS = 503;
@@ -15,7 +16,9 @@
     dialect: DirectoryDialect,
     listHosts: () => readonly string[],
     ttlMs: number,
+    maxConnections: number,
   ) {
+    boundConnections(this.server.server, maxConnections);
     this.server.get(
       dialect.path,
       async (_request, reply): Promise<FastifyReply> => {
--- a/packages/daemon/src/gateway/callers/gateway_server.ts
+++ b/packages/daemon/src/gateway/callers/gateway_server.ts
@@ -3,6 +3,7 @@
 import {setTimeout as pause} from 'node:timers/promises';
 import {ErrorKind, ExecutionStatus, Failure} from '@parsleywood/errors';
 import {
+  ConnectionBounds,
   DEFAULT_CALLER_LIMITS,
   DrainAdmission,
   DurationHistory,
@@ -21,6 +22,7 @@
 import {readBody} from './read_body.js';
 import {readRequestMetadata} from './read_request_metadata.js';
 import type {RequestMetadata} from './request_metadata.js';
+import {HostMemory} from '../../host/host_memory.js';
 import {SocketReader} from '../../host/socket_reader.js';
 
 /** Header size limit of the HTTP parser, above the configured limit. */
@@ -41,6 +43,12 @@
 /** Bytes of a caller that are read at once. */
 const TURN_BYTES = 8_192;
 
+/** Longest body that is read and discarded after a refusal, to keep the connection. */
+const MAX_DISCARDED_BYTES = 65_536;
+const DISCARD_TIMEOUT_MS = 500;
+/** A connection with a request may need another one to an upstream. */
+const BUSY_WEIGHT = 2;
+
 const FAULT_MESSAGE = 'host could not handle the request';
 
 /** HTTP server for callers. Each request is forwarded by a session of its own. */
@@ -52,7 +60,14 @@
   private readonly readBudget = new ReadBudget();
   private drainAdmission: DrainAdmission | undefined;
 
-  constructor(private readonly context: GatewayContext) {
+  private readonly bounds: ConnectionBounds<Socket>;
+
+  constructor(
+    private readonly context: GatewayContext,
+    private readonly memory = new HostMemory(context.clock),
+  ) {
+    const {callerConnections} = memory.bounds;
+    this.bounds = new ConnectionBounds(callerConnections, BUSY_WEIGHT);
     this.server = fastify({
       // Requests are matched by the site's routes, not by Fastify's.
       rewriteUrl: () => '/',
@@ -77,14 +92,16 @@
         context.clock,
       );
       reader.feed(socket);
-      const connection = new CallerConnection(reader);
+      const connection = new CallerConnection(reader, socket);
       this.connections.set(socket, connection);
+      this.closeAll(this.bounds.open(socket));
       socket.on('end', () => {
         connection.end();
       });
       socket.on('close', () => {
         connection.end();
         this.connections.delete(socket);
+        this.bounds.close(socket);
       });
     });
     this.applyLimits(DEFAULT_CALLER_LIMITS);
@@ -160,6 +177,13 @@
     await closed;
   }
 
+  private closeAll(sockets: readonly Socket[]): void {
+    for (const socket of sockets) {
+      this.memory.observer?.onConnectionClosed(socket.remoteAddress ?? '');
+      socket.destroy();
+    }
+  }
+
   /** Waits for callers that read slowly. */
   private async flush(): Promise<void> {
     const {clock} = this.context;
@@ -192,10 +216,14 @@
       response,
       metadata.id,
       context.headerNames.requestId,
+      this.memory,
     );
     connection.writers.add(writer);
+    const {socket} = request.raw;
+    this.closeAll(this.bounds.recordBusy(socket));
     response.on('close', () => {
       connection.writers.delete(writer);
+      if (connection.writers.size === 0) this.bounds.recordIdle(socket);
     });
     try {
       const {isOutOfService} = context.reach;
@@ -224,6 +252,7 @@
     const receivedAtMs = this.context.clock.nowMs();
     const match = this.matchRoute(request, metadata);
     if (match instanceof Failure) {
+      this.discardBody(request, connection, writer);
       this.refuse(metadata, writer, match);
       return;
     }
@@ -233,8 +262,10 @@
       this.limits.maxBodyBytes,
       limitMs,
       connection.reader,
+      this.memory,
     );
     if (body.isErr) {
+      this.endUnread(request, connection, writer);
       this.refuse(metadata, writer, body.error);
       return;
     }
@@ -242,14 +273,52 @@
     // the caller may lose the refusal.
     const refusal = this.findRefusal(match, receivedAtMs + limitMs);
     if (refusal !== undefined) {
+      body.value.release();
       this.refuse(metadata, writer, refusal);
       return;
     }
     const headers = request.rawHeaders;
-    const received = {metadata, headers, body: body.value, receivedAtMs};
+    const received = {
+      metadata,
+      headers,
+      body: body.value.bytes,
+      lease: body.value,
+      receivedAtMs,
+    };
     this.forward(match, received, writer, connection);
   }
 
+  /**
+   * Lets a request be refused whose body is not read: a short one is discarded, so
+   * that the caller may send further requests, and others end their connection.
+   */
+  private discardBody(
+    request: IncomingMessage,
+    connection: CallerConnection,
+    writer: ResponseWriter,
+  ): void {
+    const length = Number(request.headers['content-length'] ?? 0);
+    const isChunked = request.headers['transfer-encoding'] !== undefined;
+    if (isChunked || length > MAX_DISCARDED_BYTES) {
+      this.endUnread(request, connection, writer);
+    } else if (length > 0) {
+      setTimeout(() => {
+        this.endUnread(request, connection, writer);
+      }, DISCARD_TIMEOUT_MS);
+    }
+  }
+
+  /** Ends the connection of a refused request unless it was read whole. */
+  private endUnread(
+    request: IncomingMessage,
+    connection: CallerConnection,
+    writer: ResponseWriter,
+  ): void {
+    if (request.complete || request.socket.destroyed) return;
+    writer.closeConnectionAfter();
+    connection.endUnread(writer);
+  }
+
   private forward(
     match: RouteMatch,
     received: ConstructorParameters<typeof ForwardSession>[2],
@@ -263,6 +332,7 @@
       writer,
       sentAttempts => {
         sessions.delete(session);
+        received.lease?.release();
         if (sentAttempts === 0) return;
         const tookMs = this.context.clock.nowMs() - received.receivedAtMs;
         this.durations.record(match.route.name, tookMs);
--- a/packages/daemon/src/gateway/callers/probe_server.ts
+++ b/packages/daemon/src/gateway/callers/probe_server.ts
@@ -2,6 +2,7 @@
 import type {TimelineQuery} from '@parsleywood/schema/timeline';
 import type {TimelineEntry} from '@parsleywood/timeline';
 import fastify, {type FastifyInstance} from 'fastify';
+import {boundConnections} from '../../host/bound_connections.js';
 import {readTimelineQuery} from '../../host/read_timeline_query.js';
 import {answerFailures} from '../../operators/answer_failures.js';
 import type {GatewayMetrics} from '../gateway_metrics.js';
@@ -30,7 +31,10 @@
     metrics: GatewayMetrics,
     refresh: () => void,
     readTimeline: (query: TimelineQuery) => Promise<TimelineEntry[]>,
+    maxConnections: number,
   ) {
+    boundConnections(this.app.server, maxConnections);
+    boundConnections(this.metrics, maxConnections);
     this.app.get(path, async (_request, reply) => {
       const ready = isReady();
       return reply
--- a/packages/daemon/src/gateway/callers/response_writer.ts
+++ b/packages/daemon/src/gateway/callers/response_writer.ts
@@ -4,11 +4,18 @@
   formatFailure,
   type Failure,
 } from '@parsleywood/errors';
-import {PieceBuffer} from '@parsleywood/forwarding';
+import {
+  MemoryKind,
+  PieceBuffer,
+  type MemoryAccount,
+} from '@parsleywood/forwarding';
+import type {HostMemory} from '../../host/host_memory.js';
 import type {ResponseHead} from '../upstreams/response_head.js';
 
 /** Unsent bytes from which no more is to be written. */
 const MAX_UNSENT_BYTES = 1_048_576;
+/** Unsent bytes that a response may have while memory is short. */
+const FREE_UNSENT_BYTES = 65_536;
 const MS_PER_SECOND = 1_000;
 
 /** Writes the response to one caller. */
@@ -16,14 +23,29 @@
   /** What waits until the caller reads, as each write that waits has a cost. */
   private readonly unsent = new PieceBuffer();
   private drainListener: () => void = () => undefined;
+  private readonly account: MemoryAccount;
+  private isMemoryShort = false;
 
   constructor(
     private readonly response: ServerResponse,
     private readonly requestId: string,
     private readonly requestIdHeader: string,
+    private readonly memory: HostMemory,
   ) {
+    const address = response.socket?.remoteAddress ?? '';
+    this.account = memory.open(MemoryKind.UNSENT, address, {
+      onGranted: () => undefined,
+      onEnded: () => {
+        this.abort();
+      },
+    });
+    response.on('close', () => {
+      memory.close(this.account);
+    });
     response.on('drain', () => {
       this.flush();
+      this.memory.recordProgress(this.account);
+      this.updateMemory();
       this.drainListener();
     });
   }
@@ -57,12 +79,13 @@
       headers: [...headers, 'Content-Length', String(body.length)],
     });
     this.response.end(body);
+    this.updateMemory();
   }
 
   /** Whether the caller reads too slowly for more to be written. */
   get isFull(): boolean {
-    const {response, unsent} = this;
-    return response.writableLength + unsent.length > MAX_UNSENT_BYTES;
+    const maxBytes = this.isMemoryShort ? FREE_UNSENT_BYTES : MAX_UNSENT_BYTES;
+    return this.unsentBytes > maxBytes;
   }
 
   /** @param listener Called each time that the caller has read what was written. */
@@ -70,15 +93,22 @@
     this.drainListener = listener;
   }
 
+  /** @param listener Called when the last of the response is written. */
+  listenForLastWrite(listener: () => void): void {
+    this.response.once('prefinish', listener);
+  }
+
   write(chunk: Buffer): void {
     if (chunk.length === 0) return;
     if (this.response.writableNeedDrain) this.unsent.append(chunk);
     else this.response.write(chunk);
+    this.updateMemory();
   }
 
   end(): void {
     this.flush();
     this.response.end();
+    this.updateMemory();
   }
 
   /**
@@ -113,6 +143,16 @@
     this.response.end(body);
   }
 
+  private get unsentBytes(): number {
+    return this.response.writableLength + this.unsent.length;
+  }
+
+  private updateMemory(): void {
+    const {account, unsentBytes, memory} = this;
+    if (unsentBytes === account.heldBytes) return;
+    this.isMemoryShort = memory.update(account, unsentBytes);
+  }
+
   private flush(): void {
     if (this.unsent.length > 0) this.response.write(this.unsent.take());
   }
--- a/packages/daemon/src/gateway/gateway_host.ts
+++ b/packages/daemon/src/gateway/gateway_host.ts
@@ -43,6 +43,7 @@
 import {ProbeServer} from './callers/probe_server.js';
 import {ReachMonitor} from './upstreams/reach_monitor.js';
 import type {EngineReservations} from './upstreams/engine_reservations.js';
+import {createGatewayMemory} from './callers/create_gateway_memory.js';
 import {recordLeaving} from './upstreams/record_leaving.js';
 import {refreshUpstreamGauges} from './upstreams/refresh_upstream_gauges.js';
 import {RetryBudgets} from './attempts/retry_budgets.js';
@@ -196,6 +197,7 @@
       () => this.readStage(),
       () => reach.state,
     );
+    const memory = createGatewayMemory(settings, clock, metrics, log);
     this.context = {
       clock,
       log,
@@ -218,7 +220,7 @@
         this.fleet.countHosts(),
       ),
       connectionPool: new UpstreamConnectionPool(clock),
-      bufferBudget: new BufferBudget(),
+      bufferBudget: new BufferBudget(memory.budget),
       publisher: relay,
       reach,
       departureCheck: new DepartureCheck(replica, reach, clock),
@@ -230,11 +232,12 @@
     reservations.listenForLeaving(engine => {
       recordLeaving(this.context, engine);
     });
-    this.server = new GatewayServer(this.context);
+    this.server = new GatewayServer(this.context, memory);
     this.directory = new DirectoryServer(
       dialect.directory,
       () => this.listHosts(),
       Math.min(bounds.directoryTtlMs, MAX_DIRECTORY_TTL_MS),
+      memory.bounds.portConnections,
     );
     this.probes = new ProbeServer(
       dialect.readinessPath,
@@ -252,6 +255,7 @@
           this.transport,
           query,
         ),
+      memory.bounds.portConnections,
     );
     this.peers = new PeerServer(
       PEER_KEY,
--- a/packages/daemon/src/host/socket_reader.ts
+++ b/packages/daemon/src/host/socket_reader.ts
@@ -12,6 +12,7 @@
   private readonly meter: ReadMeter;
   private socket: Socket | undefined;
   private hasHold = false;
+  private hasStopped = false;
   /** What the parser got last, until it asks for more. */
   private last: Buffer | undefined;
   /** Pieces that the parser found there. */
@@ -27,7 +28,7 @@
 
   /** Whether reading is stopped until `release`. */
   get isHeld(): boolean {
-    return this.hasHold;
+    return this.hasHold || this.hasStopped;
   }
 
   /** Takes over a socket that nothing has been read from. */
@@ -38,7 +39,7 @@
       if (size === 0) return read(0);
       this.recordLast();
       // What a connection brought that is closed already would still be parsed.
-      if (socket.destroyed || this.hasHold || !this.meter.mayRead()) {
+      if (socket.destroyed || this.isHeld || !this.meter.mayRead()) {
         return null;
       }
       return this.readNext(socket, read);
@@ -76,6 +77,11 @@
     this.hasHold = true;
   }
 
+  /** Stops reading for good. */
+  stop(): void {
+    this.hasStopped = true;
+  }
+
   /** Goes on after `hold`. */
   release(): void {
     if (!this.hasHold) return;
