Free what callers left at once, and end refused callers of the hosts' own interface

Cause: blocks and joined answers stayed until a collection that nothing hastened, and the allocator kept them; a whole answer was written at once, so that a slow reader could not be told from one that reads nothing; small writes counted as unread until the next one; the hosts' own interface kept the connections of refused callers.

Change: blocks of 16 kB and more lie in memory that is freed when their bytes are taken; new objects are collected while memory is high, all of them once after refusals; answers are written in steps of 32 kB to slow readers; requests on too many connections are refused with 503 before they are closed; the other request path bounds its connections and closes refused ones within a second.

--- a/packages/daemon/src/callers/caller_server.ts
+++ b/packages/daemon/src/callers/caller_server.ts
@@ -10,9 +10,12 @@
 import type {Caller} from './caller.js';
 import {CompletionPath} from './completion_path.js';
 import type {CompletionHandler} from './completion_handler.js';
+import {endUnread} from '../host/end_unread.js';
 import {handlePendingInput} from '../host/handle_pending_input.js';
 import {hasCallerLeft} from './has_caller_left.js';
+import {HostBounds} from '../host/host_bounds.js';
 import type {HostNaming} from '../host/host_naming.js';
+import {limitConnections} from '../host/limit_connections.js';
 import {OpenRequests} from './open_requests.js';
 import type {ServiceHandler} from './service_handler.js';
 import type {Serving} from '../host/serving.js';
@@ -25,6 +28,8 @@
 const BODY_TIMEOUT_MS = 30_000;
 const TIMEOUT_CHECK_INTERVAL_MS = 500;
 const RETRY_AFTER_MS = 500;
+/** A connection with a request may need another one to an upstream. */
+const BUSY_WEIGHT = 2;
 /** Error kinds by error code of the HTTP parser. */
 const CLIENT_ERROR_KINDS: Readonly<Record<string, ErrorKind>> = {
   ERR_HTTP_REQUEST_TIMEOUT: ErrorKind.BODY_TIMEOUT,
@@ -68,6 +73,16 @@
         );
       },
     });
+    const {callerConnections} = new HostBounds();
+    limitConnections(
+      this.server.server,
+      callerConnections,
+      BUSY_WEIGHT,
+      socket => {
+        serving.log.info('connection_closed', {address: socket.remoteAddress});
+        socket.destroy();
+      },
+    );
     this.server.removeAllContentTypeParsers();
     this.server.addContentTypeParser(
       '*',
@@ -264,6 +279,7 @@
         'content-type: application/json\r\n' +
         `content-length: ${Buffer.byteLength(body)}\r\n\r\n${body}`,
     );
+    endUnread(socket);
   }
 
   private convertError(code: string, message: string): Failure {
--- a/packages/daemon/src/callers/write_failure.ts
+++ b/packages/daemon/src/callers/write_failure.ts
@@ -4,11 +4,12 @@
   formatFailure,
   type Failure,
 } from '@parsleywood/errors';
+import {endUnread} from '../host/end_unread.js';
 import type {ReplyHead} from './reply_head.js';
 
 const MS_PER_SECOND = 1_000;
 /** Limit on how long the rest of a refused request's body is read. */
-const MAX_DISCARD_MS = 2_000;
+const MAX_DISCARD_MS = 400;
 
 /**
  * Answers a request with the error body that all calls share. Does nothing if
@@ -56,7 +57,12 @@
     clearTimeout(timer);
     response.end();
   };
-  const timer = setTimeout(end, MAX_DISCARD_MS);
+  const timer = setTimeout(() => {
+    response.shouldKeepAlive = false;
+    request.pause();
+    endUnread(request.socket);
+    end();
+  }, MAX_DISCARD_MS);
   request.once('end', end);
   request.once('close', end);
   request.resume();
--- a/packages/daemon/src/gateway/callers/directory_server.ts
+++ b/packages/daemon/src/gateway/callers/directory_server.ts
@@ -1,5 +1,6 @@
 import fastify, {type FastifyInstance, type FastifyReply} from 'fastify';
 import {boundConnections} from '../../host/bound_connections.js';
+import type {HostMemory} from '../../host/host_memory.js';
 import type {DirectoryDialect} from './directory_dialect.js';
 
 const NO_HOSTS_STATUS = 503;
@@ -16,9 +17,9 @@
     dialect: DirectoryDialect,
     listHosts: () => readonly string[],
     ttlMs: number,
-    maxConnections: number,
+    memory: HostMemory,
   ) {
-    boundConnections(this.server.server, maxConnections);
+    boundConnections(this.server.server, memory);
     this.server.get(
       dialect.path,
       async (_request, reply): Promise<FastifyReply> => {
--- a/packages/daemon/src/gateway/callers/gateway_server.ts
+++ b/packages/daemon/src/gateway/callers/gateway_server.ts
@@ -16,6 +16,7 @@
 import {CallerConnection} from './caller_connection.js';
 import {ResponseWriter} from './response_writer.js';
 import {computeTimeLimit} from './compute_time_limit.js';
+import {createSurplusFailure} from './create_surplus_failure.js';
 import {createStoppingFailure} from './create_stopping_failure.js';
 import {ForwardSession} from '../attempts/forward_session.js';
 import type {GatewayContext} from '../gateway_context.js';
@@ -178,10 +179,7 @@
   }
 
   private closeAll(sockets: readonly Socket[]): void {
-    for (const socket of sockets) {
-      this.memory.observer?.onConnectionClosed(socket.remoteAddress ?? '');
-      socket.destroy();
-    }
+    for (const socket of sockets) this.memory.closeConnection(socket);
   }
 
   /** Waits for callers that read slowly. */
@@ -220,7 +218,9 @@
     );
     connection.writers.add(writer);
     const {socket} = request.raw;
-    this.closeAll(this.bounds.recordBusy(socket));
+    const surplus = this.bounds.recordBusy(socket);
+    const isSurplus = surplus.includes(socket);
+    this.closeAll(surplus.filter(one => one !== socket));
     response.on('close', () => {
       connection.writers.delete(writer);
       if (connection.writers.size === 0) this.bounds.recordIdle(socket);
@@ -230,7 +230,8 @@
       if (this.drainAdmission !== undefined || isOutOfService) {
         writer.closeConnectionAfter();
       }
-      await this.receive(request.raw, metadata, writer, connection);
+      if (isSurplus) this.refuseSurplus(metadata, writer);
+      else await this.receive(request.raw, metadata, writer, connection);
     } catch (error) {
       const kind = ErrorKind.INTERNAL;
       const failure = new Failure(kind, FAULT_MESSAGE, ExecutionStatus.NO);
@@ -242,6 +243,16 @@
     }
   }
 
+  /** Refuses a request as too many connections have one. */
+  private refuseSurplus(
+    metadata: RequestMetadata,
+    writer: ResponseWriter,
+  ): void {
+    this.memory.recordRefusal();
+    writer.closeConnectionAfter();
+    this.refuse(metadata, writer, createSurplusFailure());
+  }
+
   /** Reads a request and forwards it, or refuses it. */
   private async receive(
     request: IncomingMessage,
@@ -315,6 +326,7 @@
     writer: ResponseWriter,
   ): void {
     if (request.complete || request.socket.destroyed) return;
+    this.memory.recordRefusal();
     writer.closeConnectionAfter();
     connection.endUnread(writer);
   }
--- a/packages/daemon/src/gateway/callers/probe_server.ts
+++ b/packages/daemon/src/gateway/callers/probe_server.ts
@@ -3,6 +3,7 @@
 import type {TimelineEntry} from '@parsleywood/timeline';
 import fastify, {type FastifyInstance} from 'fastify';
 import {boundConnections} from '../../host/bound_connections.js';
+import type {HostMemory} from '../../host/host_memory.js';
 import {readTimelineQuery} from '../../host/read_timeline_query.js';
 import {answerFailures} from '../../operators/answer_failures.js';
 import type {GatewayMetrics} from '../gateway_metrics.js';
@@ -31,10 +32,10 @@
     metrics: GatewayMetrics,
     refresh: () => void,
     readTimeline: (query: TimelineQuery) => Promise<TimelineEntry[]>,
-    maxConnections: number,
+    memory: HostMemory,
   ) {
-    boundConnections(this.app.server, maxConnections);
-    boundConnections(this.metrics, maxConnections);
+    boundConnections(this.app.server, memory);
+    boundConnections(this.metrics, memory);
     this.app.get(path, async (_request, reply) => {
       const ready = isReady();
       return reply
--- a/packages/daemon/src/gateway/callers/response_writer.ts
+++ b/packages/daemon/src/gateway/callers/response_writer.ts
@@ -16,12 +16,18 @@
 const MAX_UNSENT_BYTES = 1_048_576;
 /** Unsent bytes that a response may have while memory is short. */
 const FREE_UNSENT_BYTES = 65_536;
+/** Bytes written at once to a caller that reads slowly, so that progress shows. */
+const STEP_BYTES = 32_768;
+const NO_BYTES = Buffer.alloc(0);
 const MS_PER_SECOND = 1_000;
 
 /** Writes the response to one caller. */
 export class ResponseWriter {
   /** What waits until the caller reads, as each write that waits has a cost. */
   private readonly unsent = new PieceBuffer();
+  /** What was taken out of there, or of a whole answer, and is written step by step. */
+  private rest: Buffer = NO_BYTES;
+  private endsAfterRest = false;
   private drainListener: () => void = () => undefined;
   private readonly account: MemoryAccount;
   private isMemoryShort = false;
@@ -46,7 +52,7 @@
       this.flush();
       this.memory.recordProgress(this.account);
       this.updateMemory();
-      this.drainListener();
+      if (!this.hasRest) this.drainListener();
     });
   }
 
@@ -78,8 +84,8 @@
       ...head,
       headers: [...headers, 'Content-Length', String(body.length)],
     });
-    this.response.end(body);
-    this.updateMemory();
+    this.rest = body;
+    this.end();
   }
 
   /** Whether the caller reads too slowly for more to be written. */
@@ -100,14 +106,15 @@
 
   write(chunk: Buffer): void {
     if (chunk.length === 0) return;
-    if (this.response.writableNeedDrain) this.unsent.append(chunk);
-    else this.response.write(chunk);
+    if (this.hasRest || this.response.writableNeedDrain) {
+      this.unsent.append(chunk);
+    } else this.response.write(chunk);
     this.updateMemory();
   }
 
   end(): void {
+    this.endsAfterRest = true;
     this.flush();
-    this.response.end();
     this.updateMemory();
   }
 
@@ -144,17 +151,33 @@
   }
 
   private get unsentBytes(): number {
-    return this.response.writableLength + this.unsent.length;
+    const {response, unsent, rest} = this;
+    return response.writableLength + unsent.length + rest.length;
+  }
+
+  private get hasRest(): boolean {
+    return this.rest.length > 0 || this.unsent.length > 0;
   }
 
   private updateMemory(): void {
-    const {account, unsentBytes, memory} = this;
+    const {account, memory, response} = this;
+    // What is below the socket's own mark is written without a further event.
+    const isWaiting = response.writableNeedDrain || response.writableEnded;
+    const unsentBytes = isWaiting || this.hasRest ? this.unsentBytes : 0;
     if (unsentBytes === account.heldBytes) return;
     this.isMemoryShort = memory.update(account, unsentBytes);
   }
 
   private flush(): void {
-    if (this.unsent.length > 0) this.response.write(this.unsent.take());
+    const {response} = this;
+    while (this.hasRest && !response.writableNeedDrain) {
+      if (this.rest.length === 0) this.rest = this.unsent.take();
+      response.write(this.rest.subarray(0, STEP_BYTES));
+      this.rest = this.rest.subarray(STEP_BYTES);
+    }
+    if (this.hasRest || !this.endsAfterRest) return;
+    this.rest = NO_BYTES;
+    if (!response.writableEnded) response.end();
   }
 }
 
--- a/packages/daemon/src/gateway/gateway_host.ts
+++ b/packages/daemon/src/gateway/gateway_host.ts
@@ -237,7 +237,7 @@
       dialect.directory,
       () => this.listHosts(),
       Math.min(bounds.directoryTtlMs, MAX_DIRECTORY_TTL_MS),
-      memory.bounds.portConnections,
+      memory,
     );
     this.probes = new ProbeServer(
       dialect.readinessPath,
@@ -255,7 +255,7 @@
           this.transport,
           query,
         ),
-      memory.bounds.portConnections,
+      memory,
     );
     this.peers = new PeerServer(
       PEER_KEY,
--- a/packages/daemon/src/host/host_memory.ts
+++ b/packages/daemon/src/host/host_memory.ts
@@ -1,3 +1,4 @@
+import type {Socket} from 'node:net';
 import {
   CollectionPolicy,
   MemoryBudget,
@@ -12,7 +13,7 @@
 import type {MemoryObserver} from './memory_observer.js';
 
 const CHECK_INTERVAL_MS = 100;
-const COLLECTION_INTERVAL_MS = 250;
+const COLLECTION_INTERVAL_MS = 50;
 const BYTES_PER_MB = 1_048_576;
 
 /** Gives out a host's memory, and ends callers where it is short. */
@@ -20,6 +21,7 @@
   readonly budget: MemoryBudget;
   private readonly listeners = new Map<MemoryAccount, MemoryListener>();
   private timer: NodeJS.Timeout | undefined;
+  private policy: CollectionPolicy | undefined;
 
   constructor(
     private readonly clock: Clock,
@@ -34,11 +36,24 @@
     const {isMemoryBounded, memoryMb} = this.bounds;
     if (!isMemoryBounded) return;
     const policy = new CollectionPolicy(memoryMb);
+    this.policy = policy;
     setInterval(() => {
       this.collect(policy);
     }, COLLECTION_INTERVAL_MS).unref();
   }
 
+  /** Records that a caller was refused whose request was not read whole. */
+  recordRefusal(): void {
+    this.policy?.recordRefusal(this.clock.nowMs());
+  }
+
+  /** Closes a connection as too many are open. */
+  closeConnection(socket: Socket): void {
+    this.recordRefusal();
+    this.observer?.onConnectionClosed(socket.remoteAddress ?? '');
+    socket.destroy();
+  }
+
   open(
     kind: MemoryKind,
     address: string,
@@ -89,8 +104,12 @@
   private collect(policy: CollectionPolicy): void {
     const startMs = this.clock.nowMs();
     const beforeMb = readResidentMb();
-    if (!policy.mustCollect(beforeMb, startMs)) return;
-    collectGarbage();
+    if (!policy.mustCollect(beforeMb, startMs)) {
+      // Buffers that were just used are most of what a host under load can free.
+      if (policy.isHigh(beforeMb)) collectGarbage(false);
+      return;
+    }
+    collectGarbage(true);
     const afterMb = readResidentMb();
     const endMs = this.clock.nowMs();
     policy.recordCollection(afterMb, endMs);
@@ -144,6 +163,7 @@
   }
 
   private end(account: MemoryAccount, end: MemoryEnd): void {
+    this.recordRefusal();
     this.observer?.onEnded(account, end);
     const listener = this.listeners.get(account);
     this.close(account);
--- a/packages/forwarding/src/body_buffer.ts
+++ b/packages/forwarding/src/body_buffer.ts
@@ -1,14 +1,15 @@
+import {PageMemory} from './page_memory.js';
+
 const FIRST_BYTES = 16_384;
 const GROWTH_FACTOR = 4;
 
 /**
  * Bytes of a body that arrive in pieces. They lie in one piece, and their memory is
- * freed by `release`: buffers that only the garbage collector frees stay for many
- * seconds, as little else on the heap makes it run.
+ * freed by `release`.
  */
 export class BodyBuffer {
-  private memory: ArrayBuffer | undefined;
-  private view = Buffer.alloc(0);
+  private memory: PageMemory | undefined;
+  private view: Buffer = Buffer.alloc(0);
   private bytes = 0;
 
   /** @param expectedBytes Length of the body, if it is known; zero if not. */
@@ -36,7 +37,7 @@
     this.memory = undefined;
     this.view = Buffer.alloc(0);
     this.bytes = 0;
-    if (memory !== undefined) resize(memory, 0);
+    memory?.release();
   }
 
   private grow(needed: number): void {
@@ -50,20 +51,10 @@
     if (size < FIRST_BYTES) {
       this.view = Buffer.allocUnsafeSlow(size);
     } else {
-      this.memory = new RESIZABLE_BUFFER(size, {maxByteLength: size});
-      this.view = Buffer.from(this.memory, 0, size);
+      this.memory = new PageMemory(size);
+      this.view = this.memory.bytes;
     }
     view.copy(this.view, 0, 0, bytes);
-    if (memory !== undefined) resize(memory, 0);
+    memory?.release();
   }
 }
-
-/** `ArrayBuffer` with what ES2024 adds and the types of older libraries lack. */
-const RESIZABLE_BUFFER = ArrayBuffer as unknown as new (
-  bytes: number,
-  options: {maxByteLength: number},
-) => ArrayBuffer;
-
-function resize(memory: ArrayBuffer, bytes: number): void {
-  (memory as unknown as {resize: (bytes: number) => void}).resize(bytes);
-}
--- a/packages/forwarding/src/collection_policy.ts
+++ b/packages/forwarding/src/collection_policy.ts
@@ -19,13 +19,24 @@
   private leastMb = Infinity;
   private peakMb = 0;
   private peakAtMs = 0;
-  private wasHigh = false;
+  private hasRest = false;
 
   /** @param memoryMb Memory that the process may use. */
   constructor(memoryMb: number) {
     this.highMb = memoryMb * HIGH_SHARE;
   }
 
+  /** Records that callers were refused or ended, which leaves unused memory behind. */
+  recordRefusal(nowMs: number): void {
+    this.hasRest = true;
+    this.peakAtMs = nowMs;
+  }
+
+  /** Whether memory is high enough for new objects to be collected all the time. */
+  isHigh(usedMb: number): boolean {
+    return usedMb > this.highMb;
+  }
+
   /** @param usedMb Resident memory of the process. */
   mustCollect(usedMb: number, nowMs: number): boolean {
     if (usedMb > this.peakMb + STEP_MB || usedMb < this.leastMb) {
@@ -34,12 +45,12 @@
     }
     this.leastMb = Math.min(this.leastMb, usedMb);
     const sinceMs = nowMs - this.collectedAtMs;
-    if (usedMb > this.highMb) {
-      this.wasHigh = true;
+    if (this.isHigh(usedMb)) {
+      this.hasRest = true;
       return sinceMs >= this.intervalMs;
     }
     const isCalm = nowMs - this.peakAtMs >= CALM_MS;
-    return this.wasHigh && isCalm && sinceMs >= CALM_MS;
+    return this.hasRest && isCalm && sinceMs >= CALM_MS;
   }
 
   /** @param usedMb Resident memory after the collection. */
@@ -51,7 +62,7 @@
         ? Math.min(2 * this.intervalMs, MAX_INTERVAL_MS)
         : MIN_INTERVAL_MS;
     if (usedMb <= this.highMb && nowMs - this.peakAtMs >= CALM_MS) {
-      this.wasHigh = false;
+      this.hasRest = false;
     }
     this.peakMb = usedMb;
   }
--- a/packages/forwarding/src/memory_budget.ts
+++ b/packages/forwarding/src/memory_budget.ts
@@ -21,7 +21,12 @@
 /** Time for which a body waits for room before it is refused. */
 const MAX_WAIT_MS = 500;
 /** Time without progress after which a caller may be ended under pressure. */
-const STALL_MS = 250;
+const STALLS_MS: Readonly<Record<MemoryKind, number>> = {
+  [MemoryKind.BODY]: 250,
+  [MemoryKind.ANSWER]: Infinity,
+  // Slow links take some time for what is written at once.
+  [MemoryKind.UNSENT]: 500,
+};
 
 /**
  * Divides a host's memory among its callers. Load pattern: clients that send many
@@ -137,7 +142,9 @@
     for (const account of this.accounts) {
       const {heldBytes, progressAtMs, awaitsCaller} = account;
       if (account.kind !== kind || !awaitsCaller || heldBytes === 0) continue;
-      if (account.wantedBytes > 0 || nowMs - progressAtMs < STALL_MS) continue;
+      if (account.wantedBytes > 0 || nowMs - progressAtMs < STALLS_MS[kind]) {
+        continue;
+      }
       if (chosen === undefined || isEndedBefore(account, chosen)) {
         chosen = account;
       }
--- a/packages/forwarding/src/piece_buffer.ts
+++ b/packages/forwarding/src/piece_buffer.ts
@@ -1,5 +1,9 @@
+import {PageMemory} from './page_memory.js';
+
 const FIRST_BLOCK_BYTES = 1_024;
 const MAX_BLOCK_BYTES = 65_536;
+/** Blocks of this size on are freed as soon as their bytes are taken. */
+const PAGE_BLOCK_BYTES = 16_384;
 
 /**
  * Bytes that arrive in pieces. They are copied into blocks, as a small piece that is
@@ -7,6 +11,7 @@
  */
 export class PieceBuffer {
   private blocks: Buffer[] = [];
+  private pages: PageMemory[] = [];
   /** Bytes in use of the last block. */
   private used = 0;
   private bytes = 0;
@@ -29,7 +34,15 @@
 
   /** Returns all bytes in one piece. */
   join(): Buffer {
-    return Buffer.concat(this.blocks, this.bytes);
+    if (this.bytes < PAGE_BLOCK_BYTES) {
+      return Buffer.concat(this.blocks, this.bytes);
+    }
+    const {bytes: all} = new PageMemory(this.bytes);
+    let copied = 0;
+    for (const block of this.blocks) {
+      copied += block.copy(all, copied, 0, this.bytes - copied);
+    }
+    return all;
   }
 
   /** Returns all bytes in one piece, and forgets them. */
@@ -40,11 +53,20 @@
   }
 
   clear(): void {
+    for (const memory of this.pages) memory.release();
+    this.pages = [];
     this.blocks = [];
     this.used = 0;
     this.bytes = 0;
   }
 
+  private allocate(size: number): Buffer {
+    if (size < PAGE_BLOCK_BYTES) return Buffer.allocUnsafeSlow(size);
+    const memory = new PageMemory(size);
+    this.pages.push(memory);
+    return memory.bytes;
+  }
+
   /** Returns a block with room for at least one byte. */
   private findBlock(neededBytes: number): Buffer {
     const last = this.blocks.at(-1);
@@ -53,7 +75,7 @@
       FIRST_BLOCK_BYTES,
       Math.min(MAX_BLOCK_BYTES, Math.max(neededBytes, this.bytes)),
     );
-    const block = Buffer.allocUnsafeSlow(size);
+    const block = this.allocate(size);
     this.blocks.push(block);
     this.used = 0;
     return block;
