--- a/packages/daemon/src/gateway/callers/directory_server.ts
+++ b/packages/daemon/src/gateway/callers/directory_server.ts
@@ -1,5 +1,7 @@
 import type {DirectoryQuery} from '@parsleywood/forwarding';
 import fastify, {type FastifyInstance, type FastifyReply} from 'fastify';
+import {boundConnections} from '../../host/bound_connections.js';
+import type {HostMemory} from '../../host/host_memory.js';
 import type {DirectoryDialect} from './directory_dialect.js';
 
 const NO_HOSTS_STATUS = 503;
@@ -16,7 +18,9 @@
     private readonly dialect: DirectoryDialect,
     listHosts: (query: DirectoryQuery) => readonly string[],
     ttlMs: number,
+    memory: HostMemory,
   ) {
+    boundConnections(this.server.server, memory);
     this.server.get(
       dialect.path,
       async ({query}, reply): Promise<FastifyReply> => {
--- a/packages/daemon/src/gateway/callers/probe_server.ts
+++ b/packages/daemon/src/gateway/callers/probe_server.ts
@@ -2,6 +2,8 @@
 import type {TimelineQuery} from '@parsleywood/schema/timeline';
 import type {TimelineEntry} from '@parsleywood/timeline';
 import fastify, {type FastifyInstance} from 'fastify';
+import {boundConnections} from '../../host/bound_connections.js';
+import type {HostMemory} from '../../host/host_memory.js';
 import {readTimelineQuery} from '../../host/read_timeline_query.js';
 import {answerFailures} from '../../operators/answer_failures.js';
 import type {GatewayMetrics} from '../gateway_metrics.js';
@@ -30,7 +32,10 @@
     metrics: GatewayMetrics,
     refresh: () => void,
     readTimeline: (query: TimelineQuery) => Promise<TimelineEntry[]>,
+    memory: HostMemory,
   ) {
+    boundConnections(this.app.server, memory);
+    boundConnections(this.metrics, memory);
     this.app.get(path, async (_request, reply) => {
       const ready = isReady();
       return reply
--- a/packages/daemon/src/gateway/gateway_host.ts
+++ b/packages/daemon/src/gateway/gateway_host.ts
@@ -49,6 +49,7 @@
 import {pacesAny} from './upstreams/paces_any.js';
 import {StartReports} from './upstreams/start_reports.js';
 import {createStartView} from './upstreams/create_start_view.js';
+import {createGatewayMemory} from './callers/create_gateway_memory.js';
 import {recordLeaving} from './upstreams/record_leaving.js';
 import {refreshUpstreamGauges} from './upstreams/refresh_upstream_gauges.js';
 import {retainUpstreams} from './upstreams/retain_upstreams.js';
@@ -214,6 +215,7 @@
       () => this.readStage(),
       () => reach.state,
     );
+    const memory = createGatewayMemory(settings, clock, metrics, log);
     this.context = {
       clock,
       log,
@@ -246,7 +248,7 @@
         this.fleet.countHosts(),
       ),
       connectionPool: new UpstreamConnectionPool(clock),
-      bufferBudget: new BufferBudget(),
+      bufferBudget: new BufferBudget(memory.budget),
       publisher: relay,
       reach,
       departureCheck: new DepartureCheck(replica, reach, clock),
@@ -261,7 +263,7 @@
       recordLeaving(this.context, engine);
     });
     this.startReports = new StartReports(this.context, loadReports);
-    this.server = new GatewayServer(this.context);
+    this.server = new GatewayServer(this.context, memory);
     const hosts = new HostDirectory(
       settings,
       replica,
@@ -274,6 +276,7 @@
       dialect.directory,
       query => hosts.list(query),
       Math.min(bounds.directoryTtlMs, MAX_DIRECTORY_TTL_MS),
+      memory,
     );
     this.probes = new ProbeServer(
       dialect.readinessPath,
@@ -291,6 +294,7 @@
           this.transport,
           query,
         ),
+      memory,
     );
     const {fleet, siteUpdater} = this;
     this.peers = new PeerServer(
