--- a/packages/dispatch/src/paced_planner.test.ts
+++ b/packages/dispatch/src/paced_planner.test.ts
@@ -64,8 +64,9 @@
     expect(choose(site, ['warm', 'other'])).to.deep.equal(before);
   });
 
+  // At the assumed slowdown it would get nothing until the other is far behind.
   it('leaves no engine idle that has started while others are behind', () => {
-    const site = makeSite({warm: [20_000, 20_000]});
+    const site = makeSite({warm: [9_000]});
     site.pace.start('new', 11, 0);
     const choice = choose(site, ['warm', 'new']);
     expect('upstream' in choice && choice.upstream.id).to.equal('new');
@@ -109,7 +110,8 @@
       sizes,
       fc.integer({min: 500, max: 150_000}),
       fc.integer({min: 500, max: 4_000}),
-      (atWarm, atNew, promptTokens, objectiveMs) => {
+      fc.boolean(),
+      (atWarm, atNew, promptTokens, objectiveMs, isAlone) => {
         const demand = {
           ...DEMAND,
           promptTokens,
@@ -118,7 +120,11 @@
         };
         const site = makeSite({warm: atWarm, new: [300, ...atNew]});
         site.pace.start('new', 11, 0);
-        const choice = choose(site, ['warm', 'new'], demand);
+        const choice = choose(
+          site,
+          isAlone ? ['new'] : ['warm', 'new'],
+          demand,
+        );
         if (!('upstream' in choice)) return;
         // The parts of a split prompt are shorter than the prompt that is judged.
         const isSplit = choice.helpers.length > 0;
--- a/packages/dispatch/src/upstream_pace.test.ts
+++ b/packages/dispatch/src/upstream_pace.test.ts
@@ -74,7 +74,7 @@
       pace.recordFirstEvent(id, 100);
     }
     expect(pace.isOnProbation('u')).to.equal(true);
-    expect(pace.getSlowdownFactor('u')).to.be.greaterThan(2);
+    expect(pace.getSlowdownFactor('u')).to.be.within(2, 3);
   });
 
   // Of a split prompt, a part of 10 ms explains no delay of a second.
@@ -144,7 +144,7 @@
           if (kind === 'failure') pace.recordFailure('u');
           if (kind === 'pass') pace.recordPassTimeRatio('u', 1 + id);
           pace.advance(nowMs);
-          const idle = {...NO_MEMORY_LIMIT, requests: 0};
+          const idle = {tokens: 0, maxTokens: 1, requests: 0};
           expect(pace.mayTake('u', 1e6, idle, nowMs)).to.equal(true);
           expect(pace.totalWindow).to.be.within(pace.size, slots);
           expect(pace.getSlowdownFactor('u')).to.be.within(1, 10);
