--- a/packages/daemon/src/gateway/attempts/attempt_placer.ts
+++ b/packages/daemon/src/gateway/attempts/attempt_placer.ts
@@ -11,6 +11,7 @@
   type Service,
   type UpstreamEntry,
 } from '@parsleywood/forwarding';
+import {mayBeFault} from './may_be_fault.js';
 import {canConnect} from '../upstreams/can_connect.js';
 import {forwardsHeader} from '../upstreams/forwards_header.js';
 import {describeDemand} from './describe_demand.js';
@@ -19,6 +20,7 @@
 import type {GatewayContext} from '../gateway_context.js';
 import type {PlacedAttempt} from './placed_attempt.js';
 import type {ReceivedRequest} from '../callers/received_request.js';
+import {ReturnPlanner} from './return_planner.js';
 import {recordChoiceWithoutView} from './record_choice_without_view.js';
 import type {SuspendedPlacement} from './suspended_placement.js';
 
@@ -37,6 +39,7 @@
   private lastEventAtMs: number | undefined;
   private passMeter = new PassMeter();
   private readonly eligible: EligibleUpstreams;
+  private readonly returns: ReturnPlanner;
 
   /**
    * @param service Name of the service that the request goes to.
@@ -50,11 +53,12 @@
     private readonly deadlineMs: number,
   ) {
     this.eligible = new EligibleUpstreams(context, match, service);
+    this.returns = new ReturnPlanner(context, this.eligible, service);
   }
 
   /** Whether any upstream of the service accepts new requests. */
   get hasUpstreams(): boolean {
-    return this.listUsable().length > 0;
+    return this.eligible.list().length > 0;
   }
 
   /** Why the request may use no upstream, if others may. */
@@ -82,12 +86,14 @@
     const currentId = this.placed?.choice.upstream.id;
     const {rests, clock} = this.context;
     const nowMs = clock.nowMs();
-    return this.listUsable().some(
-      ({id}) =>
-        id !== currentId &&
-        !this.triedUpstreams.has(id) &&
-        !rests.isResting(id, nowMs),
-    );
+    return this.eligible
+      .list()
+      .some(
+        ({id}) =>
+          id !== currentId &&
+          !this.triedUpstreams.has(id) &&
+          !rests.isResting(id, nowMs),
+      );
   }
 
   /** Whether another upstream has capacity for the request now. */
@@ -133,7 +139,9 @@
     if ('isPaced' in choice) {
       context.metrics.pacedRefusals.inc({service: this.service});
     }
-    if (!('upstream' in choice)) return this.planReturn(choice, nowMs);
+    if (!('upstream' in choice)) {
+      return this.returns.plan(choice, this.triedUpstreams, nowMs);
+    }
     const {upstream, plan} = choice;
     const {pauseObjectiveMs} = this.match.route;
     const placement = {
@@ -310,9 +318,7 @@
 
   /** Time until the first upstream is back, if all of them rest; else 0. */
   planReturnAfterRestMs(): number {
-    const {rests, clock} = this.context;
-    const ids = this.listUsable().map(({id}) => id);
-    return rests.planReturnMs(ids, clock.nowMs());
+    return this.returns.planAfterRestMs();
   }
 
   /** Records a failure of an upstream, here and at the other hosts. */
@@ -343,32 +349,6 @@
     publisher.publishEnd(placement.id);
   }
 
-  /** Asks the caller to come again when an upstream's limit or rest allows it. */
-  private planReturn(
-    shortage: CapacityShortage,
-    nowMs: number,
-  ): CapacityShortage {
-    const {limits, coldRates, rests, countHosts, metrics} = this.context;
-    const {exclusion: reason, service} = this;
-    if (reason !== undefined) {
-      metrics.excludedRequests.inc({service, reason});
-      return shortage;
-    }
-    const restMs = this.planReturnAfterRestMs();
-    if (restMs > 0) return {waitMs: restMs};
-    const awake = this.listUsable().filter(
-      ({id}) => !this.triedUpstreams.has(id) && !rests.isResting(id, nowMs),
-    );
-    const free = awake.filter(({id}) => limits.mayTake(id, nowMs));
-    if (free.length > 0) {
-      const coldMs = coldRates.planReturnMs(free, nowMs);
-      return coldMs > 0 ? {waitMs: coldMs} : shortage;
-    }
-    if (awake.length === 0) return shortage;
-    const ids = awake.map(({id}) => id);
-    return {waitMs: limits.planReturnMs(ids, countHosts(), nowMs)};
-  }
-
   private chooseUpstream(
     service: Service | undefined,
     demand: PromptDemand,
@@ -377,9 +357,11 @@
   ): UpstreamChoice | CapacityShortage {
     const {chooser, limits, coldRates, rests, pacing} = this.context;
     pacing.advance(nowMs);
-    const free = this.listUsable().filter(
-      ({id}) => limits.mayTake(id, nowMs) && !rests.isResting(id, nowMs),
-    );
+    const free = this.eligible
+      .list()
+      .filter(
+        ({id}) => limits.mayTake(id, nowMs) && !rests.isResting(id, nowMs),
+      );
     // A limited, cold or resting upstream must not hide those that are avoided.
     const candidates = chooser.listCandidates(
       coldRates.filter(free, nowMs),
@@ -427,14 +409,4 @@
       nowMs,
     );
   }
-
-  private listUsable(): UpstreamEntry[] {
-    return this.eligible.list();
-  }
-}
-
-/** Whether an attempt that got no sound answer ended through its upstream. */
-function mayBeFault(outcome: AttemptOutcome): boolean {
-  const {REFUSED, WITHDRAWN} = AttemptOutcome;
-  return outcome !== REFUSED && outcome !== WITHDRAWN;
 }
--- a/packages/daemon/src/gateway/fleet/fleet_membership.ts
+++ b/packages/daemon/src/gateway/fleet/fleet_membership.ts
@@ -321,7 +321,9 @@
     this.relay.subscribe(peersAddress, subscribes, nowMs);
     this.suspects.handleHash(peersAddress, beat.suspectsHash, nowMs);
     if (!hearsReceiver) this.announceTo(peersAddress, nowMs);
-    else if (this.knowsFarMoreThan(hosts)) this.introduceHosts(peersAddress);
+    else if (this.knowsFarMoreThan(hosts)) {
+      this.sendDigestTo([peersAddress], this.listSightings());
+    }
     if (!hearsReceiver || replaced !== undefined) {
       const news = this.applier.listUpstreamNews(nowMs);
       for (const message of news) this.relay.send(peersAddress, message);
@@ -342,7 +344,7 @@
     this.connectionResets.reset(address, nowMs);
     if (this.relayChoice === undefined) return;
     this.sendHeartbeatTo(address, [], nowMs);
-    this.introduceHosts(address);
+    this.sendDigestTo([address], this.listSightings());
   }
 
   /**
@@ -354,10 +356,6 @@
     return isTold && hosts * 2 < this.countHosts();
   }
 
-  private introduceHosts(address: string): void {
-    this.sendDigestTo([address], this.listSightings());
-  }
-
   private handleDigest(
     host: string,
     {sightings, store, pulses}: HostDigest,
@@ -397,13 +395,13 @@
     this.relay.setRecipients(this.relayChoice?.relays ?? this.listPeers());
     this.siteExchange.setRelay(this.relayChoice?.subscribedRelay);
     if (this.relayChoice?.subscribedRelay === source) return;
-    const {subscribedRelay} = this.relayChoice ?? {};
+    const {subscribedRelay, relays = []} = this.relayChoice ?? {};
     this.relaySilence.setRelay(subscribedRelay, nowMs);
     if (subscribedRelay) this.sendHeartbeatTo(subscribedRelay, [], nowMs);
     this.log.info('relay_chosen', {
-      relay: this.relayChoice?.subscribedRelay,
+      relay: subscribedRelay,
       before: source,
-      relays: this.relayChoice?.relays.length,
+      relays: relays.length,
       hosts: this.countHosts(),
     });
   }
--- a/packages/daemon/src/gateway/gateway_host.ts
+++ b/packages/daemon/src/gateway/gateway_host.ts
@@ -18,7 +18,6 @@
 import {HostTimeline} from '../host/host_timeline.js';
 import {nameIncarnation} from '../host/name_incarnation.js';
 import {splitAddress} from '../host/split_address.js';
-import {gatherTimeline} from '../peers/gather_timeline.js';
 import {PeerServer} from '../peers/peer_server.js';
 import {PeerTransport} from '../peers/peer_transport.js';
 import {SuspectLog} from '../upstreams/suspect_log.js';
@@ -28,7 +27,6 @@
 import {DepartureCheck} from './upstreams/departure_check.js';
 import {DirectoryServer} from './callers/directory_server.js';
 import {planStartRetryMs} from './callers/plan_start_retry_ms.js';
-import {PlacementExchange} from './fleet/placement_exchange.js';
 import {describeGateway} from './describe_gateway.js';
 import {HostDirectory} from './callers/host_directory.js';
 import {PeerCallHandler} from './fleet/peer_call_handler.js';
@@ -39,19 +37,18 @@
 import {GatewayServer} from './callers/gateway_server.js';
 import {UpdateRelay} from './fleet/update_relay.js';
 import {UnreadableRestLog} from './upstreams/unreadable_rest_log.js';
-import {UpdateApplier} from './fleet/update_applier.js';
-import {ProbeServer} from './callers/probe_server.js';
+import {createUpdateApplier} from './fleet/create_update_applier.js';
+import type {ProbeServer} from './callers/probe_server.js';
+import {createProbeServer} from './create_probe_server.js';
 import {createColdRates} from './upstreams/create_cold_rates.js';
 import {ReachMonitor} from './upstreams/reach_monitor.js';
 import type {EngineReservations} from './upstreams/engine_reservations.js';
 import {createPathTester} from './upstreams/create_path_tester.js';
 import type {LoadReports} from './upstreams/load_reports.js';
-import {pacesAny} from './upstreams/paces_any.js';
 import {StartReports} from './upstreams/start_reports.js';
 import {createStartView} from './upstreams/create_start_view.js';
 import {createGatewayMemory} from './callers/create_gateway_memory.js';
 import {recordLeaving} from './upstreams/record_leaving.js';
-import {refreshUpstreamGauges} from './upstreams/refresh_upstream_gauges.js';
 import {retainUpstreams} from './upstreams/retain_upstreams.js';
 import {RetryBudgets} from './attempts/retry_budgets.js';
 import {SiteExchange} from './site/site_exchange.js';
@@ -114,10 +111,8 @@
     this.replica = new SiteReplica(bounds.evacuationMs);
     const {replica} = this;
     const incarnation = nameIncarnation(peersAddress, clock.wallMs());
-    this.log = new EventLog(
-      {...incarnation, host: settings.host},
-      settings.logLevel ?? 'info',
-    );
+    const {host, logLevel = 'info'} = settings;
+    this.log = new EventLog({...incarnation, host}, logLevel);
     this.timeline = new HostTimeline(incarnation, clock);
     const {log, timeline} = this;
     this.transport = new PeerTransport(
@@ -125,7 +120,7 @@
       PEER_KEY,
       timeline,
       metrics.host,
-      host => host,
+      name => name,
     );
     const generator = xoroshiro128plus(drawSeed());
     const draw = (): number => uniformFloat64(generator);
@@ -194,17 +189,13 @@
       settings,
       this.transport,
       relay,
-      new UpdateApplier(
+      createUpdateApplier(settings, replica, relay, startView, {
         placements,
         health,
         limits,
         suspects,
-        replica.upstreams.leaving,
         pacing,
-        new PlacementExchange(placements, startView, peersAddress, relay, () =>
-          pacesAny(settings, replica),
-        ),
-      ),
+      }),
       new SuspectSynchronizer(suspects, relay),
       this.siteUpdater,
       siteExchange,
@@ -236,7 +227,7 @@
       rests: new UpstreamRests(draw),
       unreadableRests: new UnreadableRestLog(log),
       chooser: new UpstreamChooser(
-        settings.host,
+        host,
         failureDomain,
         placements,
         health,
@@ -278,25 +269,16 @@
       Math.min(bounds.directoryTtlMs, MAX_DIRECTORY_TTL_MS),
       memory,
     );
-    this.probes = new ProbeServer(
+    const {fleet, siteUpdater} = this;
+    this.probes = createProbeServer(
       dialect.readinessPath,
-      () => this.isServing(),
-      metrics,
-      () => {
-        metrics.openRequests.set(this.server.openRequests);
-        metrics.droppedLogLines.set(log.droppedLines());
-        refreshUpstreamGauges(this.context);
-      },
-      query =>
-        gatherTimeline(
-          timeline.read(query),
-          this.fleet.listPeers(),
-          this.transport,
-          query,
-        ),
+      this.context,
+      fleet,
+      this.transport,
       memory,
+      () => this.isServing(),
+      () => this.server.openRequests,
     );
-    const {fleet, siteUpdater} = this;
     this.peers = new PeerServer(
       PEER_KEY,
       new PeerCallHandler(
@@ -318,12 +300,9 @@
     this.reach.start();
     await this.peers.listen(settings.peersAddress);
     this.fleet.start();
-    await this.probes.listenForReadiness(
-      ...splitAddress(settings.readinessAddress),
-    );
-    await this.probes.listenForMetrics(
-      ...splitAddress(settings.metricsAddress),
-    );
+    const {readinessAddress, metricsAddress} = settings;
+    await this.probes.listenForReadiness(...splitAddress(readinessAddress));
+    await this.probes.listenForMetrics(...splitAddress(metricsAddress));
     await this.directory.listen(...splitAddress(settings.directoryAddress));
     await this.server.listen(...splitAddress(settings.callersAddress));
     // A stop may have begun meanwhile.
