Believe upstreams that say that they are warm

Evidence: 86 upstream_cold lines a host. Entries lapse in such an outage and are listed anew after a host's first list, which counted as starts. An entry that states its cold time, also 0, is believed; only where it states none does a new id count as a start.

--- a/packages/dispatch/src/cold_rates.test.ts
+++ b/packages/dispatch/src/cold_rates.test.ts
@@ -141,4 +141,17 @@
       }).failed,
     ).to.equal(true);
   });
+
+  // Failure: after an outage in which entries lapsed, all hosts that had restarted took
+  // every upstream for cold and refused most prompts.
+  it('takes no upstream for cold that is listed anew and says that it is warm', () => {
+    const rates = createColdRates('h1', ['h2'], 0);
+    const coldStart = {durationMs: 3_000, requestsPerSecond: 18};
+    rates.setServices([{name: 's', coldStart}], 0);
+    rates.update([createUpstream('a', {coldRemainingMs: 0})], 0);
+    const silent = createUpstream('c');
+    rates.update([createUpstream('b', {coldRemainingMs: 0}), silent], 100);
+    expect(rates.getUse('b', 100)).to.equal(undefined);
+    expect(rates.getUse('c', 100)).to.not.equal(undefined);
+  });
 });
--- a/packages/dispatch/src/cold_rates.ts
+++ b/packages/dispatch/src/cold_rates.ts
@@ -186,7 +186,7 @@
   }
 
   private updateOne(entry: UpstreamEntry, nowMs: number): void {
-    const {id, service, bornMs = 0, coldRemainingMs = 0} = entry;
+    const {id, service, bornMs = 0, coldRemainingMs} = entry;
     const seenMs = this.seenBornMs.get(id);
     this.seenBornMs.set(id, Math.max(seenMs ?? 0, bornMs));
     const rate = this.rates.get(service);
@@ -195,12 +195,15 @@
     this.upstreams.set(id, upstream);
     const wasCold = upstream.untilMs > nowMs;
     const startedUntilMs = nowMs + rate.durationMs;
-    if (seenMs === undefined) {
+    // What an upstream says of itself counts, also that it is warm: after an outage of
+    // the store the entries of warm ones are listed anew.
+    if (coldRemainingMs !== undefined) {
+      upstream.recordStated(nowMs + coldRemainingMs);
+    } else if (seenMs === undefined) {
       if (this.hasList) upstream.recordStart(startedUntilMs, ColdSource.LISTED);
     } else if (seenMs > 0 && bornMs > seenMs) {
       upstream.recordStart(startedUntilMs, ColdSource.RESTARTED);
     }
-    upstream.recordStated(nowMs + coldRemainingMs);
     if (wasCold || upstream.untilMs <= nowMs) return;
     upstream.begin(nowMs);
     this.assign(upstream, false, nowMs);
--- a/packages/dispatch/src/upstream_starts.test.ts
+++ b/packages/dispatch/src/upstream_starts.test.ts
@@ -37,6 +37,12 @@
     expect(observe([a], [], [{...a}])).to.deep.equal([[], [], []]);
   });
 
+  // Load pattern: hosts restart while entries lapse, which are listed anew after the first list.
+  it('takes no upstream for started that says that it is warm', () => {
+    const warm = createUpstream('b', {coldRemainingMs: 0});
+    expect(observe([a], [a, warm])).to.deep.equal([[], []]);
+  });
+
   it('counts what an entry says from when it was written', () => {
     const cold = {...a, coldRemainingMs: 3_000, revision: 2};
     const longer = {...a, coldRemainingMs: 9_000, revision: 3};
--- a/packages/dispatch/src/upstream_starts.ts
+++ b/packages/dispatch/src/upstream_starts.ts
@@ -49,7 +49,10 @@
     const knownUntilMs = known?.coldUntilMs ?? -Infinity;
     const hasStarted = known
       ? isBornLater(entry, known.entry)
-      : this.hasList && entry.stage === UpstreamStage.READY;
+      : this.hasList &&
+        entry.stage === UpstreamStage.READY &&
+        // One that says that it is warm was listed before this host looked.
+        entry.coldRemainingMs !== 0;
     // A list read again does not prolong what an entry said when it was new.
     const saysNew = known === undefined || !isSameWrite(entry, known.entry);
     const saidMs = saysNew ? (entry.coldRemainingMs ?? 0) : 0;
--- a/packages/forwarding/src/cold_times.test.ts
+++ b/packages/forwarding/src/cold_times.test.ts
@@ -21,7 +21,7 @@
     second.replace(first.listAged(4_000.5), 50_000, false);
     expect(readLeftMs(second, 55_000)).to.equal(1_000);
     expect(second.listAged(56_001)).to.deep.equal([
-      createUpstream('u', {revision: 1}),
+      createUpstream('u', {coldRemainingMs: 0, revision: 1}),
     ]);
     const log = new SiteDeltaLog();
     const change = {epoch: 0, revision: 1, updated: [cold(9_000, 1)]};
--- a/packages/forwarding/src/set_cold_time.ts
+++ b/packages/forwarding/src/set_cold_time.ts
@@ -1,7 +1,8 @@
 import type {UpstreamEntry} from './upstream_entry.js';
 
 /**
- * Returns an entry with the time that its upstream stays cold, rounded up.
+ * Returns an entry with the time that its upstream stays cold, rounded up. One that
+ * tells no such time and is not known to be cold stays as it is.
  *
  * @param leftMs In milliseconds; 0 or below for an upstream that is not cold.
  */
@@ -11,13 +12,5 @@
 ): UpstreamEntry {
   const coldMs = Math.max(0, Math.ceil(leftMs));
   if (coldMs === (entry.coldRemainingMs ?? 0)) return entry;
-  if (coldMs > 0) return {...entry, coldRemainingMs: coldMs};
-  return dropColdTime(entry);
-}
-
-function dropColdTime({
-  coldRemainingMs: _coldRemainingMs,
-  ...rest
-}: UpstreamEntry): UpstreamEntry {
-  return rest;
+  return {...entry, coldRemainingMs: coldMs};
 }
--- a/packages/forwarding/src/upstream_entry.ts
+++ b/packages/forwarding/src/upstream_entry.ts
@@ -13,7 +13,10 @@
   readonly slots: number;
   /** Time of its start in Unix milliseconds; absent if it is not known. */
   readonly bornMs?: number;
-  /** Time for which it stays cold, in milliseconds; absent if it is not cold. */
+  /**
+   * Time for which it stays cold, in milliseconds; 0 once it is warm, absent if it does
+   * not tell.
+   */
   readonly coldRemainingMs?: number;
   /** Revision of the store at which it was written; absent if it is not known. */
   readonly revision?: number;
