--- a/packages/daemon/src/gateway/attempts/attempt_placer.ts
+++ b/packages/daemon/src/gateway/attempts/attempt_placer.ts
@@ -63,14 +63,8 @@
   /** Whether an upstream remains to which the request has not been sent. */
   get hasUntriedUpstream(): boolean {
     const currentId = this.placed?.choice.upstream.id;
-    const {rests, clock} = this.context;
-    const nowMs = clock.nowMs();
-    return this.listUsable().some(
-      ({id}) =>
-        id !== currentId &&
-        !this.triedUpstreams.has(id) &&
-        !rests.isResting(id, nowMs),
-    );
+    const nowMs = this.context.clock.nowMs();
+    return this.listUntried(nowMs).some(({id}) => id !== currentId);
   }
 
   /** Whether another upstream has capacity for the request now. */
@@ -281,6 +275,15 @@
     return rests.planReturnMs(ids, clock.nowMs());
   }
 
+  /** The same, or until a cold upstream may be sent to if no other is left. */
+  planReturnAfterFailureMs(): number {
+    const {coldRates, clock} = this.context;
+    const nowMs = clock.nowMs();
+    const restMs = this.planReturnAfterRestMs();
+    if (restMs > 0) return restMs;
+    return coldRates.planReturnMs(this.listUntried(nowMs), nowMs);
+  }
+
   /** Records a failure of an upstream, here and at the other hosts. */
   penalize(
     {id}: UpstreamEntry,
@@ -312,12 +315,10 @@
     shortage: CapacityShortage,
     nowMs: number,
   ): CapacityShortage {
-    const {limits, coldRates, rests, countHosts} = this.context;
+    const {limits, coldRates, countHosts} = this.context;
     const restMs = this.planReturnAfterRestMs();
     if (restMs > 0) return {waitMs: restMs};
-    const awake = this.listUsable().filter(
-      ({id}) => !this.triedUpstreams.has(id) && !rests.isResting(id, nowMs),
-    );
+    const awake = this.listUntried(nowMs);
     const free = awake.filter(({id}) => limits.mayTake(id, nowMs));
     if (free.length > 0) {
       const coldMs = coldRates.planReturnMs(free, nowMs);
@@ -386,6 +387,14 @@
     );
   }
 
+  /** Upstreams that have not had the request and do not rest. */
+  private listUntried(nowMs: number): UpstreamEntry[] {
+    const {rests} = this.context;
+    return this.listUsable().filter(
+      ({id}) => !this.triedUpstreams.has(id) && !rests.isResting(id, nowMs),
+    );
+  }
+
   private listUsable(): UpstreamEntry[] {
     const {replica, clock} = this.context;
     return replica.upstreams.usable(this.service, clock.nowMs());
--- a/packages/daemon/src/gateway/attempts/session_failures.ts
+++ b/packages/daemon/src/gateway/attempts/session_failures.ts
@@ -39,10 +39,10 @@
    */
   createUnserved(detail: string): Failure {
     const message = detail || 'upstream refused the request';
-    const restMs = this.placer.planReturnAfterRestMs();
+    const waitMs = this.placer.planReturnAfterFailureMs();
     const {retryAfterMs: otherHostsMs = UNAVAILABLE_RETRY_MS} =
       this.reach.findRefusal() ?? {};
-    const retryAfterMs = restMs > 0 ? chooseRetryAfterMs(restMs) : otherHostsMs;
+    const retryAfterMs = waitMs > 0 ? chooseRetryAfterMs(waitMs) : otherHostsMs;
     return this.retryController.createFailure(message, retryAfterMs);
   }
 
