--- a/packages/daemon/src/gateway/attempts/attempt_placer.ts
+++ b/packages/daemon/src/gateway/attempts/attempt_placer.ts
@@ -321,6 +321,11 @@
     return this.returns.planAfterRestMs();
   }
 
+  /** The same, or until a cold upstream may be sent to if no other is left. */
+  planReturnAfterFailureMs(): number {
+    return this.returns.planAfterFailureMs(this.triedUpstreams);
+  }
+
   /** Records a failure of an upstream, here and at the other hosts. */
   penalize(
     {id}: UpstreamEntry,
--- a/packages/daemon/src/gateway/attempts/return_planner.ts
+++ b/packages/daemon/src/gateway/attempts/return_planner.ts
@@ -1,4 +1,5 @@
 import type {CapacityShortage} from '@parsleywood/dispatch';
+import type {UpstreamEntry} from '@parsleywood/forwarding';
 import type {GatewayContext} from '../gateway_context.js';
 import type {EligibleUpstreams} from './eligible_upstreams.js';
 
@@ -18,6 +19,19 @@
     return rests.planReturnMs(ids, clock.nowMs());
   }
 
+  /**
+   * The same, or until a cold upstream may be sent to if no other is left.
+   *
+   * @param tried Ids of upstreams that already had the request.
+   */
+  planAfterFailureMs(tried: ReadonlySet<string>): number {
+    const restMs = this.planAfterRestMs();
+    if (restMs > 0) return restMs;
+    const {coldRates, clock} = this.context;
+    const nowMs = clock.nowMs();
+    return coldRates.planReturnMs(this.listUntried(tried, nowMs), nowMs);
+  }
+
   /**
    * Asks the caller to come again when an upstream's limit, cold rate or rest allows
    * it.
@@ -29,7 +43,7 @@
     tried: ReadonlySet<string>,
     nowMs: number,
   ): CapacityShortage {
-    const {limits, coldRates, rests, countHosts, metrics} = this.context;
+    const {limits, coldRates, countHosts, metrics} = this.context;
     const reason = this.eligible.findExclusion();
     if (reason !== undefined) {
       metrics.excludedRequests.inc({service: this.service, reason});
@@ -37,9 +51,7 @@
     }
     const restMs = this.planAfterRestMs();
     if (restMs > 0) return {waitMs: restMs};
-    const awake = this.eligible
-      .list()
-      .filter(({id}) => !tried.has(id) && !rests.isResting(id, nowMs));
+    const awake = this.listUntried(tried, nowMs);
     const free = awake.filter(({id}) => limits.mayTake(id, nowMs));
     if (free.length > 0) {
       const coldMs = coldRates.planReturnMs(free, nowMs);
@@ -49,4 +61,14 @@
     const ids = awake.map(({id}) => id);
     return {waitMs: limits.planReturnMs(ids, countHosts(), nowMs)};
   }
+
+  private listUntried(
+    tried: ReadonlySet<string>,
+    nowMs: number,
+  ): UpstreamEntry[] {
+    const {rests} = this.context;
+    return this.eligible
+      .list()
+      .filter(({id}) => !tried.has(id) && !rests.isResting(id, nowMs));
+  }
 }
