--- a/packages/daemon/src/gateway/gateway_host.ts
+++ b/packages/daemon/src/gateway/gateway_host.ts
@@ -43,6 +43,7 @@
 import {recordLeaving} from './upstreams/record_leaving.js';
 import {refreshUpstreamGauges} from './upstreams/refresh_upstream_gauges.js';
 import {RetryBudgets} from './attempts/retry_budgets.js';
+import {EvacuationGauges} from './site/evacuation_gauges.js';
 import {SiteExchange} from './site/site_exchange.js';
 import {SiteWatcher} from './site/site_watcher.js';
 import {SiteUpdater} from './site/site_updater.js';
@@ -244,6 +245,7 @@
       query => hosts.list(query),
       Math.min(bounds.directoryTtlMs, MAX_DIRECTORY_TTL_MS),
     );
+    const evacuationGauges = new EvacuationGauges(metrics.host.registry);
     this.probes = new ProbeServer(
       dialect.readinessPath,
       () => this.isServing(),
@@ -252,6 +254,7 @@
         metrics.openRequests.set(this.server.openRequests);
         metrics.droppedLogLines.set(log.droppedLines());
         refreshUpstreamGauges(this.context);
+        evacuationGauges.refresh(replica.evacuations, clock.nowMs());
       },
       query =>
         gatherTimeline(
--- a/packages/daemon/src/gateway/gateway_metrics.ts
+++ b/packages/daemon/src/gateway/gateway_metrics.ts
@@ -1,6 +1,5 @@
 import {Counter, Gauge, Histogram} from 'prom-client';
 import type {HostMetrics} from '../host/host_metrics.js';
-import {EvacuationGauges} from './site/evacuation_gauges.js';
 
 const LATENCY_BUCKETS_S = [
   0.005, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 1, 1.5, 2, 4, 8, 15,
@@ -21,11 +20,9 @@
   readonly leavingUpstreams: Gauge;
   readonly droppedLogLines: Gauge;
   readonly reachesUpstreams: Gauge;
-  readonly evacuations: EvacuationGauges;
 
   constructor(readonly host: HostMetrics) {
     const registers = [host.registry];
-    this.evacuations = new EvacuationGauges(host.registry);
     this.requests = new Counter({
       name: 'parsleywood_forwarded_requests_total',
       help: 'Forwarded requests concluded, by service and outcome.',
--- a/packages/daemon/src/gateway/upstreams/refresh_upstream_gauges.ts
+++ b/packages/daemon/src/gateway/upstreams/refresh_upstream_gauges.ts
@@ -1,9 +1,9 @@
 import type {GatewayContext} from '../gateway_context.js';
 
-/** Counts the listed upstreams that rest or leave, and the evacuations, before metrics are read. */
+/** Counts the listed upstreams that rest or leave, before metrics are read. */
 export function refreshUpstreamGauges({
   metrics,
-  replica: {upstreams, evacuations},
+  replica: {upstreams},
   rests,
   clock,
 }: Pick<GatewayContext, 'metrics' | 'replica' | 'rests' | 'clock'>): void {
@@ -13,5 +13,4 @@
   const leaving = listed.filter(entry => upstreams.leaving.has(entry));
   metrics.restingUpstreams.set(resting.length);
   metrics.leavingUpstreams.set(leaving.length);
-  metrics.evacuations.refresh(evacuations, nowMs);
 }
