Draw restarts of whole sides of a partition for cold upstreams again

Two histories had exceeded the bound as nearly all hosts restarted while they were cut off, and the drawn share had been capped at three in ten, which no rule allows.

--- a/packages/dispatch/src/testing/cold_fleet.ts
+++ b/packages/dispatch/src/testing/cold_fleet.ts
@@ -15,8 +15,6 @@
 const HOLD_MS = 500;
 /** Time in which a host that starts hears of the others. */
 const DISCOVERY_MS = 1_000;
-/** Most of the hosts that restart at once while the site is partitioned. */
-const MAX_CUT_OFF_SHARE = 0.3;
 const SEEDS = 3;
 const COLD_START_MS = 4_000;
 
@@ -127,12 +125,9 @@
       }
       return;
     }
-    const isCutOff = this.hosts.some(({side}) => side > 0);
-    const loses = kind === 'restart' || kind === 'stop';
-    const part = isCutOff && loses ? Math.min(share, MAX_CUT_OFF_SHARE) : share;
     const isTogether = this.draw() < 0.5;
     for (const host of this.hosts) {
-      if (this.draw() >= part || host.downUntilMs > this.nowMs) continue;
+      if (this.draw() >= share || host.downUntilMs > this.nowMs) continue;
       if (kind === 'partition') host.side = 1 + Math.floor(this.draw() * 2);
       if (kind === 'freeze') {
         host.frozenFromMs = Math.min(host.frozenFromMs, this.nowMs);
