--- a/packages/daemon/src/gateway/upstreams/path_tester.ts
+++ b/packages/daemon/src/gateway/upstreams/path_tester.ts
@@ -75,12 +75,16 @@
   }
 
   /** Lists the upstreams with a health path, except cold ones, which take few requests. */
+  /** Cold upstreams are asked nothing, nor those of evacuated failure domains. */
   private listAskable(): UpstreamEntry[] {
+    const evacuated = new Set(this.replica.evacuations.list());
     return this.replica.upstreams
       .list()
       .filter(
-        ({service, coldRemainingMs = 0}) =>
-          coldRemainingMs === 0 && this.findHealthPath(service) !== undefined,
+        ({service, failureDomain, coldRemainingMs = 0}) =>
+          coldRemainingMs === 0 &&
+          !evacuated.has(failureDomain) &&
+          this.findHealthPath(service) !== undefined,
       );
   }
 
--- a/packages/daemon/src/gateway/upstreams/reach_monitor.test.ts
+++ b/packages/daemon/src/gateway/upstreams/reach_monitor.test.ts
@@ -65,6 +65,7 @@
     }));
     const replica = {
       upstreams: {list: () => entries},
+      evacuations: {list: () => []},
       rules: {findService: () => ({name: 'app', healthPath: '/health'})},
     } as unknown as SiteReplica;
     monitor = new ReachMonitor(
--- a/packages/daemon/src/gateway/upstreams/start_reports.ts
+++ b/packages/daemon/src/gateway/upstreams/start_reports.ts
@@ -46,8 +46,9 @@
     const engines = replica.upstreams
       .usable(service.name, nowMs)
       .filter(
-        ({id, coldRemainingMs = 0}) =>
+        ({id, failureDomain, coldRemainingMs = 0}) =>
           coldRemainingMs === 0 &&
+          replica.evacuations.getShare(failureDomain, nowMs) === 1 &&
           !health.isAvoided(id, nowMs) &&
           !rests.isResting(id, nowMs),
       );
--- a/packages/dispatch/src/cold_rates.test.ts
+++ b/packages/dispatch/src/cold_rates.test.ts
@@ -4,6 +4,7 @@
 import {ColdRates} from './cold_rates.js';
 import {ColdFleet} from './testing/cold_fleet.js';
 import {COLD_HISTORIES} from './testing/cold_histories.js';
+import type {ColdHistory} from './testing/cold_history.js';
 
 const SEED = 1;
 const BOUNDS = {overage: 1.5, slack: 5};
@@ -122,6 +123,31 @@
     expect(rates.getOwnRate('u0', 31_000)).to.equal(9);
   });
 
+  // Failure: the hosts that are left on one side use more than their part of the rate.
+  it('keeps the bound where nearly all hosts stop and a side of a partition is left', () => {
+    const history: ColdHistory = {
+      seed: 851_300_734,
+      hosts: 18,
+      perSecond: 18,
+      faults: [
+        {kind: 'stop', atMs: 37_693, forMs: 2_476, share: 0.955158259616019},
+        {kind: 'stop', atMs: 38_305, forMs: 47_599, share: 0.23783222714924204},
+        {
+          kind: 'partition',
+          atMs: 8_052,
+          forMs: 39_865,
+          share: 0.6908079123725359,
+        },
+      ],
+      colds: [
+        {isNew: true, upstream: 1, atMs: 20_620, forMs: 10_627},
+        {isNew: false, upstream: 0, atMs: 36_019, forMs: 34_750},
+        {isNew: false, upstream: 0, atMs: 37_327, forMs: 18_940},
+      ],
+    };
+    expect(new ColdFleet(history, createColdRates).run()).to.be.at.most(32);
+  });
+
   it('is needed: hosts that each keep the rate alone exceed the bound', () => {
     const property = keepsBound((address, _seeds, nowMs) => {
       const rates = new ColdRates(address, [], BOUNDS, nowMs);
