Explain at the probe addresses where a request would go now

An operator who asked why a request is refused, or goes to a slow engine, had to read the log of what was sent. GET /v1/explain runs the code that places requests, on copies of the limits and rests that this code changes, and answers the match, the upstreams with forecast or reason of exclusion, the choice or the refusal, and the age of the inputs. It sends and publishes nothing, and draws no random number.

--- a/packages/daemon/src/gateway/attempts/attempt_placer.ts
+++ b/packages/daemon/src/gateway/attempts/attempt_placer.ts
@@ -7,6 +7,7 @@
 } from '@parsleywood/dispatch';
 import {
   AttemptOutcome,
+  UpstreamExclusion,
   type RouteMatch,
   type Service,
   type UpstreamEntry,
@@ -15,6 +16,7 @@
 import {describeDemand} from './describe_demand.js';
 import type {GatewayContext} from '../gateway_context.js';
 import type {PlacedAttempt} from './placed_attempt.js';
+import type {PlacementPreview} from './placement_preview.js';
 import type {ReceivedRequest} from '../callers/received_request.js';
 import type {SuspendedPlacement} from './suspended_placement.js';
 
@@ -320,21 +322,67 @@
     return {waitMs: limits.planReturnMs(ids, countHosts(), nowMs)};
   }
 
-  private chooseUpstream(
-    service: Service | undefined,
-    demand: PromptDemand,
+  /**
+   * Chooses as `place` does for a request that is no suspect, without placing
+   * anything, and says why the other upstreams of the service are no candidates.
+   */
+  preview(): PlacementPreview {
+    const {context} = this;
+    const nowMs = context.clock.nowMs();
+    const service = this.match.rules.findService(this.service);
+    const demand = this.describeDemand(service, nowMs);
+    const choice = this.chooseUpstream(service, demand, nowMs, '');
+    const candidates = this.listCandidates(nowMs);
+    const ids = new Set(candidates.map(({id}) => id));
+    return {
+      service,
+      demand,
+      choice: 'upstream' in choice ? choice : this.planReturn(choice, nowMs),
+      candidates,
+      excluded: context.replica.upstreams
+        .listInUse(nowMs)
+        .filter(({id, service: name}) => name === this.service && !ids.has(id))
+        .map(upstream => ({
+          upstream,
+          exclusion: this.findExclusion(upstream, nowMs),
+        })),
+    };
+  }
+
+  /** Returns why an upstream is no candidate. */
+  private findExclusion(
+    upstream: UpstreamEntry,
     nowMs: number,
-    suspect: string,
-  ): UpstreamChoice | CapacityShortage {
+  ): UpstreamExclusion {
+    const {replica, rests, limits, health} = this.context;
+    const {id} = upstream;
+    const unusable = replica.upstreams.findExclusion(upstream, nowMs);
+    if (unusable !== undefined) return unusable;
+    if (rests.isResting(id, nowMs)) return UpstreamExclusion.RESTING;
+    if (!limits.mayTake(id, nowMs)) return UpstreamExclusion.OVER_LIMIT;
+    if (health.isAvoided(id, nowMs)) return UpstreamExclusion.AVOIDED;
+    return UpstreamExclusion.OTHER;
+  }
+
+  private listCandidates(nowMs: number): UpstreamEntry[] {
     const {chooser, limits, rests} = this.context;
     // A limited or resting upstream must not hide those that are avoided.
-    const candidates = chooser.listCandidates(
+    return chooser.listCandidates(
       this.listUsable().filter(
         ({id}) => limits.mayTake(id, nowMs) && !rests.isResting(id, nowMs),
       ),
       this.triedUpstreams,
       nowMs,
     );
+  }
+
+  private chooseUpstream(
+    service: Service | undefined,
+    demand: PromptDemand,
+    nowMs: number,
+    suspect: string,
+  ): UpstreamChoice | CapacityShortage {
+    const candidates = this.listCandidates(nowMs);
     if (suspect !== '') {
       const isolated = this.chooseAmong(
         candidates.filter(
--- a/packages/daemon/src/gateway/callers/gateway_server.ts
+++ b/packages/daemon/src/gateway/callers/gateway_server.ts
@@ -273,10 +273,7 @@
   }
 
   /** Returns the failure for a request that other hosts are to serve. */
-  private findRefusal(
-    {route}: RouteMatch,
-    deadlineMs: number,
-  ): Failure | undefined {
+  findRefusal({route}: RouteMatch, deadlineMs: number): Failure | undefined {
     const {drainAdmission, context} = this;
     const mayAccept =
       drainAdmission?.mayAccept(route, deadlineMs, context.clock.nowMs()) ??
--- a/packages/daemon/src/gateway/callers/probe_server.ts
+++ b/packages/daemon/src/gateway/callers/probe_server.ts
@@ -4,12 +4,13 @@
 import fastify, {type FastifyInstance} from 'fastify';
 import {readTimelineQuery} from '../../host/read_timeline_query.js';
 import {answerFailures} from '../../operators/answer_failures.js';
+import type {RequestExplainer} from '../explain/request_explainer.js';
 import type {GatewayMetrics} from '../gateway_metrics.js';
 
 const READY_STATUS = 200;
 const NOT_READY_STATUS = 503;
 
-/** Serves the readiness check, the metrics and the timeline of events. */
+/** Serves the readiness check, the metrics, the timeline of events and explanations. */
 export class ProbeServer {
   private readonly app: FastifyInstance = fastify();
   /**
@@ -30,6 +31,7 @@
     metrics: GatewayMetrics,
     refresh: () => void,
     readTimeline: (query: TimelineQuery) => Promise<TimelineEntry[]>,
+    explainer: Pick<RequestExplainer, 'explain'>,
   ) {
     this.app.get(path, async (_request, reply) => {
       const ready = isReady();
@@ -48,6 +50,10 @@
         events: await readTimeline(readTimelineQuery(query)),
       }),
     );
+    this.app.get<{Querystring: Record<string, unknown>}>(
+      '/v1/explain',
+      ({query}, reply) => reply.send(explainer.explain(query)),
+    );
     answerFailures(this.app, 'probe');
   }
 
--- a/packages/daemon/src/gateway/callers/read_request_metadata.ts
+++ b/packages/daemon/src/gateway/callers/read_request_metadata.ts
@@ -15,7 +15,7 @@
  * @param target Path with query string, as the caller sent it.
  */
 export function readRequestMetadata(
-  request: IncomingMessage,
+  request: Pick<IncomingMessage, 'headers' | 'method'>,
   target: string,
   names: HeaderNames,
 ): RequestMetadata {
--- a/packages/daemon/src/gateway/fleet/fleet_membership.ts
+++ b/packages/daemon/src/gateway/fleet/fleet_membership.ts
@@ -116,6 +116,11 @@
     return this.roster.listAlive(this.clock.nowMs());
   }
 
+  /** Lists the same heartbeats with the time of each. */
+  listSightings(): PeerSighting[] {
+    return this.roster.listSightings(this.clock.nowMs());
+  }
+
   /** Replaces the seed addresses. */
   setSeeds(seeds: readonly string[]): void {
     this.roster.setSeeds(seeds);
@@ -343,8 +348,7 @@
   }
 
   private introduceHosts(address: string): void {
-    const sightings = this.roster.listSightings(this.clock.nowMs());
-    this.sendDigestTo([address], sightings);
+    this.sendDigestTo([address], this.listSightings());
   }
 
   private handleDigest(
--- a/packages/daemon/src/gateway/gateway_context.ts
+++ b/packages/daemon/src/gateway/gateway_context.ts
@@ -42,8 +42,12 @@
   readonly departureCheck: DepartureCheck;
   readonly reservationClient: EngineReservations;
   readonly suspects: SuspectTracker;
-  /** Returns the Retry-After of a host without a configuration; absent for the usual. */
-  readonly planStartRetryMs: () => number | undefined;
+  /**
+   * Returns the Retry-After of a host without a configuration; absent for the usual.
+   *
+   * @param random Number in [0, 1); drawn if it is not given.
+   */
+  readonly planStartRetryMs: (random?: number) => number | undefined;
   /** Returns the number of live hosts, including this one. */
   readonly countHosts: () => number;
   /** Returns a uniform random number in [0, 1). */
--- a/packages/daemon/src/gateway/gateway_host.ts
+++ b/packages/daemon/src/gateway/gateway_host.ts
@@ -22,7 +22,6 @@
 import {HostTimeline} from '../host/host_timeline.js';
 import {nameIncarnation} from '../host/name_incarnation.js';
 import {parseAddress} from '../host/parse_address.js';
-import {gatherTimeline} from '../peers/gather_timeline.js';
 import {PeerServer} from '../peers/peer_server.js';
 import {PeerTransport} from '../peers/peer_transport.js';
 import {SuspectLog} from '../upstreams/suspect_log.js';
@@ -32,6 +31,8 @@
 import {DepartureCheck} from './upstreams/departure_check.js';
 import {DirectoryServer} from './callers/directory_server.js';
 import {planStartRetryMs} from './callers/plan_start_retry_ms.js';
+import {createTimelineReader} from './callers/create_timeline_reader.js';
+import {RequestExplainer} from './explain/request_explainer.js';
 import {PeerCallHandler} from './fleet/peer_call_handler.js';
 import {FleetMembership} from './fleet/fleet_membership.js';
 import type {GatewayDialect} from './gateway_dialect.js';
@@ -225,8 +226,8 @@
       departureCheck: new DepartureCheck(replica, reach, clock),
       reservationClient: reservations,
       suspects,
-      planStartRetryMs: () =>
-        planStartRetryMs(settings, this.fleet.listHeartbeats(), draw()),
+      planStartRetryMs: (random = draw()) =>
+        planStartRetryMs(settings, this.fleet.listHeartbeats(), random),
       countHosts: () => this.fleet.countHosts(),
       draw,
     };
@@ -248,13 +249,14 @@
         metrics.droppedLogLines.set(log.droppedLines());
         refreshUpstreamGauges(this.context);
       },
-      query =>
-        gatherTimeline(
-          timeline.read(query),
-          this.fleet.listPeers(),
-          this.transport,
-          query,
-        ),
+      createTimelineReader(timeline, this.fleet, this.transport),
+      new RequestExplainer(
+        settings.host,
+        this.context,
+        this.server,
+        this.siteUpdater,
+        this.fleet,
+      ),
     );
     this.peers = new PeerServer(
       PEER_KEY,
--- a/packages/daemon/src/gateway_main.test.ts
+++ b/packages/daemon/src/gateway_main.test.ts
@@ -7,6 +7,7 @@
 import {join} from 'node:path';
 import {setTimeout as pause} from 'node:timers/promises';
 import {fileURLToPath} from 'node:url';
+import type {Explanation} from '@parsleywood/schema/explanation';
 import {findFreePorts} from '@parsleywood/stand-ins';
 import {expect} from 'chai';
 import {request} from 'undici';
@@ -20,6 +21,7 @@
   let folder = '';
   let upstream: Server;
   let callers = '';
+  let probes: string[] = [];
   let gateway: ChildProcess;
 
   const file = (name: string): string => join(folder, name);
@@ -90,6 +92,7 @@
       port => `${LOCAL}:${port}`,
     );
     callers = first ?? '';
+    probes = [second ?? '', fifth ?? ''];
     const settings = {
       host: 'h1',
       failureDomain: 'a',
@@ -134,6 +137,19 @@
     expect(await call()).to.equal(200);
   });
 
+  it('explains a request at both probe addresses, and refuses a wrong query', async () => {
+    const query = 'name=site.example&path=/orders/1&key=key-mill';
+    for (const address of probes) {
+      const url = `http://${address}/v1/explain?${query}`;
+      const answer = await request(url);
+      const explanation = (await answer.body.json()) as Explanation;
+      expect(explanation.choice?.upstream).to.equal('app-1');
+      const wrong = await request(`${url}&promptTokens=many`);
+      expect(await wrong.body.text()).to.match(/promptTokens is \\"many/);
+      expect(wrong.statusCode).to.equal(400);
+    }
+  });
+
   it('applies a changed file, and keeps the last valid one', async () => {
     publish(2, {accounts: [{name: 'shop', keys: ['key-shop']}]});
     await waitForStatus(401);
--- a/packages/dispatch/src/prefill_planner.ts
+++ b/packages/dispatch/src/prefill_planner.ts
@@ -100,6 +100,18 @@
     return {waitMs: expectedMs - demand.objectiveMs};
   }
 
+  /** Estimates the first event of a prompt that one engine prefills alone. */
+  estimateAlone(
+    {promptTokens, answerTokens, ...times}: PromptDemand,
+    engine: EngineForecast,
+  ): {expectedMs: number; lossTokens: number} {
+    const pairs = PassModel.countMillionPairs(promptTokens);
+    const {finishMs} = this.estimateTiming(engine, promptTokens, pairs);
+    const weight = weighRequest(promptTokens, answerTokens);
+    const lossTokens = weight * estimateLatenessLoss(finishMs, times);
+    return {expectedMs: finishMs, lossTokens};
+  }
+
   /** Cost of the prompt's engine time at the current mean backlog, in tokens. */
   private priceEngineTime(
     demand: PromptDemand,
--- a/packages/dispatch/src/upstream_limits.ts
+++ b/packages/dispatch/src/upstream_limits.ts
@@ -119,6 +119,17 @@
     return atMs - nowMs;
   }
 
+  /** Copies the state, so that plans can be made that leave this one as it is. */
+  copy(draw: () => number): UpstreamLimits {
+    const copy = new UpstreamLimits(draw);
+    for (const [id, limit] of this.byUpstream) {
+      copy.byUpstream.set(id, {...limit});
+    }
+    for (const [id, atMs] of this.toldAtMs) copy.toldAtMs.set(id, atMs);
+    copy.nextReturnMs = this.nextReturnMs;
+    return copy;
+  }
+
   /** Drops the limits of upstreams that are no longer listed. */
   retain(upstreams: ReadonlySet<string>): void {
     for (const id of [...this.toldAtMs.keys()]) {
--- a/packages/dispatch/src/upstream_rests.ts
+++ b/packages/dispatch/src/upstream_rests.ts
@@ -34,6 +34,11 @@
     return this.getLeftMs(upstream, nowMs) > 0;
   }
 
+  /** Returns how much longer an upstream rests, in milliseconds; 0 if it does not. */
+  getLeftMs(upstream: string, nowMs: number): number {
+    return Math.max(0, (this.untilMs.get(upstream) ?? 0) - nowMs);
+  }
+
   /**
    * Returns the time after which a request that found no upstream may come again,
    * in milliseconds; 0 if one of the upstreams does not rest.
@@ -44,14 +49,17 @@
     return isKnown ? firstMs + RETURN_SPREAD_MS * this.draw() : 0;
   }
 
+  /** Copies the state, with another source of random numbers. */
+  copy(draw: () => number): UpstreamRests {
+    const copy = new UpstreamRests(draw);
+    for (const [id, untilMs] of this.untilMs) copy.untilMs.set(id, untilMs);
+    return copy;
+  }
+
   /** Drops the rests of upstreams that are no longer listed. */
   retain(upstreams: ReadonlySet<string>): void {
     for (const id of [...this.untilMs.keys()]) {
       if (!upstreams.has(id)) this.untilMs.delete(id);
     }
   }
-
-  private getLeftMs(upstream: string, nowMs: number): number {
-    return Math.max(0, (this.untilMs.get(upstream) ?? 0) - nowMs);
-  }
 }
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -44,6 +44,7 @@
 export {SlidingWindowCounter} from './sliding_window_counter.js';
 export type {StorePosition} from './store_position.js';
 export type {UpstreamEntry} from './upstream_entry.js';
+export {UpstreamExclusion} from './upstream_exclusion.js';
 export {UpstreamRegistry} from './upstream_registry.js';
 export {UpstreamPresence} from './upstream_presence.js';
 export {UpstreamStage} from './upstream_stage.js';
--- a/packages/forwarding/src/upstream_registry.ts
+++ b/packages/forwarding/src/upstream_registry.ts
@@ -1,6 +1,7 @@
 import {Departures} from './departures.js';
 import {LeavingUpstreams} from './leaving_upstreams.js';
 import type {UpstreamEntry} from './upstream_entry.js';
+import {UpstreamExclusion} from './upstream_exclusion.js';
 import {UpstreamPresence} from './upstream_presence.js';
 import {UpstreamStage} from './upstream_stage.js';
 
@@ -64,12 +65,21 @@
     return this.listInUse(nowMs).filter(
       entry =>
         entry.service === service &&
-        entry.stage === UpstreamStage.READY &&
-        !this.departures.isHeld(entry.id, nowMs) &&
-        !this.leaving.has(entry),
+        this.findExclusion(entry, nowMs) === undefined,
     );
   }
 
+  /** Returns why an upstream in use receives no new work; undefined if it may. */
+  findExclusion(
+    entry: UpstreamEntry,
+    nowMs: number,
+  ): UpstreamExclusion | undefined {
+    if (entry.stage !== UpstreamStage.READY) return UpstreamExclusion.DRAINING;
+    if (this.departures.isHeld(entry.id, nowMs)) return UpstreamExclusion.GONE;
+    if (this.leaving.has(entry)) return UpstreamExclusion.LEAVING;
+    return undefined;
+  }
+
   replace(
     entries: readonly UpstreamEntry[],
     nowMs: number,
