Ask a gateway from the tool where a request would go

Wrong options end with 2 before anything is asked. An older host repeats the path of an unknown route in its error; its query is cut off, as it may hold a key.

--- a/packages/cli/src/host_client.ts
+++ b/packages/cli/src/host_client.ts
@@ -1,4 +1,5 @@
 import type {ErrorBody} from '@parsleywood/errors';
+import type {Explanation} from '@parsleywood/schema/explanation';
 import type {TimelineEntry} from '@parsleywood/timeline';
 import {request} from 'undici';
 import {CommandFailure} from './command_failure.js';
@@ -28,12 +29,14 @@
     afterMs?: number;
     limit?: number;
   }): Promise<{events: TimelineEntry[]}> {
-    const parameters = new URLSearchParams();
-    for (const [name, value] of Object.entries(query)) {
-      if (value !== undefined) parameters.set(name, String(value));
-    }
-    const suffix = parameters.size === 0 ? '' : `?${parameters.toString()}`;
-    return this.call('GET', `/v1/timeline${suffix}`);
+    return this.call('GET', `/v1/timeline${formatQuery(query)}`);
+  }
+
+  /** Asks, at the host's metrics or readiness address, where a request would go. */
+  explain(
+    query: Readonly<Record<string, string | undefined>>,
+  ): Promise<Explanation> {
+    return this.call('GET', `/v1/explain${formatQuery(query)}`);
   }
 
   readConfiguration(): Promise<{
@@ -47,7 +50,13 @@
     const {status, text} = await this.send(method, path);
     const body = this.parseBody(text, status);
     if (status < MIN_ERROR_STATUS) return body as T;
-    throw new CommandFailure(ExitCode.FAILED, this.formatError(status, body));
+    const message = this.formatError(status, body);
+    // A host without the route repeats the whole path; the query may hold a key.
+    const [withoutQuery = ''] = path.split('?', 1);
+    throw new CommandFailure(
+      ExitCode.FAILED,
+      message.replaceAll(path, withoutQuery),
+    );
   }
 
   private async send(method: 'GET' | 'POST', path: string) {
@@ -90,3 +99,13 @@
     return `host ${this.address} answered ${status} ${kind}: ${message}${hint}`;
   }
 }
+
+function formatQuery(
+  query: Readonly<Record<string, string | number | undefined>>,
+): string {
+  const parameters = new URLSearchParams();
+  for (const [name, value] of Object.entries(query)) {
+    if (value !== undefined) parameters.set(name, String(value));
+  }
+  return parameters.size === 0 ? '' : `?${parameters.toString()}`;
+}
--- a/packages/cli/src/run_command.test.ts
+++ b/packages/cli/src/run_command.test.ts
@@ -4,6 +4,7 @@
 import createFastify, {type FastifyInstance} from 'fastify';
 import {Result} from 'true-myth';
 import {ErrorKind, Failure, formatFailure} from '@parsleywood/errors';
+import type {Explanation} from '@parsleywood/schema/explanation';
 import type {ConfigModule, SiteStatus} from './index.js';
 import {ExitCode, runCommand} from './index.js';
 
@@ -64,6 +65,75 @@
   buildEvent(2, 'entry-1', 'attempt_started', {upstream: 'engine-1'}),
 ];
 
+const ENGINE = {
+  backlogMs: 40,
+  usedMemoryTokens: 9_000,
+  memoryTokens: 405_000,
+  slowdownFactor: 1.25,
+  aloneMs: 610,
+  lossTokens: 300,
+};
+
+const EXPLANATION: Explanation = {
+  host: 'gateway-1',
+  route: 'ask',
+  service: 'llm',
+  targets: [
+    {service: 'llm', weight: 9},
+    {service: 'llm-next', weight: 1},
+  ],
+  account: 'mill',
+  demand: {
+    promptTokens: 90_000,
+    answerTokens: 1_292,
+    objectiveMs: 300,
+    callerTimeoutMs: 2_000,
+  },
+  upstreams: [
+    {...buildConsidered('engine-1'), isCandidate: true},
+    {...buildConsidered('engine-2'), isCandidate: true, perSecond: 4},
+    {...buildConsidered('engine-3'), isCandidate: true},
+    {...buildConsidered('engine-4'), exclusion: 'resting', restMs: 900},
+    {...buildConsidered('engine-5'), exclusion: 'leaving'},
+  ],
+  choice: {
+    upstream: 'engine-1',
+    helpers: ['engine-3'],
+    expectedMs: 280,
+    objectiveMs: 300,
+  },
+  inputs: {
+    storeAgeMs: 12,
+    epoch: 1,
+    revision: 40,
+    version: 7,
+    peers: 2,
+    newestPeerMs: 15,
+    oldestPeerMs: 240,
+    placements: 31,
+    upMs: 26 * HOUR_MS,
+  },
+};
+const REFUSED: Explanation = {
+  host: 'gateway-1',
+  upstreams: [],
+  refusal: {
+    status: 503,
+    kind: 'overloaded',
+    message: 'no capacity at service llm',
+    waitMs: 800,
+    retryAfterMs: 800,
+  },
+  inputs: {
+    epoch: 0,
+    revision: 0,
+    version: 0,
+    peers: 0,
+    placements: 0,
+    upMs: 1,
+  },
+};
+
 describe('parsleywood', () => {
   let host: FastifyInstance;
   let address: string;
@@ -77,6 +147,9 @@
     });
     host.get('/v1/status', () => STATUS);
     host.get('/v1/timeline', () => ({events: EVENTS}));
+    host.get<{Querystring: {path: string}}>('/v1/explain', ({query}) =>
+      query.path === '/ask/' ? EXPLANATION : REFUSED,
+    );
     host.get('/v1/configuration', () => ({
       revision: {base: 4, overlay: 2},
       settings: {a: 1},
@@ -120,6 +193,15 @@
       'drain entry-9',
       'timeline --request r-1',
       'timeline --limit 0',
+      'explain --name a.example --path /ask/ --prompt-tokens 90000',
+      'explain --name a.example --path /busy/',
+      'explain --name a.example --path /busy/ --json',
+      'explain --path /ask/',
+      'explain --name a.example --path ask',
+      'explain --name a.example --path /ask/ --prompt-tokens many',
+      'explain --name a.example --path /ask/ --time-limit -5',
+      'explain --name a.example --name b.example --path /ask/',
+      'explain --name a.example --path /ask/ --tokens 5',
       'config check good.json',
       'config check good.json wrong.json',
       'config check absent.json',
@@ -145,6 +227,7 @@
       'upstreams',
       'drain',
       'timeline',
+      'explain',
       'config',
       'config check',
       'config show',
@@ -167,6 +250,33 @@
     ]);
   });
 
+  it('sends all that is known of the request to be explained', async () => {
+    const counts = '--prompt-tokens 5 --max-answer-tokens 6 --answer-tokens 7';
+    const others = '--key k --service s --parts a:4,b:1 --time-limit 900';
+    const request = '--name a.example --path /ask/?q=1';
+    await run('explain', ...`${request} ${others} ${counts}`.split(' '));
+    expect(receivedRequests).to.eql([
+      'GET /v1/explain?name=a.example&path=%2Fask%2F%3Fq%3D1&key=k&service=s' +
+        '&promptTokens=5&maxAnswerTokens=6&answerTokens=7' +
+        '&parts=a%3A4%2Cb%3A1&timeLimitMs=900',
+    ]);
+  });
+
+  it('shows no key when an older host does not know the route', async () => {
+    const older = createFastify();
+    older.setNotFoundHandler(({url}, reply) => {
+      const failure = new Failure(ErrorKind.NOT_FOUND, `no route: GET ${url}`);
+      return reply.code(404).send(formatFailure(failure, 'r-1'));
+    });
+    const url = await older.listen({host: '127.0.0.1', port: 0});
+    const at = ['--host', url.replace('http://', '')];
+    const request = ['--name', 'a', '--path', '/', '--key', 'secret/1'];
+    const text = await run('explain', ...at, ...request);
+    await older.close();
+    expect(text).to.contain('404 not_found: no route: GET /v1/explain\n');
+    expect(text.split('error:')[1]).not.to.contain('secret');
+  });
+
   it('distinguishes an unreachable host from a non-JSON response', async () => {
     const nonJsonServer = createServer(socket => {
       socket.resume();
@@ -221,6 +331,12 @@
   return {name, kind: 'engine', serves: 'demo-llm', address, state, inFlight};
 }
 
+function buildConsidered(id: string) {
+  const place = {address: '10.0.1.1:9000', failureDomain: 'domain-a'};
+  const load = {requests: 2, slots: 11, engine: ENGINE};
+  return {id, ...place, isCandidate: false, ...load};
+}
+
 function buildEvent(
   sequence: number,
   host: string,
--- a/packages/cli/src/run_command.ts
+++ b/packages/cli/src/run_command.ts
@@ -4,6 +4,7 @@
 import type {CommandOptions} from './command_options.js';
 import {buildConfigCommand} from './commands/build_config_command.js';
 import {buildDrainCommand} from './commands/build_drain_command.js';
+import {buildExplainCommand} from './commands/build_explain_command.js';
 import {buildHostsCommand} from './commands/build_hosts_command.js';
 import {buildStatusCommand} from './commands/build_status_command.js';
 import {buildTimelineCommand} from './commands/build_timeline_command.js';
@@ -63,6 +64,7 @@
     .command(buildUpstreamsCommand(context))
     .command(buildDrainCommand(context))
     .command(buildTimelineCommand(context))
+    .command(buildExplainCommand(context))
     .command(buildConfigCommand(context))
     .completion('completion', 'Print a completion script for bash or zsh')
     .demandCommand(1, 'no command given; --help lists the commands')
