--- a/packages/cli/src/format_explanation.ts
+++ b/packages/cli/src/format_explanation.ts
@@ -87,6 +87,7 @@
   if (newestPeerMs === undefined || oldestPeerMs === undefined) {
     return 'no other host heard';
   }
+  if (peers === 1) return `1 other host heard ${newestPeerMs} ms ago`;
   return `${peers} other hosts heard ${newestPeerMs} to ${oldestPeerMs} ms ago`;
 }
 
