Forecast the engines once for an explanation

The reasons of exclusion are in a file of their own, one line each.

Run: explain tests (8), dispatch (47), cli (6), gateway_main and attempts/.

--- a/packages/daemon/src/gateway/attempts/attempt_placer.ts
+++ b/packages/daemon/src/gateway/attempts/attempt_placer.ts
@@ -2,21 +2,22 @@
   canFitPrompt,
   PassMeter,
   type CapacityShortage,
+  type EngineForecast,
   type PromptDemand,
   type UpstreamChoice,
 } from '@parsleywood/dispatch';
 import {
   AttemptOutcome,
-  UpstreamExclusion,
   type RouteMatch,
   type Service,
   type UpstreamEntry,
 } from '@parsleywood/forwarding';
 import {canConnect} from '../upstreams/can_connect.js';
+import type {ConsideredUpstreams} from './considered_upstreams.js';
 import {describeDemand} from './describe_demand.js';
+import {findExclusion} from './find_exclusion.js';
 import type {GatewayContext} from '../gateway_context.js';
 import type {PlacedAttempt} from './placed_attempt.js';
-import type {PlacementPreview} from './placement_preview.js';
 import type {ReceivedRequest} from '../callers/received_request.js';
 import type {SuspendedPlacement} from './suspended_placement.js';
 
@@ -322,46 +323,35 @@
     return {waitMs: limits.planReturnMs(ids, countHosts(), nowMs)};
   }
 
-  /**
-   * Chooses as `place` does for a request that is no suspect, without placing
-   * anything, and says why the other upstreams of the service are no candidates.
-   */
-  preview(): PlacementPreview {
-    const {context} = this;
+  /** Lists the candidates of a new request, and why the other upstreams are none. */
+  listUpstreams(): ConsideredUpstreams {
+    const {context, service} = this;
     const nowMs = context.clock.nowMs();
-    const service = this.match.rules.findService(this.service);
-    const demand = this.describeDemand(service, nowMs);
-    const choice = this.chooseUpstream(service, demand, nowMs, '');
     const candidates = this.listCandidates(nowMs);
     const ids = new Set(candidates.map(({id}) => id));
-    return {
-      service,
-      demand,
-      choice: 'upstream' in choice ? choice : this.planReturn(choice, nowMs),
-      candidates,
-      excluded: context.replica.upstreams
-        .listInUse(nowMs)
-        .filter(({id, service: name}) => name === this.service && !ids.has(id))
-        .map(upstream => ({
-          upstream,
-          exclusion: this.findExclusion(upstream, nowMs),
-        })),
-    };
+    const excluded = context.replica.upstreams
+      .listInUse(nowMs)
+      .filter(entry => entry.service === service && !ids.has(entry.id))
+      .map(entry => ({entry, reason: findExclusion(entry, context, nowMs)}));
+    return {candidates, excluded};
   }
 
-  /** Returns why an upstream is no candidate. */
-  private findExclusion(
-    upstream: UpstreamEntry,
-    nowMs: number,
-  ): UpstreamExclusion {
-    const {replica, rests, limits, health} = this.context;
-    const {id} = upstream;
-    const unusable = replica.upstreams.findExclusion(upstream, nowMs);
-    if (unusable !== undefined) return unusable;
-    if (rests.isResting(id, nowMs)) return UpstreamExclusion.RESTING;
-    if (!limits.mayTake(id, nowMs)) return UpstreamExclusion.OVER_LIMIT;
-    if (health.isAvoided(id, nowMs)) return UpstreamExclusion.AVOIDED;
-    return UpstreamExclusion.OTHER;
+  /** Chooses as `place` does for a request that is no suspect; places nothing. */
+  preview(
+    candidates: readonly UpstreamEntry[],
+    forecasts: readonly EngineForecast[],
+    demand: PromptDemand,
+  ): UpstreamChoice | CapacityShortage {
+    const nowMs = this.context.clock.nowMs();
+    const service = this.match.rules.findService(this.service);
+    const choice = this.chooseAmong(
+      candidates,
+      service,
+      demand,
+      nowMs,
+      forecasts,
+    );
+    return 'upstream' in choice ? choice : this.planReturn(choice, nowMs);
   }
 
   private listCandidates(nowMs: number): UpstreamEntry[] {
@@ -402,12 +392,13 @@
     service: Service | undefined,
     demand: PromptDemand,
     nowMs: number,
+    forecasts?: readonly EngineForecast[],
   ): UpstreamChoice | CapacityShortage {
     const {chooser, draw} = this.context;
     if (service?.engine === undefined) {
       return chooser.chooseServiceUpstream(candidates, draw(), nowMs);
     }
-    return chooser.chooseEngines(candidates, service, demand, nowMs);
+    return chooser.chooseEngines(candidates, service, demand, nowMs, forecasts);
   }
 
   private describeDemand(
--- a/packages/daemon/src/gateway/explain/describe_considered.ts
+++ b/packages/daemon/src/gateway/explain/describe_considered.ts
@@ -4,81 +4,75 @@
   type EngineForecast,
   type PromptDemand,
 } from '@parsleywood/dispatch';
-import type {UpstreamEntry} from '@parsleywood/forwarding';
+import type {EngineProfile} from '@parsleywood/forwarding';
 import type {
   ConsideredUpstream,
   EngineExplanation,
 } from '@parsleywood/schema/explanation';
-import type {PlacementPreview} from '../attempts/placement_preview.js';
+import type {ConsideredUpstreams} from '../attempts/considered_upstreams.js';
 import type {GatewayContext} from '../gateway_context.js';
 
 const PERCENT = 100;
 
-/** Describes the upstreams that a placement considered, candidates first. */
+/**
+ * Describes the upstreams of a service, candidates first.
+ *
+ * @param forecasts Load of each engine, in the same order; empty for a plain service.
+ */
 export function describeConsidered(
-  {service, demand, candidates, excluded}: PlacementPreview,
-  {chooser, placements, rests, limits}: GatewayContext,
+  {candidates, excluded}: ConsideredUpstreams,
+  forecasts: readonly EngineForecast[],
+  profile: EngineProfile | undefined,
+  demand: PromptDemand,
+  {placements, rests, limits}: GatewayContext,
   nowMs: number,
 ): ConsideredUpstream[] {
-  const exclusions = new Map(
-    excluded.map(({upstream, exclusion}) => [upstream.id, exclusion]),
-  );
   const perSecondById = new Map(
     limits.list().map(({upstream, perSecond}) => [upstream, perSecond]),
   );
-  const entries = [...candidates, ...excluded.map(({upstream}) => upstream)];
-  const describe = (entry: UpstreamEntry): ConsideredUpstream => {
-    const {id, address, failureDomain, slots} = entry;
-    const exclusion = exclusions.get(id);
-    const restMs = rests.getLeftMs(id, nowMs);
-    const perSecond = perSecondById.get(id);
+  const planner = profile && new PrefillPlanner(new PassModel(profile));
+  const entries = [
+    ...candidates.map(entry => ({entry, reason: undefined})),
+    ...excluded,
+  ];
+  return entries.map(({entry, reason}, index) => {
+    const {id, address, failureDomain} = entry;
+    const forecast = forecasts[index];
+    const restMs = Math.ceil(rests.getLeftMs(id, nowMs));
+    // Fields that are undefined are absent in the answer.
     return {
       id,
       address,
       failureDomain,
-      isCandidate: exclusion === undefined,
-      ...(exclusion !== undefined && {exclusion}),
-      requests: 0,
-      slots,
-      ...(restMs > 0 && {restMs: Math.ceil(restMs)}),
-      ...(perSecond !== undefined && {perSecond}),
-    };
-  };
-  if (service?.engine === undefined) {
-    return entries.map(entry => ({
-      ...describe(entry),
-      requests: placements.getUpstreamPlacements(entry.id, nowMs).records
-        .length,
-    }));
-  }
-  const model = new PassModel(service.engine);
-  const planner = new PrefillPlanner(model);
-  const forecasts = chooser.forecastEngines(entries, model, nowMs);
-  return entries.flatMap((entry, index) => {
-    const forecast = forecasts[index];
-    if (forecast === undefined) return [];
-    return {
-      ...describe(entry),
-      requests: forecast.usedSlots,
-      slots: model.profile.slots,
-      engine: describeEngine(forecast, model, planner, demand),
+      isCandidate: reason === undefined,
+      exclusion: reason,
+      requests:
+        forecast?.usedSlots ??
+        placements.getUpstreamPlacements(id, nowMs).records.length,
+      slots: profile?.slots ?? entry.slots,
+      restMs: restMs > 0 ? restMs : undefined,
+      perSecond: perSecondById.get(id),
+      engine:
+        profile &&
+        planner &&
+        forecast &&
+        describeEngine(forecast, planner, demand, profile.memoryTokens),
     };
   });
 }
 
 function describeEngine(
   forecast: EngineForecast,
-  {profile}: PassModel,
   planner: PrefillPlanner,
   demand: PromptDemand,
+  memoryTokens: number,
 ): EngineExplanation {
-  const {backlogMs, usedMemoryTokens, slowdownFactor} = forecast;
   const {expectedMs, lossTokens} = planner.estimateAlone(demand, forecast);
   return {
-    backlogMs: Math.round(backlogMs),
-    usedMemoryTokens: Math.round(usedMemoryTokens),
-    memoryTokens: profile.memoryTokens,
-    slowdownFactor: Math.round(slowdownFactor * PERCENT) / PERCENT,
+    backlogMs: Math.round(forecast.backlogMs),
+    usedMemoryTokens: Math.round(forecast.usedMemoryTokens),
+    memoryTokens,
+    slowdownFactor: Math.round(forecast.slowdownFactor * PERCENT) / PERCENT,
     aloneMs: Math.round(expectedMs),
     lossTokens: Math.round(lossTokens),
   };
--- a/packages/daemon/src/gateway/explain/request_explainer.ts
+++ b/packages/daemon/src/gateway/explain/request_explainer.ts
@@ -1,6 +1,15 @@
-import type {UpstreamChoice} from '@parsleywood/dispatch';
+import {
+  PassModel,
+  type EngineForecast,
+  type PromptDemand,
+  type UpstreamChoice,
+} from '@parsleywood/dispatch';
 import {ERROR_RESPONSES, ErrorKind, Failure} from '@parsleywood/errors';
-import {matchRequest, type RouteMatch} from '@parsleywood/forwarding';
+import {
+  matchRequest,
+  type RouteMatch,
+  type UpstreamEntry,
+} from '@parsleywood/forwarding';
 import type {
   ExplainedChoice,
   ExplainedInputs,
@@ -10,7 +19,7 @@
 import {createCrashFailure} from '../../callers/create_crash_failure.js';
 import {AttemptPlacer} from '../attempts/attempt_placer.js';
 import {createCapacityFailure} from '../attempts/create_capacity_failure.js';
-import type {PlacementPreview} from '../attempts/placement_preview.js';
+import {describeDemand} from '../attempts/describe_demand.js';
 import {computeTimeLimit} from '../callers/compute_time_limit.js';
 import type {GatewayServer} from '../callers/gateway_server.js';
 import type {RequestMetadata} from '../callers/request_metadata.js';
@@ -85,21 +94,48 @@
     const context = this.createStillContext();
     const nowMs = context.clock.nowMs();
     const deadlineMs = nowMs + computeTimeLimit(metadata, match.route);
-    const service = findService(match, chosenService);
-    const placer = new AttemptPlacer(
-      context,
+    const name = findService(match, chosenService);
+    const request = {
+      metadata,
+      headers: [],
+      body: EMPTY_BODY,
+      receivedAtMs: nowMs,
+    };
+    const placer = new AttemptPlacer(context, match, request, name, deadlineMs);
+    const service = match.rules.findService(name);
+    const demand = describeDemand(
       match,
-      {metadata, headers: [], body: EMPTY_BODY, receivedAtMs: nowMs},
       service,
+      request,
       deadlineMs,
+      undefined,
+      nowMs,
+    );
+    const considered = placer.listUpstreams();
+    const {candidates, excluded} = considered;
+    // Forecasts are the costly part of a placement, so each is made once.
+    const forecast = (entries: readonly UpstreamEntry[]): EngineForecast[] =>
+      service?.engine === undefined
+        ? []
+        : context.chooser.forecastEngines(
+            entries,
+            new PassModel(service.engine),
+            nowMs,
+          );
+    const forecasts = forecast(candidates);
+    const choice = placer.preview(candidates, forecasts, demand);
+    const upstreams = describeConsidered(
+      considered,
+      [...forecasts, ...forecast(excluded.map(({entry}) => entry))],
+      service?.engine,
+      demand,
+      context,
+      nowMs,
     );
-    const preview = placer.preview();
-    const {choice, demand} = preview;
-    const upstreams = describeConsidered(preview, context, nowMs);
     const failure =
       this.server.findRefusal(match, deadlineMs) ??
       this.findCrashFailure(metadata);
-    const result = {service, demand: roundDemand(demand), upstreams};
+    const result = {service: name, demand: roundDemand(demand), upstreams};
     if (failure !== undefined) {
       return {...result, refusal: describeRefusal(failure)};
     }
@@ -177,7 +213,7 @@
   return {status, kind, message, ...retryAfter};
 }
 
-function roundDemand(demand: PlacementPreview['demand']) {
+function roundDemand(demand: PromptDemand): PromptDemand {
   return {
     ...demand,
     objectiveMs: Math.round(demand.objectiveMs),
--- a/packages/dispatch/src/prefill_planner.ts
+++ b/packages/dispatch/src/prefill_planner.ts
@@ -102,13 +102,14 @@
 
   /** Estimates the first event of a prompt that one engine prefills alone. */
   estimateAlone(
-    {promptTokens, answerTokens, ...times}: PromptDemand,
+    demand: PromptDemand,
     engine: EngineForecast,
   ): {expectedMs: number; lossTokens: number} {
+    const {promptTokens, answerTokens} = demand;
     const pairs = PassModel.countMillionPairs(promptTokens);
     const {finishMs} = this.estimateTiming(engine, promptTokens, pairs);
     const weight = weighRequest(promptTokens, answerTokens);
-    const lossTokens = weight * estimateLatenessLoss(finishMs, times);
+    const lossTokens = weight * estimateLatenessLoss(finishMs, demand);
     return {expectedMs: finishMs, lossTokens};
   }
 
--- a/packages/dispatch/src/upstream_chooser.ts
+++ b/packages/dispatch/src/upstream_chooser.ts
@@ -62,16 +62,21 @@
     return upstream ? {upstream, helpers: []} : {waitMs: 0};
   }
 
-  /** Chooses the engines of a prompt, or estimates when capacity is free. */
+  /**
+   * Chooses the engines of a prompt, or estimates when capacity is free.
+   *
+   * @param forecasts Load of the candidates, if it is known already.
+   */
   chooseEngines(
     candidates: readonly UpstreamEntry[],
     service: Service,
     demand: PromptDemand,
     nowMs: number,
+    forecasts?: readonly EngineForecast[],
   ): UpstreamChoice | CapacityShortage {
     const model = this.getModel(service);
     if (model === undefined) return {waitMs: 0};
-    const engines = this.forecastEngines(candidates, model, nowMs);
+    const engines = forecasts ?? this.forecastEngines(candidates, model, nowMs);
     const plan = new PrefillPlanner(model).plan(demand, engines);
     if (!('parts' in plan)) return plan;
     const byId = new Map(candidates.map(entry => [entry.id, entry]));
