--- a/packages/cli/src/format_explanation.ts
+++ b/packages/cli/src/format_explanation.ts
@@ -111,10 +111,13 @@
 }
 
 function formatUse(
-  {id, exclusion, restMs, perSecond}: ConsideredUpstream,
+  {id, exclusion, restMs, perSecond, paceWindow}: ConsideredUpstream,
   {choice}: Explanation,
 ): string {
-  const limit = perSecond === undefined ? '' : ` (${perSecond}/s)`;
+  const rate = perSecond === undefined ? '' : ` (${perSecond}/s)`;
+  const pace =
+    paceWindow === undefined ? '' : ` (slow start, up to ${paceWindow})`;
+  const limit = `${rate}${pace}`;
   if (exclusion !== undefined) {
     const rest = restMs === undefined ? '' : ` for ${restMs} ms`;
     return `${exclusion}${rest}${limit}`;
--- a/packages/daemon/src/gateway/attempts/attempt_placer.ts
+++ b/packages/daemon/src/gateway/attempts/attempt_placer.ts
@@ -2,9 +2,7 @@
   canFitPrompt,
   PassMeter,
   type CapacityShortage,
-  type EngineForecast,
   type PromptDemand,
-  type UpstreamChoice,
 } from '@parsleywood/dispatch';
 import {
   AttemptOutcome,
@@ -12,13 +10,18 @@
   type Service,
   type UpstreamEntry,
 } from '@parsleywood/forwarding';
+import {mayBeFault} from './may_be_fault.js';
 import {canConnect} from '../upstreams/can_connect.js';
-import type {ConsideredUpstreams} from './considered_upstreams.js';
+import {forwardsHeader} from '../upstreams/forwards_header.js';
+import {AttemptChooser} from './attempt_chooser.js';
 import {describeDemand} from './describe_demand.js';
-import {findExclusion} from './find_exclusion.js';
+import {EligibleUpstreams} from './eligible_upstreams.js';
+import type {ExclusionReason} from './exclusion_reason.js';
 import type {GatewayContext} from '../gateway_context.js';
 import type {PlacedAttempt} from './placed_attempt.js';
 import type {ReceivedRequest} from '../callers/received_request.js';
+import {ReturnPlanner} from './return_planner.js';
+import {recordChoiceWithoutView} from './record_choice_without_view.js';
 import type {SuspendedPlacement} from './suspended_placement.js';
 
 const SERVER_ERROR_STATUS = 500;
@@ -35,6 +38,9 @@
   /** Monotonic time of the last event of any attempt. */
   private lastEventAtMs: number | undefined;
   private passMeter = new PassMeter();
+  private readonly eligible: EligibleUpstreams;
+  private readonly returns: ReturnPlanner;
+  private readonly chooser: AttemptChooser;
 
   /**
    * @param service Name of the service that the request goes to.
@@ -46,11 +52,25 @@
     private readonly request: ReceivedRequest,
     readonly service: string,
     private readonly deadlineMs: number,
-  ) {}
+  ) {
+    this.eligible = new EligibleUpstreams(context, match, service);
+    this.returns = new ReturnPlanner(context, this.eligible, service);
+    this.chooser = new AttemptChooser(context, this.eligible);
+  }
 
   /** Whether any upstream of the service accepts new requests. */
   get hasUpstreams(): boolean {
-    return this.listUsable().length > 0;
+    return this.eligible.list().length > 0;
+  }
+
+  /** Why the request may use no upstream, if others may. */
+  get exclusion(): ExclusionReason | undefined {
+    return this.eligible.findExclusion();
+  }
+
+  /** Whether an attempt must not be sent, as one of its upstreams was evacuated. */
+  isEvacuated({choice: {upstream, helpers}}: PlacedAttempt): boolean {
+    return this.eligible.isAnyEvacuated([upstream, ...helpers]);
   }
 
   /**
@@ -68,12 +88,14 @@
     const currentId = this.placed?.choice.upstream.id;
     const {rests, clock} = this.context;
     const nowMs = clock.nowMs();
-    return this.listUsable().some(
-      ({id}) =>
-        id !== currentId &&
-        !this.triedUpstreams.has(id) &&
-        !rests.isResting(id, nowMs),
-    );
+    return this.eligible
+      .list()
+      .some(
+        ({id}) =>
+          id !== currentId &&
+          !this.triedUpstreams.has(id) &&
+          !rests.isResting(id, nowMs),
+      );
   }
 
   /** Whether another upstream has capacity for the request now. */
@@ -81,7 +103,9 @@
     const nowMs = this.context.clock.nowMs();
     const service = this.match.rules.findService(this.service);
     const demand = this.describeDemand(service, nowMs);
-    return 'upstream' in this.chooseUpstream(service, demand, nowMs, '');
+    const {chooser, triedUpstreams} = this;
+    const choice = chooser.choose(service, demand, triedUpstreams, nowMs, '');
+    return 'upstream' in choice;
   }
 
   /** Whether no other suspect has met the attempt in progress on an upstream. */
@@ -112,8 +136,22 @@
     const nowMs = context.clock.nowMs();
     const service = this.match.rules.findService(this.service);
     const demand = this.describeDemand(service, nowMs);
-    const choice = this.chooseUpstream(service, demand, nowMs, suspect);
-    if (!('upstream' in choice)) return this.planReturn(choice, nowMs);
+    const choice = this.chooser.choose(
+      service,
+      demand,
+      this.triedUpstreams,
+      nowMs,
+      suspect,
+    );
+    const chosen = 'upstream' in choice ? choice.upstream.id : undefined;
+    const {id} = request.metadata;
+    recordChoiceWithoutView(context, service, id, chosen, nowMs);
+    if ('isPaced' in choice) {
+      context.metrics.pacedRefusals.inc({service: this.service});
+    }
+    if (!('upstream' in choice)) {
+      return this.returns.plan(choice, this.triedUpstreams, nowMs);
+    }
     const {upstream, plan} = choice;
     const {pauseObjectiveMs} = this.match.route;
     const placement = {
@@ -135,8 +173,10 @@
         },
       ],
     };
+    context.pacing.recordStart(placement, nowMs);
     context.placements.add(placement, nowMs);
     context.limits.recordPlacement(placement, nowMs);
+    context.coldRates.recordPlacement(upstream, nowMs);
     context.publisher.publishStart(placement);
     this.triedUpstreams.add(upstream.id);
     this.isDecoding = false;
@@ -156,6 +196,7 @@
       this.isDecoding = true;
       this.passMeter = new PassMeter();
       context.placements.startDecode(placement.id, nowMs);
+      context.pacing.pace.recordFirstEvent(placement.id, nowMs);
       context.publisher.publishDecodeStart(placement.id);
     }
     const passMs = this.passMeter.recordEvent(nowMs);
@@ -164,6 +205,12 @@
     const {stepMs, stepsPerPass} = service.engine;
     const ratio = passMs / (stepMs * stepsPerPass);
     context.health.recordPassTimeRatio(choice.upstream.id, ratio);
+    context.pacing.pace.recordPassTimeRatio(choice.upstream.id, ratio);
+  }
+
+  /** Whether the attempt may be sent now, which was placed some time ago. */
+  confirmSend({choice, placedAtMs}: PlacedAttempt): boolean {
+    return this.context.coldRates.confirmSend(choice.upstream, placedAtMs);
   }
 
   /** Ends an attempt that was not sent; its upstream counts as untried. */
@@ -217,20 +264,28 @@
     const {placed, context} = this;
     if (placed === undefined) return;
     const {upstream, helpers} = placed.choice;
+    if (outcome !== AttemptOutcome.ANSWERED || status >= SERVER_ERROR_STATUS) {
+      const {pacing, clock} = context;
+      pacing.pace.recordEnd(placed.placement.id, true, clock.nowMs());
+    }
     const faultyHelper = helpers.find(({address}) => address === faultyAddress);
     if (faultyHelper !== undefined) {
       // The upstream itself is healthy and may receive the request again.
       this.triedUpstreams.delete(upstream.id);
       this.penalize(faultyHelper, true, outcome, status);
     } else if (status === MISDIRECTED_STATUS) {
-      context.replica.upstreams.evict(upstream.id, context.clock.nowMs());
+      // The caller may expect what no upstream, or another one, is.
+      const {headerNames, replica, clock} = context;
+      const expectation = headerNames.callersExpectation;
+      if (forwardsHeader(this.request.headers, expectation)) return;
+      replica.upstreams.evict(upstream.id, clock.nowMs());
     } else if (
       outcome === AttemptOutcome.ANSWERED &&
       status < SERVER_ERROR_STATUS
     ) {
       context.health.recordSuccess(upstream.id);
       context.reach.recordAnswer();
-    } else if (outcome !== AttemptOutcome.REFUSED && !asksForRest) {
+    } else if (mayBeFault(outcome) && !asksForRest) {
       const isSilent = outcome === AttemptOutcome.TIMED_OUT;
       if (isSilent) context.connectionPool.closeIdle(upstream.id);
       this.penalize(
@@ -273,9 +328,12 @@
 
   /** Time until the first upstream is back, if all of them rest; else 0. */
   planReturnAfterRestMs(): number {
-    const {rests, clock} = this.context;
-    const ids = this.listUsable().map(({id}) => id);
-    return rests.planReturnMs(ids, clock.nowMs());
+    return this.returns.planAfterRestMs();
+  }
+
+  /** The same, or until a cold upstream may be sent to if no other is left. */
+  planReturnAfterFailureMs(): number {
+    return this.returns.planAfterFailureMs(this.triedUpstreams);
   }
 
   /** Records a failure of an upstream, here and at the other hosts. */
@@ -285,7 +343,8 @@
     outcome: AttemptOutcome,
     status: number,
   ): void {
-    const {health, clock, log} = this.context;
+    const {health, clock, log, pacing} = this.context;
+    pacing.pace.recordFailure(id);
     if (!health.recordFailure(id, isSilent, clock.nowMs())) return;
     log.warn('upstream_avoided', {upstream: id, end: outcome, status});
     void this.publishFailure(id, isSilent);
@@ -299,108 +358,12 @@
   }
 
   private free({placement}: PlacedAttempt): void {
-    const {placements, publisher} = this.context;
+    const {placements, publisher, pacing, clock} = this.context;
     placements.end(placement.id);
+    pacing.pace.recordEnd(placement.id, false, clock.nowMs());
     publisher.publishEnd(placement.id);
   }
 
-  /** Asks the caller to come again when an upstream's limit or rest allows it. */
-  private planReturn(
-    shortage: CapacityShortage,
-    nowMs: number,
-  ): CapacityShortage {
-    const {limits, rests, countHosts} = this.context;
-    const restMs = this.planReturnAfterRestMs();
-    if (restMs > 0) return {waitMs: restMs};
-    const ids = this.listUsable()
-      .map(({id}) => id)
-      .filter(
-        id => !this.triedUpstreams.has(id) && !rests.isResting(id, nowMs),
-      );
-    const areLimited =
-      ids.length > 0 && !ids.some(id => limits.mayTake(id, nowMs));
-    if (!areLimited) return shortage;
-    return {waitMs: limits.planReturnMs(ids, countHosts(), nowMs)};
-  }
-
-  /** Lists the candidates of a new request, and why the other upstreams are none. */
-  listUpstreams(): ConsideredUpstreams {
-    const {context, service} = this;
-    const nowMs = context.clock.nowMs();
-    const candidates = this.listCandidates(nowMs);
-    const ids = new Set(candidates.map(({id}) => id));
-    const excluded = context.replica.upstreams
-      .listInUse(nowMs)
-      .filter(entry => entry.service === service && !ids.has(entry.id))
-      .map(entry => ({entry, reason: findExclusion(entry, context, nowMs)}));
-    return {candidates, excluded};
-  }
-
-  /** Chooses as `place` does for a request that is no suspect; places nothing. */
-  preview(
-    candidates: readonly UpstreamEntry[],
-    forecasts: readonly EngineForecast[],
-    demand: PromptDemand,
-  ): UpstreamChoice | CapacityShortage {
-    const nowMs = this.context.clock.nowMs();
-    const service = this.match.rules.findService(this.service);
-    const choice = this.chooseAmong(
-      candidates,
-      service,
-      demand,
-      nowMs,
-      forecasts,
-    );
-    return 'upstream' in choice ? choice : this.planReturn(choice, nowMs);
-  }
-
-  private listCandidates(nowMs: number): UpstreamEntry[] {
-    const {chooser, limits, rests} = this.context;
-    // A limited or resting upstream must not hide those that are avoided.
-    return chooser.listCandidates(
-      this.listUsable().filter(
-        ({id}) => limits.mayTake(id, nowMs) && !rests.isResting(id, nowMs),
-      ),
-      this.triedUpstreams,
-      nowMs,
-    );
-  }
-
-  private chooseUpstream(
-    service: Service | undefined,
-    demand: PromptDemand,
-    nowMs: number,
-    suspect: string,
-  ): UpstreamChoice | CapacityShortage {
-    const candidates = this.listCandidates(nowMs);
-    if (suspect !== '') {
-      const isolated = this.chooseAmong(
-        candidates.filter(
-          ({id}) => !this.context.placements.hasSuspect(id, suspect, nowMs),
-        ),
-        service,
-        demand,
-        nowMs,
-      );
-      if ('upstream' in isolated) return isolated;
-    }
-    return this.chooseAmong(candidates, service, demand, nowMs);
-  }
-
-  private chooseAmong(
-    candidates: readonly UpstreamEntry[],
-    service: Service | undefined,
-    demand: PromptDemand,
-    nowMs: number,
-    forecasts?: readonly EngineForecast[],
-  ): UpstreamChoice | CapacityShortage {
-    const {chooser, draw} = this.context;
-    if (service?.engine === undefined) {
-      return chooser.chooseServiceUpstream(candidates, draw(), nowMs);
-    }
-    return chooser.chooseEngines(candidates, service, demand, nowMs, forecasts);
-  }
-
   private describeDemand(
     service: Service | undefined,
     nowMs: number,
@@ -415,9 +378,4 @@
       nowMs,
     );
   }
-
-  private listUsable(): UpstreamEntry[] {
-    const {replica, clock} = this.context;
-    return replica.upstreams.usable(this.service, clock.nowMs());
-  }
 }
--- a/packages/daemon/src/gateway/callers/probe_server.ts
+++ b/packages/daemon/src/gateway/callers/probe_server.ts
@@ -2,6 +2,8 @@
 import type {TimelineQuery} from '@parsleywood/schema/timeline';
 import type {TimelineEntry} from '@parsleywood/timeline';
 import fastify, {type FastifyInstance} from 'fastify';
+import {boundConnections} from '../../host/bound_connections.js';
+import type {HostMemory} from '../../host/host_memory.js';
 import {readTimelineQuery} from '../../host/read_timeline_query.js';
 import {answerFailures} from '../../operators/answer_failures.js';
 import type {RequestExplainer} from '../explain/request_explainer.js';
@@ -32,7 +34,10 @@
     refresh: () => void,
     readTimeline: (query: TimelineQuery) => Promise<TimelineEntry[]>,
     explainer: Pick<RequestExplainer, 'explain'>,
+    memory: HostMemory,
   ) {
+    boundConnections(this.app.server, memory);
+    boundConnections(this.metrics, memory);
     this.app.get(path, async (_request, reply) => {
       const ready = isReady();
       return reply
--- a/packages/daemon/src/gateway/callers/response_writer.ts
+++ b/packages/daemon/src/gateway/callers/response_writer.ts
@@ -4,27 +4,55 @@
   formatFailure,
   type Failure,
 } from '@parsleywood/errors';
-import {PieceBuffer} from '@parsleywood/forwarding';
+import {
+  MemoryKind,
+  PieceBuffer,
+  type MemoryAccount,
+} from '@parsleywood/forwarding';
+import type {HostMemory} from '../../host/host_memory.js';
 import type {ResponseHead} from '../upstreams/response_head.js';
 
 /** Unsent bytes from which no more is to be written. */
 const MAX_UNSENT_BYTES = 1_048_576;
+/** Unsent bytes that a response may have while memory is short. */
+const FREE_UNSENT_BYTES = 65_536;
+/** Bytes written at once to a caller that reads slowly, so that progress shows. */
+const STEP_BYTES = 32_768;
+const NO_BYTES = Buffer.alloc(0);
 const MS_PER_SECOND = 1_000;
 
 /** Writes the response to one caller. */
 export class ResponseWriter {
   /** What waits until the caller reads, as each write that waits has a cost. */
   private readonly unsent = new PieceBuffer();
+  /** What was taken out of there, or of a whole answer, and is written step by step. */
+  private rest: Buffer = NO_BYTES;
+  private endsAfterRest = false;
   private drainListener: () => void = () => undefined;
+  private readonly account: MemoryAccount;
+  private isMemoryShort = false;
 
   constructor(
     private readonly response: ServerResponse,
     private readonly requestId: string,
     private readonly requestIdHeader: string,
+    private readonly memory: HostMemory,
   ) {
+    const address = response.socket?.remoteAddress ?? '';
+    this.account = memory.open(MemoryKind.UNSENT, address, {
+      onGranted: () => undefined,
+      onEnded: () => {
+        this.abort();
+      },
+    });
+    response.on('close', () => {
+      memory.close(this.account);
+    });
     response.on('drain', () => {
       this.flush();
-      this.drainListener();
+      this.memory.recordProgress(this.account);
+      this.updateMemory();
+      if (!this.hasRest) this.drainListener();
     });
   }
 
@@ -56,13 +84,14 @@
       ...head,
       headers: [...headers, 'Content-Length', String(body.length)],
     });
-    this.response.end(body);
+    this.rest = body;
+    this.end();
   }
 
   /** Whether the caller reads too slowly for more to be written. */
   get isFull(): boolean {
-    const {response, unsent} = this;
-    return response.writableLength + unsent.length > MAX_UNSENT_BYTES;
+    const maxBytes = this.isMemoryShort ? FREE_UNSENT_BYTES : MAX_UNSENT_BYTES;
+    return this.unsentBytes > maxBytes;
   }
 
   /** @param listener Called each time that the caller has read what was written. */
@@ -70,15 +99,23 @@
     this.drainListener = listener;
   }
 
+  /** @param listener Called when the last of the response is written. */
+  listenForLastWrite(listener: () => void): void {
+    this.response.once('prefinish', listener);
+  }
+
   write(chunk: Buffer): void {
     if (chunk.length === 0) return;
-    if (this.response.writableNeedDrain) this.unsent.append(chunk);
-    else this.response.write(chunk);
+    if (this.hasRest || this.response.writableNeedDrain) {
+      this.unsent.append(chunk);
+    } else this.response.write(chunk);
+    this.updateMemory();
   }
 
   end(): void {
+    this.endsAfterRest = true;
     this.flush();
-    this.response.end();
+    this.updateMemory();
   }
 
   /**
@@ -113,8 +150,34 @@
     this.response.end(body);
   }
 
+  private get unsentBytes(): number {
+    const {response, unsent, rest} = this;
+    return response.writableLength + unsent.length + rest.length;
+  }
+
+  private get hasRest(): boolean {
+    return this.rest.length > 0 || this.unsent.length > 0;
+  }
+
+  private updateMemory(): void {
+    const {account, memory, response} = this;
+    // What is below the socket's own mark is written without a further event.
+    const isWaiting = response.writableNeedDrain || response.writableEnded;
+    const unsentBytes = isWaiting || this.hasRest ? this.unsentBytes : 0;
+    if (unsentBytes === account.heldBytes) return;
+    this.isMemoryShort = memory.update(account, unsentBytes);
+  }
+
   private flush(): void {
-    if (this.unsent.length > 0) this.response.write(this.unsent.take());
+    const {response} = this;
+    while (this.hasRest && !response.writableNeedDrain) {
+      if (this.rest.length === 0) this.rest = this.unsent.take();
+      response.write(this.rest.subarray(0, STEP_BYTES));
+      this.rest = this.rest.subarray(STEP_BYTES);
+    }
+    if (this.hasRest || !this.endsAfterRest) return;
+    this.rest = NO_BYTES;
+    if (!response.writableEnded) response.end();
   }
 }
 
--- a/packages/daemon/src/gateway/explain/describe_considered.ts
+++ b/packages/daemon/src/gateway/explain/describe_considered.ts
@@ -4,13 +4,14 @@
   type EngineForecast,
   type PromptDemand,
 } from '@parsleywood/dispatch';
-import type {EngineProfile} from '@parsleywood/forwarding';
+import type {Service} from '@parsleywood/forwarding';
 import type {
   ConsideredUpstream,
   EngineExplanation,
 } from '@parsleywood/schema/explanation';
 import type {ConsideredUpstreams} from '../attempts/considered_upstreams.js';
-import type {GatewayContext} from '../gateway_context.js';
+import {findHindrance} from './find_hindrance.js';
+import type {StillContext} from './still_context.js';
 
 const PERCENT = 100;
 
@@ -22,11 +23,13 @@
 export function describeConsidered(
   {candidates, excluded}: ConsideredUpstreams,
   forecasts: readonly EngineForecast[],
-  profile: EngineProfile | undefined,
+  service: Service | undefined,
   demand: PromptDemand,
-  {placements, rests, limits}: GatewayContext,
+  context: StillContext,
   nowMs: number,
 ): ConsideredUpstream[] {
+  const {placements, rests, limits, pace} = context;
+  const profile = service?.engine;
   const perSecondById = new Map(
     limits.list().map(({upstream, perSecond}) => [upstream, perSecond]),
   );
@@ -35,9 +38,11 @@
     ...candidates.map(entry => ({entry, reason: undefined})),
     ...excluded,
   ];
-  return entries.map(({entry, reason}, index) => {
+  return entries.map(({entry, reason: listed}, index) => {
     const {id, address, failureDomain} = entry;
     const forecast = forecasts[index];
+    const reason =
+      listed ?? findHindrance(entry, service, forecast, demand, context, nowMs);
     const restMs = Math.ceil(rests.getLeftMs(id, nowMs));
     // Fields that are undefined are absent in the answer.
     return {
@@ -52,6 +57,7 @@
       slots: profile?.slots ?? entry.slots,
       restMs: restMs > 0 ? restMs : undefined,
       perSecond: perSecondById.get(id),
+      paceWindow: pace.getWindow(id),
       engine:
         profile &&
         planner &&
--- a/packages/daemon/src/gateway/explain/request_explainer.test.ts
+++ b/packages/daemon/src/gateway/explain/request_explainer.test.ts
@@ -1,136 +1,11 @@
 import {expect} from 'chai';
-import {
-  PlacementRegistry,
-  UpstreamChooser,
-  UpstreamHealth,
-  UpstreamLimits,
-  UpstreamRests,
-} from '@parsleywood/dispatch';
 import {ErrorKind, Failure} from '@parsleywood/errors';
-import {
-  DEFAULT_CALLER_LIMITS,
-  RequestKind,
-  SiteReplica,
-  UpstreamStage,
-  type Service,
-} from '@parsleywood/forwarding';
-import {createRoute, createUpstream} from '@parsleywood/forwarding/testing';
-import type {Explanation} from '@parsleywood/schema/explanation';
-import {AttemptPlacer} from '../attempts/attempt_placer.js';
-import {DEFAULT_HEADER_NAMES} from '../default_header_names.js';
-import type {GatewayContext} from '../gateway_context.js';
-import {readExplainQuery} from './read_explain_query.js';
-import {RequestExplainer} from './request_explainer.js';
+import {SiteReplica, UpstreamStage} from '@parsleywood/forwarding';
+import {createUpstream} from '@parsleywood/forwarding/testing';
+import {ExplainedHost} from '../../testing/explained_host.js';
 
 const NOW_MS = 10_000;
 const KEY = 'key-mill';
-const LLM: Service = {
-  name: 'llm',
-  engine: {
-    slots: 11,
-    memoryTokens: 405_000,
-    stepsPerPass: 34,
-    stepMs: 1.31,
-    stepMsPerWriter: 0.01,
-    stepMsPerThousandTokens: 0.002,
-    readTokensPerMs: 154,
-    readMsPerMillionPairs: 0.162,
-    chunkTokens: 2_048,
-    meanAnswerTokens: 1_292,
-  },
-};
-const SHORT = {
-  name: 'A.example:80',
-  path: '/ask/1',
-  key: KEY,
-  promptTokens: '900',
-};
-
-/** One host whose parts fail the test if an explanation sends or draws. */
-class ExplainedHost {
-  readonly replica = new SiteReplica();
-  readonly placements = new PlacementRegistry();
-  readonly health = new UpstreamHealth();
-  readonly limits = new UpstreamLimits(() => 0);
-  readonly rests = new UpstreamRests(() => 0.5);
-  readonly published: string[] = [];
-  draws = 0;
-  refusal: Failure | undefined;
-  readonly context = {
-    clock: {nowMs: () => NOW_MS, wallMs: () => 0},
-    headerNames: DEFAULT_HEADER_NAMES,
-    replica: this.replica,
-    placements: this.placements,
-    health: this.health,
-    limits: this.limits,
-    rests: this.rests,
-    chooser: new UpstreamChooser('h', 'd', this.placements, this.health),
-    publisher: {publishStart: ({id}: {id: string}) => this.published.push(id)},
-    suspects: {
-      findBlockedParts: ({parts}: {parts: string[]}) =>
-        parts.filter(part => part === 'crashing'),
-    },
-    planStartRetryMs: (random?: number) => 700 + (random ?? NaN),
-    countHosts: () => 2,
-    draw: () => ++this.draws && 0,
-  } as unknown as GatewayContext;
-  private readonly explainer = new RequestExplainer(
-    'h',
-    this.context,
-    {findRefusal: () => this.refusal},
-    {getStoreAgeMs: () => Infinity},
-    {listSightings: () => []},
-  );
-
-  constructor(engines = 8) {
-    const ids = Array.from({length: engines}, (_, index) => `e${index}`);
-    const upstreams = ids.map(id => createUpstream(id, {service: 'llm'}));
-    const position = {epoch: 1, revision: 1};
-    const app = createUpstream('a0', {service: 'app', slots: 2});
-    const configuration = {
-      version: 1,
-      limits: DEFAULT_CALLER_LIMITS,
-      services: [LLM, {name: 'app'}],
-      accounts: [{name: 'mill', keys: [KEY]}],
-      routes: [
-        createRoute({name: 'call', targets: [{service: 'app', weight: 1}]}),
-        createRoute({
-          name: 'ask',
-          prefix: '/ask/',
-          kind: RequestKind.STREAM,
-          targets: [{service: 'llm', weight: 1}],
-          timeoutMs: 10_000,
-          latencyObjectiveMs: 900,
-          pauseObjectiveMs: 250,
-        }),
-      ],
-    };
-    const site = {...position, upstreams: [...upstreams, app], configuration};
-    this.replica.applySnapshot(site, 0, false);
-  }
-
-  explain(changes: Record<string, unknown> = {}): Explanation {
-    return this.explainer.explain({...SHORT, ...changes});
-  }
-
-  /** Places the same request, as its session would. */
-  place(changes: Record<string, string> = {}): AttemptPlacer {
-    const query = {...SHORT, ...changes};
-    const {metadata} = readExplainQuery(query, DEFAULT_HEADER_NAMES);
-    const rules = this.replica.rules!;
-    const route = rules.routes.find(metadata.host, metadata.target)!;
-    const received = {metadata, headers: [], receivedAtMs: NOW_MS};
-    const placer = new AttemptPlacer(
-      this.context,
-      {rules, route},
-      {...received, body: Buffer.alloc(0)},
-      route.targets[0]!.service,
-      NOW_MS + route.timeoutMs!,
-    );
-    placer.place(0, '');
-    return placer;
-  }
-}
 
 describe('RequestExplainer', () => {
   const kinds: Record<string, Record<string, string>> = {
@@ -250,4 +125,86 @@
       expect(() => host.explain(changes)).to.throw(Failure, message);
     }
   });
+
+  // Guards against a reason that a later part adds and an explanation does not know.
+  it('names evacuations, home regions, cold rates and slow start as reasons', () => {
+    const host = new ExplainedHost(5);
+    const {replica, pacing, coldRates} = host;
+    const write = (id: string, changes: object): void => {
+      const entry = createUpstream(id, {service: 'llm', ...changes});
+      replica.upstreams.write(entry, NOW_MS);
+    };
+    write('e1', {failureDomain: 'empty'});
+    write('e2', {failureDomain: 'far'});
+    write('e3', {coldRemainingMs: 60_000});
+    replica.evacuations.add('empty', {epoch: 1, revision: 1}, Infinity, NOW_MS);
+    const ask = replica.rules!.routes.find('a.example', '/ask/1')!;
+    Object.assign(ask, {homeRegions: ['north']});
+    coldRates.applySite();
+    pacing.pace.start('e4', 2, NOW_MS);
+    host.hold('e4');
+    const reasons = host
+      .explain()
+      .upstreams.map(({id, exclusion = ''}) => `${id} ${exclusion}`);
+    coldRates.stop();
+    expect(reasons.sort()).to.deep.equal([
+      'e0 ',
+      'e1 evacuated',
+      'e2 not in a home region',
+      'e3 cold, over the rate',
+      'e4 slow start',
+    ]);
+  });
+
+  it('says that the load of engines is not known yet, and logs no choice', () => {
+    const host = new ExplainedHost(2, NOW_MS - 10);
+    const {upstreams, refusal} = host.explain({promptTokens: '250000'});
+    const reasons = upstreams.map(({exclusion}) => exclusion);
+    expect(reasons).to.deep.equal(['load not known yet', 'load not known yet']);
+    expect(refusal?.waitMs).to.be.above(0);
+    expect([host.counts, host.logged]).to.deep.equal([0, []]);
+  });
+
+  // Failure: each explanation defers the callers that are refused after it.
+  it('leaves turns at cold upstreams to requests, and counts and logs nothing', async () => {
+    const [asked, other] = [new ExplainedHost(0), new ExplainedHost(0)];
+    for (const host of [asked, other]) {
+      const cold = {service: 'llm', coldRemainingMs: 60_000};
+      host.replica.upstreams.write(createUpstream('e0', cold), NOW_MS);
+      host.coldRates.applySite();
+      host.logged.length = 0;
+    }
+    const explained = [0, 0].map(() => asked.explain().refusal?.waitMs);
+    expect(explained[0]).to.be.above(0).and.equal(explained[1]);
+    expect(await asked.registry.metrics()).not.to.match(/refusals_total\{/);
+    expect([asked.counts, asked.logged]).to.deep.equal([0, []]);
+    const [first, second] = [asked, other].map(({coldRates, replica}) => {
+      coldRates.stop();
+      const engines = replica.upstreams.list().slice(-1);
+      return [0, 0].map(() => coldRates.planReturnMs(engines, NOW_MS));
+    });
+    expect(first).to.deep.equal(second);
+  });
+
+  // Failure: an explanation begins a probation, which then ends before requests came.
+  it('shows slow start as the next request finds it, and begins and ends none', () => {
+    const host = new ExplainedHost(2);
+    const {pacing, health, logged} = host;
+    health.recordFailure('e0', true, NOW_MS);
+    pacing.pace.start('e1', 11, NOW_MS);
+    pacing.pace.takeChanges();
+    host.nowMs += 60_000;
+    const windows = (): unknown[] =>
+      host
+        .explain()
+        .upstreams.map(({id, paceWindow}) => `${id} ${paceWindow}`)
+        .sort();
+    expect(windows()).to.deep.equal(['e0 5', 'e1 undefined']);
+    expect(pacing.pace.isOnProbation('e0')).to.equal(false);
+    expect(pacing.pace.isOnProbation('e1')).to.equal(true);
+    expect(logged).to.deep.equal([]);
+    pacing.advance(host.nowMs);
+    expect(windows()).to.deep.equal(['e0 5', 'e1 undefined']);
+    expect(logged).to.deep.equal(['upstream_paced', 'upstream_pace_ended']);
+  });
 });
--- a/packages/daemon/src/gateway/explain/request_explainer.ts
+++ b/packages/daemon/src/gateway/explain/request_explainer.ts
@@ -17,9 +17,12 @@
   Explanation,
 } from '@parsleywood/schema/explanation';
 import {createCrashFailure} from '../../callers/create_crash_failure.js';
+import {AttemptChooser} from '../attempts/attempt_chooser.js';
 import {AttemptPlacer} from '../attempts/attempt_placer.js';
 import {createCapacityFailure} from '../attempts/create_capacity_failure.js';
 import {describeDemand} from '../attempts/describe_demand.js';
+import {EligibleUpstreams} from '../attempts/eligible_upstreams.js';
+import {ReturnPlanner} from '../attempts/return_planner.js';
 import {computeTimeLimit} from '../callers/compute_time_limit.js';
 import type {GatewayServer} from '../callers/gateway_server.js';
 import type {RequestMetadata} from '../callers/request_metadata.js';
@@ -28,7 +31,9 @@
 import type {SiteUpdater} from '../site/site_updater.js';
 import {describeConsidered} from './describe_considered.js';
 import {describeInputs} from './describe_inputs.js';
+import {listConsidered} from './list_considered.js';
 import {readExplainQuery} from './read_explain_query.js';
+import type {StillContext} from './still_context.js';
 
 /** Random number that gives the earliest Retry-After and the first of equals. */
 const NO_SPREAD = 0;
@@ -91,8 +96,8 @@
     metadata: RequestMetadata,
     chosenService: string | undefined,
   ): Omit<Explanation, 'host' | 'inputs'> {
-    const context = this.createStillContext();
-    const nowMs = context.clock.nowMs();
+    const nowMs = this.context.clock.nowMs();
+    const context = this.createStillContext(nowMs);
     const deadlineMs = nowMs + computeTimeLimit(metadata, match.route);
     const name = findService(match, chosenService);
     const request = {
@@ -111,8 +116,10 @@
       undefined,
       nowMs,
     );
-    const considered = placer.listUpstreams();
-    const {candidates, excluded} = considered;
+    const eligible = new EligibleUpstreams(context, match, name);
+    const chooser = new AttemptChooser(context, eligible);
+    const candidates = chooser.listCandidates(new Set(), nowMs);
+    const considered = listConsidered(candidates, name, match, context, nowMs);
     // Forecasts are the costly part of a placement, so each is made once.
     const forecast = (entries: readonly UpstreamEntry[]): EngineForecast[] =>
       service?.engine === undefined
@@ -123,11 +130,17 @@
             nowMs,
           );
     const forecasts = forecast(candidates);
-    const choice = placer.preview(candidates, forecasts, demand);
+    const choice = chooser.chooseAmong(
+      candidates,
+      service,
+      demand,
+      nowMs,
+      forecasts,
+    );
     const upstreams = describeConsidered(
       considered,
-      [...forecasts, ...forecast(excluded.map(({entry}) => entry))],
-      service?.engine,
+      [...forecasts, ...forecast(considered.excluded.map(({entry}) => entry))],
+      service,
       demand,
       context,
       nowMs,
@@ -142,19 +155,23 @@
     if ('upstream' in choice) {
       return {...result, choice: describeChoice(choice, demand.objectiveMs)};
     }
-    const {waitMs} = choice;
+    const returns = new ReturnPlanner(context, eligible, name);
+    const {waitMs} = returns.preview(choice, nowMs);
     const refusal = describeRefusal(createCapacityFailure(placer, waitMs));
     const wait = waitMs > 0 && {waitMs: Math.ceil(waitMs)};
     return {...result, refusal: {...refusal, ...wait}};
   }
 
   /** Copies the context such that plans neither count as sent nor draw. */
-  private createStillContext(): GatewayContext {
+  private createStillContext(nowMs: number): StillContext {
     const {context} = this;
+    const pace = context.pacing.preview(nowMs);
     const draw = (): number => NO_SPREAD;
     return {
       ...context,
       draw,
+      pace,
+      chooser: context.chooser.withPace(pace),
       limits: context.limits.copy(draw),
       rests: context.rests.copy(draw),
     };
--- a/packages/daemon/src/gateway/fleet/fleet_membership.ts
+++ b/packages/daemon/src/gateway/fleet/fleet_membership.ts
@@ -25,11 +25,11 @@
 import type {UpdateApplier} from './update_applier.js';
 import {ConnectionResets} from './connection_resets.js';
 import {decodeHeartbeat} from './decode_heartbeat.js';
+import {DeliveryFilter} from './delivery_filter.js';
 import {decodeReach} from './decode_reach.js';
+import {describeHost} from './describe_host.js';
 import {encodeDigest} from './encode_digest.js';
-import {HOST_STAGES} from './host_stages.js';
 import {PeerLog} from './peer_log.js';
-import {REACH_STATES} from './reach_states.js';
 import type {SiteExchange} from '../site/site_exchange.js';
 import type {SiteUpdater} from '../site/site_updater.js';
 
@@ -54,6 +54,7 @@
   private readonly subscriberDigests = new DigestHistory();
   private readonly relayDigests = new DigestHistory();
   private readonly connectionResets: ConnectionResets;
+  private readonly deliveryFilter = new DeliveryFilter();
   private timer: NodeJS.Timeout | undefined;
   private heartbeatCount = 0;
   /** Hash of the suspects at the last interval; it takes long to compute. */
@@ -116,7 +117,7 @@
     return this.roster.listAlive(this.clock.nowMs());
   }
 
-  /** Lists the same heartbeats with the time of each. */
+  /** Lists the other live hosts, and when each was heard last. */
   listSightings(): PeerSighting[] {
     return this.roster.listSightings(this.clock.nowMs());
   }
@@ -142,13 +143,14 @@
     this.siteExchange.queryNewestPeer(this.livePeers, nowMs);
   }
 
-  handleDelivery({from, fromIncarnation, messages}: Delivery): void {
-    for (const {body} of messages) {
-      if (body?.$case !== 'fleet') continue;
+  handleDelivery(delivery: Delivery): void {
+    const {from, fromIncarnation} = delivery;
+    const nowMs = this.clock.nowMs();
+    for (const message of this.deliveryFilter.select(delivery, nowMs)) {
       try {
-        this.handleMessage(from, fromIncarnation, body.value);
+        this.handleMessage(from, fromIncarnation, message);
       } catch (error) {
-        this.peerLog.recordFault(from, body.value, error);
+        this.peerLog.recordFault(from, message, error);
       }
     }
   }
@@ -276,6 +278,9 @@
       case 'suspectRecords':
         this.suspects.handleRecords(body.value);
         break;
+      case 'placementsInProgress':
+        this.applier.exchange?.apply(body.value, nowMs);
+        break;
       case 'siteQuery':
         this.siteExchange.answerQuery(host, body.value);
         break;
@@ -316,11 +321,15 @@
     this.relay.subscribe(peersAddress, subscribes, nowMs);
     this.suspects.handleHash(peersAddress, beat.suspectsHash, nowMs);
     if (!hearsReceiver) this.announceTo(peersAddress, nowMs);
-    else if (this.knowsFarMoreThan(hosts)) this.introduceHosts(peersAddress);
+    else if (this.knowsFarMoreThan(hosts)) {
+      this.sendDigestTo([peersAddress], this.listSightings());
+    }
     if (!hearsReceiver || replaced !== undefined) {
       const news = this.applier.listUpstreamNews(nowMs);
       for (const message of news) this.relay.send(peersAddress, message);
     }
+    const relays = this.relayChoice?.relays;
+    this.applier.exchange?.tell(beat, incarnation, relays, nowMs);
     const isKnown = this.livePeers.some(
       one => one.peersAddress === peersAddress,
     );
@@ -335,7 +344,7 @@
     this.connectionResets.reset(address, nowMs);
     if (this.relayChoice === undefined) return;
     this.sendHeartbeatTo(address, [], nowMs);
-    this.introduceHosts(address);
+    this.sendDigestTo([address], this.listSightings());
   }
 
   /**
@@ -347,10 +356,6 @@
     return isTold && hosts * 2 < this.countHosts();
   }
 
-  private introduceHosts(address: string): void {
-    this.sendDigestTo([address], this.listSightings());
-  }
-
   private handleDigest(
     host: string,
     {sightings, store, pulses}: HostDigest,
@@ -390,13 +395,13 @@
     this.relay.setRecipients(this.relayChoice?.relays ?? this.listPeers());
     this.siteExchange.setRelay(this.relayChoice?.subscribedRelay);
     if (this.relayChoice?.subscribedRelay === source) return;
-    const {subscribedRelay} = this.relayChoice ?? {};
+    const {subscribedRelay, relays = []} = this.relayChoice ?? {};
     this.relaySilence.setRelay(subscribedRelay, nowMs);
     if (subscribedRelay) this.sendHeartbeatTo(subscribedRelay, [], nowMs);
     this.log.info('relay_chosen', {
-      relay: this.relayChoice?.subscribedRelay,
+      relay: subscribedRelay,
       before: source,
-      relays: this.relayChoice?.relays.length,
+      relays: relays.length,
       hosts: this.countHosts(),
     });
   }
@@ -405,23 +410,17 @@
     nowMs: number,
     changes: Partial<HostBeat> = {},
   ): HostBeat {
-    const {peersAddress, callersAddress, failureDomain} = this.settings;
-    return {
-      peersAddress,
-      callersAddress,
-      failureDomain,
-      stage: HOST_STAGES[this.readStage()],
-      upstreamReach: REACH_STATES[this.readReach()],
-      ...this.siteUpdater.position,
-      version: this.siteUpdater.version,
-      hearsReceiver: false,
-      knownAddresses: [],
-      processorShare: this.settings.processorShare ?? 1,
-      subscribes: false,
-      relays: this.relay.isRelaying(nowMs),
-      suspectsHash: this.suspectsHash,
-      hosts: this.countHosts(),
-      ...changes,
-    };
+    return describeHost(
+      this.settings,
+      this.readStage(),
+      this.readReach(),
+      this.siteUpdater,
+      {
+        relays: this.relay.isRelaying(nowMs),
+        suspectsHash: this.suspectsHash,
+        hosts: this.countHosts(),
+        ...changes,
+      },
+    );
   }
 }
--- a/packages/daemon/src/gateway/gateway_context.ts
+++ b/packages/daemon/src/gateway/gateway_context.ts
@@ -1,22 +1,29 @@
 import type {
   PlacementRegistry,
+  StartView,
   UpstreamChooser,
   UpstreamHealth,
   UpstreamLimits,
   UpstreamRests,
 } from '@parsleywood/dispatch';
-import type {BufferBudget, SiteReplica} from '@parsleywood/forwarding';
+import type {
+  BufferBudget,
+  HomeRegions,
+  SiteReplica,
+} from '@parsleywood/forwarding';
 import type {Clock} from '../host/clock.js';
 import type {EventLog} from '../host/event_log.js';
 import type {HostTimeline} from '../host/host_timeline.js';
 import type {SuspectTracker} from '../upstreams/suspect_tracker.js';
 import type {UpdatePublisher} from './fleet/update_publisher.js';
+import type {ColdRateMonitor} from './upstreams/cold_rate_monitor.js';
 import type {DepartureCheck} from './upstreams/departure_check.js';
 import type {GatewayMetrics} from './gateway_metrics.js';
 import type {HeaderNames} from './header_names.js';
 import type {EngineReservations} from './upstreams/engine_reservations.js';
 import type {ReachMonitor} from './upstreams/reach_monitor.js';
 import type {RetryBudgets} from './attempts/retry_budgets.js';
+import type {UpstreamPacing} from './upstreams/upstream_pacing.js';
 import type {UnreadableRestLog} from './upstreams/unreadable_rest_log.js';
 import type {UpstreamConnectionPool} from './upstreams/upstream_connection_pool.js';
 
@@ -28,12 +35,16 @@
   readonly metrics: GatewayMetrics;
   readonly headerNames: HeaderNames;
   readonly replica: SiteReplica;
+  readonly homeRegions: HomeRegions;
   readonly placements: PlacementRegistry;
   readonly health: UpstreamHealth;
   readonly limits: UpstreamLimits;
+  readonly coldRates: ColdRateMonitor;
+  readonly pacing: UpstreamPacing;
   readonly rests: UpstreamRests;
   readonly unreadableRests: UnreadableRestLog;
   readonly chooser: UpstreamChooser;
+  readonly startView: StartView;
   readonly retryBudgets: RetryBudgets;
   readonly connectionPool: UpstreamConnectionPool;
   readonly bufferBudget: BufferBudget;
--- a/packages/daemon/src/gateway/gateway_host.ts
+++ b/packages/daemon/src/gateway/gateway_host.ts
@@ -6,12 +6,8 @@
   UpstreamLimits,
   UpstreamRests,
 } from '@parsleywood/dispatch';
-import {BufferBudget, SiteReplica} from '@parsleywood/forwarding';
-import {
-  PeerStage,
-  ReachState,
-  selectReachingPeers,
-} from '@parsleywood/membership';
+import {BufferBudget, HomeRegions, SiteReplica} from '@parsleywood/forwarding';
+import {PeerStage, ReachState} from '@parsleywood/membership';
 import {TimelineEventName} from '@parsleywood/timeline';
 import type {GatewaySettings} from '@parsleywood/schema/gateway_settings';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
@@ -21,7 +17,7 @@
 import {HostMetrics} from '../host/host_metrics.js';
 import {HostTimeline} from '../host/host_timeline.js';
 import {nameIncarnation} from '../host/name_incarnation.js';
-import {parseAddress} from '../host/parse_address.js';
+import {splitAddress} from '../host/split_address.js';
 import {PeerServer} from '../peers/peer_server.js';
 import {PeerTransport} from '../peers/peer_transport.js';
 import {SuspectLog} from '../upstreams/suspect_log.js';
@@ -31,8 +27,8 @@
 import {DepartureCheck} from './upstreams/departure_check.js';
 import {DirectoryServer} from './callers/directory_server.js';
 import {planStartRetryMs} from './callers/plan_start_retry_ms.js';
-import {createTimelineReader} from './callers/create_timeline_reader.js';
-import {RequestExplainer} from './explain/request_explainer.js';
+import {describeGateway} from './describe_gateway.js';
+import {HostDirectory} from './callers/host_directory.js';
 import {PeerCallHandler} from './fleet/peer_call_handler.js';
 import {FleetMembership} from './fleet/fleet_membership.js';
 import type {GatewayDialect} from './gateway_dialect.js';
@@ -41,18 +37,26 @@
 import {GatewayServer} from './callers/gateway_server.js';
 import {UpdateRelay} from './fleet/update_relay.js';
 import {UnreadableRestLog} from './upstreams/unreadable_rest_log.js';
-import {UpdateApplier} from './fleet/update_applier.js';
-import {ProbeServer} from './callers/probe_server.js';
+import {createUpdateApplier} from './fleet/create_update_applier.js';
+import type {ProbeServer} from './callers/probe_server.js';
+import {createProbeServer} from './create_probe_server.js';
+import {createColdRates} from './upstreams/create_cold_rates.js';
 import {ReachMonitor} from './upstreams/reach_monitor.js';
 import type {EngineReservations} from './upstreams/engine_reservations.js';
+import {createPathTester} from './upstreams/create_path_tester.js';
+import type {LoadReports} from './upstreams/load_reports.js';
+import {StartReports} from './upstreams/start_reports.js';
+import {createStartView} from './upstreams/create_start_view.js';
+import {createGatewayMemory} from './callers/create_gateway_memory.js';
 import {recordLeaving} from './upstreams/record_leaving.js';
-import {refreshUpstreamGauges} from './upstreams/refresh_upstream_gauges.js';
+import {retainUpstreams} from './upstreams/retain_upstreams.js';
 import {RetryBudgets} from './attempts/retry_budgets.js';
 import {SiteExchange} from './site/site_exchange.js';
 import {SiteWatcher} from './site/site_watcher.js';
 import {SiteUpdater} from './site/site_updater.js';
 import type {SiteSource} from './site/site_source.js';
 import {UpstreamConnectionPool} from './upstreams/upstream_connection_pool.js';
+import {UpstreamPacing} from './upstreams/upstream_pacing.js';
 import {UpstreamProber} from './upstreams/upstream_prober.js';
 
 /**
@@ -76,7 +80,7 @@
   private readonly clock = new SystemClock();
   private readonly log: EventLog;
   private readonly timeline: HostTimeline;
-  private readonly replica = new SiteReplica();
+  private readonly replica: SiteReplica;
   private readonly metrics = new GatewayMetrics(new HostMetrics());
   private readonly transport: PeerTransport;
   private readonly siteUpdater: SiteUpdater;
@@ -85,6 +89,7 @@
   private readonly upstreamProber: UpstreamProber;
   private readonly reach: ReachMonitor;
   private readonly context: GatewayContext;
+  private readonly startReports: StartReports;
   private readonly server: GatewayServer;
   private readonly directory: DirectoryServer;
   private readonly probes: ProbeServer;
@@ -99,23 +104,23 @@
     source: SiteSource,
     reservations: EngineReservations,
     dialect: GatewayDialect,
+    loadReports?: LoadReports,
   ) {
-    const {clock, replica, metrics} = this;
+    const {clock, metrics} = this;
     const {peersAddress, bounds, failureDomain} = settings;
+    this.replica = new SiteReplica(bounds.evacuationMs);
+    const {replica} = this;
     const incarnation = nameIncarnation(peersAddress, clock.wallMs());
-    this.log = new EventLog(
-      {...incarnation, host: settings.host},
-      settings.logLevel ?? 'info',
-    );
-    const {log} = this;
+    const {host, logLevel = 'info'} = settings;
+    this.log = new EventLog({...incarnation, host}, logLevel);
     this.timeline = new HostTimeline(incarnation, clock);
-    const {timeline} = this;
+    const {log, timeline} = this;
     this.transport = new PeerTransport(
       incarnation,
       PEER_KEY,
       timeline,
       metrics.host,
-      host => host,
+      name => name,
     );
     const generator = xoroshiro128plus(drawSeed());
     const draw = (): number => uniformFloat64(generator);
@@ -143,14 +148,17 @@
     const siteExchange = new SiteExchange(
       this.siteUpdater,
       relay,
-      () => replica.createSnapshot(),
+      () => replica.createSnapshot(clock.nowMs()),
       clock,
       log,
       metrics,
     );
     const placements = new PlacementRegistry();
+    const startView = createStartView(settings, clock);
     const health = new UpstreamHealth();
     const limits = new UpstreamLimits(draw);
+    const view = {placements, health, replica, log};
+    const pacing = new UpstreamPacing(view, settings);
     const suspects = new SuspectTracker(
       clock,
       relay,
@@ -160,12 +168,12 @@
     this.reach = new ReachMonitor(
       replica,
       health,
+      createPathTester(replica, metrics, () => this.context, draw),
       relay,
       clock,
       log,
       metrics,
       () => this.fleet.listHeartbeats(),
-      draw,
       () => {
         this.server.endStalled();
       },
@@ -181,13 +189,13 @@
       settings,
       this.transport,
       relay,
-      new UpdateApplier(
+      createUpdateApplier(settings, replica, relay, startView, {
         placements,
         health,
         limits,
         suspects,
-        replica.upstreams.leaving,
-      ),
+        pacing,
+      }),
       new SuspectSynchronizer(suspects, relay),
       this.siteUpdater,
       siteExchange,
@@ -198,6 +206,7 @@
       () => this.readStage(),
       () => reach.state,
     );
+    const memory = createGatewayMemory(settings, clock, metrics, log);
     this.context = {
       clock,
       log,
@@ -205,22 +214,32 @@
       metrics,
       headerNames: dialect.headers,
       replica,
+      homeRegions: new HomeRegions(settings.regions),
       placements,
       health,
       limits,
+      coldRates: createColdRates(
+        {settings, replica, clock, log, metrics},
+        () => this.fleet.listSightings(),
+        () => this.readStage(),
+      ),
+      pacing,
       rests: new UpstreamRests(draw),
       unreadableRests: new UnreadableRestLog(log),
       chooser: new UpstreamChooser(
-        settings.host,
+        host,
         failureDomain,
         placements,
         health,
+        pacing.pace,
+        startView,
       ),
+      startView,
       retryBudgets: new RetryBudgets(bounds, clock, () =>
         this.fleet.countHosts(),
       ),
       connectionPool: new UpstreamConnectionPool(clock),
-      bufferBudget: new BufferBudget(),
+      bufferBudget: new BufferBudget(memory.budget),
       publisher: relay,
       reach,
       departureCheck: new DepartureCheck(replica, reach, clock),
@@ -234,36 +253,37 @@
     reservations.listenForLeaving(engine => {
       recordLeaving(this.context, engine);
     });
-    this.server = new GatewayServer(this.context);
+    this.startReports = new StartReports(this.context, loadReports);
+    this.server = new GatewayServer(this.context, memory);
+    const hosts = new HostDirectory(
+      settings,
+      replica,
+      this.context.homeRegions,
+      () => this.isServing(),
+      () => this.fleet.listHeartbeats(),
+      () => reach.state,
+    );
     this.directory = new DirectoryServer(
       dialect.directory,
-      () => this.listHosts(),
+      query => hosts.list(query),
       Math.min(bounds.directoryTtlMs, MAX_DIRECTORY_TTL_MS),
+      memory,
     );
-    this.probes = new ProbeServer(
+    const {fleet, siteUpdater, server, transport} = this;
+    this.probes = createProbeServer(
+      host,
       dialect.readinessPath,
+      this.context,
+      {fleet, siteUpdater, server, transport},
+      memory,
       () => this.isServing(),
-      metrics,
-      () => {
-        metrics.openRequests.set(this.server.openRequests);
-        metrics.droppedLogLines.set(log.droppedLines());
-        refreshUpstreamGauges(this.context);
-      },
-      createTimelineReader(timeline, this.fleet, this.transport),
-      new RequestExplainer(
-        settings.host,
-        this.context,
-        this.server,
-        this.siteUpdater,
-        this.fleet,
-      ),
     );
     this.peers = new PeerServer(
       PEER_KEY,
       new PeerCallHandler(
-        this.fleet,
+        fleet,
         timeline,
-        () => this.describe(),
+        () => describeGateway(settings, this.readStage(), siteUpdater, fleet),
         () => {
           void this.stop();
         },
@@ -273,20 +293,17 @@
 
   async start(): Promise<void> {
     const {settings} = this;
-    const at = (address: string): [string, number] => {
-      const {host, port} = parseAddress(address);
-      return [host, port];
-    };
     this.timeline.record(TimelineEventName.HOST_STARTED);
     this.siteWatcher.start();
     this.upstreamProber.start();
     this.reach.start();
     await this.peers.listen(settings.peersAddress);
     this.fleet.start();
-    await this.probes.listenForReadiness(...at(settings.readinessAddress));
-    await this.probes.listenForMetrics(...at(settings.metricsAddress));
-    await this.directory.listen(...at(settings.directoryAddress));
-    await this.server.listen(...at(settings.callersAddress));
+    const {readinessAddress, metricsAddress} = settings;
+    await this.probes.listenForReadiness(...splitAddress(readinessAddress));
+    await this.probes.listenForMetrics(...splitAddress(metricsAddress));
+    await this.directory.listen(...splitAddress(settings.directoryAddress));
+    await this.server.listen(...splitAddress(settings.callersAddress));
     // A stop may have begun meanwhile.
     if (this.stopPromise === undefined) this.stage = PeerStage.READY;
     this.log.info('host_started', {peersAddress: settings.peersAddress});
@@ -319,6 +336,8 @@
     this.siteWatcher.stop();
     this.upstreamProber.stop();
     this.reach.stop();
+    this.context.coldRates.stop();
+    this.startReports.stop();
     this.fleet.stop();
     this.context.connectionPool.close();
     this.transport.close();
@@ -333,21 +352,16 @@
   reload(settings: GatewaySettings): void {
     this.fleet.setSeeds(settings.seedPeers);
     this.context.retryBudgets.setBounds(settings.bounds);
-    const seeds = settings.seedPeers.join(' ');
-    this.log.info('settings_reloaded', {seeds});
+    this.log.info('settings_reloaded', {seeds: settings.seedPeers.join(' ')});
   }
 
   private applySite(): void {
     const {replica, context} = this;
     const upstreams = replica.upstreams.listInUse(context.clock.nowMs());
     const ids = new Set(upstreams.map(({id}) => id));
-    context.connectionPool.retain(ids);
-    context.health.retain(ids);
-    context.limits.retain(ids);
-    context.rests.retain(ids);
-    context.unreadableRests.retain(ids);
-    context.placements.retain(ids);
-    context.chooser.retain(ids);
+    retainUpstreams(context, ids);
+    context.pacing.applySite(upstreams, context.clock.nowMs());
+    context.coldRates.applySite();
     this.server.checkDepartures();
     const configuration = replica.rules?.configuration;
     if (configuration === undefined || configuration.version === this.version) {
@@ -358,6 +372,10 @@
       revision: replica.position.revision,
     });
     this.recordReady();
+    const unknown = context.homeRegions.listUnknown(configuration);
+    if (unknown.length > 0) {
+      this.log.warn('home_regions_unknown', {regions: unknown.join(' ')});
+    }
     const {limits, routes} = configuration;
     this.server.applyLimits(limits);
     this.server.retainRoutes(new Set(routes.map(({name}) => name)));
@@ -367,6 +385,7 @@
   private recordReady(): void {
     if (this.wasReady || this.readStage() !== PeerStage.READY) return;
     this.wasReady = true;
+    this.startReports.start();
     this.timeline.record(TimelineEventName.HOST_SERVING);
     this.log.info('host_ready', {
       version: this.version,
@@ -387,26 +406,4 @@
   private isServing(): boolean {
     return this.readStage() === PeerStage.READY && !this.reach.isOutOfService;
   }
-
-  /** Lists the hosts that accept requests, as IP:port for callers. */
-  private listHosts(): string[] {
-    const own = this.isServing() ? [this.settings.callersAddress] : [];
-    const peers = selectReachingPeers(
-      this.fleet.listHeartbeats(),
-      this.reach.state,
-    );
-    return [...own, ...peers.map(({callersAddress}) => callersAddress)];
-  }
-
-  private describe(): object {
-    return {
-      name: this.settings.host,
-      failureDomain: this.settings.failureDomain,
-      state: this.readStage(),
-      ...this.replica.position,
-      version: this.version,
-      storeAgeMs: this.siteUpdater.getStoreAgeMs(),
-      hosts: this.fleet.countHosts(),
-    };
-  }
 }
--- a/packages/daemon/src/testing/virtual_fleet.ts
+++ b/packages/daemon/src/testing/virtual_fleet.ts
@@ -1,5 +1,6 @@
 import {
   PlacementRegistry,
+  StartView,
   UpstreamHealth,
   UpstreamLimits,
 } from '@parsleywood/dispatch';
@@ -10,9 +11,11 @@
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {FleetMembership} from '../gateway/fleet/fleet_membership.js';
 import {GatewayMetrics} from '../gateway/gateway_metrics.js';
+import {PlacementExchange} from '../gateway/fleet/placement_exchange.js';
 import {SiteExchange} from '../gateway/site/site_exchange.js';
 import {SiteUpdater} from '../gateway/site/site_updater.js';
 import {UpdateApplier} from '../gateway/fleet/update_applier.js';
+import {UpstreamPacing} from '../gateway/upstreams/upstream_pacing.js';
 import {UpdateRelay} from '../gateway/fleet/update_relay.js';
 import {EventLog} from '../host/event_log.js';
 import {HostMetrics} from '../host/host_metrics.js';
@@ -38,6 +41,9 @@
   readonly fleet: FleetMembership;
   readonly updater: SiteUpdater;
   readonly exchange: SiteExchange;
+  readonly relay: UpdateRelay;
+  readonly placements: PlacementRegistry;
+  readonly view: StartView;
   nextTickMs: number;
   isAlive: boolean;
   sent: number;
@@ -54,6 +60,10 @@
 export class VirtualFleet {
   readonly hosts: VirtualHost[];
   nowMs = 0;
+  /** Whether messages from one address to another are lost. */
+  isCut: (from: string, to: string) => boolean = () => false;
+  /** Whether messages from one address to another arrive only later. */
+  isHeld: (from: string, to: string) => boolean = () => false;
   private queue: Envelope[] = [];
   private readonly byAddress: ReadonlyMap<string, VirtualHost>;
 
@@ -97,6 +107,13 @@
     }
   }
 
+  /** Starts a host that was not alive. */
+  join(host: VirtualHost): void {
+    host.isAlive = true;
+    host.nextTickMs = this.nowMs;
+    host.view.begin(this.nowMs);
+  }
+
   /** Lets the store answer all watchers, with a change up to a revision. */
   answerWatches(revision: number): void {
     for (const {updater} of this.watchers) {
@@ -106,15 +123,20 @@
   }
 
   private deliver(): void {
-    const due = this.queue.filter(({atMs}) => atMs <= this.nowMs);
-    this.queue = this.queue.filter(({atMs}) => atMs > this.nowMs);
-    for (const {from, to, message} of due) {
+    const due: Envelope[] = [];
+    const rest: Envelope[] = [];
+    for (const one of this.queue) {
+      const isDue = one.atMs <= this.nowMs && !this.isHeld(one.from, one.to);
+      (isDue ? due : rest).push(one);
+    }
+    this.queue = rest;
+    for (const {atMs, from, to, message} of due) {
       const host = this.byAddress.get(to);
-      if (!host?.isAlive) continue;
+      if (!host?.isAlive || this.isCut(from, to)) continue;
       host.fleet.handleDelivery({
         from,
         fromIncarnation: '1',
-        hybridTime: undefined,
+        hybridTime: {wallMs: atMs - LATENCY_MS, counter: 0},
         messages: [message],
       });
     }
@@ -151,12 +173,15 @@
     const exchange = new SiteExchange(
       updater,
       relay,
-      () => replica.createSnapshot(),
+      () => replica.createSnapshot(clock.nowMs()),
       clock,
       log,
       metrics,
     );
     const limits = new UpstreamLimits(draw);
+    const placements = new PlacementRegistry();
+    const view = new StartView(0, () => true);
+    const health = new UpstreamHealth();
     const suspects: SuspectTracker = new SuspectTracker(
       clock,
       relay,
@@ -185,11 +210,13 @@
       {reset: () => undefined},
       relay,
       new UpdateApplier(
-        new PlacementRegistry(),
-        new UpstreamHealth(),
+        placements,
+        health,
         limits,
         suspects,
         replica.upstreams.leaving,
+        new UpstreamPacing({placements, health, replica, log}, {}),
+        new PlacementExchange(placements, view, address, relay, () => true),
       ),
       new SuspectSynchronizer(suspects, relay),
       updater,
@@ -216,6 +243,9 @@
       fleet,
       updater,
       exchange,
+      relay,
+      placements,
+      view,
       nextTickMs,
       isAlive: true,
       sent: 0,
