--- a/packages/daemon/src/gateway/attempts/attempt_placer.ts
+++ b/packages/daemon/src/gateway/attempts/attempt_placer.ts
@@ -3,7 +3,6 @@
   PassMeter,
   type CapacityShortage,
   type PromptDemand,
-  type UpstreamChoice,
 } from '@parsleywood/dispatch';
 import {
   AttemptOutcome,
@@ -14,6 +13,7 @@
 import {mayBeFault} from './may_be_fault.js';
 import {canConnect} from '../upstreams/can_connect.js';
 import {forwardsHeader} from '../upstreams/forwards_header.js';
+import {AttemptChooser} from './attempt_chooser.js';
 import {describeDemand} from './describe_demand.js';
 import {EligibleUpstreams} from './eligible_upstreams.js';
 import type {ExclusionReason} from './exclusion_reason.js';
@@ -40,6 +40,7 @@
   private passMeter = new PassMeter();
   private readonly eligible: EligibleUpstreams;
   private readonly returns: ReturnPlanner;
+  private readonly chooser: AttemptChooser;
 
   /**
    * @param service Name of the service that the request goes to.
@@ -54,6 +55,7 @@
   ) {
     this.eligible = new EligibleUpstreams(context, match, service);
     this.returns = new ReturnPlanner(context, this.eligible, service);
+    this.chooser = new AttemptChooser(context, this.eligible);
   }
 
   /** Whether any upstream of the service accepts new requests. */
@@ -101,7 +103,9 @@
     const nowMs = this.context.clock.nowMs();
     const service = this.match.rules.findService(this.service);
     const demand = this.describeDemand(service, nowMs);
-    return 'upstream' in this.chooseUpstream(service, demand, nowMs, '');
+    const {chooser, triedUpstreams} = this;
+    const choice = chooser.choose(service, demand, triedUpstreams, nowMs, '');
+    return 'upstream' in choice;
   }
 
   /** Whether no other suspect has met the attempt in progress on an upstream. */
@@ -132,7 +136,13 @@
     const nowMs = context.clock.nowMs();
     const service = this.match.rules.findService(this.service);
     const demand = this.describeDemand(service, nowMs);
-    const choice = this.chooseUpstream(service, demand, nowMs, suspect);
+    const choice = this.chooser.choose(
+      service,
+      demand,
+      this.triedUpstreams,
+      nowMs,
+      suspect,
+    );
     const chosen = 'upstream' in choice ? choice.upstream.id : undefined;
     const {id} = request.metadata;
     recordChoiceWithoutView(context, service, id, chosen, nowMs);
@@ -354,52 +364,6 @@
     publisher.publishEnd(placement.id);
   }
 
-  private chooseUpstream(
-    service: Service | undefined,
-    demand: PromptDemand,
-    nowMs: number,
-    suspect: string,
-  ): UpstreamChoice | CapacityShortage {
-    const {chooser, limits, coldRates, rests, pacing} = this.context;
-    pacing.advance(nowMs);
-    const free = this.eligible
-      .list()
-      .filter(
-        ({id}) => limits.mayTake(id, nowMs) && !rests.isResting(id, nowMs),
-      );
-    // A limited, cold or resting upstream must not hide those that are avoided.
-    const candidates = chooser.listCandidates(
-      coldRates.filter(free, nowMs),
-      this.triedUpstreams,
-      nowMs,
-    );
-    if (suspect !== '') {
-      const isolated = this.chooseAmong(
-        candidates.filter(
-          ({id}) => !this.context.placements.hasSuspect(id, suspect, nowMs),
-        ),
-        service,
-        demand,
-        nowMs,
-      );
-      if ('upstream' in isolated) return isolated;
-    }
-    return this.chooseAmong(candidates, service, demand, nowMs);
-  }
-
-  private chooseAmong(
-    candidates: readonly UpstreamEntry[],
-    service: Service | undefined,
-    demand: PromptDemand,
-    nowMs: number,
-  ): UpstreamChoice | CapacityShortage {
-    const {chooser, draw} = this.context;
-    if (service?.engine === undefined) {
-      return chooser.chooseServiceUpstream(candidates, draw(), nowMs);
-    }
-    return chooser.chooseEngines(candidates, service, demand, nowMs);
-  }
-
   private describeDemand(
     service: Service | undefined,
     nowMs: number,
--- a/packages/daemon/src/gateway/attempts/return_planner.ts
+++ b/packages/daemon/src/gateway/attempts/return_planner.ts
@@ -43,18 +43,40 @@
     tried: ReadonlySet<string>,
     nowMs: number,
   ): CapacityShortage {
-    const {limits, coldRates, countHosts, metrics} = this.context;
+    const {coldRates, metrics} = this.context;
     const reason = this.eligible.findExclusion();
     if (reason !== undefined) {
       metrics.excludedRequests.inc({service: this.service, reason});
       return shortage;
     }
+    return this.planAmong(shortage, tried, nowMs, entries =>
+      coldRates.planReturnMs(entries, nowMs),
+    );
+  }
+
+  /** Returns the same for a new request that is not sent; nothing is counted. */
+  preview(shortage: CapacityShortage, nowMs: number): CapacityShortage {
+    if (this.eligible.findExclusion() !== undefined) return shortage;
+    const {coldRates} = this.context;
+    return this.planAmong(shortage, new Set(), nowMs, entries =>
+      coldRates.previewReturnMs(entries, nowMs),
+    );
+  }
+
+  /** @param planColdMs Returns when one of several cold upstreams may be sent to. */
+  private planAmong(
+    shortage: CapacityShortage,
+    tried: ReadonlySet<string>,
+    nowMs: number,
+    planColdMs: (entries: readonly UpstreamEntry[]) => number,
+  ): CapacityShortage {
+    const {limits, countHosts} = this.context;
     const restMs = this.planAfterRestMs();
     if (restMs > 0) return {waitMs: restMs};
     const awake = this.listUntried(tried, nowMs);
     const free = awake.filter(({id}) => limits.mayTake(id, nowMs));
     if (free.length > 0) {
-      const coldMs = coldRates.planReturnMs(free, nowMs);
+      const coldMs = planColdMs(free);
       return coldMs > 0 ? {waitMs: coldMs} : shortage;
     }
     if (awake.length === 0) return shortage;
--- a/packages/daemon/src/gateway/callers/probe_server.ts
+++ b/packages/daemon/src/gateway/callers/probe_server.ts
@@ -6,12 +6,13 @@
 import type {HostMemory} from '../../host/host_memory.js';
 import {readTimelineQuery} from '../../host/read_timeline_query.js';
 import {answerFailures} from '../../operators/answer_failures.js';
+import type {RequestExplainer} from '../explain/request_explainer.js';
 import type {GatewayMetrics} from '../gateway_metrics.js';
 
 const READY_STATUS = 200;
 const NOT_READY_STATUS = 503;
 
-/** Serves the readiness check, the metrics and the timeline of events. */
+/** Serves the readiness check, the metrics, the timeline of events and explanations. */
 export class ProbeServer {
   private readonly app: FastifyInstance = fastify();
   /**
@@ -32,6 +33,7 @@
     metrics: GatewayMetrics,
     refresh: () => void,
     readTimeline: (query: TimelineQuery) => Promise<TimelineEntry[]>,
+    explainer: Pick<RequestExplainer, 'explain'>,
     memory: HostMemory,
   ) {
     boundConnections(this.app.server, memory);
@@ -53,6 +55,10 @@
         events: await readTimeline(readTimelineQuery(query)),
       }),
     );
+    this.app.get<{Querystring: Record<string, unknown>}>(
+      '/v1/explain',
+      ({query}, reply) => reply.send(explainer.explain(query)),
+    );
     answerFailures(this.app, 'probe');
   }
 
--- a/packages/daemon/src/gateway/gateway_host.ts
+++ b/packages/daemon/src/gateway/gateway_host.ts
@@ -245,8 +245,8 @@
       departureCheck: new DepartureCheck(replica, reach, clock),
       reservationClient: reservations,
       suspects,
-      planStartRetryMs: () =>
-        planStartRetryMs(settings, this.fleet.listHeartbeats(), draw()),
+      planStartRetryMs: (random = draw()) =>
+        planStartRetryMs(settings, this.fleet.listHeartbeats(), random),
       countHosts: () => this.fleet.countHosts(),
       draw,
     };
@@ -269,15 +269,14 @@
       Math.min(bounds.directoryTtlMs, MAX_DIRECTORY_TTL_MS),
       memory,
     );
-    const {fleet, siteUpdater} = this;
+    const {fleet, siteUpdater, server, transport} = this;
     this.probes = createProbeServer(
+      host,
       dialect.readinessPath,
       this.context,
-      fleet,
-      this.transport,
+      {fleet, siteUpdater, server, transport},
       memory,
       () => this.isServing(),
-      () => this.server.openRequests,
     );
     this.peers = new PeerServer(
       PEER_KEY,
--- a/packages/daemon/src/gateway/upstreams/cold_rate_monitor.ts
+++ b/packages/daemon/src/gateway/upstreams/cold_rate_monitor.ts
@@ -102,6 +102,18 @@
     return waitMs;
   }
 
+  /** Returns the same; the request is not counted and takes no turn. */
+  previewReturnMs(entries: readonly UpstreamEntry[], nowMs: number): number {
+    const ids = entries.map(({id}) => id);
+    return this.rates.isOn ? this.rates.previewReturnMs(ids, nowMs) : 0;
+  }
+
+  /** Returns why an upstream may not be sent a request now; undefined if it may. */
+  findBar(id: string, nowMs: number): ColdUse | undefined {
+    if (!this.rates.isOn || this.rates.mayTake(id, nowMs)) return undefined;
+    return this.rates.getUse(id, nowMs) ?? ColdUse.SETTLING;
+  }
+
   /** Counts the cold upstreams before metrics are read. */
   refreshGauges(): void {
     const nowMs = this.clock.nowMs();
--- a/packages/daemon/src/gateway/upstreams/upstream_pacing.ts
+++ b/packages/daemon/src/gateway/upstreams/upstream_pacing.ts
@@ -59,13 +59,8 @@
   /** Begins and ends probations that are due. To be called before each choice. */
   advance(nowMs: number): void {
     const {pace} = this;
-    const {health, replica, log} = this.view;
-    for (const id of health.takeReturned(nowMs)) {
-      const entry = replica.upstreams.find(id);
-      if (entry === undefined || !this.isPaced(entry)) continue;
-      pace.start(id, entry.slots, nowMs, PaceReason.RECOVERED);
-    }
-    pace.advance(nowMs);
+    const {health, log} = this.view;
+    this.advanceTo(pace, health.takeReturned(nowMs), nowMs);
     for (const {hasEnded, slowdownFactor, ...change} of pace.takeChanges()) {
       log.info(hasEnded ? 'upstream_pace_ended' : 'upstream_paced', {
         ...change,
@@ -75,6 +70,13 @@
     }
   }
 
+  /** Returns a copy of the pace as `advance` would leave it. */
+  preview(nowMs: number): UpstreamPace {
+    const copy = this.pace.copy();
+    this.advanceTo(copy, this.view.health.listReturned(nowMs), nowMs);
+    return copy;
+  }
+
   /** Records a placement of any host; to be called before it is registered. */
   recordStart(placement: Placement, nowMs: number): void {
     const {pace} = this;
@@ -91,6 +93,20 @@
     pace.recordStart(placement.id, upstreams, expected, nowMs);
   }
 
+  /** @param returned Ids of upstreams that are no longer avoided. */
+  private advanceTo(
+    pace: UpstreamPace,
+    returned: readonly string[],
+    nowMs: number,
+  ): void {
+    for (const id of returned) {
+      const entry = this.view.replica.upstreams.find(id);
+      if (entry === undefined || !this.isPaced(entry)) continue;
+      pace.start(id, entry.slots, nowMs, PaceReason.RECOVERED);
+    }
+    pace.advance(nowMs);
+  }
+
   private isPaced(entry: UpstreamEntry): boolean {
     if (entry.stage !== UpstreamStage.READY) return false;
     const coldMs = this.findService(entry)?.coldStart?.durationMs ?? 0;
--- a/packages/dispatch/src/cold_rates.ts
+++ b/packages/dispatch/src/cold_rates.ts
@@ -156,9 +156,37 @@
    * that are refused one after the other come again at the rates of the upstreams.
    */
   planReturnMs(ids: readonly string[], nowMs: number): number {
+    const free = this.findReturn(ids, nowMs);
+    if (free === undefined) return 0;
+    return this.returns.plan(free.firstMs, free.stepMs, nowMs, free.warmMs);
+  }
+
+  /** Returns the same, and leaves the turn to the next request. */
+  previewReturnMs(ids: readonly string[], nowMs: number): number {
+    const free = this.findReturn(ids, nowMs);
+    if (free === undefined) return 0;
+    return this.returns.preview(free.firstMs, nowMs, free.warmMs);
+  }
+
+  /** Drops upstreams that are not listed, once warm; that they were is remembered. */
+  retain(ids: ReadonlySet<string>, nowMs: number): void {
+    for (const {id, untilMs} of this.upstreams.values()) {
+      if (!ids.has(id) && untilMs <= nowMs) this.upstreams.delete(id);
+    }
+    for (const id of this.seenBornMs.keys()) {
+      if (this.seenBornMs.size <= MAX_SEEN) break;
+      if (!ids.has(id)) this.seenBornMs.delete(id);
+    }
+  }
+
+  /** Times of `ReturnSchedule`; undefined if an upstream may be sent to now. */
+  private findReturn(
+    ids: readonly string[],
+    nowMs: number,
+  ): {firstMs: number; stepMs: number; warmMs: number} | undefined {
     const barred = ids.flatMap(id => this.upstreams.get(id) ?? []);
     if (barred.length === 0 || ids.some(id => this.mayTake(id, nowMs))) {
-      return 0;
+      return undefined;
     }
     const rate = barred.reduce(
       (sum, {service}) => sum + (this.rates.get(service)?.perSecond ?? 0),
@@ -171,18 +199,7 @@
       this.settling.doubtUntilMs - nowMs,
     );
     const warmMs = Math.min(...barred.map(({untilMs}) => untilMs)) - nowMs;
-    return this.returns.plan(firstMs, stepMs, nowMs, warmMs);
-  }
-
-  /** Drops upstreams that are not listed, once warm; that they were is remembered. */
-  retain(ids: ReadonlySet<string>, nowMs: number): void {
-    for (const {id, untilMs} of this.upstreams.values()) {
-      if (!ids.has(id) && untilMs <= nowMs) this.upstreams.delete(id);
-    }
-    for (const id of this.seenBornMs.keys()) {
-      if (this.seenBornMs.size <= MAX_SEEN) break;
-      if (!ids.has(id)) this.seenBornMs.delete(id);
-    }
+    return {firstMs, stepMs, warmMs};
   }
 
   private updateOne(entry: UpstreamEntry, nowMs: number): void {
--- a/packages/dispatch/src/prefill_planner.ts
+++ b/packages/dispatch/src/prefill_planner.ts
@@ -101,6 +101,24 @@
     return {waitMs: expectedMs - demand.objectiveMs};
   }
 
+  /** Estimates the first event of a prompt that one engine prefills alone. */
+  estimateAlone(
+    demand: PromptDemand,
+    engine: EngineForecast,
+  ): {expectedMs: number; lossTokens: number} {
+    const {promptTokens, answerTokens} = demand;
+    const pairs = PassModel.countMillionPairs(promptTokens);
+    const {finishMs} = estimatePrefillTiming(
+      engine,
+      this.model,
+      promptTokens,
+      pairs,
+    );
+    const weight = weighRequest(promptTokens, answerTokens);
+    const lossTokens = weight * estimateLatenessLoss(finishMs, demand);
+    return {expectedMs: finishMs, lossTokens};
+  }
+
   /** Cost of the prompt's engine time at the current mean backlog, in tokens. */
   private priceEngineTime(
     demand: PromptDemand,
--- a/packages/dispatch/src/probation.ts
+++ b/packages/dispatch/src/probation.ts
@@ -63,6 +63,17 @@
     this.requests = Math.max(1, Math.floor(slots * FIRST_WINDOW_PART));
   }
 
+  copy(): Probation {
+    const {upstream, slots, reason, startedAtMs} = this;
+    const copy = new Probation(upstream, slots, reason, startedAtMs);
+    copy.requests = this.requests;
+    copy.factor = this.factor;
+    copy.eventsInTime = this.eventsInTime;
+    copy.wasMeasured = this.wasMeasured;
+    for (const [id, one] of this.pending) copy.pending.set(id, {...one});
+    return copy;
+  }
+
   /** Requests that the upstream may hold from all hosts. */
   get window(): number {
     return this.requests;
--- a/packages/dispatch/src/return_schedule.ts
+++ b/packages/dispatch/src/return_schedule.ts
@@ -15,9 +15,21 @@
     nowMs: number,
     latestMs = Infinity,
   ): number {
+    const waitMs = this.preview(firstMs, nowMs, latestMs);
+    this.nextMs = nowMs + waitMs + stepMs;
+    return waitMs;
+  }
+
+  /** Returns the same, and leaves the turn to the next request. */
+  preview(firstMs: number, nowMs: number, latestMs = Infinity): number {
     const dueMs = Math.max(nowMs + firstMs, this.nextMs);
     const atMs = Math.min(dueMs, nowMs + Math.max(firstMs, latestMs));
-    this.nextMs = atMs + stepMs;
     return atMs - nowMs;
   }
+
+  copy(): ReturnSchedule {
+    const copy = new ReturnSchedule();
+    copy.nextMs = this.nextMs;
+    return copy;
+  }
 }
--- a/packages/dispatch/src/token_bucket.ts
+++ b/packages/dispatch/src/token_bucket.ts
@@ -19,6 +19,11 @@
     return this.perSecond;
   }
 
+  copy(): TokenBucket {
+    const {perSecond, capacity, refilledAtMs, tokens} = this;
+    return new TokenBucket(perSecond, capacity, refilledAtMs, tokens);
+  }
+
   /** Changes the rate from now on. */
   setRate(perSecond: number, capacity: number, nowMs: number): void {
     this.read(nowMs);
--- a/packages/dispatch/src/upstream_chooser.ts
+++ b/packages/dispatch/src/upstream_chooser.ts
@@ -54,6 +54,22 @@
     return this.sortByPreference(selected);
   }
 
+  /** Copies the chooser with another state of slow start. */
+  withPace(pace: UpstreamPace): UpstreamChooser {
+    const {host, failureDomain, placements, health, view} = this;
+    const copy = new UpstreamChooser(
+      host,
+      failureDomain,
+      placements,
+      health,
+      pace,
+      view,
+    );
+    copy.known = new Set(this.known);
+    copy.ordered = this.ordered;
+    return copy;
+  }
+
   /** Chooses the upstream of a plain call. */
   chooseServiceUpstream(
     candidates: readonly UpstreamEntry[],
@@ -73,12 +89,17 @@
     return {waitMs: this.pace.planReturnMs(ids, nowMs), isPaced: true};
   }
 
-  /** Chooses the engines of a prompt, or estimates when capacity is free. */
+  /**
+   * Chooses the engines of a prompt, or estimates when capacity is free.
+   *
+   * @param forecasts Load of the candidates, if it is known already.
+   */
   chooseEngines(
     candidates: readonly UpstreamEntry[],
     service: Service,
     demand: PromptDemand,
     nowMs: number,
+    forecasts?: readonly EngineForecast[],
   ): UpstreamChoice | CapacityShortage {
     const model = this.getModel(service);
     if (model === undefined) return {waitMs: 0};
@@ -89,7 +110,10 @@
     if (view && selected.length < Math.min(1, candidates.length)) {
       return {waitMs: view.planReturnMs(service, nowMs)};
     }
-    const engines = this.forecastEngines(selected, model, nowMs);
+    const known = new Map(forecasts?.map(one => [one.upstream, one]));
+    const engines = forecasts
+      ? selected.flatMap(({id}) => known.get(id) ?? [])
+      : this.forecastEngines(selected, model, nowMs);
     const plan = this.pace?.isActive
       ? new PacedPlanner(model, this.health, this.pace).plan(
           demand,
--- a/packages/dispatch/src/upstream_health.ts
+++ b/packages/dispatch/src/upstream_health.ts
@@ -78,12 +78,17 @@
 
   /** Returns, once, the upstreams that were avoided and are no longer. */
   takeReturned(nowMs: number): string[] {
-    if (this.avoided.size === 0) return [];
-    const returned = [...this.avoided].filter(id => !this.isAvoided(id, nowMs));
+    const returned = this.listReturned(nowMs);
     for (const id of returned) this.avoided.delete(id);
     return returned;
   }
 
+  /** Lists the upstreams that `takeReturned` would return. */
+  listReturned(nowMs: number): string[] {
+    if (this.avoided.size === 0) return [];
+    return [...this.avoided].filter(id => !this.isAvoided(id, nowMs));
+  }
+
   /** Upstreams that gave no response at all and have not been reached since. */
   listUnreachable(): string[] {
     return [...this.byUpstream]
--- a/packages/dispatch/src/upstream_limits.ts
+++ b/packages/dispatch/src/upstream_limits.ts
@@ -30,7 +30,7 @@
   private readonly byUpstream = new Map<string, Limit>();
   /** Start of the latest attempt that told whether an upstream has a limit. */
   private readonly toldAtMs = new Map<string, number>();
-  private readonly returns = new ReturnSchedule();
+  private returns = new ReturnSchedule();
 
   /** @param draw Returns a random number in [0, 1). */
   constructor(private readonly draw: () => number) {}
@@ -117,6 +117,17 @@
     return this.returns.plan(firstMs, stepMs, nowMs);
   }
 
+  /** Copies the state, so that plans can be made that leave this one as it is. */
+  copy(draw: () => number): UpstreamLimits {
+    const copy = new UpstreamLimits(draw);
+    for (const [id, limit] of this.byUpstream) {
+      copy.byUpstream.set(id, {...limit, bucket: limit.bucket.copy()});
+    }
+    for (const [id, atMs] of this.toldAtMs) copy.toldAtMs.set(id, atMs);
+    copy.returns = this.returns.copy();
+    return copy;
+  }
+
   /** Drops the limits of upstreams that are no longer listed. */
   retain(upstreams: ReadonlySet<string>): void {
     for (const id of [...this.toldAtMs.keys()]) {
--- a/packages/dispatch/src/upstream_pace.ts
+++ b/packages/dispatch/src/upstream_pace.ts
@@ -33,6 +33,16 @@
     return this.probations.size + this.planned.size > 0;
   }
 
+  /** Copies what is in force and planned; changes are left to this one. */
+  copy(): UpstreamPace {
+    const copy = new UpstreamPace();
+    for (const [id, one] of this.probations) {
+      copy.probations.set(id, one.copy());
+    }
+    for (const [id, plan] of this.planned) copy.planned.set(id, plan);
+    return copy;
+  }
+
   /** Number of upstreams on probation. */
   get size(): number {
     return this.probations.size;
@@ -155,6 +165,11 @@
     );
   }
 
+  /** Requests that an upstream may hold now; undefined if it is not on probation. */
+  getWindow(upstream: string): number | undefined {
+    return this.probations.get(upstream)?.window;
+  }
+
   /** Slowdown to assume of an upstream; 1 if it is not on probation. */
   getSlowdownFactor(upstream: string): number {
     return this.probations.get(upstream)?.slowdownFactor ?? 1;
