--- a/packages/daemon/src/gateway/upstreams/upstream_pacing.ts
+++ b/packages/daemon/src/gateway/upstreams/upstream_pacing.ts
@@ -108,9 +108,7 @@
   }
 
   private isPaced(entry: UpstreamEntry): boolean {
-    if (entry.stage !== UpstreamStage.READY) return false;
-    const coldMs = this.findService(entry)?.coldStart?.durationMs ?? 0;
-    return this.pacesAll || coldMs > 0;
+    return this.pacesAll && entry.stage === UpstreamStage.READY;
   }
 
   private findService({service}: UpstreamEntry): Service | undefined {
