--- a/packages/dispatch/src/paced_planner.ts
+++ b/packages/dispatch/src/paced_planner.ts
@@ -26,7 +26,8 @@
 /**
  * Plans prompts while engines are on probation. A prompt goes to such an engine only
  * if, even at the assumed slowdown, it waits no longer than at a warm one by more than
- * its objective.
+ * its objective. Load pattern: an engine that has just started holds nothing, so that all
+ * hosts send it prompts that it is too slow for.
  */
 export class PacedPlanner {
   private readonly planner: PrefillPlanner;
--- a/packages/dispatch/src/return_schedule.ts
+++ b/packages/dispatch/src/return_schedule.ts
@@ -1,4 +1,7 @@
-/** Lets requests that are refused one after the other come again one after the other. */
+/**
+ * Lets requests that are refused one after the other come again one after the other. Load
+ * pattern: callers that are refused together would return together.
+ */
 export class ReturnSchedule {
   private nextMs = -Infinity;
 
--- a/packages/dispatch/src/settling.ts
+++ b/packages/dispatch/src/settling.ts
@@ -14,7 +14,8 @@
 
 /**
  * Whether a host knows enough of the others after its start, or after its event loop
- * was held up: its view is old then, and what other hosts have told waits unread.
+ * was held up: its view is old then, and what other hosts have told waits unread. Load
+ * pattern: hosts that restart or wake from a freeze while upstreams become cold.
  */
 export class Settling {
   private heardSinceMs: number | undefined;
--- a/packages/dispatch/src/upstream_starts.ts
+++ b/packages/dispatch/src/upstream_starts.ts
@@ -14,7 +14,10 @@
   seenAtMs: number;
 }
 
-/** Finds, in the lists of upstreams, those that have started or are cold. */
+/**
+ * Finds, in the lists of upstreams, those that have started or are cold. Load pattern:
+ * upstreams are replaced one after the other, beside entries that lapse and return.
+ */
 export class UpstreamStarts {
   private readonly known = new Map<string, KnownUpstream>();
   private hasList = false;
