--- a/review/lib-2/site.mjs
+++ b/review/lib-2/site.mjs
@@ -368,11 +368,12 @@
   return /^run = "(.*)"$/m.exec(text)[1].split(' ');
 }
 
-/** Resident memory of a process, in MB. */
-export function readResidentMb(pid) {
+/** Resident memory of a process, in MB: all of it, or the part of a field. */
+export function readResidentMb(pid, field = 'VmRSS') {
   try {
     const text = readFileSync(`/proc/${pid}/status`, 'utf8');
-    return Number(/^VmRSS:\s+(\d+)/m.exec(text)?.[1] ?? 0) / 1024;
+    const match = new RegExp(`^${field}:\\s+(\\d+)`, 'm').exec(text);
+    return Number(match?.[1] ?? 0) / 1024;
   } catch {
     return 0;
   }
