--- a/review/lib-2/record.mjs
+++ b/review/lib-2/record.mjs
@@ -33,6 +33,12 @@
  */
 export async function runCase(record, run, stop, limitMs = 110_000) {
   let code = 2;
+  process.on('uncaughtException', error => {
+    record.note(`the case could not run: ${error.stack ?? error}`);
+    record.save();
+    stop();
+    process.exit(2);
+  });
   const late = setTimeout(() => {
     record.note('the case did not end in time');
     record.save();
