Take no reset for the end of a response beside an upload

Callers got a part of a response as a whole one: an upstream answered a long upload at once with a 200 without length, sent some of the body and reset the connection while the upload was still being written.

Cause: Node.js reports a reset that arrives with the last bytes as `end`, and the error only by the next write. UpstreamConnection.isBroken() wrote an empty line to reveal it, but behind an upload that write waits, so it revealed nothing. undici took the `end` for the end of the response and closed the connection, and the write of the upload never failed. Order of events, forced 20 of 20 times by a server on the same thread: data, end, write ECONNRESET.

HttpClient passes `end` on for such a response only when a reset would have shown: a pending write fails in the same turn of the event loop. A connection that was closed and refuses the rest gives EPIPE, and its response stays whole; one that was closed and reads on gives no error.

Ruled out: the paced reads (SocketReader), as the events come in the same order on a bare socket.

--- a/packages/daemon/src/gateway/upstreams/upstream_attempt.ts
+++ b/packages/daemon/src/gateway/upstreams/upstream_attempt.ts
@@ -1,4 +1,5 @@
 import {AttemptOutcome} from '@parsleywood/forwarding';
+import {readFraming, ResponseFraming} from '@parsleywood/http';
 import type {Dispatcher} from 'undici';
 import {countLines} from '../../host/count_lines.js';
 import type {ResponseListener} from '../attempts/response_listener.js';
@@ -10,7 +11,6 @@
 import type {UpstreamRequest} from './upstream_request.js';
 
 const MISDIRECTED_STATUS = 421;
-const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 const EVENT_STREAM = 'text/event-stream';
 const NO_EXCLUSIONS: ReadonlySet<string> = new Set();
 
@@ -138,7 +138,9 @@
       headers: listEndToEndHeaders(readRawHeaders(controller), NO_EXCLUSIONS),
       isEventStream: this.isEventStream,
       isNotRun: this.isRefused,
-      endsWithConnection: isEndedByConnection(status, headers),
+      endsWithConnection:
+        readFraming(request.method, status, headers) ===
+        ResponseFraming.CONNECTION,
       faultyAddress: String(headers[headerNames.faultyUpstream] ?? ''),
       rateLimit: readRateLimit(headers[headerNames.rateLimit]),
       restMs: restMs ?? 0,
@@ -156,11 +158,6 @@
 
   onResponseEnd(): void {
     if (this.hasEnded) return;
-    if (this.connection.isBroken()) {
-      // undici reports a reset as the end of a response without length.
-      this.finish(AttemptOutcome.BROKEN, 'connection reset');
-      return;
-    }
     this.hasEnded = true;
     this.release();
     // The connection is free only after undici has left this callback.
@@ -211,18 +208,6 @@
   return String(contentType).trim().toLowerCase().startsWith(EVENT_STREAM);
 }
 
-/** Whether only the end of the connection shows where the body ends. */
-function isEndedByConnection(
-  status: number,
-  headers: Record<string, string | string[] | undefined>,
-): boolean {
-  return (
-    headers['content-length'] === undefined &&
-    headers['transfer-encoding'] === undefined &&
-    !BODILESS_STATUSES.has(status)
-  );
-}
-
 /** Reads the header names and values, alternating, as received. */
 function readRawHeaders(controller: Dispatcher.DispatchController): string[] {
   const rawHeaders = (controller as {rawHeaders?: (Buffer | string)[]})
--- a/packages/daemon/src/gateway/upstreams/upstream_connection.ts
+++ b/packages/daemon/src/gateway/upstreams/upstream_connection.ts
@@ -1,5 +1,6 @@
 import type {Socket} from 'node:net';
-import {buildConnector, Client} from 'undici';
+import {HttpClient} from '@parsleywood/http';
+import {buildConnector} from 'undici';
 import {handlePendingInput} from '../../host/handle_pending_input.js';
 import type {SocketReader} from '../../host/socket_reader.js';
 
@@ -21,7 +22,7 @@
  * connection remembers what shows to which request a response belongs.
  */
 export class UpstreamConnection {
-  readonly client: Client;
+  readonly client: HttpClient;
   /** Monotonic time at which the connection became idle. */
   idleSinceMs = 0;
   private socket: Socket | undefined;
@@ -39,8 +40,7 @@
       keepAliveInitialDelay: KEEP_ALIVE_DELAY_MS,
       allowHalfOpen: true,
     });
-    this.client = new Client(`http://${address}`, {
-      pipelining: 1,
+    this.client = new HttpClient(`http://${address}`, {
       headersTimeout: 0,
       bodyTimeout: 0,
       keepAliveTimeout: IDLE_TIMEOUT_MS,
@@ -93,18 +93,6 @@
     return !socket.destroyed && socket.errored === null;
   }
 
-  /**
-   * Whether the connection was reset rather than closed. Node reports a reset
-   * that arrives with the last bytes as an end of the stream, and only a write
-   * reveals it. The write is an empty line, which HTTP servers ignore.
-   */
-  isBroken(): boolean {
-    const {socket} = this;
-    if (socket === undefined) return true;
-    if (socket.readableEnded && socket.writable) socket.write('\r\n');
-    return socket.errored !== null;
-  }
-
   close(): void {
     void this.client.destroy();
   }
--- /dev/null
+++ b/packages/http/src/response_checker.ts
@@ -0,0 +1,70 @@
+import type {IncomingHttpHeaders} from 'node:http';
+import type {Duplex} from 'node:stream';
+import {DecoratorHandler, type Dispatcher} from 'undici';
+import {readFraming} from './read_framing.js';
+import type {ResponseConnection} from './response_connection.js';
+import {ResponseFraming} from './response_framing.js';
+
+/** Passes on the response to one request, and tells its connection how it is framed. */
+export class ResponseChecker implements Dispatcher.DispatchHandler {
+  private readonly next: Dispatcher.DispatchHandler;
+
+  constructor(
+    private readonly method: string,
+    private readonly connection: ResponseConnection,
+    handler: Dispatcher.DispatchHandler,
+  ) {
+    this.next = new DecoratorHandler(handler);
+  }
+
+  onRequestStart(
+    controller: Dispatcher.DispatchController,
+    context: unknown,
+  ): void {
+    this.connection.expectResponse();
+    this.next.onRequestStart?.(controller, context);
+  }
+
+  onRequestUpgrade(
+    controller: Dispatcher.DispatchController,
+    status: number,
+    headers: IncomingHttpHeaders,
+    socket: Duplex,
+  ): void {
+    this.next.onRequestUpgrade?.(controller, status, headers, socket);
+  }
+
+  onResponseStart(
+    controller: Dispatcher.DispatchController,
+    status: number,
+    headers: IncomingHttpHeaders,
+    statusMessage?: string,
+  ): void {
+    if (status >= 200) {
+      const framing = readFraming(this.method, status, headers);
+      this.connection.endsResponse = framing === ResponseFraming.CONNECTION;
+    }
+    this.next.onResponseStart?.(controller, status, headers, statusMessage);
+  }
+
+  onResponseData(
+    controller: Dispatcher.DispatchController,
+    chunk: Buffer,
+  ): void {
+    this.next.onResponseData?.(controller, chunk);
+  }
+
+  onResponseEnd(
+    controller: Dispatcher.DispatchController,
+    trailers: IncomingHttpHeaders,
+  ): void {
+    this.next.onResponseEnd?.(controller, trailers);
+  }
+
+  onResponseError(
+    controller: Dispatcher.DispatchController,
+    error: Error,
+  ): void {
+    this.next.onResponseError?.(controller, error);
+  }
+}
--- /dev/null
+++ b/packages/http/src/response_end.test.ts
@@ -0,0 +1,156 @@
+import {connect, type Socket} from 'node:net';
+import {setTimeout as pause} from 'node:timers/promises';
+import {RawServer} from '@parsleywood/stand-ins';
+import {expect} from 'chai';
+import type {Dispatcher} from 'undici';
+import {HttpAgent} from './http_agent.js';
+import {HttpClient} from './http_client.js';
+import {HttpPool} from './http_pool.js';
+
+/** More than the system holds for a server that reads nothing. */
+const LONG_UPLOAD_BYTES = 8_000_000;
+const SHORT_UPLOAD_BYTES = 100;
+/** Time in which an upload fills what the system holds. */
+const UPLOAD_MS = 30;
+const HEAD = 'HTTP/1.1 200 OK\r\n\r\n';
+const BODY = 'part'.repeat(100);
+
+/** How servers end a response without length, and whether it is whole. */
+const ENDS: ReadonlyMap<string, [boolean, (socket: Socket) => void]> = new Map<
+  string,
+  [boolean, (socket: Socket) => void]
+>([
+  [
+    // Both arrive before the client reads, as it runs on this thread.
+    'a reset with the last bytes',
+    [
+      false,
+      socket => {
+        socket.write(HEAD + BODY);
+        socket.resetAndDestroy();
+      },
+    ],
+  ],
+  [
+    'a reset after the last bytes',
+    [
+      false,
+      socket => {
+        socket.write(HEAD + BODY);
+        setTimeout(() => socket.resetAndDestroy(), 20);
+      },
+    ],
+  ],
+  [
+    'an end',
+    [
+      true,
+      socket => {
+        socket.end(HEAD + BODY);
+      },
+    ],
+  ],
+  [
+    'an end, after which the request is read',
+    [
+      true,
+      socket => {
+        socket.end(HEAD + BODY);
+        setTimeout(() => socket.resume(), 20);
+      },
+    ],
+  ],
+  [
+    // The system resets a connection that is closed before all is read.
+    'an end and a close at once',
+    [
+      true,
+      socket => {
+        socket.end(HEAD + BODY, () => socket.destroy());
+      },
+    ],
+  ],
+  [
+    'an end and a close later',
+    [
+      true,
+      socket => {
+        socket.end(HEAD + BODY);
+        setTimeout(() => socket.destroy(), 20);
+      },
+    ],
+  ],
+]);
+
+describe('Response without length', () => {
+  let server: RawServer | undefined;
+  let client: Dispatcher | undefined;
+
+  afterEach(async () => {
+    await client?.destroy();
+    server?.stop();
+  });
+
+  async function start(answer: (socket: Socket) => void): Promise<string> {
+    server = new RawServer(socket => {
+      setTimeout(() => {
+        answer(socket);
+      }, UPLOAD_MS);
+    });
+    return server.start();
+  }
+
+  const CLIENTS: ReadonlyMap<string, (origin: string) => Dispatcher> = new Map<
+    string,
+    (origin: string) => Dispatcher
+  >([
+    ['HttpClient', origin => new HttpClient(origin)],
+    ['HttpPool', origin => new HttpPool(origin, {connections: 4})],
+    ['HttpAgent', () => new HttpAgent()],
+  ]);
+  for (const [name, create] of CLIENTS) {
+    for (const bytes of [0, SHORT_UPLOAD_BYTES, LONG_UPLOAD_BYTES]) {
+      for (const [end, [isWhole, answer]] of ENDS) {
+        it(`is ${isWhole ? '' : 'not '}complete by ${end} (${name}, upload of ${bytes} bytes)`, async () => {
+          const origin = await start(answer);
+          client = create(origin);
+          const result = await client
+            .request({
+              origin,
+              path: '/',
+              method: 'POST',
+              body: bytes > 0 ? Buffer.alloc(bytes) : null,
+            })
+            .then(async ({body}) => body.text())
+            .catch(() => undefined);
+          expect(result).to.equal(isWhole ? BODY : undefined);
+        });
+      }
+    }
+  }
+
+  /** Events of Node.js for a reset and for a close, while an upload is under way. */
+  const EVENTS: ReadonlyMap<string, (socket: Socket) => void> = new Map([
+    ['write ECONNRESET', (socket: Socket) => void socket.resetAndDestroy()],
+    ['write EPIPE', socket => void socket.end(() => socket.destroy())],
+  ]);
+  // Guards against a change of Node.js by which the check of the end would do nothing.
+  for (const [error, end] of EVENTS) {
+    it(`is followed by an end and then by an error (${error})`, async () => {
+      const origin = await start(socket => {
+        socket.write(HEAD);
+        end(socket);
+      });
+      const {hostname: host, port} = new URL(origin);
+      const socket = connect({host, port: Number(port), allowHalfOpen: true});
+      const events: string[] = [];
+      socket.on('data', () => events.push('data'));
+      socket.on('end', () => events.push('end'));
+      socket.on('error', ({message}) => events.push(message));
+      socket.on('close', () => events.push('close'));
+      socket.write(Buffer.alloc(LONG_UPLOAD_BYTES));
+      await pause(2 * UPLOAD_MS);
+      expect(events).to.deep.equal(['data', 'end', error, 'close']);
+    });
+  }
+});
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -31,6 +31,7 @@
 export {pause} from './pause.js';
 export type {PlatformFaults} from './platform_faults.js';
 export type {PromptRequest} from './prompt_request.js';
+export {RawServer} from './raw_server.js';
 export {readPrompt} from './read_prompt.js';
 export type {Reservation} from './reservation.js';
 export {scaleEngine} from './scale_engine.js';
