Count no status of a response whose body breaks off

Hosts took reservations, orders of placement, health probes and missing published values for answered by the head of a response alone: a 200 shorter than its Content-Length held memory, accepted an order or made an upstream usable again, and such a 404 said that a value does not exist. It proves nothing of the kind.

Cause: these calls read the status and gave the body to undici's dump(), which resolves whether the body ends or breaks off.

A probe whose body breaks off shows neither that the upstream is up nor that it is gone. What an engine says of its leaving counts after the body as well.

--- a/packages/daemon/src/control/platform_client.ts
+++ b/packages/daemon/src/control/platform_client.ts
@@ -2,6 +2,7 @@
 import {Result} from 'true-myth';
 import {Agent, request} from 'undici';
 import type {HostMetrics} from '../host/host_metrics.js';
+import {readStatus} from '../upstreams/read_status.js';
 import type {PublishedValue} from './published_value.js';
 
 /** Timeout of a response, in addition to the wait requested of the service. */
@@ -69,12 +70,12 @@
           ? Result.ok(published)
           : this.createFailure(key, 'the response is no published value');
       }
-      await response.body.dump();
-      if (response.statusCode === 404) return Result.ok(0);
-      if (response.statusCode === 304) {
+      const status = await readStatus(response);
+      if (status === 404) return Result.ok(0);
+      if (status === 304) {
         return Result.ok(parseRevision(response.headers.etag));
       }
-      return this.createFailure(key, `status ${response.statusCode}`);
+      return this.createFailure(key, `status ${status}`);
     } catch (error) {
       return this.createFailure(key, (error as Error).message);
     }
--- a/packages/daemon/src/gateway/callers/status_client.ts
+++ b/packages/daemon/src/gateway/callers/status_client.ts
@@ -3,6 +3,7 @@
 import {createPacedConnector} from '../../host/create_paced_connector.js';
 import type {LeavingListener} from '../upstreams/leaving_listener.js';
 import type {EventLog} from '../../host/event_log.js';
+import {readStatus} from '../../upstreams/read_status.js';
 
 /** Response timeout; engines respond to such calls within milliseconds. */
 const RESPONSE_TIMEOUT_MS = 400;
@@ -40,7 +41,7 @@
     this.leavingListener = listener;
   }
 
-  /** @return Status code of the response; undefined without a response. */
+  /** @return Status code of the response; undefined without a whole response. */
   async send(
     engine: UpstreamEntry,
     {method, path, headers, content}: StatusRequest,
@@ -57,13 +58,12 @@
         ...(content && {body: JSON.stringify(content)}),
         signal: AbortSignal.timeout(RESPONSE_TIMEOUT_MS),
       });
-      const {statusCode, headers: answered} = response;
-      const isOwn = statusCode !== MISDIRECTED_STATUS;
-      if (isOwn && answered[this.leavingHeader] === '1') {
+      const status = await readStatus(response);
+      const isOwn = status !== MISDIRECTED_STATUS;
+      if (isOwn && response.headers[this.leavingHeader] === '1') {
         this.leavingListener(engine);
       }
-      await response.body.dump();
-      return statusCode;
+      return status;
     } catch (error) {
       const reason = String(error);
       this.log.warn(this.event, {upstream: engine.id, reason});
--- a/packages/daemon/src/upstreams/placement_client.ts
+++ b/packages/daemon/src/upstreams/placement_client.ts
@@ -2,6 +2,7 @@
 import type {Dispatcher} from 'undici';
 import type {SiteView} from '../host/site_view.js';
 import {readLimitedJson} from './read_limited_json.js';
+import {readStatus} from './read_status.js';
 import type {UpstreamPools} from './upstream_pools.js';
 
 const ORDERS_PATH = '/v1/orders';
@@ -37,7 +38,8 @@
    *
    * @return True if the engine accepted it, the engine's fencing number if it
    *     refused the order as outdated, undefined if the outcome is unknown.
-   * @throws If the connection fails or the request times out.
+   * @throws If the connection fails, the response breaks off or the request
+   *     times out.
    */
   async order(
     engine: string,
@@ -56,8 +58,8 @@
       const fencing = refusal.error?.fencing;
       return typeof fencing === 'number' ? fencing : undefined;
     }
-    await answer?.body.dump();
-    return answer?.statusCode === 200 ? true : undefined;
+    if (answer === undefined) return undefined;
+    return (await readStatus(answer)) === 200 ? true : undefined;
   }
 
   private async send(
--- a/packages/daemon/src/upstreams/reservation_client.ts
+++ b/packages/daemon/src/upstreams/reservation_client.ts
@@ -1,4 +1,5 @@
 import type {SiteView} from '../host/site_view.js';
+import {readStatus} from './read_status.js';
 import type {UpstreamPools} from './upstream_pools.js';
 
 const REQUEST_TIMEOUT_MS = 1_000;
@@ -61,8 +62,7 @@
             }),
         signal: AbortSignal.timeout(REQUEST_TIMEOUT_MS),
       });
-      await answer.body.dump();
-      return answer.statusCode;
+      return await readStatus(answer);
     } catch {
       return 0;
     }
--- a/packages/daemon/src/upstreams/upstream_control.ts
+++ b/packages/daemon/src/upstreams/upstream_control.ts
@@ -9,6 +9,7 @@
 import {ProbeOutcome} from './probe_outcome.js';
 import type {SiteView} from '../host/site_view.js';
 import {Timer} from '../host/timer.js';
+import {readStatus} from './read_status.js';
 import type {UpstreamListener} from './upstream_listener.js';
 import type {UpstreamPools} from './upstream_pools.js';
 
@@ -131,8 +132,9 @@
         path: PROBE_PATH,
         signal: AbortSignal.timeout(timeoutMs),
       });
-      await answer.body.dump();
-      return answer.statusCode === 200 ? ProbeOutcome.UP : ProbeOutcome.SILENT;
+      // A body that breaks off shows neither that the process is up nor that it is gone.
+      const status = await readStatus(answer).catch(() => undefined);
+      return status === 200 ? ProbeOutcome.UP : ProbeOutcome.SILENT;
     } catch (error) {
       const code = (error as NodeJS.ErrnoException).code ?? '';
       return DOWN_ERROR_CODES.has(code)
