Take no reset for the end of a response in any client

Calls of services, reservations, placement, probes, load reports, published values, control calls of gateways, the platform's store, reports and orders, and the operators' tool took a response without length for whole when its connection was reset: undici ends such a response at ECONNRESET as well as at `end`. A call of a service passed the part on to its caller.

Only the gateway's connections to upstreams had a check, as a pool does not tell which connection carried a response. HttpPool and HttpAgent make a HttpClient for each connection, which checks it.

Evidence: 14 of 50 cases of "Response that breaks off", "Answer that breaks off" and "HostClient" fail without the check (all with a reset) and pass with it; each reader takes the same response when it ends.

--- a/packages/cli/src/host_client.ts
+++ b/packages/cli/src/host_client.ts
@@ -1,4 +1,5 @@
 import type {ErrorBody} from '@parsleywood/errors';
+import {HttpAgent} from '@parsleywood/http';
 import type {Explanation} from '@parsleywood/schema/explanation';
 import type {TimelineEntry} from '@parsleywood/timeline';
 import {request} from 'undici';
@@ -14,6 +15,8 @@
  * `CommandFailure`.
  */
 export class HostClient {
+  private readonly agent = new HttpAgent();
+
   constructor(private readonly address: string) {}
 
   readStatus(): Promise<SiteStatus> {
@@ -63,6 +66,7 @@
     try {
       const response = await request(`http://${this.address}${path}`, {
         method,
+        dispatcher: this.agent,
         headersTimeout: REQUEST_TIMEOUT_MS,
         bodyTimeout: REQUEST_TIMEOUT_MS,
       });
--- a/packages/daemon/src/control/platform_client.ts
+++ b/packages/daemon/src/control/platform_client.ts
@@ -1,6 +1,7 @@
 import {ErrorKind, Failure, ExecutionStatus} from '@parsleywood/errors';
+import {HttpAgent} from '@parsleywood/http';
 import {Result} from 'true-myth';
-import {Agent, request} from 'undici';
+import {request} from 'undici';
 import type {HostMetrics} from '../host/host_metrics.js';
 import {readStatus} from '../upstreams/read_status.js';
 import type {PublishedValue} from './published_value.js';
@@ -10,7 +11,7 @@
 
 /** HTTP client that reads and watches values of the configuration service. */
 export class PlatformClient {
-  private readonly agent = new Agent({
+  private readonly agent = new HttpAgent({
     connect: {timeout: RESPONSE_TIMEOUT_MS},
     headersTimeout: 0,
     bodyTimeout: RESPONSE_TIMEOUT_MS,
--- a/packages/daemon/src/gateway/callers/status_client.ts
+++ b/packages/daemon/src/gateway/callers/status_client.ts
@@ -1,5 +1,5 @@
 import type {UpstreamEntry} from '@parsleywood/forwarding';
-import {Agent} from 'undici';
+import {HttpAgent} from '@parsleywood/http';
 import {createPacedConnector} from '../../host/create_paced_connector.js';
 import type {LeavingListener} from '../upstreams/leaving_listener.js';
 import type {EventLog} from '../../host/event_log.js';
@@ -21,7 +21,7 @@
 /** Sends short control calls to engines, beside the requests in progress. */
 export class StatusClient {
   // The abort signal does not end a request that is still connecting.
-  private readonly agent = new Agent({
+  private readonly agent = new HttpAgent({
     connect: createPacedConnector(RESPONSE_TIMEOUT_MS),
   });
 
--- a/packages/daemon/src/upstreams/broken_responses.test.ts
+++ b/packages/daemon/src/upstreams/broken_responses.test.ts
@@ -103,6 +103,10 @@
 type Answer = (socket: Socket, status: number) => void;
 
 const BROKEN: Readonly<Record<string, Answer>> = {
+  'is reset with its last bytes': (socket, status) => {
+    socket.write(`HTTP/1.1 ${status} Some\r\n\r\n${BODY}`);
+    socket.resetAndDestroy();
+  },
   'is shorter than its length': (socket, status) => {
     socket.end(`HTTP/1.1 ${status} Some\r\nContent-Length: 999\r\n\r\n${BODY}`);
   },
--- a/packages/daemon/src/upstreams/upstream_pools.ts
+++ b/packages/daemon/src/upstreams/upstream_pools.ts
@@ -1,4 +1,4 @@
-import {Pool} from 'undici';
+import {HttpPool} from '@parsleywood/http';
 import {createPacedConnector} from '../host/create_paced_connector.js';
 
 const CONNECT_TIMEOUT_MS = 1_000;
@@ -7,16 +7,15 @@
 
 /** Connection pools of upstreams, by address. */
 export class UpstreamPools {
-  private readonly pools = new Map<string, Pool>();
+  private readonly pools = new Map<string, HttpPool>();
   private readonly connect = createPacedConnector(CONNECT_TIMEOUT_MS);
 
   /** Returns the pool of an address (IP:port); creates it if necessary. */
-  get(address: string): Pool {
+  get(address: string): HttpPool {
     const existing = this.pools.get(address);
     if (existing !== undefined) return existing;
-    const pool = new Pool(`http://${address}`, {
+    const pool = new HttpPool(`http://${address}`, {
       connections: CONNECTIONS_PER_UPSTREAM,
-      pipelining: 1,
       connect: this.connect,
       headersTimeout: 0,
       bodyTimeout: 0,
--- a/packages/http/src/http_client.ts
+++ b/packages/http/src/http_client.ts
@@ -36,12 +36,7 @@
   connection: ResponseConnection,
 ): buildConnector.connector {
   const open =
-    typeof connect === 'function'
-      ? connect
-      : buildConnector({
-          ...connect,
-          allowHalfOpen: true,
-        } as buildConnector.BuildOptions);
+    typeof connect === 'function' ? connect : buildConnector(connect ?? {});
   return (options, done) => {
     open(options, (...result) => {
       const [error, socket] = result;
