Take a response that comes after interim responses

Cause: undici's DecoratorHandler, to which ResponseChecker passes all on, takes one response for a request only. Nobody here reads interim responses, so they are no longer passed on.

--- a/packages/daemon/src/upstreams/broken_responses.test.ts
+++ b/packages/daemon/src/upstreams/broken_responses.test.ts
@@ -102,7 +102,15 @@
 
 type Answer = (socket: Socket, status: number) => void;
 
+const LENGTH = `Content-Length: ${BODY.length}\r\n`;
+
 const BROKEN: Readonly<Record<string, Answer>> = {
+  'has the status 000': socket => {
+    socket.end(`HTTP/1.1 000 OK\r\n${LENGTH}\r\n${BODY}`);
+  },
+  'has a field name with a blank': (socket, status) => {
+    socket.end(`HTTP/1.1 ${status} Some\r\nX Y: 1\r\n${LENGTH}\r\n${BODY}`);
+  },
   'is reset with its last bytes': (socket, status) => {
     socket.write(`HTTP/1.1 ${status} Some\r\n\r\n${BODY}`);
     socket.resetAndDestroy();
@@ -118,7 +126,7 @@
   },
 };
 
-describe('Response that breaks off', () => {
+describe('Response that breaks off or is none', () => {
   let server: RawServer;
   let pools: UpstreamPools;
 
--- a/packages/http/src/response_checker.ts
+++ b/packages/http/src/response_checker.ts
@@ -40,10 +40,10 @@
     headers: IncomingHttpHeaders,
     statusMessage?: string,
   ): void {
-    if (status >= 200) {
-      const framing = readFraming(this.method, status, headers);
-      this.connection.endsResponse = framing === ResponseFraming.CONNECTION;
-    }
+    // Nobody reads interim responses, and undici's handlers take one response only.
+    if (status < 200) return;
+    const framing = readFraming(this.method, status, headers);
+    this.connection.endsResponse = framing === ResponseFraming.CONNECTION;
     this.next.onResponseStart?.(controller, status, headers, statusMessage);
   }
 
