Take no other protocol and no invalid status for a response

Callers got answers of upstreams that began with HTTP/0.9, HTTP/2.0, RTSP/1.0 or ICE/1.0, or had a status from 600 to 999 or a control byte in the reason phrase, and every other reader of responses took them as well.

Cause: undici's parser knows these protocols, takes any three digits for a status, and tells its handlers neither the version nor, for certain, the reason.

A missing reason, also without the blank before it, and empty lines before the response keep passing.

--- a/packages/daemon/src/upstreams/broken_responses.test.ts
+++ b/packages/daemon/src/upstreams/broken_responses.test.ts
@@ -111,6 +111,9 @@
   'has a field name with a blank': (socket, status) => {
     socket.end(`HTTP/1.1 ${status} Some\r\nX Y: 1\r\n${LENGTH}\r\n${BODY}`);
   },
+  'has another version': (socket, status) => {
+    socket.end(`HTTP/2.0 ${status} Some\r\n${LENGTH}\r\n${BODY}`);
+  },
   'is reset with its last bytes': (socket, status) => {
     socket.write(`HTTP/1.1 ${status} Some\r\n\r\n${BODY}`);
     socket.resetAndDestroy();
--- /dev/null
+++ b/packages/http/src/response_error.ts
@@ -0,0 +1,4 @@
+/** What arrived is no response in the grammar of HTTP/1.1. */
+export class ResponseError extends Error {
+  readonly code = 'ERR_HTTP_RESPONSE';
+}
--- a/packages/http/src/response_grammar.test.ts
+++ b/packages/http/src/response_grammar.test.ts
@@ -12,6 +12,24 @@
 const RESPONSES: Readonly<
   Record<string, {whole: readonly string[]; broken: readonly string[]}>
 > = {
+  version: {
+    whole: [
+      `HTTP/1.0 200 OK\r\n${LENGTH}${BODY}`,
+      `\r\n${OK}${LENGTH}${BODY}`,
+      `HTTP/1.0 200 OK\r\n${BODY}`,
+    ],
+    broken: [
+      `HTTP/0.9 200 OK\r\n${LENGTH}${BODY}`,
+      `HTTP/2.0 200 OK\r\n${LENGTH}${BODY}`,
+      `HTTP/3.0 200 OK\r\n${LENGTH}${BODY}`,
+      `HTTP/1 200 OK\r\n${LENGTH}${BODY}`,
+      `http/1.1 200 OK\r\n${LENGTH}${BODY}`,
+      `RTSP/1.0 200 OK\r\n${LENGTH}${BODY}`,
+      `ICE/1.0 200 OK\r\n${LENGTH}${BODY}`,
+      ` ${OK}${LENGTH}${BODY}`,
+      'ok',
+    ],
+  },
   status: {
     whole: [
       `HTTP/1.1 299\r\n${LENGTH}${BODY}`,
@@ -25,12 +43,17 @@
       `HTTP/1.1 000 OK\r\n${LENGTH}${BODY}`,
       `HTTP/1.1 000 OK\r\n${BODY}`,
       `HTTP/1.1 099 OK\r\n${LENGTH}${BODY}`,
+      `HTTP/1.1 600 Odd\r\n${LENGTH}${BODY}`,
+      `HTTP/1.1 999 Odd\r\n${LENGTH}${BODY}`,
       `HTTP/1.1 20 OK\r\n${LENGTH}${BODY}`,
       `HTTP/1.1 2000 OK\r\n${LENGTH}${BODY}`,
       `HTTP/1.1 -20 OK\r\n${LENGTH}${BODY}`,
       `HTTP/1.1  200 OK\r\n${LENGTH}${BODY}`,
+      `HTTP/1.1 200 O\x01K\r\n${LENGTH}${BODY}`,
+      `HTTP/1.1 200 O\x7fK\r\n${LENGTH}${BODY}`,
       `HTTP/1.1 200 OK\n${LENGTH}${BODY}`,
       'HTTP/1.1 103 Early Hints\r\n\r\n',
+      `HTTP/1.1 103 Early Hints\r\n\r\nHTTP/2.0 200 OK\r\n${LENGTH}${BODY}`,
       `HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 000 OK\r\n${LENGTH}${BODY}`,
       `HTTP/1.1 101 Switching Protocols\r\n\r\n${OK}${LENGTH}${BODY}`,
     ],
