Take no transfer coding but chunked for the body of a response

Callers got a body that was not the upstream's: one in a transfer coding such as gzip was passed on coded, without the field that says so, and behind "xchunked", "chunked;a=b" or "chunked," the frames of the chunks were passed on as the body.

Cause: undici's parser reads the body until the connection ends where the last coding is not literally "chunked", and leaves the coding to its callers.

A response with a coding other than one "chunked" fails, as none was asked for in TE (RFC 9112, sections 6.1 and 7); so does one of HTTP/1.0 with any coding. A tab after "chunked" is allowed, but the parser would take the frames for the body, so it fails too.

--- a/packages/daemon/src/upstreams/broken_responses.test.ts
+++ b/packages/daemon/src/upstreams/broken_responses.test.ts
@@ -114,6 +114,11 @@
   'has another version': (socket, status) => {
     socket.end(`HTTP/2.0 ${status} Some\r\n${LENGTH}\r\n${BODY}`);
   },
+  'comes in a coding': (socket, status) => {
+    socket.end(
+      `HTTP/1.1 ${status} Some\r\nTransfer-Encoding: gzip\r\n\r\n${BODY}`,
+    );
+  },
   'is reset with its last bytes': (socket, status) => {
     socket.write(`HTTP/1.1 ${status} Some\r\n\r\n${BODY}`);
     socket.resetAndDestroy();
--- a/packages/http/src/read_framing.ts
+++ b/packages/http/src/read_framing.ts
@@ -1,6 +1,8 @@
 import type {IncomingHttpHeaders} from 'node:http';
 import {ResponseFraming} from './response_framing.js';
 
+/** As the parser takes it: a list with one coding, whose end it reads literally. */
+const CHUNKED_ONLY = /^[ ,]*chunked *$/i;
 const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 
 /**
@@ -20,7 +22,7 @@
   const coding = headers['transfer-encoding'];
   if (coding !== undefined) {
     // Other codings may come only where the request names them in `TE`.
-    return String(coding).trim().toLowerCase() === 'chunked'
+    return CHUNKED_ONLY.test(String(coding))
       ? ResponseFraming.CHUNKS
       : ResponseFraming.FAULTY;
   }
--- a/packages/http/src/response_checker.ts
+++ b/packages/http/src/response_checker.ts
@@ -3,6 +3,7 @@
 import {DecoratorHandler, type Dispatcher} from 'undici';
 import {readFraming} from './read_framing.js';
 import type {ResponseConnection} from './response_connection.js';
+import {ResponseError} from './response_error.js';
 import {ResponseFraming} from './response_framing.js';
 
 /** Passes on the response to one request, and tells its connection how it is framed. */
@@ -42,8 +43,15 @@
   ): void {
     // Nobody reads interim responses, and undici's handlers take one response only.
     if (status < 200) return;
-    const framing = readFraming(this.method, status, headers);
-    this.connection.endsResponse = framing === ResponseFraming.CONNECTION;
+    const {method, connection} = this;
+    const framing = readFraming(method, status, headers);
+    const hasOldCoding =
+      framing === ResponseFraming.CHUNKS && connection.isHttp10;
+    if (framing === ResponseFraming.FAULTY || hasOldCoding) {
+      controller.abort(new ResponseError('framing of the response is faulty'));
+      return;
+    }
+    connection.endsResponse = framing === ResponseFraming.CONNECTION;
     this.next.onResponseStart?.(controller, status, headers, statusMessage);
   }
 
--- a/packages/http/src/response_grammar.test.ts
+++ b/packages/http/src/response_grammar.test.ts
@@ -111,6 +111,29 @@
       `${OK}${CHUNKED}${LENGTH}${CHUNKS}`,
     ],
   },
+  'transfer coding': {
+    whole: [
+      `${OK}${CHUNKED}${CHUNKS}`,
+      `${OK}transfer-encoding:\tCHUNKED  \r\n${CHUNKS}`,
+      `${OK}Transfer-Encoding: , chunked\r\n${CHUNKS}`,
+    ],
+    broken: [
+      `${OK}Transfer-Encoding: gzip\r\n${BODY}`,
+      `${OK}Transfer-Encoding: identity\r\n${BODY}`,
+      `${OK}Transfer-Encoding: gzip, chunked\r\n${CHUNKS}`,
+      `${OK}Transfer-Encoding: chunked, gzip\r\n${CHUNKS}`,
+      `${OK}Transfer-Encoding: chunked, chunked\r\n${CHUNKS}`,
+      `${OK}${CHUNKED}${CHUNKED}${CHUNKS}`,
+      `${OK}Transfer-Encoding: chunked,\r\n${CHUNKS}`,
+      // Allowed by RFC 9110, but the parser would take the chunks for the body.
+      `${OK}Transfer-Encoding: chunked\t\r\n${CHUNKS}`,
+      `${OK}Transfer-Encoding: xchunked\r\n${CHUNKS}`,
+      `${OK}Transfer-Encoding: chunked;a=b\r\n${CHUNKS}`,
+      `${OK}Transfer-Encoding:\r\n${BODY}`,
+      `${OK}Transfer-Encoding:\r\n${LENGTH}${BODY}`,
+      `HTTP/1.0 200 OK\r\n${CHUNKED}${CHUNKS}`,
+    ],
+  },
   chunk: {
     whole: [
       `${OK}${CHUNKED}\r\n002\r\nok\r\n000\r\n\r\n`,
