Take no refusal that breaks off for a proof of "not run"

A call that may not be repeated was sent to a second upstream, or answered 503 as not run, when the first one's refusal broke off: a 421, or a 503 with the field that says "not run", shorter than its length, without its last chunk, or reset.

Cause: UpstreamAttempt ended every response with such a head as refused, also when reading it failed.

A response that is not whole proves nothing, so the attempt ends as broken: a call that may be repeated goes on elsewhere, any other is answered 502.

Evidence: 6 new cases of UpstreamAttempt failed before (refused instead of broken); a refusal that lasts until its connection ends still counts.

--- a/packages/daemon/src/gateway/upstreams/upstream_attempt.test.ts
+++ b/packages/daemon/src/gateway/upstreams/upstream_attempt.test.ts
@@ -186,6 +186,31 @@
     expect((await send(address)).outcome).to.equal(AttemptOutcome.REFUSED);
   });
 
+  /** Ends of a refusal that break it off. */
+  const BROKEN_ENDS = new Map<string, (socket: Socket) => void>([
+    ['Content-Length: 9\r\n', socket => void socket.end()],
+    ['Transfer-Encoding: chunked\r\n', socket => void socket.end()],
+    ['', socket => void socket.resetAndDestroy()],
+  ]);
+  for (const [field, end] of BROKEN_ENDS) {
+    for (const status of ['503 Busy\r\nNot-Run: 1', '421 Misdirected']) {
+      it(`does not take a refusal that breaks off for a proof (${status.slice(0, 3)} ${field.trim()})`, async () => {
+        const address = await listen(socket => {
+          socket.write(`HTTP/1.1 ${status}\r\n${field}\r\n`);
+          end(socket);
+        });
+        expect((await send(address)).outcome).to.equal(AttemptOutcome.BROKEN);
+      });
+    }
+  }
+
+  it('reports a refusal that lasts until the connection ends', async () => {
+    const address = await listen(socket => {
+      socket.end('HTTP/1.1 503 Busy\r\nNot-Run: 1\r\n\r\nbusy');
+    });
+    expect((await send(address)).outcome).to.equal(AttemptOutcome.REFUSED);
+  });
+
   /** Refusals of an earlier request that may come once more, by their id header. */
   const REFUSAL_IDS = new Map([
     ['with the id of the earlier request', 'Request-Id: r1\r\n'],
--- a/packages/daemon/src/gateway/upstreams/upstream_attempt.ts
+++ b/packages/daemon/src/gateway/upstreams/upstream_attempt.ts
@@ -172,13 +172,11 @@
 
   onResponseError(_controller: unknown, error: Error): void {
     const code = (error as NodeJS.ErrnoException).code ?? error.name;
-    if (this.isRefused) this.finish(AttemptOutcome.REFUSED, code);
-    else {
-      this.finish(
-        this.hasBeenSent ? AttemptOutcome.BROKEN : AttemptOutcome.NOT_SENT,
-        code,
-      );
-    }
+    // A refusal that breaks off proves nothing, whatever its head says.
+    this.finish(
+      this.hasBeenSent ? AttemptOutcome.BROKEN : AttemptOutcome.NOT_SENT,
+      code,
+    );
   }
 
   private fail(outcome: AttemptOutcome, detail: string): void {
