Read responses through the checked clients only

Lint refuses undici's own Client, Pool, Agent, request and fetch in the hosts, the operators' tool and the platform's adapter, outside their tests, so that a new reader of responses has the checks as well. The two that named a dispatcher for undici's request now use their agent's. No change of behaviour.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,6 +2,7 @@
 import jsdoc from 'eslint-plugin-jsdoc';
 import tseslint from 'typescript-eslint';
 
+const USE_HTTP = 'Use @parsleywood/http, which checks responses.';
 const EXPORTED_DECLARATIONS = ['ExportNamedDeclaration[declaration]'];
 
 export default tseslint.config(
@@ -65,6 +66,21 @@
       '@typescript-eslint/no-unused-vars': ['error', {argsIgnorePattern: '^_'}],
     },
   },
+  {
+    files: ['packages/{cli,daemon}/src/**/*.ts', 'platform/src/**/*.ts'],
+    ignores: ['**/*.test.ts', '**/testing/**', '**/stand_ins/**'],
+    rules: {
+      'no-restricted-globals': ['error', {name: 'fetch', message: USE_HTTP}],
+      'no-restricted-imports': [
+        'error',
+        {
+          name: 'undici',
+          importNames: ['Agent', 'Client', 'fetch', 'Pool', 'request'],
+          message: USE_HTTP,
+        },
+      ],
+    },
+  },
   {
     files: ['**/*.test.ts'],
     rules: {
--- a/packages/cli/src/host_client.ts
+++ b/packages/cli/src/host_client.ts
@@ -2,7 +2,6 @@
 import {HttpAgent} from '@parsleywood/http';
 import type {Explanation} from '@parsleywood/schema/explanation';
 import type {TimelineEntry} from '@parsleywood/timeline';
-import {request} from 'undici';
 import {CommandFailure} from './command_failure.js';
 import {ExitCode} from './exit_code.js';
 import type {SiteStatus} from './site_status.js';
@@ -64,9 +63,10 @@
 
   private async send(method: 'GET' | 'POST', path: string) {
     try {
-      const response = await request(`http://${this.address}${path}`, {
+      const response = await this.agent.request({
+        origin: `http://${this.address}`,
+        path,
         method,
-        dispatcher: this.agent,
         headersTimeout: REQUEST_TIMEOUT_MS,
         bodyTimeout: REQUEST_TIMEOUT_MS,
       });
--- a/packages/daemon/src/control/platform_client.ts
+++ b/packages/daemon/src/control/platform_client.ts
@@ -1,7 +1,6 @@
 import {ErrorKind, Failure, ExecutionStatus} from '@parsleywood/errors';
 import {HttpAgent} from '@parsleywood/http';
 import {Result} from 'true-myth';
-import {request} from 'undici';
 import type {HostMetrics} from '../host/host_metrics.js';
 import {readStatus} from '../upstreams/read_status.js';
 import type {PublishedValue} from './published_value.js';
@@ -61,8 +60,13 @@
     waitMs: number,
   ): Promise<Result<PublishedValue | number, Failure>> {
     try {
-      const response = await request(`${this.url}/values/${key}${query}`, {
-        dispatcher: this.agent,
+      const {origin, pathname, search} = new URL(
+        `${this.url}/values/${key}${query}`,
+      );
+      const response = await this.agent.request({
+        origin,
+        path: `${pathname}${search}`,
+        method: 'GET',
         signal: AbortSignal.timeout(waitMs + RESPONSE_TIMEOUT_MS),
       });
       if (response.statusCode === 200) {
