Fail no request that waits behind a response that has ended

A request that waits for a connection failed with EPIPE when the response before it, without length, had ended in order and its upstream then refused the rest of the upload: undici fails what waits on any error that it does not expect.

Cause: ResponseConnection passed the error on after the end of the response.

Once the end is passed on, such an error tells nothing more and is dropped.

Evidence: "does not fail the next request when it has ended and refuses the rest" failed before.

--- a/packages/http/src/response_checker.ts
+++ b/packages/http/src/response_checker.ts
@@ -51,7 +51,7 @@
       controller.abort(new ResponseError('framing of the response is faulty'));
       return;
     }
-    connection.endsResponse = framing === ResponseFraming.CONNECTION;
+    connection.expectBody(framing);
     this.next.onResponseStart?.(controller, status, headers, statusMessage);
   }
 
--- a/packages/http/src/response_end.test.ts
+++ b/packages/http/src/response_end.test.ts
@@ -129,6 +129,23 @@
     }
   }
 
+  it('does not fail the next request when it has ended and refuses the rest', async () => {
+    let connections = 0;
+    const origin = await start(socket => {
+      if (connections++ === 0) socket.end(HEAD, () => socket.destroy());
+      else socket.end(HEAD + BODY);
+    });
+    const next = new HttpClient(origin);
+    client = next;
+    const read = async (bytes: number): Promise<string> => {
+      const sent = bytes > 0 ? Buffer.alloc(bytes) : null;
+      const options = {path: '/', method: 'POST', body: sent} as const;
+      return (await next.request(options)).body.text();
+    };
+    const bodies = await Promise.all([read(LONG_UPLOAD_BYTES), read(0)]);
+    expect(bodies).to.deep.equal(['', BODY]);
+  });
+
   /** Events of Node.js for a reset and for a close, while an upload is under way. */
   const EVENTS: ReadonlyMap<string, (socket: Socket) => void> = new Map([
     ['write ECONNRESET', (socket: Socket) => void socket.resetAndDestroy()],
