Share the stand-ins' broken responses among the tests

RawServer answers with a RawResponse, and describeBrokenResponses() lists what is no response, for the tests of the daemon, the platform and the operators' tool. The check of the events waits for the close instead of a time.

--- a/packages/cli/src/host_client.test.ts
+++ b/packages/cli/src/host_client.test.ts
@@ -13,15 +13,7 @@
   });
 
   async function read(isReset: boolean): Promise<unknown> {
-    server = new RawServer(socket => {
-      socket.once('data', () => {
-        if (isReset) {
-          socket.write(RESPONSE);
-          socket.resetAndDestroy();
-        } else socket.end(RESPONSE);
-      });
-      socket.resume();
-    });
+    server = RawServer.answering({bytes: RESPONSE, isReset});
     const {host} = new URL(await server.start());
     return new HostClient(host)
       .readStatus()
--- a/packages/daemon/src/upstreams/broken_responses.test.ts
+++ b/packages/daemon/src/upstreams/broken_responses.test.ts
@@ -1,11 +1,13 @@
-import type {Socket} from 'node:net';
 import {setTimeout as pause} from 'node:timers/promises';
 import {createUpstream} from '@parsleywood/forwarding/testing';
-import {RawServer} from '@parsleywood/stand-ins';
+import {
+  describeBrokenResponses,
+  type RawResponse,
+  RawServer,
+} from '@parsleywood/stand-ins';
 import {expect} from 'chai';
 import {PlatformClient} from '../control/platform_client.js';
 import {StatusClient} from '../gateway/callers/status_client.js';
-import type {Clock} from '../host/clock.js';
 import {EventLog} from '../host/event_log.js';
 import type {HostMetrics} from '../host/host_metrics.js';
 import type {SiteView} from '../host/site_view.js';
@@ -65,7 +67,7 @@
       onUpstreamsChanged: () => undefined,
       onUpstreamNews: () => undefined,
     };
-    const clock: Clock = new SystemClock();
+    const clock = new SystemClock();
     const site = createSite(address);
     const control = new UpstreamControl(clock, site, pools, LOG, 1, listener);
     const listed = {failureDomain: 'd', serves: 's', state: 'live'} as const;
@@ -100,40 +102,6 @@
   'a value that is not published': 404,
 };
 
-type Answer = (socket: Socket, status: number) => void;
-
-const LENGTH = `Content-Length: ${BODY.length}\r\n`;
-
-const BROKEN: Readonly<Record<string, Answer>> = {
-  'has the status 000': socket => {
-    socket.end(`HTTP/1.1 000 OK\r\n${LENGTH}\r\n${BODY}`);
-  },
-  'has a field name with a blank': (socket, status) => {
-    socket.end(`HTTP/1.1 ${status} Some\r\nX Y: 1\r\n${LENGTH}\r\n${BODY}`);
-  },
-  'has another version': (socket, status) => {
-    socket.end(`HTTP/2.0 ${status} Some\r\n${LENGTH}\r\n${BODY}`);
-  },
-  'comes in a coding': (socket, status) => {
-    socket.end(
-      `HTTP/1.1 ${status} Some\r\nTransfer-Encoding: gzip\r\n\r\n${BODY}`,
-    );
-  },
-  'is reset with its last bytes': (socket, status) => {
-    socket.write(`HTTP/1.1 ${status} Some\r\n\r\n${BODY}`);
-    socket.resetAndDestroy();
-  },
-  'is shorter than its length': (socket, status) => {
-    socket.end(`HTTP/1.1 ${status} Some\r\nContent-Length: 999\r\n\r\n${BODY}`);
-  },
-  'ends before its last chunk': (socket, status) => {
-    const size = BODY.length.toString(16);
-    socket.end(
-      `HTTP/1.1 ${status} Some\r\nTransfer-Encoding: chunked\r\n\r\n${size}\r\n${BODY}\r\n`,
-    );
-  },
-};
-
 describe('Response that breaks off or is none', () => {
   let server: RawServer;
   let pools: UpstreamPools;
@@ -147,28 +115,26 @@
     server.stop();
   });
 
-  /** Starts an upstream that answers once a request has arrived; returns its address. */
-  async function start(name: string, answer: Answer): Promise<string> {
-    server = new RawServer(socket => {
-      socket.once('data', () => {
-        answer(socket, STATUSES[name] ?? 200);
-      });
-      socket.resume();
-    });
-    return new URL(await server.start()).host;
+  /** Lets a reader read a response; returns whether it was taken for one. */
+  async function isTaken(
+    read: Reader,
+    response: RawResponse,
+  ): Promise<boolean> {
+    server = RawServer.answering(response);
+    return read(new URL(await server.start()).host, pools);
   }
 
   for (const [name, read] of Object.entries(READERS)) {
+    const status = STATUSES[name] ?? 200;
+
     it(`is told from one that lasts until the connection ends (${name})`, async () => {
-      const address = await start(name, (socket, status) => {
-        socket.end(`HTTP/1.1 ${status} Some\r\n\r\n${BODY}`);
-      });
-      expect(await read(address, pools)).to.equal(true);
+      const bytes = `HTTP/1.1 ${status}\r\n\r\n${BODY}`;
+      expect(await isTaken(read, {bytes, isReset: false})).to.equal(true);
     });
 
-    for (const [breach, answer] of Object.entries(BROKEN)) {
-      it(`is not taken for one if it ${breach} (${name})`, async () => {
-        expect(await read(await start(name, answer), pools)).to.equal(false);
+    for (const [fault, response] of describeBrokenResponses(status, BODY)) {
+      it(`is taken for none: ${fault} (${name})`, async () => {
+        expect(await isTaken(read, response)).to.equal(false);
       });
     }
   }
--- a/packages/daemon/src/upstreams/engine_client.test.ts
+++ b/packages/daemon/src/upstreams/engine_client.test.ts
@@ -48,15 +48,7 @@
     response: string,
     isReset = false,
   ): Promise<AttemptFault | undefined> {
-    server = new RawServer(socket => {
-      socket.once('data', () => {
-        if (isReset) {
-          socket.write(response);
-          socket.resetAndDestroy();
-        } else socket.end(response);
-      });
-      socket.resume();
-    });
+    server = RawServer.answering({bytes: response, isReset});
     const {host: address} = new URL(await server.start());
     const call: AttemptCall = {
       ...{attempt: ATTEMPT, owner: 'h/1', address, path: '/'},
--- a/packages/http/src/response_end.test.ts
+++ b/packages/http/src/response_end.test.ts
@@ -1,5 +1,4 @@
 import {connect, type Socket} from 'node:net';
-import {setTimeout as pause} from 'node:timers/promises';
 import {RawServer} from '@parsleywood/stand-ins';
 import {expect} from 'chai';
 import type {Dispatcher} from 'undici';
@@ -12,75 +11,46 @@
 const SHORT_UPLOAD_BYTES = 100;
 /** Time in which an upload fills what the system holds. */
 const UPLOAD_MS = 30;
+const LATER_MS = 20;
 const HEAD = 'HTTP/1.1 200 OK\r\n\r\n';
 const BODY = 'part'.repeat(100);
 
-/** How servers end a response without length, and whether it is whole. */
-const ENDS: ReadonlyMap<string, [boolean, (socket: Socket) => void]> = new Map<
-  string,
-  [boolean, (socket: Socket) => void]
->([
-  [
-    // Both arrive before the client reads, as it runs on this thread.
-    'a reset with the last bytes',
-    [
-      false,
-      socket => {
-        socket.write(HEAD + BODY);
-        socket.resetAndDestroy();
-      },
-    ],
-  ],
-  [
-    'a reset after the last bytes',
-    [
-      false,
-      socket => {
-        socket.write(HEAD + BODY);
-        setTimeout(() => socket.resetAndDestroy(), 20);
-      },
-    ],
-  ],
-  [
-    'an end',
-    [
-      true,
-      socket => {
-        socket.end(HEAD + BODY);
-      },
-    ],
-  ],
-  [
-    'an end, after which the request is read',
-    [
-      true,
-      socket => {
-        socket.end(HEAD + BODY);
-        setTimeout(() => socket.resume(), 20);
-      },
-    ],
-  ],
-  [
-    // The system resets a connection that is closed before all is read.
-    'an end and a close at once',
-    [
-      true,
-      socket => {
-        socket.end(HEAD + BODY, () => socket.destroy());
-      },
-    ],
-  ],
-  [
-    'an end and a close later',
-    [
-      true,
-      socket => {
-        socket.end(HEAD + BODY);
-        setTimeout(() => socket.destroy(), 20);
-      },
-    ],
-  ],
-]);
+type Answer = (socket: Socket) => void;
+
+/** Ends of a response without length that leave it whole. */
+const WHOLE: Readonly<Record<string, Answer>> = {
+  'an end': socket => socket.end(HEAD + BODY),
+  'an end, after which the request is read': socket => {
+    socket.end(HEAD + BODY);
+    setTimeout(() => socket.resume(), LATER_MS);
+  },
+  // The system resets a connection that is closed before all is read.
+  'an end and a close at once': socket => {
+    socket.end(HEAD + BODY, () => socket.destroy());
+  },
+  'an end and a close later': socket => {
+    socket.end(HEAD + BODY);
+    setTimeout(() => socket.destroy(), LATER_MS);
+  },
+};
+
+const BROKEN: Readonly<Record<string, Answer>> = {
+  // Both arrive before the client reads, as it runs on this thread.
+  'a reset with the last bytes': socket => {
+    socket.write(HEAD + BODY);
+    socket.resetAndDestroy();
+  },
+  'a reset after the last bytes': socket => {
+    socket.write(HEAD + BODY);
+    setTimeout(() => socket.resetAndDestroy(), LATER_MS);
+  },
+};
+
+const CLIENTS: Readonly<Record<string, (origin: string) => Dispatcher>> = {
+  HttpClient: origin => new HttpClient(origin),
+  HttpPool: origin => new HttpPool(origin, {connections: 4}),
+  HttpAgent: () => new HttpAgent(),
+};
 
 describe('Response without length', () => {
   let server: RawServer | undefined;
@@ -91,7 +61,7 @@
     server?.stop();
   });
 
-  async function start(answer: (socket: Socket) => void): Promise<string> {
+  async function start(answer: Answer): Promise<string> {
     server = new RawServer(socket => {
       setTimeout(() => {
         answer(socket);
@@ -100,30 +70,32 @@
     return server.start();
   }
 
-  const CLIENTS: ReadonlyMap<string, (origin: string) => Dispatcher> = new Map<
-    string,
-    (origin: string) => Dispatcher
-  >([
-    ['HttpClient', origin => new HttpClient(origin)],
-    ['HttpPool', origin => new HttpPool(origin, {connections: 4})],
-    ['HttpAgent', () => new HttpAgent()],
-  ]);
-  for (const [name, create] of CLIENTS) {
+  /** Uploads to a server; returns the body, or undefined without a whole response. */
+  async function upload(
+    create: (origin: string) => Dispatcher,
+    bytes: number,
+    answer: Answer,
+  ): Promise<string | undefined> {
+    const origin = await start(answer);
+    client = create(origin);
+    const sent = bytes > 0 ? Buffer.alloc(bytes) : null;
+    return client
+      .request({origin, path: '/', method: 'POST', body: sent})
+      .then(async ({body}) => body.text())
+      .catch(() => undefined);
+  }
+
+  for (const [name, create] of Object.entries(CLIENTS)) {
     for (const bytes of [0, SHORT_UPLOAD_BYTES, LONG_UPLOAD_BYTES]) {
-      for (const [end, [isWhole, answer]] of ENDS) {
-        it(`is ${isWhole ? '' : 'not '}complete by ${end} (${name}, upload of ${bytes} bytes)`, async () => {
-          const origin = await start(answer);
-          client = create(origin);
-          const result = await client
-            .request({
-              origin,
-              path: '/',
-              method: 'POST',
-              body: bytes > 0 ? Buffer.alloc(bytes) : null,
-            })
-            .then(async ({body}) => body.text())
-            .catch(() => undefined);
-          expect(result).to.equal(isWhole ? BODY : undefined);
+      for (const [end, answer] of Object.entries(WHOLE)) {
+        it(`is complete by ${end} (${name}, upload of ${bytes} bytes)`, async () => {
+          expect(await upload(create, bytes, answer)).to.equal(BODY);
+        });
+      }
+
+      for (const [end, answer] of Object.entries(BROKEN)) {
+        it(`is not complete by ${end} (${name}, upload of ${bytes} bytes)`, async () => {
+          expect(await upload(create, bytes, answer)).to.equal(undefined);
         });
       }
     }
@@ -147,12 +119,12 @@
   });
 
   /** Events of Node.js for a reset and for a close, while an upload is under way. */
-  const EVENTS: ReadonlyMap<string, (socket: Socket) => void> = new Map([
-    ['write ECONNRESET', (socket: Socket) => void socket.resetAndDestroy()],
-    ['write EPIPE', socket => void socket.end(() => socket.destroy())],
-  ]);
+  const EVENTS: Readonly<Record<string, Answer>> = {
+    'write ECONNRESET': socket => socket.resetAndDestroy(),
+    'write EPIPE': socket => socket.end(() => socket.destroy()),
+  };
   // Guards against a change of Node.js by which the check of the end would do nothing.
-  for (const [error, end] of EVENTS) {
+  for (const [error, end] of Object.entries(EVENTS)) {
     it(`is followed by an end and then by an error (${error})`, async () => {
       const origin = await start(socket => {
         socket.write(HEAD);
@@ -164,10 +136,9 @@
       socket.on('data', () => events.push('data'));
       socket.on('end', () => events.push('end'));
       socket.on('error', ({message}) => events.push(message));
-      socket.on('close', () => events.push('close'));
       socket.write(Buffer.alloc(LONG_UPLOAD_BYTES));
-      await pause(2 * UPLOAD_MS);
-      expect(events).to.deep.equal(['data', 'end', error, 'close']);
+      await new Promise(resolve => socket.on('close', resolve));
+      expect(events).to.deep.equal(['data', 'end', error]);
     });
   }
 });
--- a/packages/stand-ins/src/raw_server.ts
+++ b/packages/stand-ins/src/raw_server.ts
@@ -4,6 +4,7 @@
   type Server,
   type Socket,
 } from 'node:net';
+import type {RawResponse} from './raw_response.js';
 
 /** Server that answers with any bytes, whether they are a response or not. */
 export class RawServer {
@@ -20,6 +21,19 @@
     });
   }
 
+  /** Creates a server that answers one request a connection. */
+  static answering({bytes, isReset}: RawResponse): RawServer {
+    return new RawServer(socket => {
+      socket.once('data', () => {
+        if (isReset) {
+          socket.write(bytes, 'latin1');
+          socket.resetAndDestroy();
+        } else socket.end(bytes, 'latin1');
+      });
+      socket.resume();
+    });
+  }
+
   /** @return URL without a path. */
   async start(): Promise<string> {
     await new Promise<void>(resolve => {
