Take nothing that a broken response says for its upstream's record

A 421 that broke off took its upstream out of use: calls were answered 503 until the upstream was listed anew.

Cause: ForwardSession recorded the outcome of an attempt with the head of its response, also when the rest never came.

After a broken response only the fault itself is recorded, at the upstream.

Evidence: "does not take its server out of use as another one, unless it is whole" failed before (503 for 200); a whole 421 still does.

--- a/packages/daemon/src/gateway/attempts/forward_session.ts
+++ b/packages/daemon/src/gateway/attempts/forward_session.ts
@@ -245,7 +245,7 @@
     status: number,
     detail: string,
   ): void {
-    const {head} = this.response;
+    const head = this.response.getHeadAfter(outcome);
     this.log.logAttemptEnd(outcome, status, detail, this.placer.currentAttempt);
     this.placer.recordOutcome(
       outcome,
--- a/packages/daemon/src/gateway/attempts/received_response.ts
+++ b/packages/daemon/src/gateway/attempts/received_response.ts
@@ -1,4 +1,9 @@
-import {EventCursor, RequestKind, type Route} from '@parsleywood/forwarding';
+import {
+  AttemptOutcome,
+  EventCursor,
+  RequestKind,
+  type Route,
+} from '@parsleywood/forwarding';
 import type {GatewayContext} from '../gateway_context.js';
 import type {ReceivedPart} from './received_part.js';
 import type {RequestMetadata} from '../callers/request_metadata.js';
@@ -29,6 +34,14 @@
     return this.currentHead;
   }
 
+  /**
+   * Head of an attempt that has ended, as far as it counts: what a response that broke
+   * off says of its upstream proves nothing.
+   */
+  getHeadAfter(outcome: AttemptOutcome): ResponseHead | undefined {
+    return outcome === AttemptOutcome.BROKEN ? undefined : this.currentHead;
+  }
+
   /** Whether the response is passed on event by event. */
   get isStreaming(): boolean {
     return (
--- a/packages/daemon/src/upstreams/broken_responses.test.ts
+++ b/packages/daemon/src/upstreams/broken_responses.test.ts
@@ -50,8 +50,9 @@
     const client = new ServiceClient(pools);
     const result = await client.send(CALL, address, LIMIT_MS);
     // It proves nothing: the call may have run.
-    if (result.isErr)
+    if (result.isErr) {
       expect(result.error.ran).to.equal(ExecutionStatus.UNKNOWN);
+    }
     return result.isOk;
   },
   'a reservation': async (address, pools) => {
