Tell requests apart by their headers and prompts when they crash servers

Callers saw all their requests at a path refused with 422 for an hour, at all hosts, once a few of them had crashed servers: prompts without a body (one bad part among them), and plain requests that differ from the bad ones in a header alone.

Cause: what named a request (fingerprint and scopes) was method, target, account and body. A prompt that stands in headers was in neither, so that all prompts of an account at a path were one request. It was blocked after its second isolated or third crash; its parts were not suspected at all, as that takes three different requests.

A request is now named by all that reaches its upstream and is not new with each attempt: headers, sorted, and the whole prompt are in the fingerprint. The first scope tells prompts apart, and each header is a scope beside the parameters of the query, so that crashes of requests that have one header in common are held against that header. Request id, deadline, key, rank and the last event received name nothing.

--- a/packages/daemon/src/callers/parse_completion_request.ts
+++ b/packages/daemon/src/callers/parse_completion_request.ts
@@ -58,7 +58,14 @@
   prompt: unknown,
 ): string[] {
   const body = JSON.stringify([model, prompt]);
-  return describeScopes({method: 'POST', target: path, account: '', body});
+  return describeScopes({
+    method: 'POST',
+    target: path,
+    account: '',
+    headers: [],
+    prompt: '',
+    body,
+  });
 }
 
 function readCommonFields(
--- a/packages/daemon/src/gateway/attempts/crash_detector.ts
+++ b/packages/daemon/src/gateway/attempts/crash_detector.ts
@@ -1,15 +1,12 @@
 import {AttemptOutcome, type RouteMatch} from '@parsleywood/forwarding';
-import {
-  CrashStatus,
-  describeScopes,
-  type SuspectState,
-} from '@parsleywood/requests';
+import {CrashStatus, type SuspectState} from '@parsleywood/requests';
 import type {Failure} from '@parsleywood/errors';
 import {createCrashFailure} from '../../callers/create_crash_failure.js';
 import type {ObservedCrash} from '../../upstreams/observed_crash.js';
 import {shortenHash} from '../../upstreams/shorten_hash.js';
 import type {SuspectSubject} from '../../upstreams/suspect_subject.js';
 import type {AttemptPlacer} from './attempt_placer.js';
+import {describeSubject} from './describe_subject.js';
 import type {GatewayContext} from '../gateway_context.js';
 import type {ReceivedRequest} from '../callers/received_request.js';
 import type {SessionLog} from './session_log.js';
@@ -37,7 +34,7 @@
     private readonly placer: AttemptPlacer,
     private readonly log: SessionLog,
   ) {
-    this.subject = describeSubject(match, request);
+    this.subject = describeSubject(match, request, context.headerNames);
     this.stateBefore = this.findState();
   }
 
@@ -163,18 +160,3 @@
     return this.context.suspects.findState(this.subject);
   }
 }
-
-function describeSubject(
-  match: RouteMatch,
-  {metadata, body}: ReceivedRequest,
-): SuspectSubject {
-  const {method, target, promptParts} = metadata;
-  // An account has several keys, which are replaced from time to time.
-  const account = match.account?.name ?? '';
-  return {
-    name: `${method} ${target} ${account}`,
-    body,
-    scopes: describeScopes({method, target, account, body}),
-    parts: promptParts,
-  };
-}
--- a/packages/daemon/src/gateway/callers/read_request_metadata.ts
+++ b/packages/daemon/src/gateway/callers/read_request_metadata.ts
@@ -1,10 +1,10 @@
 import type {IncomingMessage} from 'node:http';
 import type {HeaderNames} from '../header_names.js';
+import {readPartIds} from './read_part_ids.js';
 import type {RequestMetadata} from './request_metadata.js';
 
 /** Parts after the first ones are not told apart. */
 const MAX_PARTS = 32;
-const MAX_PART_ID_LENGTH = 64;
 /** More than the memory of all engines; the largest that 32 bits hold. */
 const MAX_TOKENS = 4_294_967_295;
 
@@ -41,11 +41,7 @@
 
 /** Reads the ids of all parts but the last, which is the request's own. */
 function readSharedParts(text: string): string[] {
-  const ids = text
-    .split(',', MAX_PARTS + 1)
-    .map(entry => (entry.split(':', 1)[0] ?? '').trim().toLowerCase())
-    .filter(id => id !== '')
-    .map(id => id.slice(0, MAX_PART_ID_LENGTH));
+  const ids = readPartIds(text).slice(0, MAX_PARTS + 1);
   return [...new Set(ids.slice(0, -1))];
 }
 
--- a/packages/daemon/src/host/serving.ts
+++ b/packages/daemon/src/host/serving.ts
@@ -214,9 +214,15 @@
 }
 
 function describeSubject(call: ServiceCall): SuspectSubject {
-  const {account, service, method, target, body} = call;
-  const name = `${account} ${service} ${method} ${target}`;
-  const path = `${service} ${target}`;
-  const scopes = describeScopes({method, target: path, account, body});
+  const {account, service, method, target, contentType, body} = call;
+  const name = `${account} ${service} ${method} ${target} ${contentType}`;
+  const scopes = describeScopes({
+    method,
+    target: `${service} ${target}`,
+    account,
+    headers: contentType === '' ? [] : [`content-type: ${contentType}`],
+    prompt: '',
+    body,
+  });
   return {name, body, scopes, parts: []};
 }
--- a/packages/requests/src/call_content.ts
+++ b/packages/requests/src/call_content.ts
@@ -5,5 +5,9 @@
   readonly target: string;
   /** Name of the client account; empty for anonymous requests. */
   readonly account: string;
+  /** Headers that reach the upstream, each as `name: value`. */
+  readonly headers: readonly string[];
+  /** Text that identifies a prompt sent beside the body; empty if there is none. */
+  readonly prompt: string;
   readonly body: Uint8Array | string;
 }
--- a/packages/requests/src/count_causes.ts
+++ b/packages/requests/src/count_causes.ts
@@ -2,7 +2,7 @@
 
 /**
  * Counts the fewest requests that explain crashes if each crash was caused by one
- * request, and some came again. Requests are told apart by their widest scope.
+ * request, and some came again. Requests are told apart by their first scope.
  *
  * @param limit Number at which the count ends.
  */
--- a/packages/requests/src/count_requests.ts
+++ b/packages/requests/src/count_requests.ts
@@ -5,7 +5,7 @@
  * Counts the different requests with all traits of a group that ran in crashes.
  *
  * @param areParts Whether the traits are parts of prompts; requests are told apart by
- *     their widest scope then, so that one with other queries counts once.
+ *     their first scope then, so that one with other queries counts once.
  */
 export function countRequests(
   group: readonly string[],
--- a/packages/requests/src/crash_evidence.test.ts
+++ b/packages/requests/src/crash_evidence.test.ts
@@ -262,17 +262,17 @@
 
   it('blocks requests with the same path, account and body under other methods', () => {
     const evidence = new CrashEvidence();
+    const call = {account: 'm', headers: [], prompt: '', body: ''};
     for (const [at, method] of ['GET', 'HEAD', 'POST'].entries()) {
-      const content = {method, target: `/a?at=${at}`, account: 'm', body: ''};
+      const content = {...call, method, target: `/a?at=${at}`};
       const scopes = describeScopes(content);
-      const call = {upstream: `u${at}`, request: method, scopes, parts: []};
+      const report = {upstream: `u${at}`, request: method, scopes, parts: []};
       const times = {startedAtMs: at - 0.5, crashedAtMs: at};
-      evidence.recordCrash({...call, ...times}, at);
+      evidence.recordCrash({...report, ...times}, at);
     }
     const [suspicion] = evidence.assess(NONE, SETTLED_MS);
-    const content = {method: 'GET', target: '/a', account: 'm', body: ''};
-    const [widest] = describeScopes(content);
-    expect(suspicion?.traits).to.deep.equal([widest]);
+    const [any] = describeScopes({...call, method: 'GET', target: '/a'});
+    expect(suspicion?.traits).to.deep.equal([any]);
     expect(suspicion?.isConfirmed).to.equal(true);
   });
 });
--- a/packages/requests/src/crash_evidence.ts
+++ b/packages/requests/src/crash_evidence.ts
@@ -202,12 +202,12 @@
     const areSound = parts.every(
       part => group.includes(part) || this.wasAnswered(part),
     );
-    const [widest] = scopes;
-    const isKnown = parts.length > 0 || widest === undefined;
+    const [identity] = scopes;
+    const isKnown = parts.length > 0 || identity === undefined;
     if (isKnown || group.every(trait => scopes.includes(trait))) {
       return areSound;
     }
-    return this.wasAnswered(widest);
+    return this.wasAnswered(identity);
   }
 }
 
--- a/packages/requests/src/describe_scopes.test.ts
+++ b/packages/requests/src/describe_scopes.test.ts
@@ -6,6 +6,8 @@
   method: 'GET',
   target: '/read/7?bin=4&at=1',
   account: 'mill',
+  headers: ['accept: text/plain'],
+  prompt: '',
   body: '',
 };
 
@@ -18,13 +20,22 @@
 }
 
 describe('describeScopes', () => {
-  it('joins calls that differ in query or method only', () => {
-    expect(describeScopes(CALL)).to.have.length(4);
-    expect(countShared({})).to.equal(4);
-    expect(countShared({target: '/read/7?at=1&bin=4'})).to.equal(4);
-    expect(countShared({target: '/read/7?bin=4&at=2'})).to.equal(3);
-    expect(countShared({target: '/read/7'})).to.equal(2);
-    expect(countShared({method: 'HEAD'})).to.equal(3);
+  it('joins calls that differ in query, method or headers only', () => {
+    expect(describeScopes(CALL)).to.have.length(5);
+    expect(countShared({})).to.equal(5);
+    expect(countShared({target: '/read/7?at=1&bin=4'})).to.equal(5);
+    expect(countShared({target: '/read/7?bin=4&at=2'})).to.equal(4);
+    expect(countShared({target: '/read/7'})).to.equal(3);
+    expect(countShared({method: 'HEAD'})).to.equal(4);
+    expect(countShared({headers: ['accept: */*']})).to.equal(4);
+  });
+
+  it('tells prompts apart first, which may have the rest in common', () => {
+    const prompt = describeScopes({...CALL, prompt: 'a,b'});
+    expect(prompt.slice(1)).to.deep.equal(describeScopes(CALL));
+    const [first, ...others] = describeScopes({...CALL, prompt: 'a,c'});
+    expect(others).to.deep.equal(prompt.slice(1));
+    expect(prompt).not.to.include(first);
   });
 
   it('keeps calls of other paths, accounts and bodies apart', () => {
@@ -33,11 +44,12 @@
     expect(countShared({body: '4'})).to.equal(0);
   });
 
-  it('describes a bounded number of parameters', () => {
+  it('describes a bounded number of parameters and headers', () => {
     const target = `/a?${new Array(99)
       .fill(0)
       .map((_none, at) => `p${at}`)
       .join('&')}`;
-    expect(describeScopes({...CALL, target})).to.have.length(10);
+    const headers = Array.from({length: 99}, (_none, at) => `h${at}: 1`);
+    expect(describeScopes({...CALL, target, headers})).to.have.length(66);
   });
 });
--- a/packages/requests/src/describe_scopes.ts
+++ b/packages/requests/src/describe_scopes.ts
@@ -2,24 +2,28 @@
 import type {CallContent} from './call_content.js';
 
 const SCOPE_DIGITS = 16;
-/** Parameters after the first ones are not told apart. */
-const MAX_PARAMETERS = 8;
+/** Parameters and headers after the first ones are not told apart. */
+const MAX_PARAMETERS = 32;
+const MAX_HEADERS = 32;
 
 /**
- * Returns hashes of the sets of requests that a request belongs to, the widest
- * first: those with its path, account and body, and of these those with its
- * method, and with each parameter of its query.
+ * Returns hashes of the sets of requests that a request belongs to. The first set
+ * has the same path, account, body and prompt: it tells requests apart, also when
+ * they come again with other details. The others have the same path, account and
+ * body, and of these the same method, parameter of the query, or header.
  */
 export function describeScopes(content: CallContent): string[] {
-  const {method, target, account, body} = content;
+  const {method, target, account, headers, prompt, body} = content;
   const [path = '', query = ''] = splitTarget(target);
-  const widest = hash(`${account} ${path}\n`, body);
-  const parameters = query
-    .split('&')
-    .filter(parameter => parameter !== '')
-    .slice(0, MAX_PARAMETERS);
-  const narrower = [`${method} `, ...new Set(parameters)];
-  return [widest, ...narrower.map(detail => hash(widest, `\n${detail}`))];
+  const call = hash(`${account} ${path}\n`, body);
+  const parameters = query.split('&').filter(parameter => parameter !== '');
+  const details = [
+    `${method} `,
+    ...new Set(parameters.slice(0, MAX_PARAMETERS)),
+    ...new Set(headers.slice(0, MAX_HEADERS)),
+  ];
+  const scopes = [call, ...details.map(detail => hash(call, `\n${detail}`))];
+  return prompt === '' ? scopes : [hash(call, `\nprompt ${prompt}`), ...scopes];
 }
 
 function splitTarget(target: string): [string, string] {
