Tell all parts of a prompt apart when engines crash

Callers saw engines crash again and again under prompts whose bad part stood behind 32 others: each request with it crashed two, and none was ever refused.

Cause: only the first 33 parts were read, and of those the last was dropped as the request's own.

All parts that a header of 16 KB holds are read. What is kept of crashes is bounded by the number of their traits, and answers of many traits by twice as many as before.

--- a/packages/daemon/src/gateway/callers/read_request_metadata.ts
+++ b/packages/daemon/src/gateway/callers/read_request_metadata.ts
@@ -3,8 +3,8 @@
 import {readPartIds} from './read_part_ids.js';
 import type {RequestMetadata} from './request_metadata.js';
 
-/** Parts after the first ones are not told apart. */
-const MAX_PARTS = 32;
+/** Parts after the first ones, more than 16 KB hold, are not told apart. */
+const MAX_PARTS = 4_096;
 /** More than the memory of all engines; the largest that 32 bits hold. */
 const MAX_TOKENS = 4_294_967_295;
 
--- a/packages/daemon/src/upstreams/trait_tracker.ts
+++ b/packages/daemon/src/upstreams/trait_tracker.ts
@@ -65,9 +65,9 @@
   findQuarantine(traits: RequestTraits): string {
     this.assessIfDue();
     if (this.suspicions.length === 0) return '';
-    const names = listTraits(traits);
+    const names = new Set(listTraits(traits));
     const found = this.suspicions.find(({traits: group}) =>
-      group.every(trait => names.includes(trait)),
+      group.every(trait => names.has(trait)),
     );
     return found === undefined ? '' : computeGroupFingerprint(found.traits);
   }
@@ -110,7 +110,7 @@
     const nowMs = this.clock.nowMs();
     const weight = this.countHosts();
     this.evidence.recordAnswer(traits, startedAtMs, weight, nowMs);
-    if (!this.evidence.mayExplain(traits)) return;
+    if (!this.evidence.mayExplain(traits, nowMs)) return;
     const startedAgoMs = toAge(nowMs - startedAtMs);
     const [scopes, parts] = [[...traits.scopes], [...traits.parts]];
     this.publisher.publishTraitAnswer({scopes, parts, startedAgoMs});
--- a/packages/requests/src/answer_weights.ts
+++ b/packages/requests/src/answer_weights.ts
@@ -1,5 +1,5 @@
 const HALF_LIFE_MS = 5_000;
-const MAX_TRAITS = 16_384;
+const MAX_TRAITS = 32_768;
 
 interface AnswerWeight {
   weight: number;
--- a/packages/requests/src/crash_evidence.ts
+++ b/packages/requests/src/crash_evidence.ts
@@ -13,6 +13,8 @@
 
 const CRASH_TTL_MS = 60_000;
 const MAX_CRASHES = 1_024;
+/** Bounds the memory and the time of an assessment where prompts have many parts. */
+const MAX_CRASH_TRAITS = 32_768;
 /** Crashes from which traits are suspected. */
 const MIN_CRASHES = 3;
 /** Different requests under which a part crashed upstreams, before it is suspected. */
@@ -45,12 +47,16 @@
  */
 export class CrashEvidence {
   private crashes: TraitCrash[] = [];
+  /** Traits of these crashes. */
+  private crashTraits: ReadonlySet<string> = new Set();
+  private lastCrashAtMs = -Infinity;
   private readonly answers = new AnswerWeights();
 
   /** Records what a host saw of a crash. */
   recordCrash(crash: TraitCrash, nowMs: number): void {
-    this.crashes = this.listRecent(nowMs).slice(1 - MAX_CRASHES);
-    this.crashes.push(crash);
+    this.crashes = listLatest([...this.listRecent(nowMs), crash]);
+    this.crashTraits = new Set(this.crashes.flatMap(listTraits));
+    this.lastCrashAtMs = Math.max(this.lastCrashAtMs, crash.crashedAtMs);
   }
 
   /**
@@ -79,12 +85,10 @@
     this.answers.record(trait, nowMs, 0, nowMs);
   }
 
-  /** Whether a crash may be explained by one of these traits. */
-  mayExplain(traits: RequestTraits): boolean {
-    const names = listTraits(traits);
-    return this.crashes.some(crash =>
-      listTraits(crash).some(trait => names.includes(trait)),
-    );
+  /** Whether a recent crash may be explained by one of these traits. */
+  mayExplain(traits: RequestTraits, nowMs: number): boolean {
+    if (nowMs - this.lastCrashAtMs >= CRASH_TTL_MS) return false;
+    return listTraits(traits).some(trait => this.crashTraits.has(trait));
   }
 
   /**
@@ -155,14 +159,14 @@
     const byName = new Map<string, TraitCandidate>();
     for (const crash of crashes) {
       for (const report of crash.reports) {
-        const {request, startedAtMs} = report;
-        for (const name of [request, ...listTraits(report)]) {
+        const {request, scopes, startedAtMs} = report;
+        for (const [at, name] of [request, ...listTraits(report)].entries()) {
           const answeredAtMs = this.answers.getLastStartMs(name);
           if (startedAtMs <= answeredAtMs + SIMULTANEOUS_MS) continue;
           const candidate = byName.get(name) ?? {
             name,
             isTrait: name !== request,
-            isPart: report.parts.includes(name),
+            isPart: at > scopes.length,
             crashes: new Set(),
             attempts: new Set(),
             answers: this.answers.getWeight(name, nowMs),
@@ -184,11 +188,12 @@
     {crashes, isPart}: TraitCandidate,
     group: readonly string[],
   ): boolean {
+    const names = new Set(group);
     const proofs = [...crashes].filter(({reports}) =>
-      reports.every(report => this.hasNoOtherCause(report, group)),
+      reports.every(report => this.hasNoOtherCause(report, names)),
     );
     if (isPart) return countCauses(proofs, MIN_CAUSES) >= MIN_CAUSES;
-    return countRequests(group, isPart, proofs) >= MIN_PROOFS;
+    return countRequests(group, proofs) >= MIN_PROOFS;
   }
 
   /**
@@ -197,20 +202,30 @@
    */
   private hasNoOtherCause(
     {parts, scopes}: RequestTraits,
-    group: readonly string[],
+    group: ReadonlySet<string>,
   ): boolean {
     const areSound = parts.every(
-      part => group.includes(part) || this.wasAnswered(part),
+      part => group.has(part) || this.wasAnswered(part),
     );
     const [identity] = scopes;
     const isKnown = parts.length > 0 || identity === undefined;
-    if (isKnown || group.every(trait => scopes.includes(trait))) {
+    if (isKnown || [...group].every(trait => scopes.includes(trait))) {
       return areSound;
     }
     return this.wasAnswered(identity);
   }
 }
 
+/** Lists the latest crashes that are kept, of those in the order of their news. */
+function listLatest(crashes: readonly TraitCrash[]): TraitCrash[] {
+  let traits = 0;
+  const kept = crashes.toReversed().filter(({scopes, parts}, at) => {
+    traits += scopes.length + parts.length;
+    return at === 0 || (at < MAX_CRASHES && traits <= MAX_CRASH_TRAITS);
+  });
+  return kept.reverse();
+}
+
 /**
  * Whether a request with the trait was sent after a crash, and crashed again.
  *
@@ -227,10 +242,13 @@
   );
 }
 
-function isSuspect({name, crashes, answers, isPart}: TraitCandidate): boolean {
+function isSuspect(candidate: TraitCandidate): boolean {
+  const {crashes, attempts, answers, isPart} = candidate;
   if (crashes.size < MIN_CRASHES || crashes.size < answers) return false;
+  if (!isPart) return true;
   // One or two requests may crash upstreams for reasons of their own.
-  return !isPart || countRequests([name], true, [...crashes]) >= MIN_REQUESTS;
+  const requests = [...attempts].map(it => it.scopes[0] ?? it.request);
+  return new Set(requests).size >= MIN_REQUESTS;
 }
 
 /** Orders candidates, the same way at all hosts. */
--- a/packages/requests/src/trait_groups.ts
+++ b/packages/requests/src/trait_groups.ts
@@ -25,9 +25,10 @@
   /** Lists the fingerprints of the groups whose traits a request all has. */
   listIn(traits: readonly string[]): string[] {
     if (this.byFirst.size === 0) return [];
+    const names = new Set(traits);
     return traits
       .flatMap(trait => [...(this.byFirst.get(trait) ?? [])])
-      .filter(([, group]) => group.every(trait => traits.includes(trait)))
+      .filter(([, group]) => group.every(trait => names.has(trait)))
       .map(([fingerprint]) => fingerprint);
   }
 }
