Refuse for good only what crashed upstreams alone, and try the rest again

Callers saw sound requests refused with 422 for an hour after upstreams had crashed for other reasons while these ran there: two crashes in a row, or three, of whichever cause. Of a part of prompts that turned bad, engines crashed six times more each ten seconds.

Cause: a block was either the end (an hour, with no way back) or was forgotten as a whole (ten seconds). "Alone" meant without other suspects; a bad request that nobody knows yet is no suspect. What sound requests told after the first crash was weighed, but could not hinder or lift a block, and neither could what a peer's block contradicts.

A request or group of traits is refused for 5 s first, with 503 and Retry-After. Then requests run one at a time over all hosts: a whole answer clears it, a crash has it refused for two minutes, then ten. It is refused with 422, for an hour, once upstreams crashed while nothing else ran there, for two seconds without a report to the contrary. Suspects are sent to idle upstreams where there are any, so that their runs tell more. No group is blocked, here or on a peer's word, if a request with all of its traits was started after the first crash and got its whole answer. Hosts begin trials up to two seconds apart. The line request_blocked says for a refused request's id what is blocked, for how many crashes and for how long.

Hosts of earlier versions are told the time of the block as before (remaining_ms); the number of blocks and the time until all is forgotten are fields that they ignore. They name no time after a block, so that theirs end as they did.

--- a/packages/daemon/src/callers/completion_handler.ts
+++ b/packages/daemon/src/callers/completion_handler.ts
@@ -1,7 +1,6 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {ErrorKind, Failure} from '@parsleywood/errors';
 import type {LengthClassSettings, Settings} from '@parsleywood/schema/settings';
-import {CrashStatus} from '@parsleywood/requests';
 import type {Caller} from './caller.js';
 import type {CompletionPath} from './completion_path.js';
 import type {CompletionRequest} from './completion_request.js';
@@ -41,9 +40,8 @@
     const {model} = request;
     const subject = {...request, name: model};
     const {suspects} = this.serving;
-    if (suspects.findStatus(subject) === CrashStatus.BLOCKED) {
-      throw createCrashFailure(suspects.findBlockedParts(subject));
-    }
+    const block = suspects.findBlock(subject);
+    if (block !== undefined) throw createCrashFailure(block, subject.parts);
     const promptTokens = this.checkPromptLength(request, settings);
     const lengthClass = findLengthClass(settings, promptTokens);
     const limitMs =
--- a/packages/daemon/src/callers/completion_session.ts
+++ b/packages/daemon/src/callers/completion_session.ts
@@ -176,11 +176,14 @@
   ): Promise<void> {
     const hasCrashed = await this.serving.hasCrashed(upstream);
     if (hasCrashed) {
+      const wasIsolated =
+        isIsolated && this.stateBefore.status === CrashStatus.SUSPECT;
       this.serving.suspects.recordCrash(this.subject, {
         upstreams: [upstream],
         stateBefore: this.stateBefore,
-        wasIsolated:
-          isIsolated && this.stateBefore.status === CrashStatus.SUSPECT,
+        wasIsolated,
+        hadLease: wasIsolated,
+        wasAlone: this.serving.openCalls(upstream) === 1,
         startedAtMs: this.startedAtMs,
       });
       // The next attempt depends on what the crash tells of the request's parts.
@@ -232,9 +235,9 @@
     const {suspects, clock, picker} = this.serving;
     this.startedAtMs = clock.nowMs();
     this.stateBefore = suspects.findState(this.subject);
-    if (suspects.findStatus(this.subject) === CrashStatus.BLOCKED) {
-      const parts = suspects.findBlockedParts(this.subject);
-      this.onPickFailed(createCrashFailure(parts));
+    const block = suspects.findBlock(this.subject);
+    if (block !== undefined) {
+      this.onPickFailed(createCrashFailure(block, this.subject.parts));
       return;
     }
     const {status} = this.stateBefore;
--- a/packages/daemon/src/callers/create_crash_failure.ts
+++ b/packages/daemon/src/callers/create_crash_failure.ts
@@ -1,20 +1,37 @@
-import {ErrorKind, Failure} from '@parsleywood/errors';
+import {ErrorKind, ExecutionStatus, Failure} from '@parsleywood/errors';
+import type {CrashBlock} from '@parsleywood/requests';
 
 /**
- * Creates the failure for a request that crashed several upstreams.
+ * Creates the failure for a request that is refused because of crashes of upstreams:
+ * for good, or for the time after which it is tried again.
  *
- * @param parts Parts of its prompt that did, in any request; none if only the
- *     request as a whole did.
+ * @param parts Parts of its prompt.
  */
-export function createCrashFailure(parts: readonly string[] = []): Failure {
-  const message =
-    parts.length === 0
-      ? 'this request crashed several upstreams and will not be run again'
-      : `prompts with ${describeParts(parts)} crashed several upstreams and will not be run again`;
-  return new Failure(ErrorKind.REQUEST_CRASHES_UPSTREAM, message);
+export function createCrashFailure(
+  block: CrashBlock,
+  parts: readonly string[] = [],
+): Failure {
+  const blamed = parts.filter(part => block.traits.includes(part));
+  const subject = describeSubject(block, blamed);
+  if (block.isFinal) {
+    const message = `${subject} crashed several upstreams and will not be run again`;
+    return new Failure(ErrorKind.REQUEST_CRASHES_UPSTREAM, message);
+  }
+  const message = `${subject} may have crashed several upstreams and will be tried again`;
+  return new Failure(
+    ErrorKind.OVERLOADED,
+    message,
+    ExecutionStatus.NO,
+    block.remainingMs,
+  );
 }
 
-function describeParts(parts: readonly string[]): string {
-  if (parts.length === 1) return `part ${parts[0]}`;
-  return `all of the parts ${parts.join(', ')}`;
+function describeSubject(
+  {traits}: CrashBlock,
+  parts: readonly string[],
+): string {
+  if (traits.length === 0) return 'this request';
+  if (parts.length === 0) return 'requests that have details of this one';
+  if (parts.length === 1) return `prompts with part ${parts[0]}`;
+  return `prompts with all of the parts ${parts.join(', ')}`;
 }
--- a/packages/daemon/src/gateway/attempts/attempt_chooser.ts
+++ b/packages/daemon/src/gateway/attempts/attempt_chooser.ts
@@ -48,13 +48,15 @@
     pacing.advance(nowMs);
     const candidates = this.listCandidates(tried, nowMs);
     if (suspect !== '') {
-      const isolated = this.chooseAmong(
-        candidates.filter(({id}) => !placements.hasSuspect(id, suspect, nowMs)),
-        service,
-        demand,
-        nowMs,
+      const isolated = candidates.filter(
+        ({id}) => !placements.hasSuspect(id, suspect, nowMs),
       );
-      if ('upstream' in isolated) return isolated;
+      // A crash of one that ran alone has no other explanation.
+      const idle = isolated.filter(({id}) => placements.isIdle(id, nowMs));
+      for (const upstreams of [idle, isolated]) {
+        const choice = this.chooseAmong(upstreams, service, demand, nowMs);
+        if ('upstream' in choice) return choice;
+      }
     }
     return this.chooseAmong(candidates, service, demand, nowMs);
   }
--- a/packages/daemon/src/gateway/attempts/attempt_placer.ts
+++ b/packages/daemon/src/gateway/attempts/attempt_placer.ts
@@ -114,6 +114,12 @@
     return this.context.placements.isIsolated(id);
   }
 
+  /** Whether nothing else has met the attempt in progress on an upstream. */
+  get isAlone(): boolean {
+    const id = this.placed?.placement.id ?? '';
+    return this.context.placements.isAlone(id);
+  }
+
   /** Whether events of the attempt in progress have arrived. */
   get hasReceivedEvents(): boolean {
     return this.isDecoding;
--- a/packages/daemon/src/gateway/attempts/crash_detector.ts
+++ b/packages/daemon/src/gateway/attempts/crash_detector.ts
@@ -38,16 +38,20 @@
     this.stateBefore = this.findState();
   }
 
-  /** Whether the request is known to crash upstreams, at any host. */
-  shouldRefuse(): boolean {
-    const {suspects} = this.context;
-    return suspects.findStatus(this.subject) === CrashStatus.BLOCKED;
+  /**
+   * Returns the failure of a request that is held to crash upstreams, at any host;
+   * undefined if it may run.
+   */
+  findFailure(): Failure | undefined {
+    const block = this.context.suspects.findBlock(this.subject);
+    if (block === undefined) return undefined;
+    this.log.logBlock(block);
+    return createCrashFailure(block, this.subject.parts);
   }
 
-  /** Creates the failure for a request that is refused. */
-  createFailure(): Failure {
-    const parts = this.context.suspects.findBlockedParts(this.subject);
-    return createCrashFailure(parts);
+  /** Whether the request may not run now. */
+  get isBlocked(): boolean {
+    return this.context.suspects.findBlock(this.subject) !== undefined;
   }
 
   /** Whether another host may try the request, or one with the same parts. */
@@ -114,6 +118,8 @@
         upstreams: unreachable.map(({id}) => id),
         stateBefore,
         wasIsolated,
+        hadLease: false,
+        wasAlone: placer.isAlone,
         startedAtMs: this.startedAtMs,
       };
       if (await context.reach.testReach()) this.recordCrash(crash);
--- a/packages/daemon/src/gateway/attempts/forward_session.ts
+++ b/packages/daemon/src/gateway/attempts/forward_session.ts
@@ -141,11 +141,9 @@
     this.deadlineTimer = setTimeout(() => {
       this.endAtDeadline();
     }, this.getLeftMs());
-    if (this.crashDetector.shouldRefuse()) {
-      this.fail(this.crashDetector.createFailure());
-    } else {
-      void this.guard(() => this.sendAttempt());
-    }
+    const failure = this.crashDetector.findFailure();
+    if (failure !== undefined) this.fail(failure);
+    else void this.guard(() => this.sendAttempt());
   }
 
   /** Cancels the request after the caller has closed the connection. */
--- a/packages/daemon/src/gateway/attempts/session_log.ts
+++ b/packages/daemon/src/gateway/attempts/session_log.ts
@@ -1,12 +1,14 @@
 import type {Failure} from '@parsleywood/errors';
 import {AttemptOutcome, type RouteMatch} from '@parsleywood/forwarding';
 import {TimelineEventName, type TimelineFields} from '@parsleywood/timeline';
+import type {CrashBlock} from '@parsleywood/requests';
 import type {CrashFields} from './crash_fields.js';
 import type {GatewayContext} from '../gateway_context.js';
 import type {PlacedAttempt} from './placed_attempt.js';
 import type {ReceivedRequest} from '../callers/received_request.js';
 import {RequestProgress} from '../callers/request_progress.js';
 import {SessionOutcome} from './session_outcome.js';
+import {shortenHash} from '../../upstreams/shorten_hash.js';
 
 const SERVER_ERROR_STATUS = 500;
 const MS_PER_SECOND = 1_000;
@@ -116,6 +118,28 @@
     });
   }
 
+  /** Logs for which crashes the request is refused, and until when. */
+  logBlock({
+    fingerprint,
+    traits,
+    crashes,
+    isFinal,
+    remainingMs,
+  }: CrashBlock): void {
+    const {id, promptParts} = this.request.metadata;
+    this.context.log.info('request_blocked', {
+      requestId: id,
+      fingerprint: shortenHash(fingerprint),
+      traits: traits.map(shortenHash).join(' ') || undefined,
+      promptParts:
+        promptParts.filter(part => traits.includes(part)).join(' ') ||
+        undefined,
+      crashes,
+      isFinal,
+      remainingMs: Math.ceil(remainingMs),
+    });
+  }
+
   logEnd(
     outcome: SessionOutcome | Failure,
     status: number | undefined,
--- a/packages/daemon/src/gateway/attempts/session_retries.ts
+++ b/packages/daemon/src/gateway/attempts/session_retries.ts
@@ -50,7 +50,7 @@
     const {context, placer, crashDetector} = this;
     const hasUpstream =
       placer.hasUntriedUpstream &&
-      !crashDetector.shouldRefuse() &&
+      !crashDetector.isBlocked &&
       context.reach.findRefusal() === undefined;
     return this.retryController.endAttempt(
       outcome,
--- a/packages/daemon/src/gateway/attempts/suspect_trial.ts
+++ b/packages/daemon/src/gateway/attempts/suspect_trial.ts
@@ -46,7 +46,8 @@
       // The caller may have left before this host came to its request.
       await handlePendingInput();
       if (this.isOver()) break;
-      if (this.detector.shouldRefuse()) return this.detector.createFailure();
+      const failure = this.detector.findFailure();
+      if (failure !== undefined) return failure;
       const suspect = this.detector.startAttempt();
       const isBusy =
         this.detector.isQuarantineBusy || placements.isBeingTried(suspect);
@@ -74,7 +75,7 @@
     if (suspect === '' || !this.detector.isKnownToPeers) return true;
     await pause(SETTLE_MS);
     await handlePendingInput();
-    if (this.detector.shouldRefuse()) return false;
+    if (this.detector.isBlocked) return false;
     return !this.context.placements.hasTrialBefore(suspect, placement.id);
   }
 }
--- a/packages/daemon/src/gateway/explain/request_explainer.ts
+++ b/packages/daemon/src/gateway/explain/request_explainer.ts
@@ -181,13 +181,13 @@
   private findCrashFailure({
     promptParts,
   }: RequestMetadata): Failure | undefined {
-    const parts = this.context.suspects.findBlockedParts({
+    const block = this.context.suspects.findBlock({
       name: '',
       body: EMPTY_BODY,
       scopes: [],
       parts: promptParts,
     });
-    return parts.length > 0 ? createCrashFailure(parts) : undefined;
+    return block && createCrashFailure(block, promptParts);
   }
 }
 
--- a/packages/daemon/src/gateway/gateway_host.ts
+++ b/packages/daemon/src/gateway/gateway_host.ts
@@ -164,6 +164,7 @@
       relay,
       new SuspectLog(log, metrics.host),
       () => this.fleet.countHosts(),
+      draw(),
     );
     this.reach = new ReachMonitor(
       replica,
--- a/packages/daemon/src/host/serving.ts
+++ b/packages/daemon/src/host/serving.ts
@@ -1,6 +1,6 @@
 import {RetryBudget} from '@parsleywood/admission';
 import {ErrorKind, ExecutionStatus, Failure} from '@parsleywood/errors';
-import {CrashStatus, describeScopes} from '@parsleywood/requests';
+import {describeScopes} from '@parsleywood/requests';
 import type {Settings} from '@parsleywood/schema/settings';
 import type {ListedUpstream} from '@parsleywood/schema/upstream_list';
 import type {Incarnation} from '@parsleywood/types';
@@ -136,13 +136,14 @@
   ): Promise<Result<ServiceAnswer, Failure>> {
     const {name, address} = upstream;
     const subject = describeSubject(call);
-    if (this.suspects.findStatus(subject) === CrashStatus.BLOCKED) {
-      return Result.err(createCrashFailure());
-    }
+    const block = this.suspects.findBlock(subject);
+    if (block !== undefined) return Result.err(createCrashFailure(block));
     const stateBefore = this.suspects.findState(subject);
     this.countCall(name, 1);
     const startedAtMs = this.clock.nowMs();
     const result = await this.services.send(call, address, limitMs, fencing);
+    // Calls of other hosts are not known here.
+    const wasAlone = this.openCalls(name) === 1;
     this.countCall(name, -1);
     if (result.isOk) {
       this.upstreams.noteSuccess(name);
@@ -157,6 +158,8 @@
         upstreams: [name],
         stateBefore,
         wasIsolated: false,
+        hadLease: false,
+        wasAlone,
         startedAtMs,
       });
     }
--- a/packages/daemon/src/host_process.ts
+++ b/packages/daemon/src/host_process.ts
@@ -145,6 +145,7 @@
       ),
       new SuspectLog(log, this.metrics),
       () => site.hosts().hosts.length,
+      uniformFloat64(xoroshiro128plus(drawSeed())),
     );
     this.serving = new Serving(
       incarnation,
--- a/packages/daemon/src/testing/explained_host.ts
+++ b/packages/daemon/src/testing/explained_host.ts
@@ -114,8 +114,10 @@
     ),
     publisher: {publishStart: ({id}: {id: string}) => this.published.push(id)},
     suspects: {
-      findBlockedParts: ({parts}: {parts: string[]}) =>
-        parts.filter(part => part === 'crashing'),
+      findBlock: ({parts}: {parts: string[]}) => {
+        const traits = parts.filter(part => part === 'crashing');
+        return traits.length > 0 ? {traits, isFinal: true} : undefined;
+      },
     },
     planStartRetryMs: (random?: number) => 700 + (random ?? NaN),
     countHosts: () => 2,
--- a/packages/daemon/src/testing/virtual_fleet.ts
+++ b/packages/daemon/src/testing/virtual_fleet.ts
@@ -187,6 +187,7 @@
       relay,
       new SuspectLog(log, metrics.host),
       () => fleet.countHosts(),
+      draw(),
     );
     const fleet: FleetMembership = new FleetMembership(
       {
--- a/packages/daemon/src/upstreams/engine_picker.ts
+++ b/packages/daemon/src/upstreams/engine_picker.ts
@@ -7,7 +7,6 @@
 import {CrashStatus} from '@parsleywood/requests';
 import type {EngineTraffic} from './engine_traffic.js';
 import type {PickListener} from './pick_listener.js';
-import {createCrashFailure} from '../callers/create_crash_failure.js';
 import type {IsolationLeases} from './isolation_leases.js';
 import type {SpreadDesk} from './spread_desk.js';
 
@@ -39,10 +38,6 @@
     verdict: CrashStatus,
     listener: PickListener,
   ): void {
-    if (verdict === CrashStatus.BLOCKED) {
-      listener.onPickFailed(createCrashFailure());
-      return;
-    }
     const choice = this.choose(request);
     if (
       choice?.kind === ChoiceKind.UPSTREAM &&
--- a/packages/daemon/src/upstreams/observed_crash.ts
+++ b/packages/daemon/src/upstreams/observed_crash.ts
@@ -8,6 +8,10 @@
   readonly stateBefore: SuspectState;
   /** Whether the attempt ran as the only suspect there. */
   readonly wasIsolated: boolean;
+  /** Whether a lease of the upstream kept other suspects away. */
+  readonly hadLease: boolean;
+  /** Whether nothing else ran there meanwhile, as far as this host knows. */
+  readonly wasAlone: boolean;
   /** Monotonic time at which the attempt started, in milliseconds. */
   readonly startedAtMs: number;
 }
--- a/packages/daemon/src/upstreams/suspect_tracker.ts
+++ b/packages/daemon/src/upstreams/suspect_tracker.ts
@@ -1,7 +1,9 @@
 import {createHash} from 'node:crypto';
 import {
+  BLOCK_TIMES_MS,
   CrashStatus,
   CrashSuspects,
+  type CrashBlock,
   type RequestTraits,
   type SuspectState,
   type SuspectUpdate,
@@ -24,6 +26,8 @@
 /** Time after which hosts of earlier versions forget a request. */
 const DEFAULT_REMAINING_MS = 3_600_000;
 const HASH_FACTOR = 31;
+/** Time in which hosts begin with trials; news of the first arrives meanwhile. */
+const TRIAL_SPREAD_MS = 2_000;
 const OK_STATUS = 200;
 const SERVER_ERROR_STATUS = 500;
 const VERDICTS = new Set<string>(Object.values(CrashStatus));
@@ -34,16 +38,22 @@
  * share with others.
  */
 export class SuspectTracker {
-  private readonly suspects = new CrashSuspects();
+  private readonly suspects: CrashSuspects;
   private readonly traits: TraitTracker;
 
-  /** @param countHosts Returns the number of live hosts. */
+  /**
+   * @param countHosts Returns the number of live hosts.
+   * @param turn Number in [0, 1), another one at each host: hosts try what was refused
+   *     one after the other.
+   */
   constructor(
     private readonly clock: Clock,
     private readonly publisher: SuspectPublisher,
     private readonly log: SuspectLog,
     countHosts: () => number,
+    turn: number,
   ) {
+    this.suspects = new CrashSuspects(turn * TRIAL_SPREAD_MS);
     this.traits = new TraitTracker(
       this.suspects,
       clock,
@@ -57,14 +67,18 @@
 
   /** Returns the crash status of a request, by itself and by its traits. */
   findStatus(subject: SuspectSubject): CrashStatus {
-    if (this.traits.findBlocked(subject).length > 0) return CrashStatus.BLOCKED;
+    if (this.traits.findBlock(subject)) return CrashStatus.BLOCKED;
     return this.findState(subject).status;
   }
 
-  /** Returns the parts of its prompt for which a request is refused, if it is for them. */
-  findBlockedParts(subject: SuspectSubject): readonly string[] {
-    const blocked = this.traits.findBlocked(subject);
-    return blocked.filter(trait => subject.parts.includes(trait));
+  /** Returns why a request is refused, by its traits or itself; undefined if it is not. */
+  findBlock(subject: SuspectSubject): CrashBlock | undefined {
+    const block = this.traits.findBlock(subject);
+    if (block !== undefined) return block;
+    const {status} = this.findState(subject);
+    if (status !== CrashStatus.BLOCKED) return undefined;
+    const fingerprint = this.computeFingerprint(subject);
+    return this.suspects.findBlock(fingerprint, this.clock.nowMs());
   }
 
   /**
@@ -97,13 +111,14 @@
   recordCrash(subject: SuspectSubject, crash: ObservedCrash): CrashStatus {
     const fingerprint = this.computeFingerprint(subject);
     this.traits.recordCrash(fingerprint, subject, crash);
-    const {stateBefore, wasIsolated} = crash;
+    const {stateBefore, wasIsolated, hadLease} = crash;
     const update = this.suspects.recordCrash(
       {
         fingerprint,
         bodyBytes: subject.body.length,
         stateBefore,
         wasIsolated,
+        hadLease,
       },
       this.clock.nowMs(),
     );
@@ -152,8 +167,8 @@
     const update = decodeUpdate(message);
     if (update === undefined) return;
     if (!this.suspects.applyUpdate(update, this.clock.nowMs())) return;
-    if (update.traits.length > 0) this.traits.planAssessment();
     this.log.record(update, source);
+    if (update.traits.length > 0) this.traits.applyGroup(update.traits);
   }
 
   /** Summarizes all that this host knows, for a comparison with a peer. */
@@ -183,16 +198,32 @@
 }
 
 function encodeUpdate(update: SuspectUpdate): SuspectMessage {
-  const remainingMs = Math.ceil(update.remainingMs);
-  return {...update, traits: [...update.traits], remainingMs};
+  const {blockedMs, ...others} = update;
+  const keptMs = Math.ceil(update.remainingMs);
+  const remainingMs = blockedMs > 0 ? Math.ceil(blockedMs) : keptMs;
+  return {...others, traits: [...update.traits], remainingMs, keptMs};
+}
+
+/** Returns the number of the block that lasts as long. */
+function findBlocks(blockedMs: number): number {
+  const longer = BLOCK_TIMES_MS.filter(ms => ms >= blockedMs).length;
+  return BLOCK_TIMES_MS.length - Math.max(0, longer - 1);
 }
 
 function decodeUpdate(message: SuspectMessage): SuspectUpdate | undefined {
   if (!VERDICTS.has(message.verdict)) return undefined;
   const verdict = message.verdict as CrashStatus;
-  // Hosts of earlier versions do not count crashes.
+  // Hosts of earlier versions do not count crashes, or blocks.
   const crashes =
     verdict === CrashStatus.CLEAR ? 0 : Math.max(message.crashes, 1);
-  const remainingMs = message.remainingMs || DEFAULT_REMAINING_MS;
-  return {...message, verdict, crashes, remainingMs};
+  const isBlocked = verdict === CrashStatus.BLOCKED;
+  const shownMs = message.remainingMs || DEFAULT_REMAINING_MS;
+  return {
+    ...message,
+    verdict,
+    crashes,
+    blocks: message.blocks || (isBlocked ? findBlocks(shownMs) : 0),
+    blockedMs: isBlocked ? shownMs : 0,
+    remainingMs: message.keptMs || shownMs,
+  };
 }
--- a/packages/daemon/src/upstreams/trait_tracker.ts
+++ b/packages/daemon/src/upstreams/trait_tracker.ts
@@ -2,6 +2,7 @@
 import {
   CrashEvidence,
   listTraits,
+  type CrashBlock,
   type CrashSuspects,
   type RequestTraits,
   type TraitSuspicion,
@@ -20,12 +21,6 @@
 /** Age at which an assessment is repeated although nothing was learned. */
 const MAX_ASSESSMENT_AGE_MS = 250;
 
-const BLOCK_MS = 3_600_000;
-/** A sound trait may be blocked while no request with it has been answered. */
-const UNPROVEN_BLOCK_MS = 60_000;
-/** Traits that were sound before are tried again soon. */
-const ANSWERED_BLOCK_MS = 10_000;
-
 /**
  * Tracks which traits of requests crash upstreams, from what all hosts tell of
  * crashes and complete answers.
@@ -50,12 +45,10 @@
     private readonly onUpdate: (update: SuspectUpdate) => void,
   ) {}
 
-  /** Returns the traits for which a request is refused; empty if it is not. */
-  findBlocked(traits: RequestTraits): readonly string[] {
+  /** Returns the traits for which a request is refused; undefined if it is not. */
+  findBlock(traits: RequestTraits): CrashBlock | undefined {
     this.assessIfDue();
-    const names = listTraits(traits);
-    const [record] = this.suspects.listBlockedTraits(names, this.clock.nowMs());
-    return record?.traits ?? [];
+    return this.suspects.findTraitBlock(listTraits(traits), this.clock.nowMs());
   }
 
   /**
@@ -64,8 +57,11 @@
    */
   findQuarantine(traits: RequestTraits): string {
     this.assessIfDue();
+    const list = listTraits(traits);
+    const trial = this.suspects.findTrial(list, this.clock.nowMs());
+    if (trial !== undefined) return trial;
     if (this.suspicions.length === 0) return '';
-    const names = new Set(listTraits(traits));
+    const names = new Set(list);
     const found = this.suspicions.find(({traits: group}) =>
       group.every(trait => names.has(trait)),
     );
@@ -80,7 +76,7 @@
   recordCrash(
     request: string,
     {scopes, parts}: RequestTraits,
-    {upstreams, startedAtMs}: ObservedCrash,
+    {upstreams, startedAtMs, wasAlone}: ObservedCrash,
   ): void {
     const nowMs = this.clock.nowMs();
     for (const upstream of upstreams) {
@@ -89,6 +85,7 @@
         request,
         scopes,
         parts,
+        wasAlone,
         startedAtMs,
         crashedAtMs: nowMs,
       };
@@ -98,10 +95,14 @@
         request,
         scopes: [...scopes],
         parts: [...parts],
+        wasAlone,
         startedAgoMs: toAge(nowMs - startedAtMs),
         crashedAgoMs: 0,
       });
     }
+    const names = listTraits({scopes, parts});
+    const updates = this.suspects.recordTraitCrash(names, startedAtMs, nowMs);
+    for (const update of updates) this.onUpdate(update);
     this.planAssessment();
   }
 
@@ -134,18 +135,27 @@
     this.applyCounterEvidence(traits);
   }
 
-  private isBlockedGroup(group: readonly string[]): boolean {
-    const records = this.suspects.listBlockedTraits(group, this.clock.nowMs());
-    return records.some(({traits}) => traits.length === group.length);
+  /** Takes note of a group that a peer has blocked, or has cleared. */
+  applyGroup(group: readonly string[]): void {
+    this.clearContradicted(group);
+    this.planAssessment();
   }
 
   private applyCounterEvidence(traits: RequestTraits): void {
-    const names = listTraits(traits);
-    const updates = this.suspects.clearTraits(names, this.clock.nowMs());
-    for (const update of updates) this.onUpdate(update);
+    this.clearContradicted(listTraits(traits));
     this.planAssessment();
   }
 
+  /** Clears the groups of a request that are sound by what this host knows. */
+  private clearContradicted(names: readonly string[]): void {
+    const updates = this.suspects.clearTraits(
+      names,
+      group => this.evidence.isContradicted(group),
+      this.clock.nowMs(),
+    );
+    for (const update of updates) this.onUpdate(update);
+  }
+
   /** Plans an assessment after something was learned. */
   planAssessment(): void {
     this.settledAtMs = this.clock.nowMs() + ASSESSMENT_DELAY_MS;
@@ -163,37 +173,50 @@
     // Of a group, one trait alone may be the cause.
     const blocked = new Set(groups.filter(({length}) => length === 1).flat());
     const suspicions = this.evidence.assess(blocked, nowMs);
-    for (const trait of blocked) {
-      // Once the block has ended, only new crashes count.
-      if (this.evidence.wasAnswered(trait)) this.evidence.forgive(trait, nowMs);
-    }
     this.suspicions = suspicions.filter(({isConfirmed}) => !isConfirmed);
-    const repeatAtMs =
-      this.suspicions.length > 0 ? nowMs + MAX_ASSESSMENT_AGE_MS : Infinity;
-    const isSettled = nowMs >= this.settledAtMs;
-    this.assessAtMs = isSettled ? repeatAtMs : this.settledAtMs;
-    for (const {traits, crashes, isConfirmed, isProven} of suspicions) {
-      if (!isConfirmed) continue;
-      const wasAnswered = traits.every(it => this.evidence.wasAnswered(it));
-      if (this.isBlockedGroup(traits)) continue;
-      const fingerprint = computeGroupFingerprint(traits);
-      this.onUpdate(
-        this.suspects.blockTraits(
-          fingerprint,
-          traits,
-          crashes,
-          chooseBlockMs(wasAnswered, isProven),
-          nowMs,
-        ),
-      );
-      this.planAssessment();
+    for (const {traits, crashes, isConfirmed} of suspicions) {
+      if (isConfirmed) this.block(traits, crashes, nowMs);
     }
+    this.confirmProven(groups, nowMs);
+    this.planNextAssessment(nowMs);
   }
-}
 
-function chooseBlockMs(wasAnswered: boolean, isProven: boolean): number {
-  if (wasAnswered) return ANSWERED_BLOCK_MS;
-  return isProven ? BLOCK_MS : UNPROVEN_BLOCK_MS;
+  private planNextAssessment(nowMs: number): void {
+    const {settledAtMs, suspicions, evidence} = this;
+    const {provesAtMs} = evidence;
+    const repeatAtMs =
+      suspicions.length > 0 ? nowMs + MAX_ASSESSMENT_AGE_MS : Infinity;
+    const proofAtMs = nowMs < provesAtMs ? provesAtMs : Infinity;
+    this.assessAtMs =
+      nowMs < settledAtMs ? settledAtMs : Math.min(repeatAtMs, proofAtMs);
+  }
+
+  private block(
+    traits: readonly string[],
+    crashes: number,
+    nowMs: number,
+  ): void {
+    const fingerprint = computeGroupFingerprint(traits);
+    if (this.suspects.isKnownGroup(fingerprint, nowMs)) return;
+    this.onUpdate(
+      this.suspects.blockTraits(fingerprint, traits, crashes, nowMs),
+    );
+    this.planAssessment();
+  }
+
+  /** Blocks for good what crashed upstreams alone. */
+  private confirmProven(
+    groups: readonly (readonly string[])[],
+    nowMs: number,
+  ): void {
+    const proven = groups
+      .filter(group => this.evidence.isProven(group, nowMs))
+      .map(computeGroupFingerprint);
+    for (const name of [...proven, ...this.evidence.listProven(nowMs)]) {
+      const update = this.suspects.confirm(name, nowMs);
+      if (update !== undefined) this.onUpdate(update);
+    }
+  }
 }
 
 /** Hosts of earlier versions hash groups of parts in the same way. */
--- a/packages/dispatch/src/placement_record.ts
+++ b/packages/dispatch/src/placement_record.ts
@@ -13,4 +13,6 @@
   hasMissedPauseObjective: boolean;
   /** Whether a suspect has met another one on an upstream. */
   hasMetSuspect: boolean;
+  /** Whether another placement ran on one of its upstreams meanwhile. */
+  hasMetOther: boolean;
 }
--- a/packages/dispatch/src/placement_registry.ts
+++ b/packages/dispatch/src/placement_registry.ts
@@ -35,12 +35,13 @@
       phase: PlacementPhase.PREFILL,
       hasMissedPauseObjective: false,
       hasMetSuspect: false,
+      hasMetOther: false,
     };
     this.records.set(placement.id, record);
     this.addSuspect(placement);
     for (const {upstream, passMs} of placement.parts) {
       this.markMissedPauses(upstream, passMs);
-      this.markMetSuspects(upstream, record);
+      this.markMet(upstream, record);
       const records =
         this.byUpstream.get(upstream) ?? new Set<PlacementRecord>();
       records.add(record);
@@ -102,6 +103,11 @@
     return records.some(({placement}) => isOther(placement, fingerprint));
   }
 
+  /** Whether an upstream runs nothing. */
+  isIdle(upstream: string, nowMs: number): boolean {
+    return this.getUpstreamPlacements(upstream, nowMs).records.length === 0;
+  }
+
   /** Whether a suspect runs that has not begun its answer. */
   isBeingTried(suspect: string): boolean {
     return this.listTrials(suspect).length > 0;
@@ -125,6 +131,11 @@
     return this.records.get(id)?.hasMetSuspect === false;
   }
 
+  /** Whether no other placement at all has met this one on any upstream. */
+  isAlone(id: string): boolean {
+    return this.records.get(id)?.hasMetOther === false;
+  }
+
   /** Drops the prefill times of upstreams that are no longer listed. */
   retain(upstreams: ReadonlySet<string>): void {
     for (const id of this.lastPrefillEndsMs.keys()) {
@@ -151,11 +162,12 @@
       .filter(({phase}) => phase === PlacementPhase.PREFILL);
   }
 
-  private markMetSuspects(upstream: string, added: PlacementRecord): void {
+  private markMet(upstream: string, added: PlacementRecord): void {
     const {suspect = ''} = added.placement;
-    if (suspect === '') return;
     for (const record of this.byUpstream.get(upstream) ?? []) {
-      if (!isOther(record.placement, suspect)) continue;
+      record.hasMetOther = true;
+      added.hasMetOther = true;
+      if (suspect === '' || !isOther(record.placement, suspect)) continue;
       record.hasMetSuspect = true;
       added.hasMetSuspect = true;
     }
--- /dev/null
+++ b/packages/requests/src/complete_run.ts
@@ -0,0 +1,6 @@
+/** Attempt of a request that ended with its whole answer. */
+export interface CompleteRun {
+  /** Monotonic time, in milliseconds. */
+  readonly startedAtMs: number;
+  readonly traits: ReadonlySet<string>;
+}
--- a/packages/requests/src/compute_record_hash.ts
+++ b/packages/requests/src/compute_record_hash.ts
@@ -1,3 +1,4 @@
+import {BLOCK_TIMES_MS} from './block_times.js';
 import type {SuspectRecord} from './suspect_record.js';
 
 const FNV_OFFSET = 0x811c9dc5;
@@ -8,9 +9,12 @@
   fingerprint,
   generation,
   crashes,
-  isBlocked,
+  blocks,
 }: Omit<SuspectRecord, 'expiresAtMs' | 'hash'>): number {
-  const text = `${fingerprint} ${generation} ${crashes} ${isBlocked}`;
+  const isFinal = blocks === BLOCK_TIMES_MS.length;
+  // Hosts of earlier versions know final blocks and none.
+  const block = blocks === 0 || isFinal ? isFinal : blocks;
+  const text = `${fingerprint} ${generation} ${crashes} ${block}`;
   let hash = FNV_OFFSET;
   for (let at = 0; at < text.length; at++) {
     hash = Math.imul(hash ^ text.charCodeAt(at), FNV_PRIME);
--- a/packages/requests/src/count_causes.test.ts
+++ b/packages/requests/src/count_causes.test.ts
@@ -13,6 +13,7 @@
       request,
       parts: [],
       scopes: [],
+      wasAlone: true,
       startedAtMs: 0,
       crashedAtMs: atMs,
     })),
--- a/packages/requests/src/crash_evidence.test.ts
+++ b/packages/requests/src/crash_evidence.test.ts
@@ -26,7 +26,7 @@
     expect(evidence.assess(NONE, SETTLED_MS)).to.deep.equal([]);
     crash(evidence, 'u3', ['first', 'bad'], 3);
     expect(evidence.assess(NONE, SETTLED_MS)).to.deep.equal([
-      {traits: ['bad'], crashes: 3, isConfirmed: true, isProven: true},
+      {traits: ['bad'], crashes: 3, isConfirmed: true},
     ]);
   });
 
@@ -40,6 +40,7 @@
         request,
         ...describeParts(['batch']),
         crashedAtMs,
+        wasAlone: false,
       };
       evidence.recordCrash({...report, startedAtMs: at}, 200 + at);
     }
@@ -244,8 +245,9 @@
           const calls = bystanders.map(nameParts).map(describeCall);
           for (const one of [call, ...calls]) {
             const request = one.scopes.join(' ');
-            const crash = {upstream, request, ...one, crashedAtMs: nowMs};
-            evidence.recordCrash({...crash, startedAtMs: nowMs - 0.5}, nowMs);
+            const times = {startedAtMs: nowMs - 0.5, crashedAtMs: nowMs};
+            const crash = {upstream, request, ...one, ...times};
+            evidence.recordCrash({...crash, wasAlone: true}, nowMs);
           }
           for (const {traits, isConfirmed} of evidence.assess(
             new Set(),
@@ -267,7 +269,7 @@
       const content = {...call, method, target: `/a?at=${at}`};
       const scopes = describeScopes(content);
       const report = {upstream: `u${at}`, request: method, scopes, parts: []};
-      const times = {startedAtMs: at - 0.5, crashedAtMs: at};
+      const times = {startedAtMs: at - 0.5, crashedAtMs: at, wasAlone: true};
       evidence.recordCrash({...report, ...times}, at);
     }
     const [suspicion] = evidence.assess(NONE, SETTLED_MS);
@@ -286,7 +288,10 @@
   request = `request ${parts.join(' ')} at ${nowMs}`,
 ): void {
   const startedAtMs = nowMs - 0.5;
-  const crash = {upstream, request, startedAtMs, crashedAtMs: nowMs};
+  const crash = {
+    ...{upstream, request, startedAtMs},
+    ...{crashedAtMs: nowMs, wasAlone: true},
+  };
   evidence.recordCrash({...crash, ...describeParts(parts)}, nowMs);
 }
 
--- a/packages/requests/src/crash_evidence.ts
+++ b/packages/requests/src/crash_evidence.ts
@@ -1,5 +1,6 @@
 import {AnswerWeights} from './answer_weights.js';
 import {areEqualSets} from './are_equal_sets.js';
+import type {CompleteRun} from './complete_run.js';
 import {countCauses} from './count_causes.js';
 import {countRequests} from './count_requests.js';
 import {groupByAttempts} from './group_by_attempts.js';
@@ -15,6 +16,7 @@
 const MAX_CRASHES = 1_024;
 /** Bounds the memory and the time of an assessment where prompts have many parts. */
 const MAX_CRASH_TRAITS = 32_768;
+const MAX_RUNS = 512;
 /** Crashes from which traits are suspected. */
 const MIN_CRASHES = 3;
 /** Different requests under which a part crashed upstreams, before it is suspected. */
@@ -31,6 +33,8 @@
 const MAX_UNPROVEN_CRASHES = 5;
 /** Time in which the reports of all hosts on a crash arrive. */
 const SETTLE_MS = 80;
+/** Time in which reports also arrive that are late. */
+const LATE_MS = 2_000;
 /** Attempts that were started within this time count as simultaneous. */
 const SIMULTANEOUS_MS = 500;
 
@@ -50,6 +54,9 @@
   /** Traits of these crashes. */
   private crashTraits: ReadonlySet<string> = new Set();
   private lastCrashAtMs = -Infinity;
+  /** Latest complete answers to requests that have traits of these crashes. */
+  private runs: CompleteRun[] = [];
+  private runTraits = 0;
   private readonly answers = new AnswerWeights();
 
   /** Records what a host saw of a crash. */
@@ -70,9 +77,16 @@
     weight: number,
     nowMs: number,
   ): void {
-    for (const trait of listTraits(traits)) {
+    const names = listTraits(traits);
+    for (const trait of names) {
       this.answers.record(trait, startedAtMs, weight, nowMs);
     }
+    if (!this.mayExplain(traits, nowMs)) return;
+    this.runs.push({startedAtMs, traits: new Set(names)});
+    this.runTraits += names.length;
+    while (this.runTraits > MAX_CRASH_TRAITS || this.runs.length > MAX_RUNS) {
+      this.runTraits -= this.runs.shift()?.traits.size ?? 0;
+    }
   }
 
   /** Whether a request with the trait got its whole answer at some time. */
@@ -80,9 +94,18 @@
     return this.answers.getLastStartMs(trait) > -Infinity;
   }
 
-  /** Holds no crash of an attempt that was started until now against a trait. */
-  forgive(trait: string, nowMs: number): void {
-    this.answers.record(trait, nowMs, 0, nowMs);
+  /**
+   * Whether a request with all traits of a group got its whole answer, in an attempt
+   * that was started after one of them under which an upstream crashed.
+   */
+  isContradicted(group: readonly string[]): boolean {
+    const starts = this.crashes
+      .filter(crash => hasAll(new Set(listTraits(crash)), group))
+      .map(({startedAtMs}) => startedAtMs);
+    const firstMs = Math.min(...starts);
+    return this.runs.some(
+      ({startedAtMs, traits}) => startedAtMs > firstMs && hasAll(traits, group),
+    );
   }
 
   /** Whether a recent crash may be explained by one of these traits. */
@@ -91,6 +114,57 @@
     return listTraits(traits).some(trait => this.crashTraits.has(trait));
   }
 
+  /** Time at which the latest crash of a request that ran alone tells what it proves. */
+  get provesAtMs(): number {
+    const times = this.crashes
+      .filter(crash => crash.wasAlone)
+      .map(({crashedAtMs}) => crashedAtMs + LATE_MS);
+    return Math.max(-Infinity, ...times);
+  }
+
+  /** Lists the requests under which upstreams crashed twice while they ran alone. */
+  listProven(nowMs: number): string[] {
+    const alone = this.crashes.filter(it => it.wasAlone);
+    const names = new Set(alone.map(({request}) => request));
+    return [...names].filter(name => {
+      const isSame = ({request}: TraitCrash): boolean => request === name;
+      return this.listAlone(isSame, nowMs).length >= MIN_PROOFS;
+    });
+  }
+
+  /**
+   * Whether upstreams crashed under different requests with all traits of a group while
+   * nothing else ran there, and some of the traits were in no complete answer.
+   */
+  isProven(group: readonly string[], nowMs: number): boolean {
+    const hasGroup = (report: TraitCrash): boolean =>
+      hasAll(new Set(listTraits(report)), group);
+    const reports = this.listAlone(hasGroup, nowMs);
+    const isPrompt = reports.some(({parts}) => parts.length > 0);
+    const names = reports.map(({scopes: [first], request}) =>
+      isPrompt ? (first ?? request) : request,
+    );
+    const minimum = isPrompt ? MIN_CAUSES : MIN_PROOFS;
+    if (new Set(names).size < minimum) return false;
+    return !group.every(trait => this.wasAnswered(trait));
+  }
+
+  /**
+   * Lists a report on each crash of an upstream that ran only requests of one sort, once
+   * all hosts would have told of others.
+   */
+  private listAlone(
+    isOfSort: (report: TraitCrash) => boolean,
+    nowMs: number,
+  ): TraitCrash[] {
+    const recent = this.listRecent(nowMs);
+    const others = recent.filter(it => !isOfSort(it));
+    return joinReports(recent.filter(isOfSort))
+      .filter(({atMs}) => nowMs - atMs >= LATE_MS)
+      .flatMap(({reports}) => reports.slice(0, 1))
+      .filter(it => it.wasAlone && !others.some(other => isNear(it, other)));
+  }
+
   /**
    * Lists the traits that explain crashes, the most suspect ones first.
    *
@@ -137,13 +211,13 @@
     isUnambiguous: boolean,
   ): TraitSuspicion {
     const crashes = candidate.crashes.size;
-    const isProven = this.isProven(candidate, traits);
-    const isCertain = isProven
+    const isCertain = this.hasNoOtherCauses(candidate, traits)
       ? hasRecurred(candidate, 0)
       : crashes >= MAX_UNPROVEN_CRASHES &&
         hasRecurred(candidate, SIMULTANEOUS_MS);
-    const isConfirmed = isUnambiguous && isCertain;
-    return {traits, crashes, isConfirmed, isProven};
+    const isConfirmed =
+      isUnambiguous && isCertain && !this.isContradicted(traits);
+    return {traits, crashes, isConfirmed};
   }
 
   private listRecent(nowMs: number): TraitCrash[] {
@@ -184,16 +258,16 @@
    * Whether answers tell that crashes under different requests have no other cause;
    * one request may be the cause itself.
    */
-  private isProven(
+  private hasNoOtherCauses(
     {crashes, isPart}: TraitCandidate,
     group: readonly string[],
   ): boolean {
     const names = new Set(group);
-    const proofs = [...crashes].filter(({reports}) =>
+    const unexplained = [...crashes].filter(({reports}) =>
       reports.every(report => this.hasNoOtherCause(report, names)),
     );
-    if (isPart) return countCauses(proofs, MIN_CAUSES) >= MIN_CAUSES;
-    return countRequests(group, proofs) >= MIN_PROOFS;
+    if (isPart) return countCauses(unexplained, MIN_CAUSES) >= MIN_CAUSES;
+    return countRequests(group, unexplained) >= MIN_PROOFS;
   }
 
   /**
@@ -216,6 +290,19 @@
   }
 }
 
+/** Whether two reports may tell of the same crash, also if one came late. */
+function isNear(one: TraitCrash, other: TraitCrash): boolean {
+  const apartMs = Math.abs(one.crashedAtMs - other.crashedAtMs);
+  return one.upstream === other.upstream && apartMs < LATE_MS;
+}
+
+function hasAll(
+  traits: ReadonlySet<string>,
+  group: readonly string[],
+): boolean {
+  return group.every(trait => traits.has(trait));
+}
+
 /** Lists the latest crashes that are kept, of those in the order of their news. */
 function listLatest(crashes: readonly TraitCrash[]): TraitCrash[] {
   let traits = 0;
--- a/packages/requests/src/crash_report.ts
+++ b/packages/requests/src/crash_report.ts
@@ -10,4 +10,6 @@
   readonly stateBefore: SuspectState;
   /** Whether the attempt ran as a suspect without other suspects beside it. */
   readonly wasIsolated: boolean;
+  /** Whether a lease of the upstream kept other suspects away. */
+  readonly hadLease: boolean;
 }
--- a/packages/requests/src/crash_status.ts
+++ b/packages/requests/src/crash_status.ts
@@ -9,7 +9,7 @@
   SUSPECT = 'suspect',
   /**
    * An upstream crashed while it was the only suspect there, or several did in
-   * a row; it is rejected until its record expires.
+   * a row; it is rejected for a while, and then a suspect again.
    */
   BLOCKED = 'condemned',
 }
--- a/packages/requests/src/crash_suspects.test.ts
+++ b/packages/requests/src/crash_suspects.test.ts
@@ -5,6 +5,7 @@
 const HOUR_MS = 3_600_000;
 const SEED = 1;
 const TABLE_SIZE = 4_096;
+const SHARED = {fingerprint: 'a', bodyBytes: 1, hadLease: true};
 
 describe('CrashSuspects', () => {
   it('marks a request suspect after one crash and blocked after a second one in isolation', () => {
@@ -31,6 +32,8 @@
         verdict: CrashStatus.CLEAR,
         generation: 9,
         crashes: 0,
+        blocks: 0,
+        blockedMs: 0,
         remainingMs: HOUR_MS,
       },
       0,
@@ -56,7 +59,7 @@
   it('counts attempts that were in flight together as one crash', () => {
     const suspects = new CrashSuspects();
     const stateBefore = suspects.findState(1, () => 'a', 0);
-    const report = {fingerprint: 'a', bodyBytes: 1, stateBefore};
+    const report = {...SHARED, stateBefore};
     for (let attempt = 0; attempt < 9; attempt++) {
       suspects.recordCrash({...report, wasIsolated: false}, 0);
     }
@@ -77,7 +80,7 @@
     recordCrash(suspects, 'a', false);
     const stateBefore = suspects.findState(1, () => 'a', 0);
     suspects.recordSuccess('a', 0);
-    const report = {fingerprint: 'a', bodyBytes: 1, stateBefore};
+    const report = {...SHARED, stateBefore};
     suspects.recordCrash({...report, wasIsolated: true}, 0);
     expect(findStatus(suspects, 'a')).to.equal(CrashStatus.SUSPECT);
   });
@@ -118,7 +121,13 @@
           const suspects = getHost(host);
           const fingerprint = `${request}a`;
           const stateBefore = suspects.findState(1, () => fingerprint, 0);
-          const report = {fingerprint, bodyBytes: 1, stateBefore, wasIsolated};
+          const report = {
+            ...SHARED,
+            fingerprint,
+            stateBefore,
+            wasIsolated,
+            hadLease: wasIsolated,
+          };
           const update = isSuccess
             ? suspects.recordSuccess(fingerprint, 0)
             : suspects.recordCrash(report, 0);
@@ -144,6 +153,8 @@
       verdict: CrashStatus.SUSPECT,
       generation: 1,
       crashes: 1,
+      blocks: 0,
+      blockedMs: 0,
       remainingMs: 100,
     };
     suspects.summarize(0);
@@ -196,7 +207,13 @@
   wasIsolated: boolean,
 ): void {
   const stateBefore = suspects.findState(1, () => fingerprint, 0);
-  const report = {fingerprint, bodyBytes: 1, stateBefore, wasIsolated};
+  const report = {
+    ...SHARED,
+    fingerprint,
+    stateBefore,
+    wasIsolated,
+    wasAlone: wasIsolated,
+  };
   suspects.recordCrash(report, 0);
 }
 
--- a/packages/requests/src/index.ts
+++ b/packages/requests/src/index.ts
@@ -3,7 +3,9 @@
  * of requests that crash upstreams.
  */
 export {AttemptFault} from './attempt_fault.js';
+export {BLOCK_TIMES_MS} from './block_times.js';
 export type {CallContent} from './call_content.js';
+export type {CrashBlock} from './crash_block.js';
 export {CrashEvidence} from './crash_evidence.js';
 export type {CrashReport} from './crash_report.js';
 export {CrashStatus} from './crash_status.js';
--- a/packages/requests/src/suspect_record.ts
+++ b/packages/requests/src/suspect_record.ts
@@ -15,7 +15,10 @@
   readonly generation: number;
   /** Successive crashes since then; 0 once it is cleared. */
   readonly crashes: number;
-  readonly isBlocked: boolean;
+  /** Number of times that requests were refused since then. */
+  readonly blocks: number;
+  /** Monotonic time until which requests are refused; 0 if they never were. */
+  readonly blockedUntilMs: number;
   /** Whether another host has told of the request. */
   readonly isKnownToPeers: boolean;
   /** Monotonic time at which the record expires, in milliseconds. */
--- a/packages/requests/src/suspect_update.ts
+++ b/packages/requests/src/suspect_update.ts
@@ -13,6 +13,10 @@
   readonly generation: number;
   /** Successive crashes since then. */
   readonly crashes: number;
+  /** Number of times that requests were refused since then. */
+  readonly blocks: number;
+  /** Time for which requests are refused; 0 if they are not. */
+  readonly blockedMs: number;
   /** Time until the record expires, in milliseconds. */
   readonly remainingMs: number;
 }
--- a/packages/requests/src/trait_crash.ts
+++ b/packages/requests/src/trait_crash.ts
@@ -5,6 +5,8 @@
   readonly upstream: string;
   /** SHA-256 that identifies the request, in hexadecimal. */
   readonly request: string;
+  /** Whether nothing else ran there, as far as the host knows. */
+  readonly wasAlone: boolean;
   /** Monotonic time at which the attempt started, in milliseconds. */
   readonly startedAtMs: number;
   /** Monotonic time at which the crash was noticed, in milliseconds. */
--- a/packages/requests/src/trait_suspicion.ts
+++ b/packages/requests/src/trait_suspicion.ts
@@ -12,6 +12,4 @@
    * that was started after another one, so that they do not tell of one outage.
    */
   readonly isConfirmed: boolean;
-  /** Whether all else that ran in one of the crashes is known to be sound. */
-  readonly isProven: boolean;
 }
