--- a/packages/daemon/src/gateway/attempts/crash_detector.ts
+++ b/packages/daemon/src/gateway/attempts/crash_detector.ts
@@ -148,6 +148,7 @@
       upstreams: crash.upstreams.join(' '),
       crashes: crash.stateBefore.crashes + 1,
       isIsolated: crash.wasIsolated,
+      isAlone: crash.wasAlone,
       isCondemned: status === CrashStatus.BLOCKED,
       fingerprint: shortenHash(
         context.suspects.computeFingerprint(this.subject),
--- a/packages/daemon/src/gateway/attempts/crash_fields.ts
+++ b/packages/daemon/src/gateway/attempts/crash_fields.ts
@@ -6,6 +6,8 @@
   readonly crashes: number;
   /** Whether the request ran without other suspects beside it. */
   readonly isIsolated: boolean;
+  /** Whether nothing else ran there, as far as this host knows. */
+  readonly isAlone: boolean;
   /** Whether it is refused from now on. */
   readonly isCondemned: boolean;
   /** First digits of the hash that identifies the request. */
--- a/packages/daemon/src/upstreams/suspect_log.ts
+++ b/packages/daemon/src/upstreams/suspect_log.ts
@@ -12,7 +12,7 @@
   ) {}
 
   record(
-    {fingerprint, traits, crashes, verdict}: SuspectUpdate,
+    {fingerprint, traits, crashes, verdict, blocks, blockedMs}: SuspectUpdate,
     source: SuspectSource,
   ): void {
     this.metrics.suspectUpdates.inc({status: verdict, source});
@@ -20,6 +20,7 @@
       fingerprint: shortenHash(fingerprint),
       ...(traits.length > 0 && {traits: traits.map(shortenHash).join(' ')}),
       crashes,
+      ...(blocks > 0 && {blocks, blockedMs: Math.ceil(blockedMs)}),
       status: verdict,
       source,
     });
