Clear a part by the answer to its trial, whatever its host has seen

A part whose second block had ended would have run one prompt at a time for an hour though its prompts were answered: an answer cleared a block only beside a crash that the host still had in mind, of the last minute, and it is the third minute by then. Found by reading; the test "clears a part by the answer to a trial" failed before.

An answer to a request that was started after a block clears it, at each host that hears of it, and is told also where no crash is recent.

--- a/packages/daemon/src/upstreams/suspect_tracker.test.ts
+++ b/packages/daemon/src/upstreams/suspect_tracker.test.ts
@@ -111,6 +111,16 @@
     expect(block).to.include({blocks: 2, remainingMs: SECOND_BLOCK_MS});
   });
 
+  it('clears a part by the answer to a trial, also at a host that saw no crash', () => {
+    tracker.applyUpdate(describeBlock({blocks: 2, keptMs: HOUR_MS}));
+    nowMs += 10_000;
+    const prompt = describePrompt('own', 'part');
+    expect(tracker.findQuarantine(prompt)).not.to.equal('');
+    tracker.recordAnswer(prompt, OK, nowMs);
+    expect(tracker.findQuarantine(prompt)).to.equal('');
+    expect(published.at(-1)).to.include({verdict: 'clear', blocks: 0});
+  });
+
   it('does not take over a block of a peer that sound requests contradict', () => {
     crash(describePrompt('one', 'part'), false);
     const block = describeBlock({blocks: 1, keptMs: HOUR_MS});
--- a/packages/daemon/src/upstreams/trait_tracker.ts
+++ b/packages/daemon/src/upstreams/trait_tracker.ts
@@ -111,11 +111,13 @@
     const nowMs = this.clock.nowMs();
     const weight = this.countHosts();
     this.evidence.recordAnswer(traits, startedAtMs, weight, nowMs);
-    if (!this.evidence.mayExplain(traits, nowMs)) return;
+    const isOnTrial =
+      this.suspects.findTrial(listTraits(traits), nowMs) !== undefined;
+    if (!isOnTrial && !this.evidence.mayExplain(traits, nowMs)) return;
     const startedAgoMs = toAge(nowMs - startedAtMs);
     const [scopes, parts] = [[...traits.scopes], [...traits.parts]];
     this.publisher.publishTraitAnswer({scopes, parts, startedAgoMs});
-    this.applyCounterEvidence(traits);
+    this.clearSound(listTraits(traits), startedAtMs);
   }
 
   /** Applies what a peer saw of a crash. */
@@ -131,29 +133,30 @@
   /** Applies a complete answer of a peer. */
   applyAnswer({startedAgoMs, ...traits}: TraitAnswerMessage): void {
     const nowMs = this.clock.nowMs();
-    this.evidence.recordAnswer(traits, nowMs - startedAgoMs, 0, nowMs);
-    this.applyCounterEvidence(traits);
+    const startedAtMs = nowMs - startedAgoMs;
+    this.evidence.recordAnswer(traits, startedAtMs, 0, nowMs);
+    this.clearSound(listTraits(traits), startedAtMs);
   }
 
   /** Takes note of a group that a peer has blocked, or has cleared. */
   applyGroup(group: readonly string[]): void {
-    this.clearContradicted(group);
-    this.planAssessment();
-  }
-
-  private applyCounterEvidence(traits: RequestTraits): void {
-    this.clearContradicted(listTraits(traits));
-    this.planAssessment();
+    this.clearSound(group, -Infinity);
   }
 
-  /** Clears the groups of a request that are sound by what this host knows. */
-  private clearContradicted(names: readonly string[]): void {
+  /**
+   * Clears the groups of a request that are sound by what this host knows.
+   *
+   * @param answeredAtMs Start of the attempt that was answered; -Infinity if none was.
+   */
+  private clearSound(names: readonly string[], answeredAtMs: number): void {
     const updates = this.suspects.clearTraits(
       names,
+      answeredAtMs,
       group => this.evidence.isContradicted(group),
       this.clock.nowMs(),
     );
     for (const update of updates) this.onUpdate(update);
+    this.planAssessment();
   }
 
   /** Plans an assessment after something was learned. */
--- a/packages/requests/src/crash_suspects.ts
+++ b/packages/requests/src/crash_suspects.ts
@@ -183,18 +183,23 @@
   }
 
   /**
-   * Clears the groups that are blocked or on trial and that a request has.
+   * Clears the groups of a request with a complete answer that were on trial, and those
+   * that are known to be sound.
    *
-   * @param isSound Whether a group is known to be sound.
+   * @param startedAtMs Monotonic time at which its attempt started.
    * @return Updates to send to the peers.
    */
   clearTraits(
     traits: readonly string[],
+    startedAtMs: number,
     isSound: (group: readonly string[]) => boolean,
     nowMs: number,
   ): SuspectUpdate[] {
     return this.listGroups(traits, nowMs)
-      .filter(record => isSound(record.traits))
+      .filter(
+        ({traits: group, blockedUntilMs}) =>
+          startedAtMs >= blockedUntilMs || isSound(group),
+      )
       .map(record => this.store(clear(record), RECORD_TTL_MS, nowMs));
   }
 
