--- a/packages/daemon/src/upstreams/trait_tracker.ts
+++ b/packages/daemon/src/upstreams/trait_tracker.ts
@@ -185,11 +185,11 @@
   }
 
   private planNextAssessment(nowMs: number): void {
-    const {settledAtMs, suspicions, evidence} = this;
-    const {provesAtMs} = evidence;
+    const {settledAtMs, suspicions} = this;
+    const {dueAtMs} = this.evidence.findProofs(nowMs);
     const repeatAtMs =
       suspicions.length > 0 ? nowMs + MAX_ASSESSMENT_AGE_MS : Infinity;
-    const proofAtMs = nowMs < provesAtMs ? provesAtMs : Infinity;
+    const proofAtMs = nowMs < dueAtMs ? dueAtMs : Infinity;
     this.assessAtMs =
       nowMs < settledAtMs ? settledAtMs : Math.min(repeatAtMs, proofAtMs);
   }
@@ -212,10 +212,13 @@
     groups: readonly (readonly string[])[],
     nowMs: number,
   ): void {
+    const proofs = this.evidence.findProofs(nowMs);
     const proven = groups
-      .filter(group => this.evidence.isProven(group, nowMs))
+      // What was sound before is tried again.
+      .filter(group => !group.every(it => this.evidence.wasAnswered(it)))
+      .filter(group => proofs.hasGroup(group))
       .map(computeGroupFingerprint);
-    for (const name of [...proven, ...this.evidence.listProven(nowMs)]) {
+    for (const name of [...proven, ...proofs.listRequests()]) {
       const update = this.suspects.confirm(name, nowMs);
       if (update !== undefined) this.onUpdate(update);
     }
--- a/packages/requests/src/crash_evidence.ts
+++ b/packages/requests/src/crash_evidence.ts
@@ -2,8 +2,10 @@
 import {areEqualSets} from './are_equal_sets.js';
 import type {CompleteRun} from './complete_run.js';
 import {countCauses} from './count_causes.js';
+import {CrashProofs} from './crash_proofs.js';
 import {countRequests} from './count_requests.js';
 import {groupByAttempts} from './group_by_attempts.js';
+import {hasAll} from './has_all.js';
 import {joinReports} from './join_reports.js';
 import type {JoinedCrash} from './joined_crash.js';
 import {listTraits} from './list_traits.js';
@@ -33,8 +35,6 @@
 const MAX_UNPROVEN_CRASHES = 5;
 /** Time in which the reports of all hosts on a crash arrive. */
 const SETTLE_MS = 80;
-/** Time in which reports also arrive that are late. */
-const LATE_MS = 2_000;
 /** Attempts that were started within this time count as simultaneous. */
 const SIMULTANEOUS_MS = 500;
 
@@ -114,55 +114,9 @@
     return listTraits(traits).some(trait => this.crashTraits.has(trait));
   }
 
-  /** Time at which the latest crash of a request that ran alone tells what it proves. */
-  get provesAtMs(): number {
-    const times = this.crashes
-      .filter(crash => crash.wasAlone)
-      .map(({crashedAtMs}) => crashedAtMs + LATE_MS);
-    return Math.max(-Infinity, ...times);
-  }
-
-  /** Lists the requests under which upstreams crashed twice while they ran alone. */
-  listProven(nowMs: number): string[] {
-    const alone = this.crashes.filter(it => it.wasAlone);
-    const names = new Set(alone.map(({request}) => request));
-    return [...names].filter(name => {
-      const isSame = ({request}: TraitCrash): boolean => request === name;
-      return this.listAlone(isSame, nowMs).length >= MIN_PROOFS;
-    });
-  }
-
-  /**
-   * Whether upstreams crashed under different requests with all traits of a group while
-   * nothing else ran there, and some of the traits were in no complete answer.
-   */
-  isProven(group: readonly string[], nowMs: number): boolean {
-    const hasGroup = (report: TraitCrash): boolean =>
-      hasAll(new Set(listTraits(report)), group);
-    const reports = this.listAlone(hasGroup, nowMs);
-    const isPrompt = reports.some(({parts}) => parts.length > 0);
-    const names = reports.map(({scopes: [first], request}) =>
-      isPrompt ? (first ?? request) : request,
-    );
-    const minimum = isPrompt ? MIN_CAUSES : MIN_PROOFS;
-    if (new Set(names).size < minimum) return false;
-    return !group.every(trait => this.wasAnswered(trait));
-  }
-
-  /**
-   * Lists a report on each crash of an upstream that ran only requests of one sort, once
-   * all hosts would have told of others.
-   */
-  private listAlone(
-    isOfSort: (report: TraitCrash) => boolean,
-    nowMs: number,
-  ): TraitCrash[] {
-    const recent = this.listRecent(nowMs);
-    const others = recent.filter(it => !isOfSort(it));
-    return joinReports(recent.filter(isOfSort))
-      .filter(({atMs}) => nowMs - atMs >= LATE_MS)
-      .flatMap(({reports}) => reports.slice(0, 1))
-      .filter(it => it.wasAlone && !others.some(other => isNear(it, other)));
+  /** Returns what recent crashes prove. */
+  findProofs(nowMs: number): CrashProofs {
+    return new CrashProofs(this.listRecent(nowMs), nowMs);
   }
 
   /**
@@ -290,19 +244,6 @@
   }
 }
 
-/** Whether two reports may tell of the same crash, also if one came late. */
-function isNear(one: TraitCrash, other: TraitCrash): boolean {
-  const apartMs = Math.abs(one.crashedAtMs - other.crashedAtMs);
-  return one.upstream === other.upstream && apartMs < LATE_MS;
-}
-
-function hasAll(
-  traits: ReadonlySet<string>,
-  group: readonly string[],
-): boolean {
-  return group.every(trait => traits.has(trait));
-}
-
 /** Lists the latest crashes that are kept, of those in the order of their news. */
 function listLatest(crashes: readonly TraitCrash[]): TraitCrash[] {
   let traits = 0;
