Hold answers of before against no part that has turned bad since

A part under which an upstream had crashed once by chance would not have been blocked for a minute after it had turned bad: all prompts that had been answered since that crash spoke against it. Found by reading; the test "holds answers against a block, but not for a part that has turned bad since" failed before.

Answers refute a block only if fewer upstreams crashed after the latest of them than it takes to suspect the part. They need not hinder a block: a crash that an answer of a later attempt explains away was in no case counted.

--- a/packages/requests/src/crash_evidence.test.ts
+++ b/packages/requests/src/crash_evidence.test.ts
@@ -164,6 +164,23 @@
     expect(evidence.assess(NONE, nowMs)[0]?.traits).to.deep.equal(['turned']);
   });
 
+  it('holds answers against a block, but not for a part that has turned bad since', () => {
+    const evidence = new CrashEvidence();
+    const parts = ['first', 'turned'];
+    crash(evidence, 'u0', parts, 0);
+    expect(evidence.isContradicted(['turned'])).to.equal(false);
+    answer(evidence, parts, 10, 1, ANSWER_MS);
+    expect(evidence.isContradicted(['turned'])).to.equal(true);
+    expect(evidence.isContradicted(['other'])).to.equal(false);
+    for (const at of [1, 2, 3]) {
+      expect(evidence.isContradicted(['turned'])).to.equal(true);
+      crash(evidence, `u${at}`, parts, at * 1_000);
+    }
+    expect(evidence.isContradicted(['turned'])).to.equal(false);
+    const [turned] = evidence.assess(NONE, 3_000 + SETTLED_MS);
+    expect(turned?.isConfirmed).to.equal(true);
+  });
+
   it('blocks the crashing part in any traffic, and no request without it', () => {
     const sharedParts = fc.uniqueArray(fc.nat({max: 5}), {maxLength: 3});
     const step = fc.record({
--- a/packages/requests/src/crash_evidence.ts
+++ b/packages/requests/src/crash_evidence.ts
@@ -96,15 +96,21 @@
 
   /**
    * Whether a request with all traits of a group got its whole answer, in an attempt
-   * that was started after one of them under which an upstream crashed.
+   * that was started after others under which upstreams crashed, and too few upstreams
+   * crashed since to hold that the group has turned bad.
    */
   isContradicted(group: readonly string[]): boolean {
-    const starts = this.crashes
-      .filter(crash => hasAll(new Set(listTraits(crash)), group))
-      .map(({startedAtMs}) => startedAtMs);
-    const firstMs = Math.min(...starts);
-    return this.runs.some(
-      ({startedAtMs, traits}) => startedAtMs > firstMs && hasAll(traits, group),
+    const runs = this.runs.filter(({traits}) => hasAll(traits, group));
+    const lastMs = Math.max(...runs.map(({startedAtMs}) => startedAtMs));
+    const reports = this.crashes.filter(crash =>
+      hasAll(new Set(listTraits(crash)), group),
+    );
+    const later = reports.filter(
+      ({startedAtMs}) => startedAtMs > lastMs + SIMULTANEOUS_MS,
+    );
+    return (
+      reports.some(({startedAtMs}) => startedAtMs < lastMs) &&
+      joinReports(later).length < MIN_CRASHES
     );
   }
 
@@ -169,8 +175,7 @@
       ? hasRecurred(candidate, 0)
       : crashes >= MAX_UNPROVEN_CRASHES &&
         hasRecurred(candidate, SIMULTANEOUS_MS);
-    const isConfirmed =
-      isUnambiguous && isCertain && !this.isContradicted(traits);
+    const isConfirmed = isUnambiguous && isCertain;
     return {traits, crashes, isConfirmed};
   }
 
