Give a stream that is passed on no length

Cause: the head of the first upstream was passed on with its Content-Length, though the rest may come from another one whose events have more or fewer bytes (a line that tells of other weights, another text).

What is passed on as it arrives gets no length, so it is sent in chunks; a whole answer keeps one. Not mended: an upstream's own response that is complete by a wrong length.

--- a/packages/daemon/src/gateway/callers/response_writer.ts
+++ b/packages/daemon/src/gateway/callers/response_writer.ts
@@ -67,23 +67,28 @@
     }
   }
 
+  /**
+   * Starts a response that is passed on as it arrives. It gets no length, as it may go
+   * on at another upstream with more or fewer bytes.
+   */
   start(head: ResponseHead): void {
+    this.writeHead(head.status, dropContentLength(head.headers));
+  }
+
+  private writeHead(status: number, headers: string[]): void {
     const ownHeaders = this.response.getHeaders();
-    const headers = [...head.headers];
     for (const [name, value] of Object.entries(ownHeaders)) {
       headers.push(name, String(value));
     }
-    this.response.writeHead(head.status, headers);
+    this.response.writeHead(status, headers);
     this.response.flushHeaders();
   }
 
   /** Sends a complete response. */
   send(head: ResponseHead, body: Buffer): void {
     const headers = dropContentLength(head.headers);
-    this.start({
-      ...head,
-      headers: [...headers, 'Content-Length', String(body.length)],
-    });
+    headers.push('Content-Length', String(body.length));
+    this.writeHead(head.status, headers);
     this.rest = body;
     this.end();
   }
