--- a/packages/daemon/src/gateway/attempts/build_attempt_headers.ts
+++ b/packages/daemon/src/gateway/attempts/build_attempt_headers.ts
@@ -1,5 +1,6 @@
 import type {AttemptHeaderValues} from './attempt_header_values.js';
 import type {HeaderNames} from '../header_names.js';
+import {listReplacedHeaders} from './list_replaced_headers.js';
 import {listEndToEndHeaders} from '../upstreams/list_end_to_end_headers.js';
 
 /**
@@ -14,16 +15,7 @@
   values: AttemptHeaderValues,
   names: HeaderNames,
 ): string[] {
-  const excluded = new Set([
-    'content-length',
-    names.key,
-    names.account,
-    names.timeLimit,
-    names.expectedUpstream,
-    names.rank,
-    names.helpers,
-    names.lastEventId,
-  ]);
+  const excluded = new Set(listReplacedHeaders(names));
   const headers = listEndToEndHeaders(raw, excluded);
   const add = (name: string, value: string | number | undefined): void => {
     if (value !== undefined) headers.push(name, String(value));
--- a/packages/daemon/src/gateway/attempts/describe_subject.ts
+++ b/packages/daemon/src/gateway/attempts/describe_subject.ts
@@ -4,6 +4,7 @@
 import {readPartIds} from '../callers/read_part_ids.js';
 import type {HeaderNames} from '../header_names.js';
 import type {SuspectSubject} from '../../upstreams/suspect_subject.js';
+import {listReplacedHeaders} from './list_replaced_headers.js';
 import {listEndToEndHeaders} from '../upstreams/list_end_to_end_headers.js';
 
 /**
@@ -38,17 +39,9 @@
 /** Lists the headers that tell requests apart, as `name: value`, sorted. */
 function listDetails(raw: readonly string[], names: HeaderNames): string[] {
   const excluded = new Set([
-    'content-length',
+    ...listReplacedHeaders(names),
     names.requestId,
-    names.key,
-    names.account,
-    names.timeLimit,
-    names.expectedUpstream,
-    names.rank,
-    names.helpers,
     names.promptParts,
-    // The rest of an answer is asked for by the same request.
-    names.lastEventId,
   ]);
   const headers = listEndToEndHeaders(raw, excluded);
   const details: string[] = [];
