--- a/review/lib-3/site.mjs
+++ b/review/lib-3/site.mjs
@@ -10,7 +10,12 @@
 import {tmpdir} from 'node:os';
 import {dirname, join} from 'node:path';
 import {performance} from 'node:perf_hooks';
-import {clearTimeout, setTimeout} from 'node:timers';
+import {
+  clearInterval,
+  clearTimeout,
+  setInterval,
+  setTimeout,
+} from 'node:timers';
 import {setTimeout as pause} from 'node:timers/promises';
 import {fileURLToPath} from 'node:url';
 
@@ -23,6 +28,7 @@
 const NET = `127.${randomInt(16, 250)}.${randomInt(1, 250)}`;
 const PORTS = {front: 8227, ready: 8220, directory: 8224, control: 8229};
 const PEER_PORT = 7340;
+const HEARTBEAT_MS = 1200;
 
 const startedAt = performance.now();
 
@@ -375,7 +381,7 @@
       DataDir: null,
       Discovery: 'platform',
       Entry: 'directory',
-      HeartbeatMs: 1200,
+      HeartbeatMs: HEARTBEAT_MS,
       Bounds: BOUNDS,
       Platform: {Address: storeAddress, form: 'read', ReadsPerS: 2000},
       ...changes,
@@ -504,6 +510,7 @@
   gateways = [];
   zones = ['zone-a', 'zone-b', 'zone-c'];
   #isStopped = false;
+  #checkIns = [];
 
   async addServer(id, service, answer) {
     const at = this.servers.length;
@@ -543,9 +550,41 @@
     await pause(1500);
   }
 
+  /**
+   * Lets the servers check in every `HeartbeatMs`, and the store drop the entries of
+   * those that have been silent for three of these intervals. A server with `isCut`
+   * does not reach the store.
+   *
+   * @param note Called when an entry is dropped or is back.
+   */
+  startCheckIns(note) {
+    const seenAtMs = new Map(this.servers.map(one => [one.id, now()]));
+    const listed = new Set(seenAtMs.keys());
+    this.#checkIns = this.servers.map((one, at) =>
+      setInterval(() => {
+        if (one.isCut) return;
+        seenAtMs.set(one.id, now());
+        this.store.put(`servers/${one.id}`, one.describe());
+        if (listed.has(one.id)) return;
+        listed.add(one.id);
+        note('an entry is back', {server: one.id});
+      }, HEARTBEAT_MS + at),
+    );
+    const expiry = setInterval(() => {
+      for (const [id, atMs] of seenAtMs) {
+        if (!listed.has(id) || now() - atMs < 3 * HEARTBEAT_MS) continue;
+        listed.delete(id);
+        this.store.remove(`servers/${id}`);
+        note('an entry has expired', {server: id});
+      }
+    }, 50);
+    this.#checkIns.push(expiry);
+  }
+
   stop() {
     if (this.#isStopped) return;
     this.#isStopped = true;
+    for (const timer of this.#checkIns) clearInterval(timer);
     for (const one of this.gateways) one.stop();
     for (const one of this.servers) one.stop();
     this.store.stop();
