--- a/review/lib-3/site.mjs
+++ b/review/lib-3/site.mjs
@@ -28,7 +28,8 @@
 const NET = `127.${randomInt(16, 250)}.${randomInt(1, 250)}`;
 const PORTS = {front: 8227, ready: 8220, directory: 8224, control: 8229};
 const PEER_PORT = 7340;
-const HEARTBEAT_MS = 1200;
+/** Interval at which servers check in. */
+export const HEARTBEAT_MS = 1200;
 
 const startedAt = performance.now();
 
@@ -560,7 +561,7 @@
   startCheckIns(note) {
     const seenAtMs = new Map(this.servers.map(one => [one.id, now()]));
     const listed = new Set(seenAtMs.keys());
-    this.#checkIns = this.servers.map((one, at) =>
+    this.#checkIns = this.servers.map(one =>
       setInterval(() => {
         if (one.isCut) return;
         seenAtMs.set(one.id, now());
@@ -568,7 +569,7 @@
         if (listed.has(one.id)) return;
         listed.add(one.id);
         note('an entry is back', {server: one.id});
-      }, HEARTBEAT_MS + at),
+      }, HEARTBEAT_MS),
     );
     const expiry = setInterval(() => {
       for (const [id, atMs] of seenAtMs) {
