--- a/review/lib-3/site.mjs
+++ b/review/lib-3/site.mjs
@@ -613,6 +613,7 @@
     writeFileSync(join(folder, 'record.txt'), `${record.join('\n')}\n`);
     process.exit(code);
   };
+  process.on('exit', () => site.stop());
   process.on('SIGTERM', finish);
   process.on('SIGINT', finish);
   try {
