Refuse no request after one crash at a host that has just started

What callers saw: a stream whose upstream crashed was cut off instead of going on elsewhere, and for some seconds the same request was refused with 503, at a host that had started less than two seconds before.

Cause: a record without a block has `blockedUntilMs` 0, and a host leaves the trial after a block to others for up to 2 s. Whether a request is blocked was asked for the monotonic time less that delay, which is negative in the first seconds of a process, so that 0 counted as still to come.

Change: a record that was never blocked is not blocked at any time.

--- a/packages/requests/src/crash_suspects.test.ts
+++ b/packages/requests/src/crash_suspects.test.ts
@@ -18,6 +18,15 @@
     expect(findStatus(suspects, 'a')).to.equal(CrashStatus.BLOCKED);
   });
 
+  // Streams of a crashed upstream were cut off by hosts that had just started.
+  it('blocks no request after one crash in the first seconds of a host', () => {
+    const suspects = new CrashSuspects(1_500);
+    recordCrash(suspects, 'a', false);
+    expect(findStatus(suspects, 'a')).to.equal(CrashStatus.SUSPECT);
+    recordCrash(suspects, 'a', true);
+    expect(findStatus(suspects, 'a')).to.equal(CrashStatus.BLOCKED);
+  });
+
   it('clears a suspect that succeeds in isolation and never clears a blocked request', () => {
     const suspects = new CrashSuspects();
     recordCrash(suspects, 'a', false);
--- a/packages/requests/src/find_status.ts
+++ b/packages/requests/src/find_status.ts
@@ -3,9 +3,9 @@
 
 /** Returns what a record says of its requests at a time. */
 export function findStatus(
-  {blockedUntilMs, crashes}: SuspectRecord,
+  {blocks, blockedUntilMs, crashes}: SuspectRecord,
   nowMs: number,
 ): CrashStatus {
-  if (nowMs < blockedUntilMs) return CrashStatus.BLOCKED;
+  if (blocks > 0 && nowMs < blockedUntilMs) return CrashStatus.BLOCKED;
   return crashes > 0 ? CrashStatus.SUSPECT : CrashStatus.CLEAR;
 }
