Read lines of event streams that end with a carriage return

What callers saw: a stream whose lines end with a carriage return alone, which the HTML standard allows, came as an empty stream that ends as complete if it went on elsewhere, and as one that was cut off otherwise. A stream with one blank line more behind its last event was cut off as one that ends inside an event.

Cause: the end of an event was looked for by line feeds alone, and a blank line at the start of an event did not end anything.

The new tests of EventCursor fail on the code before.

Change: `EventSplitter` knows the three line ends. Where returns alone end the lines an event is passed on with its second return; after other line ends a line feed may follow, so that such an event waits for the next byte or for the end of the stream.

--- a/packages/daemon/src/gateway/attempts/forward_session.ts
+++ b/packages/daemon/src/gateway/attempts/forward_session.ts
@@ -191,24 +191,21 @@
   }
 
   onData(chunk: Buffer): void {
-    const events = this.response.append(chunk);
-    if (events.length > 0) this.relay(events);
+    this.relay(this.response.append(chunk));
     const {fault} = this.response;
     if (fault !== undefined) this.abortAttempt(AttemptOutcome.BROKEN, fault);
   }
 
   onEnd(reported: AttemptOutcome, detail: string): void {
     if (this.hasEnded) return;
-    const {head, endsInsideEvent} = this.response;
-    if (reported !== AttemptOutcome.ANSWERED) {
-      this.handleEnd(reported, detail);
-    } else if (endsInsideEvent) {
-      this.handleEnd(AttemptOutcome.BROKEN, 'stream ended inside an event');
-    } else if (head?.endsWithConnection === true) {
-      void this.guard(() => this.confirmEnd());
-    } else {
-      this.handleEnd(reported, detail);
+    if (reported === AttemptOutcome.ANSWERED) {
+      this.relay(this.response.finishEvents());
     }
+    const {head, flaw} = this.response;
+    if (reported !== AttemptOutcome.ANSWERED) this.handleEnd(reported, detail);
+    else if (flaw) this.handleEnd(AttemptOutcome.BROKEN, flaw);
+    else if (head?.endsWithConnection !== true) this.handleEnd(reported, '');
+    else void this.guard(() => this.confirmEnd());
   }
 
   /**
@@ -322,6 +319,7 @@
   }
 
   private relay(events: Buffer): void {
+    if (events.length === 0) return;
     this.holder.discard();
     this.inactivityTimer.awaitEvent();
     this.placer.recordEvents();
--- a/packages/daemon/src/gateway/attempts/received_response.ts
+++ b/packages/daemon/src/gateway/attempts/received_response.ts
@@ -51,8 +51,12 @@
     );
   }
 
-  get endsInsideEvent(): boolean {
-    return this.isStreaming && this.cursor.hasPartialEvent;
+  /** Why what has arrived is no whole response; undefined if it may be one. */
+  get flaw(): string | undefined {
+    if (!this.isStreaming || this.fault !== undefined) return this.fault;
+    return this.cursor.hasPartialEvent
+      ? 'stream ended inside an event'
+      : undefined;
   }
 
   /** Event after which a further attempt goes on. */
@@ -90,6 +94,11 @@
     return NO_EVENTS;
   }
 
+  /** @return The event that the end of a whole stream completes, if there is one. */
+  finishEvents(): Buffer {
+    return this.isStreaming ? this.cursor.finish() : NO_EVENTS;
+  }
+
   /** Returns the body of a response that is not streamed. */
   readBody(): Buffer {
     return this.buffer.join();
--- a/packages/forwarding/src/event_cursor.test.ts
+++ b/packages/forwarding/src/event_cursor.test.ts
@@ -126,6 +126,48 @@
     expect(cursor.hasPartialEvent).to.equal(false);
   });
 
+  // A stream whose lines end with a carriage return came to callers as an empty one.
+  it('returns each event as soon as its blank line is there, with all line ends', () => {
+    for (const end of ['\n', '\r', '\r\n']) {
+      const [first, second] = [makeEvent(1, end), makeEvent(2, end)];
+      const cursor = new EventCursor();
+      for (const event of [first, second]) {
+        expect(cursor.append(Buffer.from(event)).toString()).to.equal(event);
+        expect(cursor.hasPartialEvent).to.equal(false);
+      }
+    }
+  });
+
+  it('returns all events of a whole stream, however their lines end', () => {
+    const lineEnd = fc.constantFrom('\n', '\r', '\r\n');
+    fc.assert(
+      fc.property(
+        fc.array(fc.tuple(lineEnd, lineEnd, lineEnd), {maxLength: 6}),
+        fc.array(fc.nat(), {maxLength: 9}),
+        (drawn, splitPoints) => {
+          const text = drawn
+            // A return and a line feed are one line end.
+            .filter(([, b, c]) => b + c !== '\r\n')
+            .map(([a, b, c], at) => `id: ${at}${a}data: x${b}${c}`)
+            .join('');
+          const cursor = new EventCursor();
+          const body = readChunks(cursor, text, splitPoints);
+          const last = cursor.finish().toString();
+          expect(body + last).to.equal(text);
+          expect(cursor.hasPartialEvent).to.equal(false);
+        },
+      ),
+      {seed: 3, numRuns: 500},
+    );
+  });
+
+  it('takes a blank line more for the end of no event', () => {
+    const cursor = new EventCursor();
+    const text = `${makeEvent(1)}\n`;
+    expect(cursor.append(Buffer.from(text)).toString()).to.equal(text);
+    expect(cursor.hasPartialEvent).to.equal(false);
+  });
+
   it('reports a stream that stopped inside an event', () => {
     const cursor = new EventCursor();
     cursor.append(Buffer.from(`${makeEvent(1)}id: 2\nda`));
--- a/packages/forwarding/src/event_cursor.ts
+++ b/packages/forwarding/src/event_cursor.ts
@@ -1,29 +1,18 @@
-import {PieceBuffer} from './piece_buffer.js';
+import {EventSplitter} from './event_splitter.js';
 
-const LINE_FEED = 0x0a;
-const CARRIAGE_RETURN = 0x0d;
 /** Maximum length of an event that is not yet terminated by its blank line. */
 const MAX_EVENT_BYTES = 1_048_576;
 /** A line that is neither a field nor a comment of an event. */
 const FOREIGN_LINE = /^(?!(?:data|event|id|retry)\r?$)[^:\r\n]+\r?$/m;
 const DATA_LINE = /^data(?::|\r?$)/m;
 
-/** Place of the next byte of an event, by what it takes to end the event. */
-enum LinePlace {
-  IN_LINE = 'in_line',
-  LINE_START = 'line_start',
-  /** Behind a carriage return that starts a line. */
-  BLANK_LINE = 'blank_line',
-}
-
 /**
  * Splits a stream of server-sent events into complete events and returns each
  * one once. After a failure, the stream resumes on another upstream after the
  * last complete event.
  */
 export class EventCursor {
-  private readonly pending = new PieceBuffer();
-  private place = LinePlace.IN_LINE;
+  private readonly splitter = new EventSplitter();
   private returnedId: number | undefined;
   private returnedCount = 0;
   private requiresIds = false;
@@ -48,7 +37,7 @@
 
   /** Whether the bytes received so far end inside an event. */
   get hasPartialEvent(): boolean {
-    return this.pending.length > 0;
+    return this.splitter.pendingBytes > 0;
   }
 
   /** Whether the bytes since the last `resume` are no part of the stream. */
@@ -58,7 +47,7 @@
 
   /** The bytes received so far of an event that is not complete. */
   get partialEvent(): Buffer {
-    return this.pending.join();
+    return this.splitter.partialEvent;
   }
 
   /**
@@ -69,22 +58,19 @@
    * @return The complete events that the caller has not received yet, up to a fault.
    */
   append(chunk: Buffer): Buffer {
-    const events: Buffer[] = [];
-    let start = 0;
-    let end = this.findEventEnd(chunk, start);
-    while (end > 0 && !this.isFaulty) {
-      const event = this.completeEvent(chunk.subarray(start, end));
-      const text = event.toString('latin1');
-      const id = parseEventId(text);
-      if (!this.isPart(text, id)) this.isFaulty = true;
-      else if (this.advanceTo(id)) events.push(event);
-      start = end;
-      end = this.findEventEnd(chunk, start);
-    }
-    this.pending.append(chunk.subarray(start));
-    if (this.pending.length > MAX_EVENT_BYTES) this.isFaulty = true;
-    const [first] = events;
-    return events.length === 1 && first ? first : Buffer.concat(events);
+    const events = this.take(this.splitter.split(chunk));
+    if (this.splitter.pendingBytes > MAX_EVENT_BYTES) this.isFaulty = true;
+    return events;
+  }
+
+  /**
+   * Ends the answer, if it is whole.
+   *
+   * @return The event that its end completes, if there is one.
+   */
+  finish(): Buffer {
+    const last = this.splitter.takeLast();
+    return last.length > 0 ? this.take([last]) : last;
   }
 
   /**
@@ -92,7 +78,7 @@
    * of a resumed stream name their place in it if the earlier ones did.
    */
   resume(): void {
-    this.setPending(Buffer.alloc(0));
+    this.splitter.restart(Buffer.alloc(0));
     this.requiresIds = this.returnedCount > 0;
     this.isFaulty = false;
   }
@@ -103,52 +89,23 @@
    * @param partialEvent What that one had sent of an event that was not complete.
    */
   restore(partialEvent: Buffer): void {
-    this.setPending(partialEvent);
+    this.splitter.restart(partialEvent);
     this.requiresIds = false;
     this.isFaulty = false;
   }
 
-  private setPending(partialEvent: Buffer): void {
-    this.pending.clear();
-    this.pending.append(partialEvent);
-    this.place = LinePlace.IN_LINE;
-    this.findEventEnd(partialEvent, 0);
-  }
-
-  /** Returns the event that these bytes complete. */
-  private completeEvent(lastBytes: Buffer): Buffer {
-    if (this.pending.length === 0) return lastBytes;
-    this.pending.append(lastBytes);
-    return this.pending.take();
-  }
-
-  /**
-   * Looks for the blank line that ends the event. No byte is looked at twice, in
-   * however many chunks the event comes.
-   *
-   * @return Where the event ends in the chunk; 0 if it does not end there.
-   */
-  private findEventEnd(chunk: Buffer, from: number): number {
-    let at = from;
-    while (at < chunk.length) {
-      const byte = chunk[at];
-      if (this.place === LinePlace.IN_LINE) {
-        const lineEnd = chunk.indexOf(LINE_FEED, at);
-        if (lineEnd < 0) return 0;
-        at = lineEnd;
-        this.place = LinePlace.LINE_START;
-      } else if (byte === LINE_FEED) {
-        this.place = LinePlace.IN_LINE;
-        return at + 1;
-      } else if (
-        byte === CARRIAGE_RETURN &&
-        this.place === LinePlace.LINE_START
-      ) {
-        this.place = LinePlace.BLANK_LINE;
-      } else this.place = LinePlace.IN_LINE;
-      at++;
+  /** Returns the events that are to be passed on, up to a fault. */
+  private take(events: Iterable<Buffer>): Buffer {
+    const taken: Buffer[] = [];
+    for (const event of events) {
+      if (this.isFaulty) break;
+      const text = event.toString('latin1');
+      const id = parseEventId(text);
+      if (!this.isPart(text, id)) this.isFaulty = true;
+      else if (this.advanceTo(id)) taken.push(event);
     }
-    return 0;
+    const [first] = taken;
+    return taken.length === 1 && first ? first : Buffer.concat(taken);
   }
 
   private isPart(event: string, id: number | undefined): boolean {
