Treat event ids as opaque texts

Ids that were not digits counted as none, and the events of two runs were joined.

Cause: an id was read with `Number()`, compared as a double with the last one at every event, and written anew for the next upstream. An id is an opaque text: by the HTML standard the value of the last `id` field of an event, which is sent back as it came. The users' pages promise only that ids increase.

What a host needs of ids: to name the last event to the next upstream, and to see where that one goes on. So the events of one upstream are no longer compared, and all of them are passed on. What a further upstream sends is compared for equality with the events that were passed on: it may repeat them to the byte, up to the last one; if the bytes differ, it is another run, and is not joined. A caller's `Last-Event-Id` is passed on as it came, all lines of it, until the host resumes the stream itself. The order of ids is asked for in one case only, to give up: a caller that resumes has events that the host has never seen, and where ids are counts one that is too small shows a run that starts over.

Ruled out: BigInt in place of doubles, which would have been one more form of id; a set of ids alone, by which events of another run with the same ids were dropped as repeated ones.

--- a/packages/daemon/src/gateway/attempts/attempt_header_values.ts
+++ b/packages/daemon/src/gateway/attempts/attempt_header_values.ts
@@ -4,8 +4,11 @@
   readonly upstreamId: string;
   readonly account: string | undefined;
   readonly leftMs: number;
-  /** Event to resume after; undefined to start from the beginning. */
-  readonly lastEventId: number | undefined;
+  /**
+   * Id of the event to resume after, as its upstream sent it; undefined to start where
+   * the caller asked for.
+   */
+  readonly lastEventId: string | undefined;
   /**
    * Scheduling rank at the engine, 0 to 9; undefined for services without
    * engines.
--- a/packages/daemon/src/gateway/attempts/attempt_sender.ts
+++ b/packages/daemon/src/gateway/attempts/attempt_sender.ts
@@ -55,7 +55,7 @@
   }
 
   /** @param lastEventId Event after which the response goes on. */
-  send(placed: PlacedAttempt, lastEventId: number | undefined): void {
+  send(placed: PlacedAttempt, lastEventId: string | undefined): void {
     const {context} = this;
     if (this.placer.isEvacuated(placed)) {
       this.withdraw();
@@ -134,7 +134,7 @@
   private async sendReserved(
     placed: PlacedAttempt,
     reserved: PromptReservations,
-    lastEventId: number | undefined,
+    lastEventId: string | undefined,
   ): Promise<void> {
     const unresponsive = await reserved.reserveAll();
     await handlePendingInput();
@@ -150,7 +150,7 @@
     }
   }
 
-  private start(placed: PlacedAttempt, lastEventId: number | undefined): void {
+  private start(placed: PlacedAttempt, lastEventId: string | undefined): void {
     const {context} = this;
     if (!this.placer.confirmSend(placed)) {
       const detail = 'upstream is cold, and the attempt waited for too long';
--- a/packages/daemon/src/gateway/attempts/build_attempt_headers.ts
+++ b/packages/daemon/src/gateway/attempts/build_attempt_headers.ts
@@ -5,7 +5,8 @@
 
 /**
  * Builds the headers of an attempt: the caller's end-to-end headers, without
- * those that only this host may set, followed by this host's own.
+ * those that only this host may set, followed by this host's own. The caller's event
+ * ids go on as they came until the stream is resumed after another event.
  *
  * @param raw The caller's headers, names and values alternating.
  */
@@ -16,6 +17,7 @@
   names: HeaderNames,
 ): string[] {
   const excluded = new Set(listReplacedHeaders(names));
+  if (values.lastEventId === undefined) excluded.delete(names.lastEventId);
   const headers = listEndToEndHeaders(raw, excluded);
   const add = (name: string, value: string | number | undefined): void => {
     if (value !== undefined) headers.push(name, String(value));
--- a/packages/daemon/src/gateway/attempts/build_upstream_request.ts
+++ b/packages/daemon/src/gateway/attempts/build_upstream_request.ts
@@ -11,7 +11,7 @@
 /**
  * Builds what an attempt sends to its upstream.
  *
- * @param lastEventId Event to resume after; undefined to start from the beginning.
+ * @param lastEventId Event to resume after; undefined to start where the caller asked for.
  */
 export function buildUpstreamRequest(
   {metadata, headers, body}: ReceivedRequest,
@@ -19,7 +19,7 @@
   {choice, placement}: PlacedAttempt,
   reservations: PromptReservations | undefined,
   leftMs: number,
-  lastEventId: number | undefined,
+  lastEventId: string | undefined,
   names: HeaderNames,
 ): UpstreamRequest {
   const {id, method, target} = metadata;
--- a/packages/daemon/src/gateway/attempts/received_response.ts
+++ b/packages/daemon/src/gateway/attempts/received_response.ts
@@ -1,6 +1,7 @@
 import {
   AttemptOutcome,
   EventCursor,
+  isRepeatable,
   RequestKind,
   type Route,
 } from '@parsleywood/forwarding';
@@ -26,7 +27,7 @@
     private readonly context: GatewayContext,
   ) {
     this.buffer = new ResponseBuffer(context.bufferBudget);
-    this.cursor = new EventCursor(lastEventId);
+    this.cursor = new EventCursor(lastEventId, isRepeatable(route));
   }
 
   /** Status and headers of the attempt in progress. */
@@ -54,13 +55,17 @@
   /** Why what has arrived is no whole response; undefined if it may be one. */
   get flaw(): string | undefined {
     if (!this.isStreaming || this.fault !== undefined) return this.fault;
-    return this.cursor.hasPartialEvent
-      ? 'stream ended inside an event'
+    if (this.cursor.hasPartialEvent) return 'stream ended inside an event';
+    return this.cursor.isRepeating
+      ? 'resumed stream ended before the last event passed on'
       : undefined;
   }
 
-  /** Event after which a further attempt goes on. */
-  get lastEventId(): number | undefined {
+  /**
+   * Id of the event after which a further attempt goes on; undefined where it starts as
+   * the caller asked for.
+   */
+  get lastEventId(): string | undefined {
     return this.cursor.lastId;
   }
 
@@ -71,9 +76,7 @@
   /** Set when what has arrived cannot be passed on. */
   get fault(): string | undefined {
     if (!this.isStreaming) return this.buffer.fault;
-    return this.cursor.hasFault
-      ? 'response is not a valid event stream'
-      : undefined;
+    return this.cursor.streamFault;
   }
 
   /** Prepares for the response to a further attempt. */
--- a/packages/daemon/src/gateway/callers/read_request_metadata.ts
+++ b/packages/daemon/src/gateway/callers/read_request_metadata.ts
@@ -35,7 +35,7 @@
     maxAnswerTokens: readTokens(counts[1]),
     estimatedAnswerTokens: readTokens(read(names.answerEstimate)),
     promptParts: readSharedParts(read(names.promptParts) ?? ''),
-    lastEventId: readNumber(read(names.lastEventId)),
+    lastEventId: read(names.lastEventId),
   };
 }
 
--- a/packages/daemon/src/gateway/callers/request_metadata.ts
+++ b/packages/daemon/src/gateway/callers/request_metadata.ts
@@ -15,5 +15,6 @@
   readonly estimatedAnswerTokens: number;
   /** Ids of the parts of the prompt that other prompts may share. */
   readonly promptParts: readonly string[];
-  readonly lastEventId: number | undefined;
+  /** Id of the last event that the caller has, as it came: an opaque text. */
+  readonly lastEventId: string | undefined;
 }
--- a/packages/daemon/src/testing/gateway_process.ts
+++ b/packages/daemon/src/testing/gateway_process.ts
@@ -37,8 +37,14 @@
     });
   });
 
-  /** @param settings Settings of the host beside its addresses. */
-  constructor(private readonly settings: object) {}
+  /**
+   * @param settings Settings of the host beside its addresses.
+   * @param siteChanges Parts of the published site in place of its own.
+   */
+  constructor(
+    private readonly settings: object,
+    private readonly siteChanges: object = {},
+  ) {}
 
   get isRunning(): boolean {
     return this.process?.exitCode === null && this.process.signalCode === null;
@@ -132,6 +138,7 @@
           slots: 200,
         },
       ],
+      ...this.siteChanges,
     };
   }
 }
--- a/packages/forwarding/src/event_cursor.ts
+++ b/packages/forwarding/src/event_cursor.ts
@@ -1,32 +1,46 @@
+import type {EventFields} from './event_fields.js';
 import {EventSplitter} from './event_splitter.js';
+import {PassedEvents} from './passed_events.js';
+import {readEventFields} from './read_event_fields.js';
+import {ResumedRun} from './resumed_run.js';
+import {StreamFault} from './stream_fault.js';
 
 /** Maximum length of an event that is not yet terminated by its blank line. */
 const MAX_EVENT_BYTES = 1_048_576;
-/** A line that is neither a field nor a comment of an event. */
-const FOREIGN_LINE = /^(?!(?:data|event|id|retry)\r?$)[^:\r\n]+\r?$/m;
-const DATA_LINE = /^data(?::|\r?$)/m;
+const BYTE_ORDER_MARK = Buffer.from('\uFEFF');
 
 /**
- * Splits a stream of server-sent events into complete events and returns each
- * one once. After a failure, the stream resumes on another upstream after the
- * last complete event.
+ * Splits a stream of server-sent events into complete events and returns each one once.
+ * After a failure, the stream resumes on another upstream after the last complete event.
+ *
+ * Ids are opaque texts: those of one run are not compared, and a run that goes on
+ * elsewhere is asked for after the very text that its last event had.
  */
 export class EventCursor {
   private readonly splitter = new EventSplitter();
-  private returnedId: number | undefined;
+  private readonly passed = new PassedEvents();
+  private run: ResumedRun | undefined;
+  private fault: StreamFault | undefined;
+  private returnedId: string | undefined;
   private returnedCount = 0;
-  private requiresIds = false;
-  private isFaulty = false;
+  private hasReturned = false;
+  /** Whether no event has come since the stream began or was resumed. */
+  private isAtStart = true;
 
   /**
-   * @param afterId Id of the last event that the caller has already received.
+   * @param callerId Id of the last event that the caller has of an earlier response.
+   * @param isResumable Whether the stream may go on at another upstream.
    */
-  constructor(afterId?: number) {
-    this.returnedId = afterId;
-  }
+  constructor(
+    private readonly callerId?: string,
+    private readonly isResumable = true,
+  ) {}
 
-  /** Id of the last event returned, or `afterId` before the first one. */
-  get lastId(): number | undefined {
+  /**
+   * Id after which a further upstream is to go on, as it came; undefined where it starts
+   * as the first one did.
+   */
+  get lastId(): string | undefined {
     return this.returnedId;
   }
 
@@ -40,9 +54,18 @@
     return this.splitter.pendingBytes > 0;
   }
 
-  /** Whether the bytes since the last `resume` are no part of the stream. */
+  /** Whether events are missing that the upstream has to repeat before it goes on. */
+  get isRepeating(): boolean {
+    return this.run?.isRepeating ?? false;
+  }
+
+  /** Why the bytes since the last `resume` are no part of the stream. */
+  get streamFault(): StreamFault | undefined {
+    return this.fault;
+  }
+
   get hasFault(): boolean {
-    return this.isFaulty;
+    return this.fault !== undefined;
   }
 
   /** The bytes received so far of an event that is not complete. */
@@ -51,15 +74,15 @@
   }
 
   /**
-   * Adds the next bytes of the answer. They are no part of the stream where an event
-   * exceeds its maximum length or has lines that are no fields, or where an event
-   * without an id comes after a resumption.
+   * Adds the next bytes of the answer.
    *
    * @return The complete events that the caller has not received yet, up to a fault.
    */
   append(chunk: Buffer): Buffer {
     const events = this.take(this.splitter.split(chunk));
-    if (this.splitter.pendingBytes > MAX_EVENT_BYTES) this.isFaulty = true;
+    if (this.splitter.pendingBytes > MAX_EVENT_BYTES) {
+      this.fault ??= StreamFault.EVENT_TOO_LONG;
+    }
     return events;
   }
 
@@ -73,57 +96,64 @@
     return last.length > 0 ? this.take([last]) : last;
   }
 
-  /**
-   * Prepares for another upstream, which sends an incomplete event again. Events
-   * of a resumed stream name their place in it if the earlier ones did.
-   */
+  /** Prepares for another upstream, which sends an incomplete event again. */
   resume(): void {
-    this.splitter.restart(Buffer.alloc(0));
-    this.requiresIds = this.returnedCount > 0;
-    this.isFaulty = false;
+    this.begin(Buffer.alloc(0));
+    this.run =
+      this.returnedId === undefined
+        ? undefined
+        : new ResumedRun(this.passed, this.returnedId, this.callerId);
+    this.isAtStart = true;
   }
 
   /**
-   * Goes on with an earlier upstream.
+   * Goes on with the first upstream.
    *
    * @param partialEvent What that one had sent of an event that was not complete.
    */
   restore(partialEvent: Buffer): void {
+    this.begin(partialEvent);
+    this.run = undefined;
+    this.isAtStart = !this.hasReturned;
+  }
+
+  private begin(partialEvent: Buffer): void {
     this.splitter.restart(partialEvent);
-    this.requiresIds = false;
-    this.isFaulty = false;
+    this.fault = undefined;
   }
 
   /** Returns the events that are to be passed on, up to a fault. */
   private take(events: Iterable<Buffer>): Buffer {
     const taken: Buffer[] = [];
-    for (const event of events) {
-      if (this.isFaulty) break;
-      const text = event.toString('latin1');
-      const id = parseEventId(text);
-      if (!this.isPart(text, id)) this.isFaulty = true;
-      else if (this.advanceTo(id)) taken.push(event);
+    for (const whole of events) {
+      if (this.hasFault) break;
+      const event = this.isAtStart ? dropByteOrderMark(whole) : whole;
+      this.isAtStart = false;
+      const fields = readEventFields(event);
+      if (fields.isForeign) this.fault = StreamFault.NO_EVENT;
+      else if (this.run?.take(event, fields) === false) {
+        this.fault = this.run.fault;
+      } else {
+        this.recordReturned(event, fields);
+        taken.push(this.run === undefined ? whole : event);
+      }
     }
     const [first] = taken;
     return taken.length === 1 && first ? first : Buffer.concat(taken);
   }
 
-  private isPart(event: string, id: number | undefined): boolean {
-    if (FOREIGN_LINE.test(event)) return false;
-    return id !== undefined || !this.requiresIds || !DATA_LINE.test(event);
-  }
-
-  /** Advances to the event; false when the caller has already received it. */
-  private advanceTo(id: number | undefined): boolean {
-    if (id === undefined) return true;
-    if (this.returnedId !== undefined && id <= this.returnedId) return false;
+  private recordReturned(event: Buffer, {id}: EventFields): void {
+    this.hasReturned = true;
+    if (!id) return;
     this.returnedId = id;
     this.returnedCount++;
-    return true;
+    if (this.isResumable) this.passed.add(id, event);
   }
 }
 
-function parseEventId(event: string): number | undefined {
-  const match = /^id: ?(\d+)\r?$/m.exec(event);
-  return match === null ? undefined : Number(match[1]);
+function dropByteOrderMark(event: Buffer): Buffer {
+  const length = BYTE_ORDER_MARK.length;
+  return event.subarray(0, length).equals(BYTE_ORDER_MARK)
+    ? event.subarray(length)
+    : event;
 }
