Break off a stream whose place upstreams cannot be told

Cause: a stream was resumed whatever its events had been. Without an id to go on after, the next upstream was asked for the whole, and what it sent counted as new.

Change: `EventCursor` says why a stream cannot go on elsewhere: its last event has no id or takes one back, or one that a header cannot carry (blanks at its ends, control characters, more than 4 KB); several events share an id; more events came than are kept to recognise them. Then no further upstream is asked and the stream is cut off, so that the caller sees it, and a silent or leaving upstream is waited for as for any request that cannot be repeated.

Why this works: the host goes on elsewhere only with an id that names one event and arrives as it was sent.

--- a/packages/daemon/src/gateway/attempts/attempt_sender.ts
+++ b/packages/daemon/src/gateway/attempts/attempt_sender.ts
@@ -1,9 +1,5 @@
 import {setTimeout as pause} from 'node:timers/promises';
-import {
-  AttemptOutcome,
-  type RetryController,
-  type RouteMatch,
-} from '@parsleywood/forwarding';
+import {AttemptOutcome, type RouteMatch} from '@parsleywood/forwarding';
 import {handlePendingInput} from '../../host/handle_pending_input.js';
 import type {AttemptPlacer} from './attempt_placer.js';
 import {buildUpstreamRequest} from './build_upstream_request.js';
@@ -16,6 +12,7 @@
 import {recordRest} from '../upstreams/record_rest.js';
 import {ResponseSwitch} from './response_switch.js';
 import type {SentAttempt} from './sent_attempt.js';
+import type {SessionRetries} from './session_retries.js';
 import {UpstreamAttempt} from '../upstreams/upstream_attempt.js';
 
 const MISDIRECTED_STATUS = 421;
@@ -87,7 +84,7 @@
    * Ends the attempt once its upstream has left and is gone. One that may not be
    * repeated waits for an upstream that may be back.
    */
-  async checkDeparture({isRepeatable}: RetryController): Promise<void> {
+  async checkDeparture({isRepeatable}: SessionRetries): Promise<void> {
     const {attempt} = this;
     const {departureCheck} = this.context;
     const upstream = this.placer.currentAttempt?.choice.upstream;
--- a/packages/daemon/src/gateway/attempts/forward_session.ts
+++ b/packages/daemon/src/gateway/attempts/forward_session.ts
@@ -82,6 +82,7 @@
     this.failures = new SessionFailures(
       this.placer,
       this.retryController,
+      this.response,
       context.reach,
     );
     this.inactivityTimer = new InactivityTimer(
@@ -106,6 +107,7 @@
       this.placer,
       this.retryController,
       this.crashDetector,
+      this.response,
       () => this.getLeftMs(),
     );
     this.trial = new SuspectTrial(
@@ -177,7 +179,7 @@
 
   /** Ends the attempt in progress if its upstream has left and is gone. */
   checkDeparture(): void {
-    void this.guard(() => this.sender.checkDeparture(this.retryController));
+    void this.guard(() => this.sender.checkDeparture(this.retries));
   }
 
   onHead(head: ResponseHead): boolean {
--- a/packages/daemon/src/gateway/attempts/received_response.ts
+++ b/packages/daemon/src/gateway/attempts/received_response.ts
@@ -3,6 +3,7 @@
   EventCursor,
   isRepeatable,
   RequestKind,
+  type ResumeObstacle,
   type Route,
 } from '@parsleywood/forwarding';
 import type {GatewayContext} from '../gateway_context.js';
@@ -69,6 +70,11 @@
     return this.cursor.lastId;
   }
 
+  /** Why no further attempt could go on with the response. */
+  get resumeObstacle(): ResumeObstacle | undefined {
+    return this.cursor.resumeObstacle;
+  }
+
   get eventCount(): number {
     return this.cursor.count;
   }
--- a/packages/daemon/src/gateway/attempts/session_failures.ts
+++ b/packages/daemon/src/gateway/attempts/session_failures.ts
@@ -7,6 +7,7 @@
 import type {AttemptPlacer} from './attempt_placer.js';
 import {createCapacityFailure} from './create_capacity_failure.js';
 import {createStoppingFailure} from '../callers/create_stopping_failure.js';
+import type {ReceivedResponse} from './received_response.js';
 import type {ReachMonitor} from '../upstreams/reach_monitor.js';
 
 /** Retry-After of a response when no upstream could be reached. */
@@ -17,6 +18,7 @@
   constructor(
     private readonly placer: AttemptPlacer,
     private readonly retryController: RetryController,
+    private readonly response: ReceivedResponse,
     private readonly reach: ReachMonitor,
   ) {}
 
@@ -38,7 +40,7 @@
    * @param detail How the last one ended; empty if its upstream refused it.
    */
   createUnserved(detail: string): Failure {
-    const message = detail || 'upstream refused the request';
+    const message = this.explainEnd(detail || 'upstream refused the request');
     const waitMs = this.placer.planReturnAfterFailureMs();
     const {retryAfterMs: otherHostsMs = UNAVAILABLE_RETRY_MS} =
       this.reach.findRefusal() ?? {};
@@ -62,4 +64,12 @@
       ? createStoppingFailure()
       : new Failure(ErrorKind.UPSTREAM_FAILED, 'host is stopping', ran);
   }
+
+  /** Adds why no upstream could go on with a stream that broke off. */
+  private explainEnd(detail: string): string {
+    const {resumeObstacle} = this.response;
+    return this.retryController.isRepeatable && resumeObstacle !== undefined
+      ? `${detail}; the stream cannot go on elsewhere: ${resumeObstacle}`
+      : detail;
+  }
 }
--- a/packages/daemon/src/gateway/attempts/session_retries.ts
+++ b/packages/daemon/src/gateway/attempts/session_retries.ts
@@ -6,17 +6,22 @@
 import type {AttemptPlacer} from './attempt_placer.js';
 import type {CrashDetector} from './crash_detector.js';
 import type {GatewayContext} from '../gateway_context.js';
+import type {ReceivedResponse} from './received_response.js';
 
 /** Decides on the retries of one request by what this host knows. */
 export class SessionRetries {
   private withdrawn = 0;
 
-  /** @param getLeftMs Returns the time until the deadline of the request. */
+  /**
+   * @param response Tells whether a further attempt could go on with it.
+   * @param getLeftMs Returns the time until the deadline of the request.
+   */
   constructor(
     private readonly context: GatewayContext,
     private readonly placer: AttemptPlacer,
     private readonly retryController: RetryController,
     private readonly crashDetector: CrashDetector,
+    private readonly response: ReceivedResponse,
     private readonly getLeftMs: () => number,
   ) {}
 
@@ -25,6 +30,12 @@
     return this.retryController.attempts + this.withdrawn;
   }
 
+  /** Whether the request may run again, or what the caller has of it go on elsewhere. */
+  get isRepeatable(): boolean {
+    const {retryController, response} = this;
+    return retryController.isRepeatable && !response.resumeObstacle;
+  }
+
   /**
    * Whether a silent attempt is to be left for another upstream, or for another host
    * if this one reaches none.
@@ -33,6 +44,7 @@
     const {placer, retryController, context} = this;
     if (context.reach.isOutOfService) return retryController.isRepeatable;
     return (
+      this.isRepeatable &&
       retryController.attempts === 0 &&
       retryController.allowsRetryAfterCancel(this.getLeftMs()) &&
       context.retryBudgets.hasRetry(placer.service) &&
@@ -47,8 +59,9 @@
       this.withdrawn++;
       return NextStep.RETRY;
     }
-    const {context, placer, crashDetector} = this;
+    const {context, placer, crashDetector, response} = this;
     const hasUpstream =
+      response.resumeObstacle === undefined &&
       placer.hasUntriedUpstream &&
       !crashDetector.isBlocked &&
       context.reach.findRefusal() === undefined;
--- a/packages/forwarding/src/event_cursor.ts
+++ b/packages/forwarding/src/event_cursor.ts
@@ -1,12 +1,16 @@
 import type {EventFields} from './event_fields.js';
 import {EventSplitter} from './event_splitter.js';
+import {isHeaderValue} from './is_header_value.js';
 import {PassedEvents} from './passed_events.js';
 import {readEventFields} from './read_event_fields.js';
+import {ResumeObstacle} from './resume_obstacle.js';
 import {ResumedRun} from './resumed_run.js';
 import {StreamFault} from './stream_fault.js';
 
 /** Maximum length of an event that is not yet terminated by its blank line. */
 const MAX_EVENT_BYTES = 1_048_576;
+/** Upstreams refuse headers that are much longer. */
+const MAX_ID_BYTES = 4_096;
 const BYTE_ORDER_MARK = Buffer.from('\uFEFF');
 
 /**
@@ -24,6 +28,7 @@
   private returnedId: string | undefined;
   private returnedCount = 0;
   private hasReturned = false;
+  private idObstacle: ResumeObstacle | undefined;
   /** Whether no event has come since the stream began or was resumed. */
   private isAtStart = true;
 
@@ -68,6 +73,13 @@
     return this.fault !== undefined;
   }
 
+  /** Why no further upstream could go on with the stream. */
+  get resumeObstacle(): ResumeObstacle | undefined {
+    if (this.idObstacle !== undefined) return this.idObstacle;
+    if (this.passed.hasOverflowed) return ResumeObstacle.TOO_LONG;
+    return this.passed.hasRepeatedId ? ResumeObstacle.REPEATED_ID : undefined;
+  }
+
   /** The bytes received so far of an event that is not complete. */
   get partialEvent(): Buffer {
     return this.splitter.partialEvent;
@@ -142,8 +154,10 @@
     return taken.length === 1 && first ? first : Buffer.concat(taken);
   }
 
-  private recordReturned(event: Buffer, {id}: EventFields): void {
+  private recordReturned(event: Buffer, {id, hasData}: EventFields): void {
     this.hasReturned = true;
+    if (id === undefined && !hasData) return;
+    this.idObstacle = findIdObstacle(id);
     if (!id) return;
     this.returnedId = id;
     this.returnedCount++;
@@ -151,6 +165,15 @@
   }
 }
 
+/** Finds why a stream cannot go on after an event with this id. */
+function findIdObstacle(id: string | undefined): ResumeObstacle | undefined {
+  // By the HTML standard an empty id takes back the one before.
+  if (!id) return ResumeObstacle.NO_ID;
+  return id.length <= MAX_ID_BYTES && isHeaderValue(id)
+    ? undefined
+    : ResumeObstacle.UNTELLABLE_ID;
+}
+
 function dropByteOrderMark(event: Buffer): Buffer {
   const length = BYTE_ORDER_MARK.length;
   return event.subarray(0, length).equals(BYTE_ORDER_MARK)
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -39,6 +39,7 @@
 export {ReadSize} from './read_size.js';
 export {ReadTurn} from './read_turn.js';
 export {RequestKind} from './request_kind.js';
+export {ResumeObstacle} from './resume_obstacle.js';
 export {RetryController} from './retry_controller.js';
 export type {Route} from './route.js';
 export type {RouteMatch} from './route_match.js';
--- a/packages/forwarding/src/passed_events.ts
+++ b/packages/forwarding/src/passed_events.ts
@@ -10,6 +10,7 @@
 export class PassedEvents {
   private records = Buffer.alloc(0);
   private recorded = 0;
+  private isFull = false;
   /** Place of the last event with an id, by its digest; made when it is needed. */
   private places: Map<string, number> | undefined;
 
@@ -18,8 +19,16 @@
     return this.recorded;
   }
 
+  /** Whether more events were passed on than are kept. */
+  get hasOverflowed(): boolean {
+    return this.isFull;
+  }
+
   add(id: string, event: Buffer): void {
-    if (this.recorded === MAX_RECORDS) return;
+    if (this.recorded === MAX_RECORDS) {
+      this.isFull = true;
+      return;
+    }
     const place = this.recorded++;
     const from = place * RECORD_BYTES;
     if (from === this.records.length) this.grow();
@@ -41,6 +50,11 @@
     return this.getPlaces().get(computeDigest(id)) ?? -1;
   }
 
+  /** Whether events share an id, so that it names no place in the stream. */
+  get hasRepeatedId(): boolean {
+    return this.getPlaces().size < this.recorded;
+  }
+
   private getPlaces(): Map<string, number> {
     if (this.places !== undefined) return this.places;
     this.places = new Map();
