Draw ids, layouts and line ends of events in the soak of gateways

The soak's upstreams count their events in digits, so that it could not show what became of other ids. Each call now has ids of one of five kinds, before or behind the data, with one of the three line ends; an upstream that is asked to go on after an id that it never sent tells so, and the whole text of a stream is compared.

--- a/packages/bench/src/gateway_soak/check_calls.ts
+++ b/packages/bench/src/gateway_soak/check_calls.ts
@@ -1,6 +1,7 @@
 import {CheckedUpstream} from './checked_upstream.js';
 import type {GatewayStop} from './gateway_stop.js';
 import type {SoakCall} from './soak_call.js';
+import {soakEvents} from './soak_events.js';
 
 /** Statuses that promise that a request did not run. */
 const NOT_RUN = new Set([408, 421, 429, 503]);
@@ -58,15 +59,13 @@
       isCut || (body.trimEnd() === expected && bodyBytes === length);
     return isRight ? [] : [`${id} got another answer: ${body.slice(0, 40)}`];
   }
-  const events = body.split('\n\n').filter(text => text !== '');
-  const whole = isCut ? events.slice(0, -1) : events;
-  for (const [at, event] of whole.entries()) {
-    if (event !== `id: ${at + 1}\ndata: ${id} ${at + 1}`) {
-      return [`${id} got event ${at + 1} wrong: ${event.slice(0, 40)}`];
-    }
-  }
-  const isShort = !isCut && events.length !== CheckedUpstream.streamEvents;
-  return isShort ? [`${id} ended as whole after ${events.length} events`] : [];
+  const events = Array.from({length: CheckedUpstream.streamEvents}, (_, at) =>
+    soakEvents.describe(id, at + 1),
+  );
+  const whole = events.join('');
+  if (!whole.startsWith(body)) return [`${id} got other events: ${body}`];
+  const isShort = !isCut && body.length < whole.length;
+  return isShort ? [`${id} ended as whole after ${body.length} bytes`] : [];
 }
 
 function checkTime(
--- a/packages/bench/src/gateway_soak/checked_upstream.ts
+++ b/packages/bench/src/gateway_soak/checked_upstream.ts
@@ -11,6 +11,7 @@
 import type {GatewaySpan} from './gateway_span.js';
 import {HEALTH_PATH} from './health_path.js';
 import {ProxyFault} from './proxy_fault.js';
+import {soakEvents} from './soak_events.js';
 import type {UpstreamArrival} from './upstream_arrival.js';
 import {UPSTREAM_HOSTS} from './upstream_hosts.js';
 
@@ -41,6 +42,8 @@
   readonly outages: {readonly fromMs: number; readonly untilMs: number}[] = [];
   /** Times in which its answers said that it leaves. */
   readonly leaves: {readonly fromMs: number; readonly untilMs: number}[] = [];
+  /** Requests to go on after an event that the answer does not have. */
+  readonly unknownIds: string[] = [];
   private paths: FaultProxy[] = [];
   private startedAtMs = Date.now();
   private leavesFromMs: number | undefined;
@@ -195,7 +198,7 @@
       const parts = String(request.headers['prompt-parts'] ?? '');
       if (parts.includes(CRASHING_PART)) {
         response.writeHead(200, {'content-type': 'text/event-stream'});
-        response.write(`id: 1\ndata: ${id} 1\n\n`);
+        response.write(soakEvents.describe(id, 1));
         this.crash(`part ${CRASHING_PART}`);
         return;
       }
@@ -227,10 +230,19 @@
     response: ServerResponse,
   ): void {
     response.writeHead(200, {'content-type': 'text/event-stream'});
-    let at = Number(request.headers['last-event-id'] ?? 0);
+    const afterId = request.headers['last-event-id'];
+    let at =
+      afterId === undefined
+        ? 0
+        : soakEvents.find(id, String(afterId), STREAM_EVENTS);
+    if (at < 0) {
+      this.unknownIds.push(`${id} was to go on after ${String(afterId)}`);
+      response.destroy();
+      return;
+    }
     const timer = setInterval(() => {
       at++;
-      response.write(`id: ${at}\ndata: ${id} ${at}\n\n`);
+      response.write(soakEvents.describe(id, at));
       if (at < STREAM_EVENTS) return;
       clearInterval(timer);
       response.end();
--- a/packages/bench/src/gateway_soak/run_gateway_soak.ts
+++ b/packages/bench/src/gateway_soak/run_gateway_soak.ts
@@ -91,6 +91,7 @@
       crashes: ledger.count,
       violations: [
         ...checkCalls(calls, runs, stops, calmFromMs),
+        ...upstreams.flatMap(({unknownIds}) => unknownIds),
         ...checkCrashes(calls, ledger),
         ...checkLimits(upstreams, calls, [...stops, ...cuts]),
         ...checkLeaving(upstreams, calls, [...stops, ...cuts]),
