Pass on all headers of a request, however many they are

Cause: Node.js keeps 2,000 names and values of a request unless it is told otherwise, and leaves out the rest in silence.

Change: no limit in number at both servers for callers; their length is limited as before.

--- a/packages/daemon/src/callers/caller_server.ts
+++ b/packages/daemon/src/callers/caller_server.ts
@@ -74,6 +74,8 @@
       },
     });
     const {callerConnections} = new HostBounds();
+    // Their length alone is bounded; Node.js would leave out those beyond a number.
+    this.server.server.maxHeadersCount = 0;
     limitConnections(
       this.server.server,
       callerConnections,
--- a/packages/daemon/src/gateway/callers/gateway_server.ts
+++ b/packages/daemon/src/gateway/callers/gateway_server.ts
@@ -86,6 +86,8 @@
     });
     const {server} = this.server;
     server.requestTimeout = 0;
+    // Their length alone is bounded; Node.js would leave out those beyond a number.
+    server.maxHeadersCount = 0;
     server.on('connection', (socket: Socket) => {
       const reader = new SocketReader(
         TURN_BYTES,
