Keep a limit of 0, and change none by what cannot be read

"1e1" counted as 10, "0x10" as 16; a negative number or a word lifted a limit too.

Cause: the header was read with `Number()`, and all that is not above 0 counted as no limit; between hosts 0 means none as well.

Change: decimal digits are a limit, from 0 on. What cannot be read changes nothing that is known of the upstream, and is logged once (`upstream_limit_ignored`).

--- a/packages/daemon/src/gateway/attempts/attempt_placer.ts
+++ b/packages/daemon/src/gateway/attempts/attempt_placer.ts
@@ -1,6 +1,7 @@
 import {
   canFitPrompt,
   PassMeter,
+  toKeptRate,
   type CapacityShortage,
   type PromptDemand,
 } from '@parsleywood/dispatch';
@@ -318,15 +319,18 @@
   }
 
   /** Applies the limit that a response to the current attempt names, or that it names none. */
-  recordLimit(perSecond: number | undefined): void {
+  recordLimit(named: number | undefined): void {
     const {placed, context} = this;
     if (placed === undefined) return;
     const {limits, clock, publisher, log} = context;
     const {choice, placedAtMs} = placed;
     const {id} = choice.upstream;
     const nowMs = clock.nowMs();
+    const perSecond = named === undefined ? undefined : toKeptRate(named);
     const hasChanged = limits.update(id, perSecond, placedAtMs, nowMs);
-    if (hasChanged) log.info('upstream_limit', {upstream: id, perSecond});
+    if (hasChanged) {
+      log.info('upstream_limit', {upstream: id, named, perSecond});
+    }
     // Hosts that have started since learn of the limit as well.
     if (!hasChanged && perSecond === undefined) return;
     publisher.publishLimit(id, perSecond, nowMs - placedAtMs);
--- a/packages/daemon/src/gateway/attempts/attempt_sender.ts
+++ b/packages/daemon/src/gateway/attempts/attempt_sender.ts
@@ -163,6 +163,10 @@
       if (head.unreadableRest !== undefined) {
         context.unreadableRests.record(upstream.id, head.unreadableRest);
       }
+      if (head.unreadableRateLimit !== undefined) {
+        const {unreadableLimits} = context;
+        unreadableLimits.record(upstream.id, head.unreadableRateLimit);
+      }
     });
     let attempt: UpstreamAttempt;
     try {
--- a/packages/daemon/src/gateway/attempts/forward_session.ts
+++ b/packages/daemon/src/gateway/attempts/forward_session.ts
@@ -185,8 +185,9 @@
   onHead(head: ResponseHead): boolean {
     this.response.recordHead(head);
     this.log.recordHead();
-    if (head.status !== MISDIRECTED_STATUS) {
-      this.placer.recordLimit(head.rateLimit);
+    const {status, rateLimit, unreadableRateLimit} = head;
+    if (status !== MISDIRECTED_STATUS && unreadableRateLimit === undefined) {
+      this.placer.recordLimit(rateLimit);
     }
     if (this.response.isStreaming) this.inactivityTimer.awaitEvent();
     return true;
--- a/packages/daemon/src/gateway/gateway_context.ts
+++ b/packages/daemon/src/gateway/gateway_context.ts
@@ -24,7 +24,7 @@
 import type {ReachMonitor} from './upstreams/reach_monitor.js';
 import type {RetryBudgets} from './attempts/retry_budgets.js';
 import type {UpstreamPacing} from './upstreams/upstream_pacing.js';
-import type {UnreadableRestLog} from './upstreams/unreadable_rest_log.js';
+import type {IgnoredHeaderLog} from './upstreams/ignored_header_log.js';
 import type {UpstreamConnectionPool} from './upstreams/upstream_connection_pool.js';
 
 /** Dependencies that all requests of one host share. */
@@ -42,7 +42,8 @@
   readonly coldRates: ColdRateMonitor;
   readonly pacing: UpstreamPacing;
   readonly rests: UpstreamRests;
-  readonly unreadableRests: UnreadableRestLog;
+  readonly unreadableRests: IgnoredHeaderLog;
+  readonly unreadableLimits: IgnoredHeaderLog;
   readonly chooser: UpstreamChooser;
   readonly startView: StartView;
   readonly retryBudgets: RetryBudgets;
--- a/packages/daemon/src/gateway/gateway_host.ts
+++ b/packages/daemon/src/gateway/gateway_host.ts
@@ -36,7 +36,7 @@
 import type {GatewayContext} from './gateway_context.js';
 import {GatewayServer} from './callers/gateway_server.js';
 import {UpdateRelay} from './fleet/update_relay.js';
-import {UnreadableRestLog} from './upstreams/unreadable_rest_log.js';
+import {createIgnoredHeaderLogs} from './upstreams/create_ignored_header_logs.js';
 import {createUpdateApplier} from './fleet/create_update_applier.js';
 import type {ProbeServer} from './callers/probe_server.js';
 import {createProbeServer} from './create_probe_server.js';
@@ -226,7 +226,7 @@
       ),
       pacing,
       rests: new UpstreamRests(draw),
-      unreadableRests: new UnreadableRestLog(log),
+      ...createIgnoredHeaderLogs(log),
       chooser: new UpstreamChooser(
         host,
         failureDomain,
--- a/packages/daemon/src/gateway/upstreams/response_head.ts
+++ b/packages/daemon/src/gateway/upstreams/response_head.ts
@@ -16,6 +16,8 @@
    * names no limit.
    */
   readonly rateLimit: number | undefined;
+  /** Header that names a limit which cannot be read; what is known of it holds on. */
+  readonly unreadableRateLimit: string | undefined;
   /** Time for which a refusal asks for no more requests; 0 if it does not. */
   readonly restMs: number;
   /** Field `Retry-After` of a refusal that names a time which cannot be read. */
--- a/packages/daemon/src/gateway/upstreams/retain_upstreams.ts
+++ b/packages/daemon/src/gateway/upstreams/retain_upstreams.ts
@@ -10,6 +10,7 @@
   context.limits.retain(ids);
   context.rests.retain(ids);
   context.unreadableRests.retain(ids);
+  context.unreadableLimits.retain(ids);
   context.placements.retain(ids);
   context.chooser.retain(ids);
   context.startView.retain(ids);
--- a/packages/daemon/src/gateway/upstreams/upstream_attempt.ts
+++ b/packages/daemon/src/gateway/upstreams/upstream_attempt.ts
@@ -4,6 +4,7 @@
 import {countLines} from '../../host/count_lines.js';
 import type {ResponseListener} from '../attempts/response_listener.js';
 import type {HeaderNames} from '../header_names.js';
+import {readRateLimit} from './read_rate_limit.js';
 import {readRestMs} from './read_rest_ms.js';
 import {listEndToEndHeaders} from './list_end_to_end_headers.js';
 import type {UpstreamConnection} from './upstream_connection.js';
@@ -133,6 +134,8 @@
     );
     const retryAfter = headers['retry-after'];
     const restMs = readRestMs(status, retryAfter);
+    const namedLimit = headers[headerNames.rateLimit];
+    const rateLimit = readRateLimit(namedLimit);
     const isAccepted = this.listener.onHead({
       status,
       headers: listEndToEndHeaders(readRawHeaders(controller), NO_EXCLUSIONS),
@@ -142,7 +145,9 @@
         readFraming(request.method, status, headers) ===
         ResponseFraming.CONNECTION,
       faultyAddress: String(headers[headerNames.faultyUpstream] ?? ''),
-      rateLimit: readRateLimit(headers[headerNames.rateLimit]),
+      rateLimit,
+      unreadableRateLimit:
+        rateLimit === undefined ? namedLimit?.toString() : undefined,
       restMs: restMs ?? 0,
       unreadableRest: restMs === undefined ? String(retryAfter) : undefined,
       isLeaving: headers[headerNames.leaving] === '1',
@@ -192,14 +197,6 @@
   }
 }
 
-/** Reads a positive decimal number; anything else names no limit. */
-function readRateLimit(
-  text: string | string[] | undefined,
-): number | undefined {
-  const value = typeof text === 'string' ? Number(text) : NaN;
-  return Number.isFinite(value) && value > 0 ? value : undefined;
-}
-
 /** Whether a content type is that of event streams, or is missing. */
 function isEventStream(contentType: string | string[] | undefined): boolean {
   if (contentType === undefined) return true;
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -37,6 +37,7 @@
 export {UpstreamChooser} from './upstream_chooser.js';
 export {UpstreamHealth} from './upstream_health.js';
 export type {UpstreamLimit} from './upstream_limit.js';
+export {toKeptRate} from './to_kept_rate.js';
 export {UpstreamLimits} from './upstream_limits.js';
 export {UpstreamPace} from './upstream_pace.js';
 export {UpstreamRests} from './upstream_rests.js';
