Read numbers of callers' headers in decimal digits alone

What would be seen: a time limit of "0x10" counted as 16 ms and one of "1e3" as a second, whatever the upstream makes of the same text; a token count of 400 digits counted as none, so that a prompt which no engine holds was placed as an empty one.

Cause: `Number()` reads hexadecimal, exponents, signs and blanks, and gives Infinity past a double, which counted as absent.

Change: decimal digits, with a fraction if need be, are a number; a count past a double is one above all others. Other texts count as absent, as negative ones did. The headers themselves go on as they came.

--- a/packages/daemon/src/gateway/callers/read_request_metadata.ts
+++ b/packages/daemon/src/gateway/callers/read_request_metadata.ts
@@ -8,9 +8,11 @@
 /** More than the memory of all engines; the largest that 32 bits hold. */
 const MAX_TOKENS = 4_294_967_295;
 
+const DECIMAL = /^\s*\d+(\.\d+)?\s*$/;
+
 /**
- * Decodes a request's headers. Numbers that are invalid or negative count as
- * absent.
+ * Decodes a request's headers. What is no decimal number counts as absent, also with a
+ * sign or an exponent.
  *
  * @param target Path with query string, as the caller sent it.
  */
@@ -50,8 +52,7 @@
   return Math.min(Math.ceil(readNumber(text) ?? 0), MAX_TOKENS);
 }
 
-function readNumber(text: string | undefined): number | undefined {
-  if (text === undefined || text.trim() === '') return undefined;
-  const value = Number(text);
-  return Number.isFinite(value) && value >= 0 ? value : undefined;
+/** Reads a number in decimal digits; Infinity for one that exceeds a double. */
+function readNumber(text = ''): number | undefined {
+  return DECIMAL.test(text) ? Number(text) : undefined;
 }
