Refuse an entity tag that is no revision

What would be seen: a configuration service whose tag is past 2^53, or no number, counted as one that holds no value (revision 0).

Cause: a revision that cannot be read was replaced by 0.

Change: such an answer is a failure, like one without a value; a missing tag still means that there is none. All five cases of the new test failed before.

--- a/packages/daemon/src/control/platform_client.test.ts
+++ b/packages/daemon/src/control/platform_client.test.ts
@@ -44,6 +44,22 @@
     expect((await client.read('base')).isErr).to.equal(true);
   });
 
+  // Such a tag counted as revision 0, as if the key had no value.
+  for (const tag of ['"9007199254740993"', '"1e1"', 'W/"7"', '"-1"', '']) {
+    it(`returns a failure for the entity tag ${tag}`, async () => {
+      const server = createServer((_request, response) =>
+        response.writeHead(304, {ETag: tag}).end(),
+      );
+      await new Promise<void>(resolve => server.listen(0, LOCAL, resolve));
+      const {port} = server.address() as AddressInfo;
+      const odd = new PlatformClient(`http://${LOCAL}:${port}`, METRICS);
+      const result = await odd.watch('k', 3, 10);
+      await odd.close();
+      server.close();
+      expect(result.isErr).to.equal(true);
+    });
+  }
+
   for (const [name, body] of Object.entries({
     null: 'null',
     'a list': '[]',
--- a/packages/daemon/src/control/platform_client.ts
+++ b/packages/daemon/src/control/platform_client.ts
@@ -78,7 +78,10 @@
       const status = await readStatus(response);
       if (status === 404) return Result.ok(0);
       if (status === 304) {
-        return Result.ok(parseRevision(response.headers.etag));
+        const revision = parseRevision(response.headers.etag);
+        return revision === undefined
+          ? this.createFailure(key, 'the entity tag is no revision')
+          : Result.ok(revision);
       }
       return this.createFailure(key, `status ${status}`);
     } catch (error) {
@@ -97,11 +100,18 @@
   }
 }
 
-/** Parses the revision of an entity tag such as "17"; 0 when there is none. */
-function parseRevision(entityTag: string | string[] | undefined): number {
+/**
+ * Parses the revision of an entity tag such as "17"; 0 when there is none.
+ *
+ * @return Undefined for a tag that is no revision, or one that hosts cannot pass on.
+ */
+function parseRevision(
+  entityTag: string | string[] | undefined,
+): number | undefined {
+  if (entityTag === undefined) return 0;
   const digits = /^"([0-9]+)"$/.exec(String(entityTag))?.[1];
-  const revision = Number(digits ?? 0);
-  return Number.isSafeInteger(revision) ? revision : 0;
+  const revision = Number(digits);
+  return Number.isSafeInteger(revision) ? revision : undefined;
 }
 
 /** Undefined unless a response has a key and a revision that hosts can pass on. */
