--- a/packages/forwarding/src/testing/draw_streams.ts
+++ b/packages/forwarding/src/testing/draw_streams.ts
@@ -32,7 +32,7 @@
 const LAYOUTS: ((id: string, data: string) => string[])[] = [
   (id, data) => [`id: ${id}`, data],
   (id, data) => [data, `id: ${id}`],
-  (id, data) => [`id:${id.replace(/^ /, '  ')}`, 'event: token', data],
+  (id, data) => [`id:${id}`, 'event: token', data],
   (id, data) => ['id: 1', 'id', data, `id: ${id}`],
   (id, data) => [`id: ${id}`, data, 'id: nul\0', 'identity: 3'],
   (id, data) => [': id: 7', data, 'data: id: 8', `id: ${id}`, 'retry: 9'],
