Give up a held attempt whose engine takes no connections

Cause: a silent attempt is held while another one is tried, as the silence may be short, and keeps its reservations; whether its engines are still there was asked of the current attempt alone.

Held attempts without reserved memory are left as they are.

--- a/packages/daemon/src/gateway/attempts/attempt_holder.ts
+++ b/packages/daemon/src/gateway/attempts/attempt_holder.ts
@@ -1,9 +1,14 @@
+import {setTimeout as pause} from 'node:timers/promises';
+import {canConnect} from '../upstreams/can_connect.js';
 import type {AttemptPlacer} from './attempt_placer.js';
 import type {AttemptSender} from './attempt_sender.js';
 import {HeldAttempt} from './held_attempt.js';
 import type {ReceivedResponse} from './received_response.js';
 import type {ResponseListener} from './response_listener.js';
 
+/** Interval at which the engines of a held attempt are tested. */
+const TEST_INTERVAL_MS = 1_000;
+
 /** Sets a silent attempt of one request aside while another one is tried. */
 export class AttemptHolder {
   private held: HeldAttempt | undefined;
@@ -34,9 +39,11 @@
     const sent = sender.suspend();
     const placement = placer.suspend();
     if (sent === undefined || placement === undefined) return;
-    this.held = new HeldAttempt(sent, placement, response.capture(), () => {
+    const held = new HeldAttempt(sent, placement, response.capture(), () => {
       this.handleChange();
     });
+    this.held = held;
+    if (sent.reservations?.isNeeded === true) void this.watchEngines(held);
   }
 
   /** Goes on with the held attempt; no other one may be in progress. */
@@ -60,6 +67,22 @@
     held.received.buffer.discard();
   }
 
+  /**
+   * Ends a held attempt once one of its engines takes no connections: it waits in vain
+   * for that one, with memory set aside at the others.
+   */
+  private async watchEngines(held: HeldAttempt): Promise<void> {
+    const {upstream, helpers} = held.placement.placed.choice;
+    while (this.held === held) {
+      const areReachable = await Promise.all(
+        [upstream, ...helpers].map(({address}) => canConnect(address)),
+      );
+      if (this.held !== held) return;
+      if (!areReachable.every(Boolean)) this.discard();
+      else await pause(TEST_INTERVAL_MS, undefined, {ref: false});
+    }
+  }
+
   private handleChange(): void {
     if (!this.isPending) this.discard();
     else if (this.hasProgressed) this.onProgress();
