Start gateways of tests on other ports if theirs were taken

That another run took a port that had been free, as it is known from other tests, is likely and not shown.

Now a gateway that has ended is started again on other ports, up to three times; one that does not get ready fails the test with these words, and what it writes to standard error shows in the run.

--- a/packages/daemon/src/testing/gateway_process.ts
+++ b/packages/daemon/src/testing/gateway_process.ts
@@ -15,6 +15,9 @@
 const LOCAL = '127.0.0.1';
 const RETRY_INTERVAL_MS = 100;
 const TIMEOUT_MS = 10_000;
+/** Number of sets of ports that are tried. */
+const MAX_TRIES = 3;
+const OK_STATUS = 200;
 const LARGE_ANSWER = Buffer.alloc(2_097_152, 'x');
 const EVENT = `data: ${'x'.repeat(8_192)}\n\n`;
 const EVENT_INTERVAL_MS = 5;
@@ -50,9 +53,26 @@
     return this.process?.exitCode === null && this.process.signalCode === null;
   }
 
+  /** @throws Error if the gateway does not get ready. */
   async start(): Promise<ProcessMeter> {
     this.upstream.listen(0, LOCAL);
     await once(this.upstream, 'listening');
+    this.write('site.json', this.describeSite());
+    for (let tries = 0; tries < MAX_TRIES; tries++) {
+      const gateway = await this.startOnce();
+      let status = 0;
+      await this.waitUntil(async () => {
+        status = await this.call();
+        return status === OK_STATUS || !this.isRunning;
+      });
+      if (status === OK_STATUS) return new ProcessMeter(gateway.pid ?? 0);
+      // A port that was free may be taken meanwhile.
+      if (this.isRunning) break;
+    }
+    throw new Error('the gateway is not ready');
+  }
+
+  private async startOnce(): Promise<ChildProcess> {
     const ports = await findFreePorts(5);
     const [callers = '', readiness, directory = '', peers, metrics = ''] =
       ports.map(port => `${LOCAL}:${port}`);
@@ -65,14 +85,12 @@
       metricsAddress: metrics,
     };
     this.write('host.json', {...addresses, ...this.settings});
-    this.write('site.json', this.describeSite());
     const files = ['--settings', 'host.json', '--site', 'site.json'];
     this.process = spawn(process.execPath, [MAIN, ...files], {
       cwd: this.folder,
-      stdio: 'ignore',
+      stdio: ['ignore', 'ignore', 'inherit'],
     });
-    await this.waitUntil(async () => (await this.call()) === 200);
-    return new ProcessMeter(this.process.pid ?? 0);
+    return this.process;
   }
 
   async stop(): Promise<void> {
