Say of the splitter what holds of its cost

Some bytes are looked at twice, by the search for each of the two line ends; what matters is that no chunk adds to the cost of those before it. A comment alone.

--- a/packages/forwarding/src/event_splitter.ts
+++ b/packages/forwarding/src/event_splitter.ts
@@ -20,8 +20,8 @@
 
 /**
  * Splits a stream of server-sent events after each blank line. A line ends with a line
- * feed, a carriage return, or both. No byte is looked at twice, in however many chunks an
- * event comes.
+ * feed, a carriage return, or both. Its cost does not grow with the number of chunks that an
+ * event comes in.
  */
 export class EventSplitter {
   private readonly pending = new PieceBuffer();
